Add the design, the shared types and the peer protocol

Cause: nothing existed; parts written in parallel need one page and one set of types and messages to agree on.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+# Fixed seed for hash ordering, so that every run takes the same path.
+export PYTHONHASHSEED := 0
+
+.PHONY: demo test lint format fuzz bench
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[test]'
+	touch $@
+
+demo: $(VENV)/.installed
+	bash demo/run.sh $(BIN)
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+# Longer random runs of the stateful fuzzers.
+fuzz: $(VENV)/.installed
+	DAMASKPIN_FUZZ=long $(BIN)/python -m pytest tests -k fuzz --timeout 3600
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurements."""
--- /dev/null
+++ b/damaskpin/caller/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers and operators."""
--- /dev/null
+++ b/damaskpin/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Processes that connect the parts to the network."""
--- /dev/null
+++ b/damaskpin/errors.py
@@ -0,0 +1,79 @@
+"""Exceptions raised by damaskpin."""
+
+
+class DamaskpinError(Exception):
+    """Base class of all errors raised by damaskpin."""
+
+
+class SettingsError(DamaskpinError):
+    """A setting is unknown, missing or out of its range."""
+
+
+class ConfigError(DamaskpinError):
+    """A configuration document is invalid.
+
+    :param problems: one text for each problem, with its place in the document.
+    """
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__('; '.join(problems))
+        self.problems = problems
+
+
+class RequestError(DamaskpinError):
+    """A caller's request is refused before any work starts.
+
+    :param status: HTTP status code.
+    :param title: short summary of the problem type.
+    :param detail: explanation of this occurrence.
+    :param retry_after: seconds after which a retry may succeed, or ``None``.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        title: str,
+        detail: str = '',
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(detail or title)
+        self.status = status
+        self.title = title
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+class PeerError(DamaskpinError):
+    """A call to another damaskpin process failed."""
+
+
+class PeerUnreachableError(PeerError):
+    """The message was not handed to a connection, so it was not delivered."""
+
+
+class PeerTimeoutError(PeerError):
+    """No reply arrived in time; the message may have been delivered."""
+
+
+class FrameError(PeerError):
+    """A frame is malformed or its authentication code does not match."""
+
+
+class StoreError(DamaskpinError):
+    """A call to the store failed."""
+
+
+class StoreUnavailableError(StoreError):
+    """The store refused the call or was not reached; nothing was written."""
+
+
+class StoreUnknownError(StoreError):
+    """The store did not answer; a write may have taken effect."""
+
+
+class WorkerError(DamaskpinError):
+    """The worker refused an operation on a task."""
+
+
+class TargetError(DamaskpinError):
+    """A target did not answer as its protocol requires."""
--- /dev/null
+++ b/damaskpin/gang/__init__.py
@@ -0,0 +1,1 @@
+"""All-or-none start of gang jobs."""
--- /dev/null
+++ b/damaskpin/model/__init__.py
@@ -0,0 +1,1 @@
+"""Value types shared by all parts."""
--- /dev/null
+++ b/damaskpin/operator/__init__.py
@@ -0,0 +1,1 @@
+"""Library and commands for operators."""
--- /dev/null
+++ b/damaskpin/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between our own processes."""
--- /dev/null
+++ b/damaskpin/peer/codec.py
@@ -0,0 +1,51 @@
+"""Authenticated encoding of frames."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+import msgspec
+
+from damaskpin import errors
+from damaskpin.peer import messages
+
+MAC_BYTES = 12
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+
+class Codec:
+    """Encodes and decodes frames under the fleet key.
+
+    :param key: secret shared by all damaskpin processes of the fleet.
+    """
+
+    __slots__ = ('_decoder', '_encoder', '_key')
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(messages.Frame)
+
+    def encode_frame(self, frame: messages.Frame) -> bytes:
+        """Return the bytes of a frame, headed by its authentication code."""
+        payload = self._encoder.encode(frame)
+        return self._compute_mac(payload) + payload
+
+    def decode_frame(self, data: bytes) -> messages.Frame:
+        """Check and decode a frame.
+
+        :raises damaskpin.errors.FrameError: too large, forged or malformed.
+        """
+        if len(data) > MAX_FRAME_BYTES:
+            raise errors.FrameError(f'frame of {len(data)} bytes is too large')
+        mac, payload = data[:MAC_BYTES], data[MAC_BYTES:]
+        if not hmac.compare_digest(mac, self._compute_mac(payload)):
+            raise errors.FrameError('authentication code does not match')
+        try:
+            return self._decoder.decode(payload)
+        except msgspec.DecodeError as error:
+            raise errors.FrameError(f'malformed frame: {error}') from error
+
+    def _compute_mac(self, payload: bytes) -> bytes:
+        return hmac.digest(self._key, payload, hashlib.sha256)[:MAC_BYTES]
--- /dev/null
+++ b/damaskpin/peer/link.py
@@ -0,0 +1,267 @@
+"""Calls between damaskpin processes over pynng.
+
+A call carries a batch of messages; its reply carries the messages that the
+receiver produced for the caller while it handled the batch.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import logging
+from typing import TYPE_CHECKING
+
+import pynng
+
+from damaskpin import errors
+from damaskpin.peer import codec as codecs
+from damaskpin.peer import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+LOG = logging.getLogger(__name__)
+
+# Replies are produced without waiting, so a context is busy for microseconds
+# and a few of them serve all peers.
+LISTENER_CONTEXTS = 16
+CALL_TIMEOUT_S = 1.0
+IDLE_LINK_S = 60.0
+# Bounds the memory that a peer with a full connection can cost.
+MAX_QUEUED_MESSAGES = 10_000
+MAX_BATCH_MESSAGES = 64
+
+
+class Listener:
+    """Accepts calls from other processes.
+
+    :param address: pynng URL to listen on.
+    :param codec: codec of the fleet.
+    :param handler: called with each frame; returns the reply's frame.
+    """
+
+    __slots__ = ('_codec', '_contexts', '_handler', '_socket', '_tasks')
+
+    def __init__(
+        self,
+        address: str,
+        codec: codecs.Codec,
+        handler: Callable[[messages.Frame], messages.Frame],
+    ) -> None:
+        self._codec = codec
+        self._handler = handler
+        self._socket = pynng.Rep0(
+            listen=address,
+            recv_max_size=codecs.MAX_FRAME_BYTES,
+        )
+        self._contexts = [
+            self._socket.new_context() for _ in range(LISTENER_CONTEXTS)
+        ]
+        self._tasks = [
+            asyncio.ensure_future(self._serve(context))
+            for context in self._contexts
+        ]
+
+    async def close(self) -> None:
+        """Stop accepting calls."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for context in self._contexts:
+            context.close()
+        self._socket.close()
+
+    async def _serve(self, context: pynng.Context) -> None:
+        while True:
+            try:
+                data = await context.arecv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                LOG.warning('receive failed: %s', error)
+                continue
+            try:
+                reply = self._handler(self._codec.decode_frame(data))
+            except errors.FrameError as error:
+                LOG.warning('dropped a frame: %s', error)
+                continue
+            except Exception:
+                LOG.exception('handling a frame failed')
+                continue
+            try:
+                await context.asend(self._codec.encode_frame(reply))
+            except pynng.NNGException as error:
+                LOG.info('reply was not sent: %s', error)
+
+
+class Link:
+    """Connection to one peer; messages are sent in order, in batches.
+
+    :param address: pynng URL of the peer.
+    :param codec: codec of the fleet.
+    """
+
+    __slots__ = ('_codec', '_context', '_socket', 'address', 'dials')
+
+    def __init__(self, address: str, codec: codecs.Codec) -> None:
+        self.address = address
+        self.dials = 0
+        self._codec = codec
+        self._socket: pynng.Req0 | None = None
+        self._context: pynng.Context | None = None
+
+    async def call(
+        self, frame: messages.Frame, timeout: float = CALL_TIMEOUT_S
+    ) -> messages.Frame:
+        """Send a frame and wait for the reply.
+
+        :param frame: frame to send.
+        :param timeout: seconds to wait for the connection and the reply.
+        :raises damaskpin.errors.PeerUnreachableError: not sent.
+        :raises damaskpin.errors.PeerTimeoutError: sent, but no reply.
+        """
+        data = self._codec.encode_frame(frame)
+        context = self._open_context()
+        try:
+            await asyncio.wait_for(context.asend(data), timeout)
+        except (TimeoutError, pynng.NNGException) as error:
+            self.close()
+            raise errors.PeerUnreachableError(
+                f'no connection to {self.address}'
+            ) from error
+        try:
+            reply = await asyncio.wait_for(context.arecv(), timeout)
+        except (TimeoutError, pynng.NNGException) as error:
+            # The connection may have gone silent: the next call uses a new
+            # one.
+            self.close()
+            raise errors.PeerTimeoutError(
+                f'no reply from {self.address} within {timeout} s'
+            ) from error
+        return self._codec.decode_frame(reply)
+
+    def close(self) -> None:
+        """Close the connection; the next call dials again."""
+        if self._context is not None:
+            self._context.close()
+            self._context = None
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _open_context(self) -> pynng.Context:
+        if self._context is not None:
+            return self._context
+        self.dials += 1
+        self._socket = pynng.Req0(
+            recv_max_size=codecs.MAX_FRAME_BYTES,
+            reconnect_time_min=50,
+            reconnect_time_max=500,
+        )
+        # The protocol repeats messages itself; automatic resends would hide
+        # silent connections.
+        self._socket.resend_time = -1
+        self._socket.dial(self.address, block=False)
+        self._context = self._socket.new_context()
+        return self._context
+
+
+class Outbox:
+    """Sends messages to any peer, one batch at a time for each address.
+
+    :param codec: codec of the fleet.
+    :param make_frame: builds a frame of this process from messages.
+    :param handler: called with the frame of each reply.
+    :param on_failure: called with the address and the error of a failed call.
+    """
+
+    __slots__ = (
+        '_codec',
+        '_handler',
+        '_last_used',
+        '_links',
+        '_make_frame',
+        '_on_failure',
+        '_queues',
+        '_senders',
+        'dropped',
+    )
+
+    def __init__(
+        self,
+        codec: codecs.Codec,
+        make_frame: Callable[[Sequence[messages.Message]], messages.Frame],
+        handler: Callable[[messages.Frame], None],
+        on_failure: Callable[[str, errors.PeerError], None],
+    ) -> None:
+        self._codec = codec
+        self._make_frame = make_frame
+        self._handler = handler
+        self._on_failure = on_failure
+        self._links: dict[str, Link] = {}
+        self._queues: dict[str, collections.deque[messages.Message]] = {}
+        self._senders: dict[str, asyncio.Task[None]] = {}
+        self._last_used: dict[str, float] = {}
+        self.dropped = 0
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Queue a message; it is dropped when the queue is full."""
+        queue = self._queues.setdefault(address, collections.deque())
+        if len(queue) >= MAX_QUEUED_MESSAGES:
+            self.dropped += 1
+            return
+        queue.append(message)
+        if address not in self._senders:
+            self._senders[address] = asyncio.ensure_future(
+                self._drain(address)
+            )
+
+    def close_idle(self, now: float) -> None:
+        """Close connections that were not used for ``IDLE_LINK_S``.
+
+        :param now: time of the event loop's clock, in seconds.
+        """
+        for address, used in list(self._last_used.items()):
+            if address in self._senders or now - used < IDLE_LINK_S:
+                continue
+            self._links.pop(address).close()
+            del self._last_used[address]
+            del self._queues[address]
+
+    async def close(self) -> None:
+        """Wait for queued messages, then close all connections."""
+        await asyncio.gather(*self._senders.values(), return_exceptions=True)
+        for link in self._links.values():
+            link.close()
+
+    async def _drain(self, address: str) -> None:
+        link = self._links.setdefault(address, Link(address, self._codec))
+        queue = self._queues[address]
+        try:
+            while queue:
+                batch = [
+                    queue.popleft()
+                    for _ in range(min(len(queue), MAX_BATCH_MESSAGES))
+                ]
+                await self._call(link, batch)
+        finally:
+            self._last_used[address] = asyncio.get_running_loop().time()
+            del self._senders[address]
+
+    async def _call(self, link: Link, batch: list[messages.Message]) -> None:
+        frame = self._make_frame(batch)
+        try:
+            reply = await link.call(frame)
+        except errors.PeerTimeoutError:
+            # Receivers drop duplicates, so one repeat over a new connection
+            # is safe and hides a connection that went silent.
+            try:
+                reply = await link.call(frame)
+            except errors.PeerError as error:
+                self._on_failure(link.address, error)
+                return
+        except errors.PeerError as error:
+            self._on_failure(link.address, error)
+            return
+        self._handler(reply)
--- /dev/null
+++ b/damaskpin/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports on service levels and decisions."""
--- /dev/null
+++ b/damaskpin/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without I/O."""
--- /dev/null
+++ b/damaskpin/service/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to announced targets."""
--- /dev/null
+++ b/damaskpin/store/__init__.py
@@ -0,0 +1,1 @@
+"""Interface to the platform's key-value service."""
--- /dev/null
+++ b/damaskpin/target/__init__.py
@@ -0,0 +1,1 @@
+"""Interface to the targets beside an agent."""
--- /dev/null
+++ b/damaskpin/worker/__init__.py
@@ -0,0 +1,1 @@
+"""Interface to the workers of the platform."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around damaskpin."""
