--- a/damaskpin/errors.py
+++ b/damaskpin/errors.py
@@ -75,5 +75,9 @@
     """The worker refused an operation on a task."""
 
 
+class WorkerUnavailableError(WorkerError):
+    """The worker did not answer; the operation may have taken effect."""
+
+
 class TargetError(DamaskpinError):
     """A target did not answer as its protocol requires."""
--- /dev/null
+++ b/tests/test_worker/test_worker_client.py
@@ -0,0 +1,152 @@
+"""Tests of the worker client against the stand-in as a process."""
+
+import asyncio
+import json
+import subprocess
+import sys
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.worker import client as clients
+
+
+@pytest.fixture
+def open_worker():
+    """Start stand-ins and end them after the test."""
+    processes = []
+
+    def start(*arguments):
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'standins.worker', '--port', '0']
+            + list(arguments),
+            stdout=subprocess.PIPE,
+        )
+        processes.append(process)
+        return json.loads(process.stdout.readline())['listening']
+
+    yield start
+    for process in processes:
+        process.terminate()
+        process.wait(10)
+        process.stdout.close()
+
+
+def _run(url, use, timeout=2.0):
+    async def call():
+        client = clients.WorkerClient(url, timeout)
+        try:
+            return await use(client)
+        finally:
+            client.close()
+
+    return asyncio.run(call())
+
+
+async def _wait_for_end(client, task):
+    for _ in range(100):
+        for known in await client.list_tasks():
+            if known.id == task and known.state == 'ended':
+                return known
+        await asyncio.sleep(0.05)
+    raise AssertionError(f'task {task} did not end')
+
+
+@pytest.mark.parametrize(
+    ('command', 'end', 'exit_code'),
+    [
+        (('sleep', '0.2'), 'exited', 0),
+        (('fail', '0.2'), 'exited', 1),
+        (('sleep', '60'), 'lease-expired', None),
+        (('no-such-command',), 'exited', 127),
+    ],
+)
+def test_task_ends_as_its_command_says(open_worker, command, end, exit_code):
+    """Guards against a lost exit code, which decides the verdict."""
+
+    async def use(client):
+        labels = {'job': 'j', 'lead': 'agent-1'}
+        await client.start_task('a/1', command, (0, 1), 0.5, labels)
+        task = await _wait_for_end(client, 'a/1')
+        assert (task.end, task.exit_code) == (end, exit_code)
+        assert task.labels == labels
+
+    _run(open_worker(), use)
+
+
+def test_repeated_start_joins_and_taken_accelerator_is_refused(open_worker):
+    """Guards against a repeat that starts twice, and double booking."""
+
+    async def use(client):
+        for _ in range(2):
+            await client.start_task('a', ('sleep', '60'), (0,), 5.0, {})
+        assert len(await client.list_tasks()) == 1
+        with pytest.raises(errors.WorkerError, match='taken'):
+            await client.start_task('b', ('sleep', '60'), (0, 1), 5.0, {})
+        with pytest.raises(errors.WorkerError, match='exists'):
+            await client.start_task('a', ('sleep', '9'), (0,), 5.0, {})
+
+    _run(open_worker('--accelerators', '2'), use)
+
+
+def test_stubborn_task_needs_a_revocation(open_worker):
+    """Guards against a borrower that keeps the accelerators of others."""
+
+    async def use(client):
+        await client.start_task('a', ('stubborn', '60'), (0,), 30.0, {})
+        await client.checkpoint_task('a', 0.1)
+        assert (await client.stop_task('a')).state == 'running'
+        assert (await client.revoke_task('a')).end == 'revoked'
+        with pytest.raises(errors.WorkerError, match='ended'):
+            await client.renew_task('a', 15.0)
+
+    _run(open_worker(), use)
+
+
+def test_renewal_and_throttle_prolong_a_task(open_worker):
+    async def use(client):
+        await client.start_task('a', ('sleep', '0.3'), (0,), 0.2, {})
+        await client.throttle_task('a', 0.01)
+        assert (await client.renew_task('a', 15.0)).lease_remaining > 14
+        await asyncio.sleep(0.5)
+        assert (await client.stop_task('a')).end == 'stopped'
+
+    _run(open_worker(), use)
+
+
+def test_usage_lags(open_worker):
+    async def use(client):
+        await client.start_task('a', ('sleep', '60'), (1,), 30.0, {})
+        assert not any(a.busy for a in (await client.get_usage()).accelerators)
+        await asyncio.sleep(0.4)
+        usage = await client.get_usage()
+        assert [a.index for a in usage.accelerators if a.busy] == [1]
+
+    _run(open_worker('--usage-lag', '0.3'), use)
+
+
+def test_failing_worker_fails_everything(open_worker):
+    async def use(client):
+        await client.start_task('a', ('sleep', '60'), (0,), 30.0, {})
+        assert (await _wait_for_end(client, 'a')).exit_code == 1
+
+    _run(open_worker('--fail-all'), use)
+
+
+def test_silent_worker_is_reported_as_unavailable():
+    """Guards against a lost answer that is taken for a refusal."""
+
+    async def use(client):
+        server = await asyncio.start_server(
+            lambda *_: asyncio.sleep(5), '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        silent = clients.WorkerClient(f'http://127.0.0.1:{port}', 0.2)
+        with pytest.raises(errors.WorkerUnavailableError):
+            await silent.list_tasks()
+        silent.close()
+        server.close()
+        with pytest.raises(errors.WorkerUnavailableError):
+            await client.list_tasks()
+
+    _run('http://127.0.0.1:1', use, 0.5)
