--- /dev/null
+++ b/damaskpin/daemon/node.py
@@ -0,0 +1,229 @@
+"""Connects the state machines of a process to its peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import secrets
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from tornado import ioloop
+
+from damaskpin import errors
+from damaskpin import telemetry
+from damaskpin.peer import codec as codecs
+from damaskpin.peer import link
+from damaskpin.peer import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Sequence
+
+    from damaskpin import settings as settings_module
+
+LOG = logging.getLogger(__name__)
+
+TICK_S = 0.05
+INCARNATION_BYTES = 6
+IDLE_CHECK_S = 10.0
+
+
+class Node:
+    """Network side of one process.
+
+    :param settings: settings of the process.
+    :param role: ``entry`` or ``agent``.
+    :param receive: called with each message and its sender.
+    :param call_failed: called with a peer that did not answer.
+    """
+
+    __slots__ = (
+        '_addresses',
+        '_background',
+        '_call_failed',
+        '_listener',
+        '_names',
+        '_outbox',
+        '_receive',
+        '_replies',
+        '_settings',
+        'peer',
+        'telemetry',
+    )
+
+    def __init__(
+        self,
+        settings: settings_module.CommonSettings,
+        role: str,
+        receive: Callable[[str, messages.Message], None],
+        call_failed: Callable[[str], None],
+    ) -> None:
+        self._settings = settings
+        self._receive = receive
+        self._call_failed = call_failed
+        self.peer = messages.Peer(
+            settings.instance,
+            secrets.token_hex(INCARNATION_BYTES),
+            role,
+            settings.listen,
+            settings.region,
+            settings.data_centre,
+            f'http://{settings.http_host}:{settings.http_port}',
+        )
+        self.telemetry = telemetry.Telemetry(
+            settings.instance, settings.otlp_endpoint
+        )
+        self._addresses: dict[str, str] = {}
+        self._names: dict[str, str] = {}
+        self._replies: tuple[str, list[messages.Message]] | None = None
+        self._background: set[asyncio.Task[None]] = set()
+        codec = codecs.Codec(settings.fleet_key.get_secret_value().encode())
+        self._outbox = link.Outbox(
+            codec, self._make_frame, self._handle_reply, self._handle_failure
+        )
+        self._listener = link.Listener(
+            settings.listen, codec, self._handle_frame
+        )
+
+    @staticmethod
+    def get_time() -> float:
+        """Return monotonic seconds."""
+        return time.monotonic()
+
+    def learn_address(self, peer: messages.Peer) -> None:
+        """Keep the address of a process."""
+        self._keep_address(peer.instance, peer.address)
+
+    def send(self, instance: str, message: messages.Message) -> None:
+        """Send a message; it may be lost.
+
+        :param instance: receiver; this process itself is allowed.
+        """
+        if instance == self.peer.instance:
+            asyncio.get_running_loop().call_soon(
+                self._deliver, instance, message
+            )
+            return
+        if self._replies is not None and self._replies[0] == instance:
+            self._replies[1].append(message)
+            return
+        address = self._addresses.get(instance)
+        if address is None:
+            LOG.debug('no address of %s', instance)
+            return
+        self._outbox.send(address, message)
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run a coroutine in the background; its fault is logged."""
+        task = asyncio.ensure_future(self._run_logged(work))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def start_ticks(self, tick: Callable[[], None]) -> None:
+        """Call ``tick`` every ``TICK_S`` seconds from now on."""
+        self.spawn(self._run_ticks(tick))
+        self.spawn(self._close_idle_links())
+
+    async def close(self) -> None:
+        """Deliver what is queued and close all connections."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._outbox.close(), 2.0)
+        for task in list(self._background):
+            task.cancel()
+        await self._listener.close()
+        self.telemetry.close()
+
+    async def _run_ticks(self, tick: Callable[[], None]) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            try:
+                tick()
+            except Exception:
+                LOG.exception('a periodic step failed')
+
+    async def _close_idle_links(self) -> None:
+        while True:
+            await asyncio.sleep(IDLE_CHECK_S)
+            self._outbox.close_idle(asyncio.get_running_loop().time())
+
+    async def _run_logged(self, work: Awaitable[None]) -> None:
+        try:
+            await work
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            LOG.exception('background work failed')
+
+    def _make_frame(self, batch: Sequence[messages.Message]) -> messages.Frame:
+        return messages.Frame(
+            self.peer.instance,
+            self.peer.incarnation,
+            self.peer.address,
+            tuple(batch),
+        )
+
+    def _handle_frame(self, frame: messages.Frame) -> messages.Frame:
+        self._keep_address(frame.sender, frame.address)
+        self._replies = (frame.sender, [])
+        try:
+            for message in frame.messages:
+                self._deliver(frame.sender, message)
+            return self._make_frame(self._replies[1])
+        finally:
+            self._replies = None
+
+    def _handle_reply(self, frame: messages.Frame) -> None:
+        for message in frame.messages:
+            self._deliver(frame.sender, message)
+
+    def _deliver(self, sender: str, message: messages.Message) -> None:
+        self.telemetry.messages.add(1, {'type': type(message).__name__})
+        try:
+            self._receive(sender, message)
+        except Exception:
+            LOG.exception('handling %s failed', type(message).__name__)
+
+    def _handle_failure(self, address: str, error: errors.PeerError) -> None:
+        instance = self._names.get(address, '')
+        self.telemetry.peer_failures.add(1, {'peer': instance})
+        LOG.info('call of %s failed: %s', instance or address, error)
+        if instance:
+            self._call_failed(instance)
+
+    def _keep_address(self, instance: str, address: str) -> None:
+        former = self._addresses.get(instance)
+        if former == address:
+            return
+        if former is not None:
+            self._names.pop(former, None)
+        self._addresses[instance] = address
+        self._names[address] = instance
+
+
+def run_until_stopped(
+    start: Callable[[], Awaitable[None]],
+    stop: Callable[[], Awaitable[None]],
+) -> None:
+    """Run a daemon until SIGTERM or SIGINT, then stop it in order.
+
+    :param start: starts the daemon.
+    :param stop: finishes the work in progress and closes the daemon.
+    """
+    loop = ioloop.IOLoop.current()
+
+    async def run() -> None:
+        stopping = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stopping.set)
+        await start()
+        await stopping.wait()
+        LOG.info('stopping')
+        await stop()
+        LOG.info('stopped')
+
+    loop.run_sync(run)
--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -95,6 +95,7 @@
     """Heartbeat of an agent to its home entry.
 
     :ivar state: full state when it changed or was asked for.
+    :ivar entries_version: version of the entry list that the agent holds.
     """
 
     instance: str
@@ -103,6 +104,7 @@
     revision: int
     uptime: float
     state: AgentState | None = None
+    entries_version: str = ''
 
 
 class ReportAck(_Message):
@@ -124,14 +126,19 @@
 class EntryBeat(_Message):
     """Heartbeat between entries.
 
+    :ivar interval: seconds until the sender's next heartbeat.
     :ivar reply: true on the answer, which is not answered again.
+    :ivar digest: checksum over the agents that the sender is home of, so
+        that a lost ``RegionUpdate`` is noticed.
     """
 
     peer: Peer
     revision: int
+    interval: float
     draining: bool = False
     reply: bool = False
     leaving: bool = False
+    digest: int = 0
 
 
 class RegionUpdate(_Message):
--- /dev/null
+++ b/damaskpin/telemetry.py
@@ -0,0 +1,124 @@
+"""Metrics by OpenTelemetry, with a scrape endpoint and OTLP by setting."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk import metrics as sdk_metrics
+from opentelemetry.sdk import resources
+import prometheus_client
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from opentelemetry.sdk.metrics import export
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+
+
+class Telemetry:
+    """Instruments of one process.
+
+    :param instance: name of the process.
+    :param otlp_endpoint: URL that receives OTLP over HTTP; empty for none.
+    """
+
+    __slots__ = (
+        '_meter',
+        '_provider',
+        '_registry',
+        'config_revision',
+        'decision_seconds',
+        'messages',
+        'peer_failures',
+        'requests',
+        'seconds',
+        'store_calls',
+        'verdicts',
+    )
+
+    def __init__(self, instance: str, otlp_endpoint: str = '') -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        readers: list[export.MetricReader] = [
+            PrometheusMetricReader(registry=self._registry)
+        ]
+        if otlp_endpoint:
+            readers.append(_make_otlp_reader(otlp_endpoint))
+        self._provider = sdk_metrics.MeterProvider(
+            metric_readers=readers,
+            resource=resources.Resource.create(
+                {
+                    'service.name': 'damaskpin',
+                    'service.instance.id': instance,
+                }
+            ),
+        )
+        self._meter = self._provider.get_meter('damaskpin')
+        meter = self._meter
+        self.requests = meter.create_counter(
+            'damaskpin.requests', unit='1', description='requests accepted'
+        )
+        self.verdicts = meter.create_counter(
+            'damaskpin.verdicts',
+            unit='1',
+            description='verdicts told to callers',
+        )
+        self.seconds = meter.create_histogram(
+            'damaskpin.duration',
+            unit='s',
+            description='time from acceptance to verdict',
+        )
+        self.decision_seconds = meter.create_histogram(
+            'damaskpin.decision.duration',
+            unit='s',
+            description='time of one scheduling decision',
+        )
+        self.messages = meter.create_counter(
+            'damaskpin.peer.messages',
+            unit='1',
+            description='messages received from damaskpin processes',
+        )
+        self.peer_failures = meter.create_counter(
+            'damaskpin.peer.failures',
+            unit='1',
+            description='failed calls to damaskpin processes',
+        )
+        self.store_calls = meter.create_counter(
+            'damaskpin.store.calls', unit='1', description='calls of the store'
+        )
+
+    def observe_gauge(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Register a gauge that is read when metrics are collected.
+
+        :param name: name of the metric.
+        :param description: what it shows, with its unit.
+        :param read: returns the value at that moment.
+        """
+        from opentelemetry import metrics
+
+        self._meter.create_observable_gauge(
+            name,
+            callbacks=[lambda options: [metrics.Observation(read())]],
+            description=description,
+        )
+
+    def render_metrics(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Send the last metrics and stop exporting."""
+        self._provider.shutdown()
+
+
+def _make_otlp_reader(endpoint: str) -> export.MetricReader:
+    # Imported on demand: it costs about 15 MB that most processes don't need.
+    from opentelemetry.exporter.otlp.proto.http import metric_exporter
+    from opentelemetry.sdk.metrics import export as metrics_export
+
+    return metrics_export.PeriodicExportingMetricReader(
+        metric_exporter.OTLPMetricExporter(endpoint=endpoint)
+    )
--- /dev/null
+++ b/demo/run.sh
@@ -0,0 +1,76 @@
+#!/usr/bin/env bash
+# Starts the store stand-in, three entries and ten workers with their targets
+# and agents as plain processes on loopback, then runs the demo session.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BIN=${1:-.venv/bin}
+LOGS=${DEMO_LOGS:-build/demo}
+BASE=${DEMO_BASE_PORT:-21000}
+mkdir -p "$LOGS"
+
+export DAMASKPIN_FLEET_KEY=demo-fleet-key-not-a-secret
+OPERATOR_TOKEN=demo-operator
+DAMASKPIN_OPERATOR_TOKEN_SHA256=$(printf %s "$OPERATOR_TOKEN" | sha256sum | cut -d' ' -f1)
+export DAMASKPIN_OPERATOR_TOKEN_SHA256
+
+pids=()
+stop_all() {
+    trap - EXIT
+    kill "${pids[@]}" 2>/dev/null || true
+    wait "${pids[@]}" 2>/dev/null || true
+}
+trap stop_all EXIT
+trap 'exit 1' INT TERM
+
+# start NAME COMMAND...: runs a process in the background, with its own log.
+start() {
+    local name=$1
+    shift
+    "$@" >"$LOGS/$name.out" 2>"$LOGS/$name.log" </dev/null &
+    pids+=($!)
+    echo "$name $!" >>"$LOGS/pids"
+}
+: >"$LOGS/pids"
+
+STORE=http://127.0.0.1:$BASE
+SEEDS=http://127.0.0.1:$((BASE + 11)),http://127.0.0.1:$((BASE + 12)),http://127.0.0.1:$((BASE + 13))
+start store "$BIN/python" -m standins.store --port "$BASE"
+
+# start_entry NUMBER REGION DATA_CENTRE
+start_entry() {
+    start "entry-$1" "$BIN/python" -m damaskpin entry \
+        --instance "entry-$1" --region "$2" --data-centre "$3" \
+        --listen "tcp://127.0.0.1:$((BASE + 20 + $1))" \
+        --http-port "$((BASE + 10 + $1))" --seeds "$SEEDS" --store "$STORE"
+}
+start_entry 1 gauteng sandton
+start_entry 2 gauteng midrand
+start_entry 3 western-cape observatory
+
+# start_worker NUMBER REGION DATA_CENTRE RACK
+start_worker() {
+    local port=$((BASE + 100 + $1 * 10))
+    start "worker-$1" "$BIN/python" -m standins.worker \
+        --port "$port" --accelerators 8
+    start "agent-$1" "$BIN/python" -m damaskpin agent \
+        --instance "agent-$1" --region "$2" --data-centre "$3" \
+        --rack "$4" --worker "worker-$1" --accelerators 8 \
+        --listen "tcp://127.0.0.1:$((port + 1))" \
+        --http-port "$((port + 2))" --seeds "$SEEDS" \
+        --worker-url "http://127.0.0.1:$port"
+    start "target-$1" "$BIN/python" -m standins.target \
+        --port "$((port + 3))" --agent "http://127.0.0.1:$((port + 2))" \
+        --service shortlist --slots 8
+}
+for number in 1 2 3; do start_worker $number gauteng sandton sandton-1; done
+for number in 4 5 6; do start_worker $number gauteng sandton sandton-2; done
+for number in 7 8 9; do start_worker $number gauteng midrand midrand-1; done
+start_worker 10 western-cape observatory observatory-1
+
+status=0
+"$BIN/python" -m demo.session --entries "$SEEDS" \
+    --operator-token "$OPERATOR_TOKEN" --config examples/shortlist || status=$?
+if [ "$status" -ne 0 ]; then
+    echo "demo failed; logs are in $LOGS" >&2
+fi
+exit "$status"
