--- a/damaskpin/errors.py
+++ b/damaskpin/errors.py
@@ -67,6 +67,10 @@
     """The store refused the call or was not reached; nothing was written."""
 
 
+class StoreLeaseError(StoreUnavailableError):
+    """The lease does not exist or has expired; nothing was written."""
+
+
 class StoreUnknownError(StoreError):
     """The store did not answer; a write may have taken effect."""
 
--- /dev/null
+++ b/tests/test_store/test_store_client.py
@@ -0,0 +1,202 @@
+"""Tests of the client and the stand-in over HTTP on a loopback port."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.store import client as clients
+from damaskpin.store import failures
+from damaskpin.store import values
+
+
+def test_values_come_back_whole_with_their_revisions(run_with_store):
+    """Guards against encoding faults of base64 and of int64 as strings."""
+
+    async def scenario(server, client):
+        value = bytes(range(256)) * 4096
+        first = await client.put('/a/1', value)
+        second = await client.put('/a/1', b'2')
+        other = await client.put('/a/2', value)
+        await client.put('/b', b'')
+        assert first < second < other
+        listing = await client.list_prefix('/a/')
+        assert [item.key for item in listing.items] == ['/a/1', '/a/2']
+        assert listing.revision == other + 1
+        assert listing.items[1].value == value
+        assert listing.items[0] == values.KeyValue(
+            '/a/1', b'2', second, first, 2
+        )
+        assert (await client.get('/b')).value == b''
+        assert await client.delete('/b')
+        assert not await client.delete('/b')
+        assert await client.get('/b') is None
+
+    run_with_store(scenario)
+
+
+def test_value_beyond_the_limit_is_refused_and_not_written(run_with_store):
+    async def scenario(server, client):
+        with pytest.raises(errors.StoreUnavailableError, match='too large'):
+            await client.put('/a', b'x' * (1024 * 1024 + 1))
+        assert await client.get('/a') is None
+
+    run_with_store(scenario)
+
+
+def test_create_and_swap_show_what_stands_in_their_way(run_with_store):
+    """Guards against two writers that both believe they won."""
+
+    async def scenario(server, client):
+        created = await client.create('/a', b'1')
+        assert created.succeeded
+        again = await client.create('/a', b'2')
+        assert not again.succeeded
+        assert again.reads[0].value == b'1'
+        swapped = await client.compare_and_swap('/a', created.revision, b'3')
+        assert swapped.succeeded
+        assert swapped.revision > created.revision
+        stale = await client.compare_and_swap('/a', created.revision, b'4')
+        assert not stale.succeeded
+        assert stale.reads[0].mod_revision == swapped.revision
+
+    run_with_store(scenario)
+
+
+def test_transaction_is_whole_and_has_one_revision(run_with_store):
+    async def scenario(server, client):
+        done = await client.transact(
+            [values.HasVersion('/a', 0)],
+            [values.Put('/a', b'1'), values.Put('/b', b'2')],
+        )
+        listing = await client.list_prefix('/')
+        assert {item.mod_revision for item in listing.items} == {done.revision}
+        with pytest.raises(errors.StoreLeaseError):
+            await client.transact(
+                [values.HasValue('/a', b'1')],
+                [values.Put('/a', b'3'), values.Put('/b', b'4', lease=99)],
+            )
+        assert await client.list_prefix('/') == listing
+
+    run_with_store(scenario)
+
+
+def test_expired_lease_takes_its_keys_and_refuses_its_holder(run_with_store):
+    """Guards against a paused holder that believes its lease is valid."""
+
+    async def scenario(server, client):
+        lease = await client.grant_lease(10)
+        await client.put('/a', b'1', lease.id)
+        await client.keep_lease(lease.id)
+        server.store.set_faults(type(server.store.faults)(expire_leases=True))
+        assert await client.get('/a') is None
+        with pytest.raises(errors.StoreLeaseError):
+            await client.keep_lease(lease.id)
+        with pytest.raises(errors.StoreLeaseError):
+            await client.put('/a', b'2', lease.id)
+        await client.revoke_lease(lease.id)
+        short = await client.grant_lease(1)
+        await client.put('/a', b'1', short.id)
+        await asyncio.sleep(1.3)
+        assert await client.get('/a') is None
+
+    run_with_store(scenario)
+
+
+@pytest.mark.parametrize(
+    ('faults', 'error', 'written'),
+    [
+        ({'down': '503'}, errors.StoreUnavailableError, False),
+        ({'down': 'closed'}, errors.StoreUnknownError, False),
+        ({'lose_answers': 1}, errors.StoreUnknownError, True),
+        ({'slow': 0.8}, errors.StoreUnknownError, True),
+    ],
+)
+def test_failed_write_says_whether_it_may_have_happened(
+    run_with_store, faults, error, written
+):
+    """Guards against 'nothing was written' for a write that took effect."""
+
+    async def scenario(server, client):
+        for name, value in faults.items():
+            setattr(server.store.faults, name, value)
+        with pytest.raises(error):
+            await client.put('/a', b'1')
+        await asyncio.sleep(0.6)
+        server.store.faults.down = ''
+        server.store.faults.slow = 0.0
+        assert (await client.get('/a') is not None) == written
+
+    run_with_store(scenario)
+
+
+def test_read_never_reports_a_possible_write(run_with_store):
+    async def scenario(server, client):
+        server.store.faults.down = 'closed'
+        with pytest.raises(errors.StoreUnavailableError):
+            await client.get('/a')
+
+    run_with_store(scenario)
+
+
+def test_refused_connection_means_that_nothing_was_written():
+    async def scenario():
+        with contextlib.closing(socket.socket()) as unused:
+            unused.bind(('127.0.0.1', 0))
+            port = unused.getsockname()[1]
+            client = clients.StoreClient(f'http://127.0.0.1:{port}')
+            with pytest.raises(errors.StoreUnavailableError):
+                await client.put('/a', b'1')
+
+    asyncio.run(scenario())
+
+
+def test_silent_connection_is_unknown_within_the_timeout():
+    """Guards against a call that waits for ever on a silent peer."""
+
+    async def scenario():
+        async def stay_silent(reader, writer):
+            await reader.read()
+            writer.close()
+
+        silent = await asyncio.start_server(stay_silent, '127.0.0.1', 0)
+        port = silent.sockets[0].getsockname()[1]
+        client = clients.StoreClient(f'http://127.0.0.1:{port}', 0.2)
+        with pytest.raises(errors.StoreUnknownError):
+            await asyncio.wait_for(client.put('/a', b'1'), 2)
+        client.close()
+        silent.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('message', 'error'),
+    [
+        ('etcdserver: no leader', errors.StoreUnavailableError),
+        ('etcdserver: request timed out', errors.StoreUnknownError),
+        ('etcdserver: leader changed', errors.StoreUnknownError),
+    ],
+)
+def test_unavailable_answers_after_a_proposal_are_unknown(message, error):
+    """etcd answers 503 for writes that its members may still apply."""
+    body = b'{"error":"","code":14,"message":"%s"}' % message.encode()
+    assert type(failures.make_answer_error('/p', 503, body)) is error
+    assert (
+        type(failures.make_answer_error('/p', 503, b'<html>'))
+        is errors.StoreUnknownError
+    )
+
+
+def test_stale_answer_shows_an_older_revision(run_with_store):
+    async def scenario(server, client):
+        first = await client.put('/a', b'1')
+        second = await client.put('/a', b'2')
+        server.store.faults.stale = 1
+        assert (await client.get('/a')).mod_revision == first
+        swapped = await client.compare_and_swap('/a', second, b'3')
+        assert swapped.succeeded
+
+    run_with_store(scenario)
