--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -206,7 +206,7 @@
     """The attempt did not run here and never will.
 
     :ivar reason: ``busy``, ``leaving``, ``no-target``, ``expired``,
-        ``unknown-incarnation``, ``cancelled`` or ``draining``.
+        ``unreachable``, ``conflict``, ``cancelled`` or ``draining``.
     """
 
     attempt: str
@@ -214,16 +214,52 @@
 
 
 class RunUncertain(_Message):
-    """The target was called but did not give a whole answer."""
+    """The attempt may have run, and no whole answer can be given.
+
+    The target was called without a whole answer, or the agent can't know: the
+    attempt is bound to another incarnation, or its record was dropped.
+    """
 
     attempt: str
     reason: str
 
 
 class CancelRequest(_Message):
-    """Stop an attempt: a waiting one is refused, a running one is ended."""
+    """Stop an attempt: a waiting one is refused, a running one is ended.
+
+    An agent that has not seen the attempt needs the other fields to know
+    whether it may promise that the attempt never starts.
+
+    :ivar incarnation: incarnation of the agent that may run the attempt.
+    :ivar expires_uptime: as in the attempt's ``RunRequest``.
+    """
+
+    attempt: str
+    incarnation: str = ''
+    expires_uptime: float = 0.0
+
+
+class QueryRun(_Message):
+    """Ask for the state of an attempt without sending its body again.
+
+    :ivar incarnation: incarnation of the agent that may run the attempt.
+    :ivar expires_uptime: as in the attempt's ``RunRequest``.
+    """
+
+    attempt: str
+    incarnation: str
+    expires_uptime: float
+
+
+class RunState(_Message):
+    """State of an attempt that has not ended.
+
+    :ivar state: ``waiting``, ``running`` or ``unknown``; unknown asks for the
+        ``RunRequest`` again.
+    """
 
     attempt: str
+    state: str
 
 
 # Jobs
@@ -467,6 +503,8 @@
     | RunRefused
     | RunUncertain
     | CancelRequest
+    | QueryRun
+    | RunState
     | SubmitJob
     | JobUpdate
     | CancelJob
--- /dev/null
+++ b/damaskpin/service/attempts.py
@@ -0,0 +1,160 @@
+"""Attempts that an agent has seen, in bounded memory."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import heapq
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpin import verdict
+    from damaskpin.peer import messages
+
+KEEP_S = 120.0
+# About 0.5 kB each, so that a full table stays under 20 MB of the 128 MB.
+MAX_RECORDS = 40_000
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+
+
+class State(enum.Enum):
+    """Where an attempt is."""
+
+    WAITING = 'waiting'
+    RUNNING = 'running'
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    UNCERTAIN = 'uncertain'
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """One attempt.
+
+    :ivar digest: digest of the request; empty when only a cancellation came.
+    :ivar expires_uptime: no start after this uptime of the agent.
+    :ivar senders: entries that wait for the outcome.
+    :ivar deadline: when a waiting or running attempt is given up.
+    :ivar request: the request while it waits.
+    """
+
+    attempt: str
+    service: str
+    digest: bytes
+    expires_uptime: float
+    state: State
+    deadline: float = 0.0
+    senders: dict[str, None] = dataclasses.field(default_factory=dict)
+    request: messages.RunRequest | None = None
+    answer: verdict.Answer | None = None
+    reason: str = ''
+
+
+class AttemptTable:
+    """Records of attempts, kept while a message could still start them.
+
+    A record stays until ``KEEP_S`` after both its end and its expiry. An
+    attempt without a record has therefore never started here if its expiry is
+    at most ``KEEP_S`` ago.
+
+    :param max_records: bound on the number of records.
+    :param max_answer_bytes: bound on the kept bodies of answers.
+    """
+
+    __slots__ = (
+        '_answer_bytes',
+        '_answers',
+        '_drops',
+        '_floor_uptime',
+        '_max_answer_bytes',
+        '_max_records',
+        '_records',
+    )
+
+    def __init__(
+        self,
+        max_records: int = MAX_RECORDS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._records: dict[str, Record] = {}
+        self._drops: list[tuple[float, str]] = []
+        # Attempts that hold an answer, oldest first.
+        self._answers: dict[str, None] = {}
+        self._answer_bytes = 0
+        self._floor_uptime = 0.0
+        self._max_records = max_records
+        self._max_answer_bytes = max_answer_bytes
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def get(self, attempt: str) -> Record | None:
+        """Return the record of an attempt."""
+        return self._records.get(attempt)
+
+    def is_full(self) -> bool:
+        """Return whether no further record may be added."""
+        return len(self._records) >= self._max_records
+
+    def is_closed(self, expires_uptime: float) -> bool:
+        """Return whether unseen attempts of this expiry are refused."""
+        return expires_uptime <= self._floor_uptime
+
+    def close_until(self, expires_uptime: float) -> None:
+        """Refuse every unseen attempt that expires until then.
+
+        This refuses an attempt for good without a record of its own.
+        """
+        self._floor_uptime = max(self._floor_uptime, expires_uptime)
+
+    def add(self, record: Record) -> None:
+        """Add the record of an attempt that was not seen before."""
+        self._records[record.attempt] = record
+
+    def end(self, record: Record, uptime: float, state: State) -> None:
+        """Mark an attempt as ended and plan the removal of its record.
+
+        :param uptime: uptime of the agent in seconds.
+        """
+        record.state = state
+        record.request = None
+        drop = max(uptime, record.expires_uptime) + KEEP_S
+        heapq.heappush(self._drops, (drop, record.attempt))
+
+    def keep_answer(self, record: Record, answer: verdict.Answer) -> None:
+        """Keep the answer of an ended attempt, and drop the oldest ones."""
+        record.answer = answer
+        self._answers[record.attempt] = None
+        self._answer_bytes += len(answer.body)
+        while self._answer_bytes > self._max_answer_bytes:
+            oldest = next(iter(self._answers))
+            if oldest == record.attempt:
+                return
+            self._drop_answer(self._records[oldest])
+
+    def drop_old(self, uptime: float) -> None:
+        """Drop records that no message can need any more.
+
+        :param uptime: uptime of the agent in seconds.
+        """
+        while self._drops and self._drops[0][0] < uptime:
+            _, attempt = heapq.heappop(self._drops)
+            record = self._records.pop(attempt)
+            if record.answer is not None:
+                self._drop_answer(record)
+
+    def _drop_answer(self, record: Record) -> None:
+        del self._answers[record.attempt]
+        self._answer_bytes -= len(record.answer.body)
+        record.answer = None
+        record.reason = 'the answer is no longer kept'
+
+
+def compute_digest(service: str, content_type: str, body: bytes) -> bytes:
+    """Return a digest that tells different requests apart."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (service.encode(), content_type.encode(), body):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/damaskpin/service/breaker.py
@@ -0,0 +1,131 @@
+"""Circuit breaker of one agent, as one entry sees it."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+FAILURES_TO_OPEN = 5
+MIN_OPEN_S = 1.0
+MAX_OPEN_S = 30.0
+# A probe that never ends must not keep the breaker half-open for ever.
+PROBE_TIMEOUT_S = 10.0
+
+
+class Outcome(enum.StrEnum):
+    """How an attempt on an agent ended, as far as its health is concerned."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    SILENT = 'silent'
+    BUSY = 'busy'
+    LEFT = 'left'
+    ABANDONED = 'abandoned'
+
+
+class _State(enum.Enum):
+    CLOSED = 'closed'
+    OPEN = 'open'
+    HALF_OPEN = 'half-open'
+
+
+class Breaker:
+    """Opens after failures in a row or on silence.
+
+    :param rng: source of the jitter.
+    """
+
+    __slots__ = (
+        '_failures',
+        '_open_s',
+        '_probe_started',
+        '_rng',
+        '_state',
+        '_until',
+    )
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._state = _State.CLOSED
+        self._failures = 0
+        self._open_s = MIN_OPEN_S
+        self._until = 0.0
+        self._probe_started = 0.0
+
+    @property
+    def state(self) -> str:
+        """Name of the state, for logs and metrics."""
+        return self._state.value
+
+    def is_closed(self) -> bool:
+        """Return whether the agent counts as healthy."""
+        return self._state is _State.CLOSED
+
+    def allows(self, now: float) -> bool:
+        """Return whether an attempt may start."""
+        match self._state:
+            case _State.CLOSED:
+                return True
+            case _State.OPEN:
+                return now >= self._until
+        return now - self._probe_started >= PROBE_TIMEOUT_S
+
+    def start(self, now: float) -> None:
+        """Record the start of an attempt; an open breaker makes it a probe."""
+        if self._state is _State.CLOSED:
+            return
+        self._state = _State.HALF_OPEN
+        self._probe_started = now
+
+    def is_next_to_open(self) -> bool:
+        """Return whether one more failure opens the breaker."""
+        return (
+            self._state is _State.CLOSED
+            and self._failures + 1 >= FAILURES_TO_OPEN
+        )
+
+    def finish(self, now: float, outcome: Outcome) -> bool:
+        """Record the end of an attempt.
+
+        :returns: whether the agent has just returned to health.
+        """
+        match outcome:
+            case Outcome.ANSWERED:
+                return self._record_success()
+            case Outcome.FAILED:
+                self._failures += 1
+                if (
+                    self._state is _State.HALF_OPEN
+                    or self._failures >= FAILURES_TO_OPEN
+                ):
+                    self._open(now)
+            case Outcome.SILENT:
+                self._open(now)
+            case _:
+                if self._state is _State.HALF_OPEN:
+                    # The probe said nothing about the target's health.
+                    self._state = _State.OPEN
+                    self._until = now
+        return False
+
+    def _record_success(self) -> bool:
+        # Answers that were under way when the breaker opened are older than
+        # the reason for which it opened.
+        if self._state is _State.OPEN:
+            return False
+        returned = self._state is _State.HALF_OPEN
+        self._state = _State.CLOSED
+        self._failures = 0
+        self._open_s = MIN_OPEN_S
+        return returned
+
+    def _open(self, now: float) -> None:
+        if self._state is _State.OPEN:
+            return
+        if self._state is _State.HALF_OPEN:
+            self._open_s = min(self._open_s * 2, MAX_OPEN_S)
+        self._state = _State.OPEN
+        self._until = now + self._open_s * self._rng.uniform(0.75, 1.25)
