--- a/damaskpin/store/client.py
+++ b/damaskpin/store/client.py
@@ -64,19 +64,27 @@
 
         :raises damaskpin.errors.StoreUnavailableError: no answer.
         """
-        answer = await self._read(
-            '/v3/kv/range', wire.Range(key.encode()), wire.RangeAnswer
-        )
-        return values.make_key_value(answer.kvs[0]) if answer.kvs else None
+        listing = await self.list_range(key)
+        return listing.items[0] if listing.items else None
 
     async def list_prefix(self, prefix: str) -> values.Listing:
         """Return all keys that begin with a prefix.
 
+        :raises damaskpin.errors.StoreUnavailableError: no answer.
+        """
+        return await self.list_range(prefix, values.compute_range_end(prefix))
+
+    async def list_range(
+        self, key: str, range_end: bytes = b''
+    ) -> values.Listing:
+        """Return the keys of a range.
+
+        :param range_end: first key after the range; empty for ``key`` alone.
         :raises damaskpin.errors.StoreUnavailableError: no answer.
         """
         answer = await self._read(
             '/v3/kv/range',
-            wire.Range(prefix.encode(), values.compute_range_end(prefix)),
+            wire.Range(key.encode(), range_end),
             wire.RangeAnswer,
         )
         items = tuple(values.make_key_value(pair) for pair in answer.kvs)
--- a/standins/store.py
+++ b/standins/store.py
@@ -90,9 +90,13 @@
 
     async def _stream(self, request: wire.WatchCreateRequest) -> None:
         store = self.store
+        silences = store.silences
         await self._send(wire.WatchResponse(store.make_header(), created=True))
         next_revision = request.start_revision or store.state.revision + 1
         while not store.faults.down:
+            if store.silences != silences:
+                await self._wait_for_change()
+                continue
             if next_revision < store.state.compacted:
                 compacted = str(store.state.compacted)
                 await self._send(
--- a/standins/store_calls.py
+++ b/standins/store_calls.py
@@ -33,6 +33,8 @@
     :ivar lose_answers: next writes that take effect without an answer.
     :ivar expire_leases: expire all leases, once.
     :ivar stale: revisions by which answers of range are behind.
+    :ivar silence_watches: present watches stay open but send nothing more,
+        once.
     """
 
     down: Literal['', '503', 'closed'] = ''
@@ -40,6 +42,7 @@
     lose_answers: int = 0
     expire_leases: bool = False
     stale: int = 0
+    silence_watches: bool = False
 
 
 class GatewayError(Exception):
@@ -56,6 +59,7 @@
 
     :ivar calls: number of calls of each kind.
     :ivar waiting: watches that wait at present.
+    :ivar silences: number of times that watches were silenced.
     """
 
     def __init__(self) -> None:
@@ -63,6 +67,7 @@
         self.faults = Faults()
         self.calls: collections.Counter[str] = collections.Counter()
         self.waiting = 0
+        self.silences = 0
         self._changed = asyncio.Event()
 
     def set_faults(self, faults: Faults) -> None:
@@ -72,6 +77,9 @@
         if faults.expire_leases:
             self.state.expire_leases(float('inf'))
             faults.expire_leases = False
+        if faults.silence_watches:
+            self.silences += 1
+            faults.silence_watches = False
         self.faults = faults
         self.notify()
 
@@ -143,6 +151,12 @@
                 return self._txn(decode(body, wire.TxnRequest), newest + 1)
             case 'compaction':
                 request = decode(body, wire.CompactionRequest)
+                if request.revision > newest:
+                    raise GatewayError(
+                        11,
+                        'etcdserver: mvcc: required revision is a future '
+                        'revision',
+                    )
                 self.state.compact(request.revision)
                 return wire.CompactionResponse(self.make_header())
             case 'grant' | 'keepalive' | 'revoke':
