--- a/damaskpin/caller/server.py
+++ b/damaskpin/caller/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import hmac
 import logging
@@ -64,7 +65,9 @@
 class Api(Protocol):
     """What the handlers need of an entry."""
 
-    def authenticate(self, header: str) -> configs.Account: ...
+    def authenticate(
+        self, header: str, on_behalf: str = ''
+    ) -> configs.Account: ...
 
     async def run_call(self, call: Call) -> tuple[str, verdicts.Verdict]: ...
 
@@ -80,15 +83,19 @@
         self, account: configs.Account, spec: jobs.JobSpec, key: str
     ) -> tuple[str, verdicts.Verdict]: ...
 
-    def cancel_attached(self, account: str, job_id: str) -> None: ...
-
-    async def read_job(self, account: str, job_id: str) -> Reply: ...
+    async def read_job(
+        self, account: str, job_id: str, forwarded: bool = False
+    ) -> Reply: ...
 
-    async def cancel_job(self, account: str, job_id: str) -> Reply: ...
+    async def cancel_job(
+        self, account: str, job_id: str, forwarded: bool = False
+    ) -> Reply: ...
 
     def list_jobs(self, account: str) -> Reply: ...
 
-    async def explain(self, account: str, work: str) -> Reply: ...
+    async def explain(
+        self, account: str, work: str, forwarded: bool = False
+    ) -> Reply: ...
 
     def list_members(self) -> Reply: ...
 
@@ -188,9 +195,14 @@
     def get_account(self) -> configs.Account:
         """Return the client account of the caller."""
         return self.api.authenticate(
-            self.request.headers.get('Authorization', '')
+            self.request.headers.get('Authorization', ''), self.on_behalf
         )
 
+    @property
+    def on_behalf(self) -> str:
+        """Account that another entry asks for; empty for callers."""
+        return self.request.headers.get('Damaskpin-Account', '')
+
     def check_operator(self) -> None:
         """Refuse callers without the operators' token."""
         self.api.check_operator(self.request.headers.get('Authorization', ''))
@@ -256,7 +268,7 @@
 class JobsHandler(BaseHandler):
     """Submission and list of jobs."""
 
-    _attached: tuple[str, str] | None = None
+    _waiting: asyncio.Task[tuple[str, verdicts.Verdict]] | None = None
 
     def get(self) -> None:
         """List the account's jobs that this entry owns."""
@@ -272,11 +284,20 @@
                 await self.api.submit_job(account, spec, self.get_key())
             )
             return
-        work, verdict = await self.api.attach_job(
-            account, spec, self.get_key()
+        self._waiting = asyncio.ensure_future(
+            self.api.attach_job(account, spec, self.get_key())
         )
+        try:
+            work, verdict = await self._waiting
+        except asyncio.CancelledError:
+            return
         self.write_verdict(work, verdict)
 
+    def on_connection_close(self) -> None:
+        """Cancel the job when the caller hangs up."""
+        if self._waiting is not None:
+            self._waiting.cancel()
+
 
 class JobHandler(BaseHandler):
     """One job."""
@@ -284,13 +305,17 @@
     async def get(self, job_id: str) -> None:
         """Tell the state of a job."""
         self.write_reply(
-            await self.api.read_job(self.get_account().name, job_id)
+            await self.api.read_job(
+                self.get_account().name, job_id, bool(self.on_behalf)
+            )
         )
 
     async def delete(self, job_id: str) -> None:
         """Cancel a job."""
         self.write_reply(
-            await self.api.cancel_job(self.get_account().name, job_id)
+            await self.api.cancel_job(
+                self.get_account().name, job_id, bool(self.on_behalf)
+            )
         )
 
 
--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -25,6 +25,7 @@
 from damaskpin.peer import membership
 from damaskpin.peer import messages
 from damaskpin.service import slots as slots_module
+from damaskpin.store import configuration as configurations
 from damaskpin.target import announcements
 from damaskpin.target import client as target_client
 from damaskpin.worker import client as worker_client
@@ -39,6 +40,7 @@
 POLL_S = 0.25
 RENEW_S = 4.0
 SEED_RETRY_S = 1.0
+WORKER_RETRY_S = 0.5
 SEED_TIMEOUT_S = 2.0
 # Time for the successor of a stopped agent to adopt its tasks.
 HANDOVER_LEASE_S = 30.0
@@ -54,6 +56,7 @@
 
     __slots__ = (
         '_client',
+        '_configuration',
         '_home',
         '_http',
         '_leases',
@@ -91,7 +94,12 @@
         self._member = members.Member(
             peer.instance, settings.accelerators, random.Random()
         )
-        self._slots = slots_module.Slots(peer.instance, peer.incarnation)
+        self._slots = slots_module.Slots(
+            peer.instance, peer.incarnation, started=now
+        )
+        self._configuration = configurations.ConfigHolder(
+            peer.instance, 'agent'
+        )
         self._worker = worker_client.WorkerClient(settings.worker_url)
         self._targets = target_client.Client()
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
@@ -113,13 +121,15 @@
         """Finish requests in progress; leave gang tasks to a successor."""
         self._start_draining()
         deadline = self._node.get_time() + self._settings.drain_timeout
-        while not self._slots.is_idle(self._node.get_time()):
+        while not self._slots.is_idle():
             if self._node.get_time() > deadline:
                 LOG.warning('requests are still running at the drain timeout')
                 break
             await asyncio.sleep(nodes.TICK_S)
-        for attempt in list(self._leases):
-            await self._renew_task(attempt, HANDOVER_LEASE_S)
+        now = self._node.get_time()
+        for renewal in self._member.list_leases(now):
+            seconds = min(HANDOVER_LEASE_S, renewal.max_lease_seconds)
+            await self._renew_task(renewal.attempt, seconds)
         self._server.stop()
         await self._node.close()
 
@@ -142,8 +152,9 @@
                 | messages.QueryRun()
             ):
                 self._apply(self._slots.receive(now, sender, message))
-            case messages.RevisionNotice(revision):
-                self._member.set_revision(now, revision)
+            case messages.RevisionNotice():
+                self._apply(self._configuration.receive(now, sender, message))
+                self._take_revision(now)
             case _:
                 self._apply(self._member.receive(now, sender, message))
 
@@ -157,7 +168,7 @@
     def _describe_state(self) -> messages.AgentState:
         return msgspec.structs.replace(
             self._home.state,
-            revision=self._member.revision,
+            revision=self._configuration.revision,
             targets=self._slots.list_targets(),
             gangs=self._member.list_gangs(),
             draining=self.draining,
@@ -182,6 +193,11 @@
                 case effects.Record(work, event, detail):
                     LOG.info(event, extra={'attempt': work, 'detail': detail})
 
+    def _take_revision(self, now: float) -> None:
+        self._apply(
+            self._member.set_revision(now, self._configuration.revision)
+        )
+
     def _handle_call_failure(self, instance: str) -> None:
         self._home.call_failed(self._node.get_time(), instance)
 
@@ -201,12 +217,7 @@
             self._apply(self._home.learn_entries(self._node.get_time(), peers))
 
     async def _adopt_tasks(self) -> None:
-        try:
-            tasks = await self._worker.list_tasks()
-        except errors.WorkerError as error:
-            LOG.warning('the worker did not list its tasks: %s', error)
-            self._worker_healthy = False
-            return
+        tasks = await self._list_tasks()
         now = self._node.get_time()
         for task in tasks:
             if task.state != 'running':
@@ -218,6 +229,16 @@
                     now, task.id, task.labels, tuple(task.accelerators)
                 )
             )
+        self._apply(self._member.adoption_done(now))
+
+    async def _list_tasks(self) -> list[worker_client.Task]:
+        # Nothing may be reserved before the worker has named what runs.
+        while True:
+            try:
+                return await self._worker.list_tasks()
+            except errors.WorkerError as error:
+                LOG.warning('the worker did not list its tasks: %s', error)
+            await asyncio.sleep(WORKER_RETRY_S)
 
     async def _start_task(self, effect: effects.StartTask) -> None:
         try:
@@ -233,8 +254,7 @@
                 'the worker refused a task',
                 extra={'attempt': effect.attempt, 'reason': str(error)},
             )
-            # After a lost answer the task may run, so it is stopped first.
-            await self._stop_task(effect.attempt, 0.0)
+            await self._revoke_task(effect)
             self._apply(
                 self._member.task_refused(
                     self._node.get_time(), effect.attempt, str(error)
@@ -245,6 +265,16 @@
         self._leases[effect.attempt] = now
         self._apply(self._member.task_started(now, effect.attempt))
 
+    async def _revoke_task(self, effect: effects.StartTask) -> None:
+        """End a task whose start has an unknown outcome."""
+        try:
+            await self._worker.revoke_task(effect.attempt)
+        except errors.WorkerUnavailableError:
+            # Without renewals its lease ends it.
+            await asyncio.sleep(effect.lease_seconds)
+        except errors.WorkerError as error:
+            LOG.debug('the worker has no such task: %s', error)
+
     async def _stop_task(self, attempt: str, grace: float) -> None:
         try:
             if grace > 0:
@@ -302,15 +332,17 @@
             return
         self._worker_healthy = True
         now = self._node.get_time()
-        for attempt, renewed in list(self._leases.items()):
+        for attempt in list(self._leases):
             task = tasks.get(attempt)
             if task is None or task.state != 'running':
                 del self._leases[attempt]
                 code = task.exit_code if task else None
                 self._apply(self._member.task_ended(now, attempt, code))
                 continue
+        for renewal in self._member.list_leases(now):
+            renewed = self._leases.get(renewal.attempt, now)
             if now - renewed >= RENEW_S:
-                await self._renew_task(attempt, members.LEASE_S)
+                await self._renew_task(renewal.attempt, renewal.lease_seconds)
 
     async def _renew_task(self, attempt: str, seconds: float) -> None:
         try:
--- /dev/null
+++ b/damaskpin/daemon/api.py
@@ -0,0 +1,550 @@
+"""What an entry does for callers and operators."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import logging
+import secrets
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import msgspec
+from tornado import httpclient
+
+from damaskpin import errors
+from damaskpin import verdict as verdicts
+from damaskpin.caller import server as caller_server
+from damaskpin.daemon import agent as agents
+from damaskpin.daemon import jobs as job_desks
+from damaskpin.model import config as configs
+from damaskpin.operator import changes
+from damaskpin.report import burn
+from damaskpin.report import burn_page
+from damaskpin.service import requests
+from damaskpin.store import records
+
+if TYPE_CHECKING:
+    from damaskpin.daemon import entry as entries
+    from damaskpin.model import job as jobs
+    from damaskpin.peer import messages
+    from damaskpin.report import explain as explains
+    from damaskpin.store import client as store_clients
+
+LOG = logging.getLogger(__name__)
+
+Reply = caller_server.Reply
+
+FORWARD_TIMEOUT_S = 2.0
+ACCOUNT_HEADER = 'Damaskpin-Account'
+
+
+class EntryApi:
+    """Implements the handlers' interface on an entry.
+
+    :param entry: the entry.
+    :param store: client of the store.
+    :param http: client for calls of other entries.
+    """
+
+    __slots__ = (
+        '_calls',
+        '_changes',
+        '_entry',
+        '_http',
+        '_peer_token',
+        '_records',
+    )
+
+    def __init__(
+        self,
+        entry: entries.Entry,
+        store: store_clients.StoreClient,
+        http: httpclient.AsyncHTTPClient,
+    ) -> None:
+        self._entry = entry
+        self._changes = changes.ChangeProposer(store)
+        self._records = records.JobRecords(store)
+        self._http = http
+        self._calls: dict[int, str] = {}
+        self._peer_token = caller_server.make_peer_token(
+            entry.settings.fleet_key.get_secret_value().encode()
+        )
+
+    def authenticate(
+        self, header: str, on_behalf: str = ''
+    ) -> configs.Account:
+        """Return the client account of a request.
+
+        :param header: value of the ``Authorization`` header.
+        :param on_behalf: account that another entry of ours asks for.
+        :raises damaskpin.errors.RequestError: no or a wrong token.
+        """
+        if not on_behalf:
+            return self._entry.tokens.authenticate(header)
+        self.check_peer(header)
+        config = self._entry.configuration.config or configs.Config()
+        for account in config.accounts:
+            if account.name == on_behalf:
+                return account
+        raise errors.RequestError(401, 'Account unknown', on_behalf)
+
+    def check_peer(self, header: str) -> None:
+        """Refuse processes that don't know the fleet key."""
+        if not hmac.compare_digest(header, f'Bearer {self._peer_token}'):
+            raise errors.RequestError(401, 'Token unknown')
+
+    def check_operator(self, header: str) -> None:
+        """Refuse callers without the operators' token."""
+        digest = self._entry.settings.operator_token_sha256
+        if not agents.is_operator(header, digest):
+            raise errors.RequestError(
+                401, 'Token unknown', "this needs the operators' token"
+            )
+
+    # Requests to services
+
+    async def run_call(
+        self, call: caller_server.Call
+    ) -> tuple[str, verdicts.Verdict]:
+        """Run a service request and wait for its verdict."""
+        entry = self._entry
+        request_id = f'r-{secrets.token_hex(8)}'
+        if entry.draining:
+            return request_id, verdicts.NotRun('this entry is stopping', 1.0)
+        request = requests.Request(
+            id=request_id,
+            account=call.account.name,
+            service=call.service,
+            body=call.body,
+            deadline_seconds=call.deadline_seconds,
+            content_type=call.content_type,
+            idempotent=call.idempotent,
+            idempotency_key=call.key,
+            priority=call.priority,
+            trace=call.trace,
+        )
+        entry.record(
+            request_id,
+            'accepted',
+            f'request to {call.service}, trace {call.trace or "none"}',
+            call.account.name,
+        )
+        self._calls[id(call)] = request_id
+        try:
+            return request_id, await entry.run_request(request)
+        finally:
+            del self._calls[id(call)]
+
+    def cancel_call(self, call: caller_server.Call) -> None:
+        """End the request of a caller that hung up."""
+        request_id = self._calls.get(id(call))
+        if request_id is not None:
+            self._entry.cancel_request(request_id)
+
+    def issue_key(self, account: configs.Account, service: str) -> Reply:
+        """Issue an idempotency key that needs no store."""
+        key = self._entry.dispatcher.issue_key(
+            self._entry.node.get_time(), account.name, service
+        )
+        if key is None:
+            raise errors.RequestError(
+                503,
+                'No target',
+                f'no target of {service} has a free slot',
+                1.0,
+            )
+        return Reply(201, {'key': key})
+
+    # Jobs
+
+    async def submit_job(
+        self, account: configs.Account, spec: jobs.JobSpec, key: str
+    ) -> Reply:
+        """Accept a detached job."""
+        try:
+            owned = await self._accept(account, spec, key, True)
+        except job_desks.AlreadyRecordedError as error:
+            return _describe_submission(
+                error.record.job.id, _get_record_state(error.record)
+            )
+        return _describe_submission(owned.job.id, owned.state)
+
+    async def attach_job(
+        self, account: configs.Account, spec: jobs.JobSpec, key: str
+    ) -> tuple[str, verdicts.Verdict]:
+        """Accept a job and wait for its verdict."""
+        try:
+            owned = await self._accept(account, spec, key, False)
+        except job_desks.AlreadyRecordedError as error:
+            verdict = error.record.verdict
+            if verdict is None:
+                raise
+            return error.record.job.id, verdict
+        try:
+            return owned.job.id, await self._entry.desk.wait(owned)
+        except asyncio.CancelledError:
+            # The caller hung up; other callers with the same key may wait.
+            if not owned.detached and not owned.waiters:
+                self._entry.desk.cancel(owned.job.id, 'the caller hung up')
+            raise
+
+    async def read_job(
+        self, account: str, job_id: str, forwarded: bool = False
+    ) -> Reply:
+        """Tell the state of a job, wherever it is owned."""
+        owned = self._entry.desk.find(job_id)
+        if owned is not None and owned.job.account == account:
+            return Reply(200, self._describe_job(owned))
+        if not forwarded:
+            document = await self._ask_others(
+                'GET', f'/v1/jobs/{job_id}', account
+            )
+            if document is not None:
+                return Reply(200, document)
+            record = await self._read_record(account, job_id)
+            if record is not None:
+                return Reply(200, _describe_record(record))
+        raise _make_unknown(job_id)
+
+    async def cancel_job(
+        self, account: str, job_id: str, forwarded: bool = False
+    ) -> Reply:
+        """Cancel a job, wherever it is owned."""
+        owned = self._entry.desk.find(job_id)
+        if owned is not None and owned.job.account == account:
+            self._entry.desk.cancel(job_id, 'cancelled by its account')
+            return Reply(202, self._describe_job(owned))
+        if not forwarded:
+            document = await self._ask_others(
+                'DELETE', f'/v1/jobs/{job_id}', account
+            )
+            if document is not None:
+                return Reply(202, document)
+            record = await self._read_record(account, job_id)
+            if record is not None and record.verdict is not None:
+                return Reply(200, _describe_record(record))
+            if record is not None:
+                raise errors.RequestError(
+                    503,
+                    'Owner unavailable',
+                    f'{record.owner} does not answer; the job is taken over '
+                    'soon',
+                    5.0,
+                )
+        raise _make_unknown(job_id)
+
+    def list_jobs(self, account: str) -> Reply:
+        """List the account's jobs that this entry owns."""
+        return Reply(
+            200,
+            {
+                'jobs': [
+                    self._describe_job(owned)
+                    for owned in self._entry.desk.list_jobs(account)
+                ]
+            },
+        )
+
+    async def explain(
+        self, account: str, work: str, forwarded: bool = False
+    ) -> Reply:
+        """Collect what the entries decided about a request or job."""
+        trail = self._entry.explain.get(work)
+        history = _describe_trail(trail, account)
+        now = [
+            {'process': self._entry.node.peer.instance, 'detail': text}
+            for text in self._entry.coordination.explain(work)
+        ]
+        if forwarded:
+            return Reply(200, {'work': work, 'history': history, 'now': now})
+        known = trail is not None and trail.account == account
+        if not known and not await self._is_account_of(account, work):
+            raise _make_unknown(work)
+        path = f'/v1/explain/{work}'
+        for document in await self._ask_all(path, account):
+            history += document['history']
+            now += document['now']
+        history.sort(key=lambda line: line['time'])
+        return Reply(200, {'work': work, 'history': history, 'now': now})
+
+    # Members, configuration, operation
+
+    def list_members(self) -> Reply:
+        """List the live entries."""
+        return Reply(
+            200,
+            {
+                'entries': [
+                    msgspec.structs.asdict(peer)
+                    for peer in self._entry.membership.list_entries()
+                ]
+            },
+        )
+
+    def read_config(self) -> Reply:
+        """Show the applied configuration."""
+        holder = self._entry.configuration
+        if holder.config is None:
+            raise errors.RequestError(
+                404, 'No configuration', 'none was accepted so far'
+            )
+        return Reply(
+            200,
+            configs.format_config(holder.config),
+            {'ETag': f'"{holder.revision}"'},
+        )
+
+    async def change_config(
+        self, body: bytes, revision: int, token: str
+    ) -> Reply:
+        """Propose a configuration by compare-and-swap."""
+        outcome = await self._changes.propose(body, revision, token)
+        match outcome:
+            case changes.Accepted(accepted):
+                self._entry.offer_config(
+                    accepted, changes.check_document(body)
+                )
+        return _describe_change(outcome, token)
+
+    async def settle_change(self, token: str) -> Reply:
+        """Learn the outcome of a change whose answer was lost."""
+        outcome = await self._changes.settle(token)
+        return _describe_change(outcome, token)
+
+    def list_revisions(self) -> Reply:
+        """List the revision that each known process applied."""
+        revisions = self._entry.membership.list_revisions()
+        return Reply(
+            200,
+            {
+                'applied': self._entry.configuration.revision,
+                'processes': revisions,
+                'behind': sorted(
+                    name
+                    for name, revision in revisions.items()
+                    if revision < self._entry.configuration.revision
+                ),
+            },
+        )
+
+    def render_report(self, form: str) -> Reply:
+        """Render the report on service-level burn."""
+        rows = burn.evaluate(
+            self._entry.burn.collect(self._entry.node.get_time())
+        )
+        wall = time.time()
+        match form:
+            case 'json':
+                return Reply(200, burn_page.format_json(rows, wall))
+            case 'text':
+                return Reply(
+                    200,
+                    burn_page.format_text(rows, wall).encode(),
+                    content_type='text/plain; charset=utf-8',
+                )
+            case 'html':
+                return Reply(
+                    200,
+                    burn_page.format_html(rows, wall).encode(),
+                    content_type='text/html; charset=utf-8',
+                )
+        raise errors.RequestError(
+            400, 'Parameter out of range', 'format is json, text or html'
+        )
+
+    def render_metrics(self) -> bytes:
+        """Return all metrics in the Prometheus text format."""
+        return self._entry.node.telemetry.render_metrics()
+
+    def is_ready(self) -> tuple[bool, str]:
+        """Return whether this entry takes new work, and why not."""
+        if self._entry.draining:
+            return False, 'draining'
+        if not self._entry.configuration.revision:
+            return False, 'no configuration'
+        return True, ''
+
+    def drain(self) -> None:
+        """Take no new work from now on."""
+        self._entry.start_draining()
+
+    async def _accept(
+        self,
+        account: configs.Account,
+        spec: jobs.JobSpec,
+        key: str,
+        detached: bool,
+    ) -> job_desks.OwnedJob:
+        entry = self._entry
+        if entry.draining:
+            raise errors.RequestError(
+                503, 'Stopping', 'this entry is stopping', 1.0
+            )
+        config = entry.configuration.config or configs.Config()
+        region = job_desks.choose_region(
+            config, account.name, spec, entry.node.peer.region
+        )
+        owned = await entry.desk.accept(
+            account.name, spec, region, key, detached
+        )
+        entry.record(
+            owned.job.id,
+            'accepted',
+            f'gang of {spec.accelerators}, {spec.adjacency}, {region}',
+            account.name,
+        )
+        return owned
+
+    def _describe_job(self, owned: job_desks.OwnedJob) -> dict[str, Any]:
+        return {
+            'id': owned.job.id,
+            'account': owned.job.account,
+            'state': owned.state,
+            'reason': owned.reason,
+            'region': owned.region,
+            'owner': self._entry.node.peer.instance,
+            'verdict': _name(owned.verdict),
+            'spec': owned.job.spec,
+        }
+
+    async def _read_record(
+        self, account: str, job_id: str
+    ) -> records.JobRecord | None:
+        try:
+            stored = await self._records.read(job_id)
+        except errors.StoreError as error:
+            raise errors.RequestError(
+                503,
+                'Store unavailable',
+                'the job is not owned by an entry that answers, and its '
+                'record cannot be read',
+                5.0,
+            ) from error
+        if stored is None or stored.record.job.account != account:
+            return None
+        return stored.record
+
+    async def _is_account_of(self, account: str, work: str) -> bool:
+        try:
+            await self.read_job(account, work)
+        except errors.RequestError:
+            return False
+        return True
+
+    async def _ask_others(
+        self, method: str, path: str, account: str
+    ) -> Any | None:
+        """Return the first answer of another entry that knows the work."""
+        calls = [
+            self._ask(peer, method, path, account)
+            for peer in self._list_others()
+        ]
+        for document in await asyncio.gather(*calls):
+            if document is not None:
+                return document
+        return None
+
+    async def _ask_all(self, path: str, account: str) -> list[Any]:
+        calls = [
+            self._ask(peer, 'GET', path, account)
+            for peer in self._list_others()
+        ]
+        answers = await asyncio.gather(*calls)
+        return [answer for answer in answers if answer is not None]
+
+    def _list_others(self) -> list[messages.Peer]:
+        mine = self._entry.node.peer.instance
+        return [
+            peer
+            for peer in self._entry.membership.list_entries()
+            if peer.instance != mine
+        ]
+
+    async def _ask(
+        self, peer: messages.Peer, method: str, path: str, account: str
+    ) -> Any | None:
+        request = httpclient.HTTPRequest(
+            peer.http + urllib.parse.quote(path),
+            method=method,
+            headers={
+                'Authorization': f'Bearer {self._peer_token}',
+                ACCOUNT_HEADER: account,
+            },
+            connect_timeout=FORWARD_TIMEOUT_S,
+            request_timeout=FORWARD_TIMEOUT_S,
+        )
+        try:
+            answer = await self._http.fetch(request)
+            return msgspec.json.decode(answer.body)
+        except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
+            LOG.debug('%s did not answer: %s', peer.instance, error)
+            return None
+
+
+def _describe_submission(job_id: str, state: str) -> Reply:
+    location = f'/v1/jobs/{job_id}'
+    return Reply(
+        202,
+        {'id': job_id, 'state': state},
+        {'Location': location, 'Damaskpin-Attempt': job_id},
+    )
+
+
+def _describe_record(record: records.JobRecord) -> dict[str, Any]:
+    return {
+        'id': record.job.id,
+        'account': record.job.account,
+        'state': _get_record_state(record),
+        'reason': getattr(record.verdict, 'reason', ''),
+        'region': record.region,
+        'owner': record.owner,
+        'verdict': _name(record.verdict),
+        'spec': record.job.spec,
+    }
+
+
+def _get_record_state(record: records.JobRecord) -> str:
+    return _name(record.verdict) or 'recorded'
+
+
+def _describe_trail(
+    trail: explains.Trail | None, account: str
+) -> list[dict[str, Any]]:
+    # Coordinators record jobs without their account; the caller checks it.
+    if trail is None or trail.account not in ('', account):
+        return []
+    return [
+        {
+            'time': line.wall,
+            'process': line.process,
+            'event': line.event,
+            'detail': line.detail,
+            'repeats': line.repeats,
+        }
+        for line in trail.entries
+    ]
+
+
+def _name(verdict: verdicts.Verdict | None) -> str | None:
+    return None if verdict is None else verdicts.name_verdict(verdict)
+
+
+def _describe_change(outcome: changes.Outcome, token: str) -> Reply:
+    match outcome:
+        case changes.Accepted(revision):
+            return Reply(200, {'state': 'accepted', 'revision': revision})
+        case changes.Rejected(reasons):
+            return Reply(422, {'state': 'rejected', 'reasons': list(reasons)})
+        case changes.Superseded(revision):
+            return Reply(409, {'state': 'superseded', 'revision': revision})
+        case changes.Unknown():
+            return Reply(504, {'state': 'unknown', 'token': token})
+
+
+def _make_unknown(work: str) -> errors.RequestError:
+    return errors.RequestError(
+        404, 'Not found', f'{work} is not known, or of another account'
+    )
--- /dev/null
+++ b/damaskpin/daemon/entry.py
@@ -0,0 +1,505 @@
+"""Entry: serves callers, routes requests, owns and coordinates jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import TYPE_CHECKING
+
+from tornado import httpclient
+
+from damaskpin import effects
+from damaskpin import errors
+from damaskpin import logs
+from damaskpin import verdict as verdicts
+from damaskpin.caller import server as caller_server
+from damaskpin.caller import tokens
+from damaskpin.daemon import agent as agents
+from damaskpin.daemon import api as apis
+from damaskpin.daemon import coordination as coordinations
+from damaskpin.daemon import jobs as job_desks
+from damaskpin.daemon import node as nodes
+from damaskpin.model import config as configs
+from damaskpin.peer import membership as memberships
+from damaskpin.peer import messages
+from damaskpin.report import burn as burns
+from damaskpin.report import explain as explains
+from damaskpin.service import claims
+from damaskpin.service import dispatch
+from damaskpin.service import limits as limiting
+from damaskpin.service import routing
+from damaskpin.store import claims as claim_store
+from damaskpin.store import client as store_clients
+from damaskpin.store import configuration as configurations
+from damaskpin.store import records
+from damaskpin.store import registry as registries
+from damaskpin.store import watch as watches
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from damaskpin import settings as settings_module
+
+LOG = logging.getLogger(__name__)
+
+CONFIG_KEY = '/damaskpin/config'
+SEED_RETRY_S = 1.0
+# Other entries are sought through the seeds again, in case that two groups
+# of entries started without hearing each other.
+SEED_REFRESH_S = 30.0
+MEMBERSHIP_STEP_S = 0.5
+CONFIG_RETRY_S = 1.0
+ORPHAN_RETRY_S = 5.0
+
+
+class Entry:
+    """Connects the parts of an entry.
+
+    :param settings: settings of this process.
+    """
+
+    __slots__ = (
+        '_client',
+        '_coordinator_of',
+        '_next_membership_step',
+        '_next_orphan_scan',
+        '_registry',
+        '_rng',
+        '_server',
+        '_store',
+        '_waiting',
+        '_watch',
+        'burn',
+        'claims',
+        'configuration',
+        'coordination',
+        'desk',
+        'dispatcher',
+        'draining',
+        'explain',
+        'limits',
+        'membership',
+        'node',
+        'router',
+        'settings',
+        'tokens',
+    )
+
+    def __init__(self, settings: settings_module.EntrySettings) -> None:
+        self.settings = settings
+        self._rng = random.Random()
+        self.node = nodes.Node(
+            settings, 'entry', self._receive, self._handle_call_failure
+        )
+        peer = self.node.peer
+        now = self.node.get_time()
+        secret = settings.fleet_key.get_secret_value().encode()
+        self.membership = memberships.EntryMembership(peer, now)
+        self.router = routing.Router(peer.data_centre, peer.region, self._rng)
+        self.limits = limiting.Limits()
+        self.dispatcher = dispatch.Dispatcher(
+            peer.instance,
+            peer.incarnation,
+            self.router,
+            self.limits,
+            self._rng,
+            secret,
+        )
+        self._store = store_clients.StoreClient(settings.store)
+        self.claims = claim_store.ClaimStore(self._store)
+        self.configuration = configurations.ConfigHolder(
+            peer.instance, 'entry'
+        )
+        self.desk = job_desks.JobDesk(
+            peer,
+            records.JobRecords(self._store),
+            self.apply,
+            self.node.spawn,
+            self.node.get_time,
+            settings.max_jobs,
+        )
+        self.coordination = coordinations.Coordination(
+            peer, configs.Config(), self._rng
+        )
+        self.explain = explains.History()
+        self.burn = burns.Burn()
+        self.tokens = tokens.TokenIndex(configs.Config())
+        self.draining = False
+        self._client = httpclient.AsyncHTTPClient(force_instance=True)
+        self._registry = registries.Registry(
+            self._store, peer, self._learn_entries
+        )
+        self._watch: watches.Watch | None = None
+        self._waiting: dict[str, asyncio.Future[verdicts.Verdict]] = {}
+        self._coordinator_of: dict[str, str] = {}
+        self._next_membership_step = now
+        self._next_orphan_scan = now + job_desks.ADOPT_AFTER_S
+        self._server = caller_server.make_server(
+            apis.EntryApi(self, self._store, self._client)
+        )
+        self._observe()
+
+    async def start(self) -> None:
+        """Serve, register, and look for the other entries."""
+        self._server.listen(self.settings.http_port, self.settings.http_host)
+        self.node.start_ticks(self._tick)
+        self.node.spawn(self._registry.run())
+        self.node.spawn(self._ask_seeds())
+        self.node.spawn(self._load_config())
+
+    async def stop(self) -> None:
+        """Finish the requests in progress, then leave."""
+        self.start_draining()
+        deadline = self.node.get_time() + self.settings.drain_timeout
+        while self._waiting or self.desk.count_attached():
+            if self.node.get_time() > deadline:
+                LOG.warning('work is still in progress at the drain timeout')
+                break
+            await asyncio.sleep(nodes.TICK_S)
+        self.apply(self.membership.leave())
+        await self._registry.leave()
+        self._server.stop()
+        await self._server.close_all_connections()
+        if self._watch is not None:
+            await self._watch.close()
+        await self.node.close()
+        self._store.close()
+
+    def start_draining(self) -> None:
+        """Take no new work from now on."""
+        if self.draining:
+            return
+        self.draining = True
+        self.membership.draining = True
+        self.dispatcher.drain()
+        self._step_membership(self.node.get_time())
+
+    async def run_request(
+        self, request: dispatch.requests.Request
+    ) -> verdicts.Verdict:
+        """Run a service request and wait for its verdict."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request.id] = future
+        self.node.telemetry.requests.add(1, {'account': request.account})
+        started = self.node.get_time()
+        try:
+            self.apply(self.dispatcher.submit(started, request))
+            verdict = await future
+        finally:
+            self._waiting.pop(request.id, None)
+        self.note_verdict(
+            request.account, verdict, self.node.get_time() - started
+        )
+        return verdict
+
+    def cancel_request(self, request_id: str) -> None:
+        """End a request whose caller is gone."""
+        self.apply(self.dispatcher.cancel(self.node.get_time(), request_id))
+
+    def note_verdict(
+        self, account: str, verdict: verdicts.Verdict, seconds: float
+    ) -> None:
+        """Count a verdict in metrics and objectives."""
+        name = verdicts.name_verdict(verdict)
+        attributes = {'account': account, 'verdict': name}
+        self.node.telemetry.verdicts.add(1, attributes)
+        self.node.telemetry.seconds.record(seconds, attributes)
+        self.burn.record(
+            self.node.get_time(),
+            burns.Objective.TRUTHFUL_VERDICT,
+            account,
+            not isinstance(verdict, verdicts.MayHaveRun),
+        )
+
+    def apply(self, outputs: Iterable[memberships.Output]) -> None:
+        """Carry out effects and events of the state machines."""
+        now = self.node.get_time()
+        for output in outputs:
+            match output:
+                case effects.Send(to, message):
+                    self.node.send(to, message)
+                case effects.Record(work, event, detail):
+                    self.record(work, event, detail)
+                case effects.Conclude(work, verdict):
+                    self._conclude(work, verdict)
+                case effects.GrantJob(job, attempt):
+                    self.node.spawn(self.desk.record_grant(job, attempt))
+                case (
+                    claims.ReadClaim()
+                    | claims.WriteClaim()
+                    | claims.MoveClaim()
+                ):
+                    self.node.spawn(self._call_claims(output))
+                case memberships.AddressLearned(peer):
+                    self.node.learn_address(peer)
+                case memberships.AgentChanged(state):
+                    self.router.set_agent(now, state)
+                    self.coordination.set_agent(now, state)
+                    self.desk.gangs_seen(state.gangs)
+                case memberships.AgentLost(instance, incarnation):
+                    self._lose_agent(now, instance, incarnation)
+                case memberships.EntryLost(instance, _):
+                    LOG.info('entry lost', extra={'entry': instance})
+                    self.configuration.forget_peer(instance)
+                    self._next_orphan_scan = now + job_desks.ADOPT_AFTER_S
+                case memberships.RevisionSeen(instance, revision):
+                    self.apply(
+                        self.configuration.peer_revision(
+                            now, instance, revision
+                        )
+                    )
+
+    def record(
+        self, work: str, event: str, detail: str, account: str = ''
+    ) -> None:
+        """Keep a line of history and log it.
+
+        :param account: client account, known when the work is accepted.
+        """
+        self.explain.add(
+            self.node.get_time(),
+            time.time(),
+            work,
+            event,
+            detail,
+            self.node.peer.instance,
+            account,
+        )
+        LOG.info(
+            event,
+            extra={'work': work, 'detail': detail, 'account': account},
+        )
+
+    def _receive(self, sender: str, message: messages.Message) -> None:
+        now = self.node.get_time()
+        match message:
+            case (
+                messages.AgentReport()
+                | messages.EntryBeat()
+                | messages.RegionUpdate()
+                | messages.SyncRequest()
+            ):
+                self.apply(self.membership.receive(now, sender, message))
+            case (
+                messages.RevisionNotice()
+                | messages.FetchConfig()
+                | messages.ConfigBody()
+            ):
+                self.apply(self.configuration.receive(now, sender, message))
+            case (
+                messages.RunAnswer()
+                | messages.RunRefused()
+                | messages.RunUncertain()
+                | messages.RunState()
+            ):
+                self.apply(self.dispatcher.receive(now, sender, message))
+            case messages.RequestGrant() | messages.JobUpdate():
+                self.desk.receive(sender, message)
+            case messages.GangFinished() | messages.GangStatus():
+                self.desk.receive(sender, message)
+                self.apply(self.coordination.receive(now, sender, message))
+            case _:
+                self.apply(self.coordination.receive(now, sender, message))
+
+    def _tick(self) -> None:
+        now = self.node.get_time()
+        self.apply(self.membership.tick(now))
+        self.apply(self.dispatcher.tick(now))
+        self.apply(self.configuration.tick(now))
+        self._take_config(now)
+        self.desk.tick()
+        started = time.perf_counter()
+        self.apply(self.coordination.tick(now))
+        self.node.telemetry.decision_seconds.record(
+            time.perf_counter() - started
+        )
+        if now >= self._next_membership_step:
+            self._step_membership(now)
+        if now >= self._next_orphan_scan:
+            self._next_orphan_scan = now + job_desks.ADOPT_SCAN_S
+            if self.coordination.is_active():
+                self.node.spawn(self._adopt_orphans())
+
+    def _step_membership(self, now: float) -> None:
+        self._next_membership_step = now + MEMBERSHIP_STEP_S
+        entries = self.membership.list_entries()
+        regions = {peer.region for peer in entries}
+        coordinators = {
+            region: self.membership.get_coordinator(region) or ''
+            for region in regions
+        }
+        if coordinators != self._coordinator_of:
+            self._coordinator_of = coordinators
+            self.desk.set_coordinators(coordinators)
+        mine = coordinators.get(self.node.peer.region)
+        active = mine == self.node.peer.instance
+        if active and not self.coordination.is_active():
+            self._next_orphan_scan = now + job_desks.ADOPT_AFTER_S
+        self.coordination.set_active(now, active)
+        others = [
+            peer
+            for peer in entries
+            if peer.instance != self.node.peer.instance
+        ]
+        near = [
+            peer.instance
+            for peer in others
+            if peer.data_centre == self.node.peer.data_centre
+        ]
+        self.apply(
+            self.configuration.set_neighbours(
+                now, near or [peer.instance for peer in others]
+            )
+        )
+        self.configuration.set_agents(
+            [state.peer.instance for state in self.membership.list_agents()]
+        )
+        self._step_watch()
+
+    def _step_watch(self) -> None:
+        wanted = self.membership.is_watcher() and not self.draining
+        if wanted and self._watch is None:
+            self._watch = watches.Watch(
+                self._store, CONFIG_KEY, self._config_changed, self._rng
+            )
+            self._watch.start()
+        elif not wanted and self._watch is not None:
+            self.node.spawn(self._watch.close())
+            self._watch = None
+
+    def _config_changed(self, change: watches.Change) -> None:
+        if change.item is None:
+            LOG.warning('the configuration was deleted; the former one holds')
+            return
+        self.offer_config(change.item.mod_revision, change.item.value)
+
+    def offer_config(self, revision: int, body: bytes) -> None:
+        """Apply a configuration that the store holds, unless it is older."""
+        now = self.node.get_time()
+        self.apply(self.configuration.store_answered(now, revision, body))
+        self._take_config(now)
+
+    def _take_config(self, now: float) -> None:
+        if self.configuration.revision == self.membership.revision:
+            return
+        config = self.configuration.config
+        if config is None:
+            return
+        self.membership.revision = self.configuration.revision
+        self.tokens = tokens.TokenIndex(config)
+        self.limits.set_config(config)
+        self.coordination.set_config(now, config, self.configuration.revision)
+        LOG.info(
+            'configuration applied',
+            extra={'revision': self.configuration.revision},
+        )
+
+    async def _load_config(self) -> None:
+        """Read the configuration once; the watch may be another entry's."""
+        while not self.configuration.revision:
+            try:
+                item = await self._store.get(CONFIG_KEY)
+                if item is not None:
+                    self.offer_config(item.mod_revision, item.value)
+                    return
+            except errors.StoreError as error:
+                LOG.info('the configuration is not read yet: %s', error)
+            await asyncio.sleep(CONFIG_RETRY_S)
+
+    def _learn_entries(self, peers: list[messages.Peer]) -> None:
+        self.apply(self.membership.learn_entries(self.node.get_time(), peers))
+
+    async def _ask_seeds(self) -> None:
+        secret = self.settings.fleet_key.get_secret_value().encode()
+        while True:
+            peers = await agents.fetch_members(
+                self._client, self.settings.seeds, secret
+            )
+            self._learn_entries(peers)
+            alone = len(self.membership.list_entries()) == 1
+            await asyncio.sleep(SEED_RETRY_S if alone else SEED_REFRESH_S)
+
+    async def _adopt_orphans(self) -> None:
+        live = {
+            (peer.instance, peer.incarnation)
+            for peer in self.membership.list_entries()
+        }
+        try:
+            await self.desk.adopt_orphans(live)
+        except errors.StoreError as error:
+            LOG.info('jobs of lost entries are not read yet: %s', error)
+            self._next_orphan_scan = self.node.get_time() + ORPHAN_RETRY_S
+
+    async def _call_claims(self, call: claims.StoreCall) -> None:
+        result = await self.claims.carry_out(call)
+        self.apply(
+            self.dispatcher.store_result(
+                self.node.get_time(), call.request, call.step, result
+            )
+        )
+
+    def _conclude(self, work: str, verdict: verdicts.Verdict) -> None:
+        future = self._waiting.get(work)
+        if future is not None:
+            if not future.done():
+                future.set_result(verdict)
+            return
+        self.desk.conclude(work, verdict)
+
+    def _lose_agent(self, now: float, instance: str, incarnation: str) -> None:
+        LOG.info('agent lost', extra={'agent': instance})
+        self.router.remove_agent(now, instance)
+        self.apply(self.dispatcher.agent_lost(now, instance, incarnation))
+        self.apply(self.coordination.agent_lost(now, instance))
+        self.desk.agent_lost(instance)
+
+    def _handle_call_failure(self, instance: str) -> None:
+        LOG.debug('%s did not answer', instance)
+
+    def _observe(self) -> None:
+        observe = self.node.telemetry.observe_gauge
+        observe(
+            'damaskpin.config.revision',
+            'applied configuration revision',
+            lambda: self.configuration.revision,
+        )
+        observe(
+            'damaskpin.members.entries',
+            'live entries',
+            lambda: len(self.membership.list_entries()),
+        )
+        observe(
+            'damaskpin.members.agents',
+            'live agents of the region',
+            lambda: len(self.membership.list_agents()),
+        )
+        observe(
+            'damaskpin.jobs.owned',
+            'jobs that this entry owns',
+            lambda: len(self.desk),
+        )
+        observe(
+            'damaskpin.requests.active',
+            'service requests in progress',
+            lambda: len(self._waiting),
+        )
+
+
+def run(settings: settings_module.EntrySettings) -> None:
+    """Run an entry until it is stopped.
+
+    :param settings: checked settings.
+    """
+    logs.configure_logging(settings.log_level, settings.instance)
+    entries: list[Entry] = []
+
+    async def start() -> None:
+        entries.append(Entry(settings))
+        await entries[0].start()
+
+    async def stop() -> None:
+        await entries[0].stop()
+
+    nodes.run_until_stopped(start, stop)
--- /dev/null
+++ b/damaskpin/daemon/jobs.py
@@ -0,0 +1,444 @@
+"""Jobs that an entry answers for: records, waiting callers, adoption."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin import effects
+from damaskpin import errors
+from damaskpin import verdict as verdicts
+from damaskpin.gang import owner as owners
+from damaskpin.model import job as jobs
+from damaskpin.peer import messages
+from damaskpin.store import records
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from damaskpin.model import config as configs
+
+LOG = logging.getLogger(__name__)
+
+MAX_FINISHED = 5000
+CONCLUDE_RETRY_S = 1.0
+MAX_CONCLUDE_RETRY_S = 30.0
+STORE_RETRY_AFTER_S = 5.0
+# An owner counts as dead only after this time without news, which is more
+# than a lease in the registry and three heartbeats of a small fleet.
+ADOPT_AFTER_S = 10.0
+ADOPT_SCAN_S = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class OwnedJob:
+    """A job that this entry answers for, or answered for lately.
+
+    :ivar recorded: the store holds a record of it.
+    :ivar state: last state that the coordinator or the owner reported.
+    :ivar accepted: monotonic seconds of the acceptance.
+    """
+
+    job: jobs.Job
+    region: str
+    recorded: bool
+    detached: bool
+    accepted: float
+    state: str = 'queued'
+    reason: str = ''
+    waiters: list[asyncio.Future[verdicts.Verdict]] = dataclasses.field(
+        default_factory=list
+    )
+    verdict: verdicts.Verdict | None = None
+
+
+class JobDesk:
+    """Owns jobs on behalf of callers.
+
+    :param peer: this process.
+    :param store: job records.
+    :param apply: carries out effects.
+    :param spawn: runs a coroutine in the background.
+    :param get_time: returns monotonic seconds.
+    :param max_jobs: jobs owned at the same time.
+    """
+
+    __slots__ = (
+        '_apply',
+        '_coordinators',
+        '_finished',
+        '_get_time',
+        '_jobs',
+        '_max_jobs',
+        '_owners',
+        '_peer',
+        '_spawn',
+        '_store',
+        'on_concluded',
+    )
+
+    def __init__(
+        self,
+        peer: messages.Peer,
+        store: records.JobRecords,
+        apply: Callable[[Iterable[effects.Effect]], None],
+        spawn: Callable[..., None],
+        get_time: Callable[[], float],
+        max_jobs: int,
+    ) -> None:
+        self._peer = peer
+        self._store = store
+        self._apply = apply
+        self._spawn = spawn
+        self._get_time = get_time
+        self._max_jobs = max_jobs
+        self._jobs: dict[str, OwnedJob] = {}
+        self._finished: collections.OrderedDict[str, OwnedJob] = (
+            collections.OrderedDict()
+        )
+        self._owners: dict[str, owners.Owner] = {}
+        self._coordinators: dict[str, str] = {}
+        self.on_concluded: Callable[[OwnedJob], None] = _ignore
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def find(self, job_id: str) -> OwnedJob | None:
+        """Return a job that this entry owns or concluded lately."""
+        return self._jobs.get(job_id) or self._finished.get(job_id)
+
+    def list_jobs(self, account: str) -> list[OwnedJob]:
+        """Return the jobs of a client account that this entry knows."""
+        found = [*self._jobs.values(), *self._finished.values()]
+        return [owned for owned in found if owned.job.account == account]
+
+    def count_attached(self) -> int:
+        """Return the number of jobs whose callers wait on a connection."""
+        return sum(bool(owned.waiters) for owned in self._jobs.values())
+
+    async def accept(
+        self,
+        account: str,
+        spec: jobs.JobSpec,
+        region: str,
+        key: str,
+        detached: bool,
+    ) -> OwnedJob:
+        """Take a job; a recorded one is in the store when this returns.
+
+        :param key: idempotency key; empty for none.
+        :raises damaskpin.errors.RequestError: refused; nothing will run,
+            unless the text says that the store's answer is not known.
+        """
+        if len(self._jobs) >= self._max_jobs:
+            raise errors.RequestError(
+                503, 'Too many jobs', 'this entry owns too many jobs', 10.0
+            )
+        # A repeat must meet the first submission, wherever it arrives.
+        recorded = detached or bool(key and not spec.idempotent)
+        job_id = records.make_job_id(account, key if recorded else '')
+        known = self.find(job_id)
+        if known is not None:
+            _check_same(known.job.spec, spec)
+            return known
+        job = jobs.Job(job_id, account, spec)
+        if recorded:
+            await self._record(job, region, detached)
+        return self._own(job, region, recorded, detached)
+
+    async def wait(self, owned: OwnedJob) -> verdicts.Verdict:
+        """Wait for the verdict on a job."""
+        if owned.verdict is not None:
+            return owned.verdict
+        future = asyncio.get_running_loop().create_future()
+        owned.waiters.append(future)
+        try:
+            return await future
+        finally:
+            if future in owned.waiters:
+                owned.waiters.remove(future)
+
+    def cancel(self, job_id: str, reason: str) -> None:
+        """Cancel a job that this entry owns."""
+        owned = self._jobs.get(job_id)
+        if owned is None:
+            return
+        owned.state, owned.reason = 'cancelling', reason
+        self._apply(
+            self._owners[owned.region].cancel(self._get_time(), job_id, reason)
+        )
+
+    def set_coordinators(self, coordinators: dict[str, str]) -> None:
+        """Take over which entry coordinates each region."""
+        self._coordinators = coordinators
+        now = self._get_time()
+        for region, owner in self._owners.items():
+            self._apply(
+                owner.set_coordinator(now, coordinators.get(region, ''))
+            )
+
+    def agent_lost(self, instance: str) -> None:
+        """Note that an agent is dead."""
+        for owner in self._owners.values():
+            self._apply(owner.agent_lost(self._get_time(), instance))
+
+    def gangs_seen(self, gangs: Iterable[messages.GangState]) -> None:
+        """Note gangs that agents reported, for jobs that were adopted."""
+        for gang in gangs:
+            owned = self._jobs.get(gang.job)
+            if owned is None:
+                continue
+            owner = self._owners[owned.region]
+            self._apply(owner.gang_seen(self._get_time(), gang))
+
+    def receive(self, sender: str, message: messages.Message) -> None:
+        """Hand a message to the owner of its job."""
+        now = self._get_time()
+        job_id = getattr(message, 'job', '')
+        owned = self._jobs.get(job_id)
+        if isinstance(message, messages.JobUpdate) and owned is not None:
+            owned.state, owned.reason = message.state, message.reason
+        if owned is not None:
+            owner = self._owners[owned.region]
+            self._apply(owner.receive(now, sender, message))
+            return
+        for owner in [*self._owners.values()] or [self._get_owner('')]:
+            outputs = owner.receive(now, sender, message)
+            self._apply(outputs)
+            # One answer to a job that no owner knows is enough.
+            if outputs:
+                return
+
+    def tick(self) -> None:
+        """Do what is due."""
+        now = self._get_time()
+        for owner in self._owners.values():
+            self._apply(owner.tick(now))
+
+    def conclude(self, job_id: str, verdict: verdicts.Verdict) -> bool:
+        """Tell a verdict to the callers and record it.
+
+        :returns: whether the id is a job of this entry.
+        """
+        owned = self._jobs.pop(job_id, None)
+        if owned is None:
+            return False
+        owned.verdict = verdict
+        owned.state = verdicts.name_verdict(verdict)
+        owned.reason = getattr(verdict, 'reason', '')
+        self._finished[job_id] = owned
+        while len(self._finished) > MAX_FINISHED:
+            self._finished.popitem(last=False)
+        for future in owned.waiters:
+            if not future.done():
+                future.set_result(verdict)
+        if owned.recorded:
+            self._spawn(self._record_verdict(job_id, verdict))
+        self.on_concluded(owned)
+        return True
+
+    async def record_grant(self, job_id: str, attempt: str) -> None:
+        """Carry out a ``GrantJob`` effect."""
+        owned = self._jobs.get(job_id)
+        if owned is None:
+            return
+        granted = not owned.recorded
+        while owned.recorded:
+            try:
+                granted = await self._store.grant(
+                    job_id,
+                    self._peer.instance,
+                    self._peer.incarnation,
+                    attempt,
+                )
+                break
+            except errors.StoreUnavailableError:
+                granted = False
+                break
+            except errors.StoreUnknownError:
+                # Whether the store holds the grant must be known before the
+                # attempt is denied.
+                await asyncio.sleep(CONCLUDE_RETRY_S)
+        self._apply(
+            self._owners[owned.region].grant_recorded(
+                self._get_time(), job_id, attempt, granted
+            )
+        )
+
+    async def adopt_orphans(self, live: set[tuple[str, str]]) -> int:
+        """Take over open jobs whose owner is dead.
+
+        :param live: (instance, incarnation) of the live entries.
+        :returns: number of jobs taken over.
+        """
+        adopted = 0
+        for stored in await self._store.list_jobs():
+            record = stored.record
+            if record.verdict is not None:
+                continue
+            if record.region != self._peer.region:
+                continue
+            if (record.owner, record.incarnation) in live:
+                continue
+            if not await self._adopt(stored):
+                continue
+            adopted += 1
+        return adopted
+
+    async def _adopt(self, stored: records.StoredJob) -> bool:
+        record = stored.record
+        try:
+            if not await self._store.adopt(
+                stored, self._peer.instance, self._peer.incarnation
+            ):
+                return False
+        except errors.StoreError as error:
+            LOG.info(
+                'adopting a job failed',
+                extra={'job': record.job.id, 'reason': str(error)},
+            )
+            return False
+        LOG.info(
+            'adopted a job',
+            extra={'job': record.job.id, 'former': record.owner},
+        )
+        now = self._get_time()
+        self._jobs[record.job.id] = OwnedJob(
+            record.job, record.region, True, record.detached, now
+        )
+        owner = self._get_owner(record.region)
+        self._apply(owner.adopt(now, record.job, record.attempt))
+        return True
+
+    async def _record(
+        self, job: jobs.Job, region: str, detached: bool
+    ) -> None:
+        record = records.JobRecord(
+            job=job,
+            region=region,
+            owner=self._peer.instance,
+            incarnation=self._peer.incarnation,
+            digest=records.compute_digest(job.spec),
+            detached=detached,
+        )
+        try:
+            stored = (await self._store.create(record)).record
+        except errors.StoreUnavailableError as error:
+            raise errors.RequestError(
+                503,
+                'Store unavailable',
+                'the job could not be recorded and will not run',
+                STORE_RETRY_AFTER_S,
+            ) from error
+        except errors.StoreUnknownError as error:
+            raise errors.RequestError(
+                504,
+                'Outcome unknown',
+                f'the job {job.id} may have been recorded; repeat the '
+                'request with the same Idempotency-Key',
+            ) from error
+        _check_same(stored.job.spec, job.spec)
+        mine = (self._peer.instance, self._peer.incarnation)
+        owner = (stored.owner, stored.incarnation)
+        if stored.verdict is not None or owner != mine:
+            raise AlreadyRecordedError(stored)
+
+    def _own(
+        self, job: jobs.Job, region: str, recorded: bool, detached: bool
+    ) -> OwnedJob:
+        known = self.find(job.id)
+        if known is not None:
+            return known
+        now = self._get_time()
+        owned = OwnedJob(job, region, recorded, detached, now)
+        self._jobs[job.id] = owned
+        owner = self._get_owner(region)
+        self._apply(owner.submit(now, job, recorded))
+        return owned
+
+    def _get_owner(self, region: str) -> owners.Owner:
+        owner = self._owners.get(region)
+        if owner is None:
+            owner = owners.Owner(self._peer.instance)
+            self._owners[region] = owner
+            self._apply(
+                owner.set_coordinator(
+                    self._get_time(), self._coordinators.get(region, '')
+                )
+            )
+        return owner
+
+    async def _record_verdict(
+        self, job_id: str, verdict: verdicts.Verdict
+    ) -> None:
+        delay = CONCLUDE_RETRY_S
+        while True:
+            try:
+                await self._store.conclude(
+                    job_id, self._peer.instance, verdict
+                )
+                return
+            except errors.StoreError as error:
+                LOG.info(
+                    'the verdict is not recorded yet',
+                    extra={'job': job_id, 'reason': str(error)},
+                )
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, MAX_CONCLUDE_RETRY_S)
+
+
+class AlreadyRecordedError(errors.RequestError):
+    """The store holds an earlier submission with the same key.
+
+    :ivar record: record of that submission.
+    """
+
+    def __init__(self, record: records.JobRecord) -> None:
+        super().__init__(
+            409,
+            'Already submitted',
+            f'job {record.job.id} is owned by {record.owner}',
+        )
+        self.record = record
+
+
+def choose_region(
+    config: configs.Config, account: str, spec: jobs.JobSpec, home: str
+) -> str:
+    """Return the region where a job is queued.
+
+    :param home: region of the entry that took the job.
+    :returns: the home region, unless the account holds a matching guaranteed
+        shape only in another one.
+    """
+    regions = []
+    for candidate in config.accounts:
+        if candidate.name != account:
+            continue
+        for guarantee in candidate.guarantees:
+            if spec.shape not in (None, guarantee.name):
+                continue
+            if guarantee.accelerators >= spec.accelerators:
+                regions.append(guarantee.region)
+    if not regions or home in regions:
+        return home
+    return regions[0]
+
+
+def _check_same(first: jobs.JobSpec, second: jobs.JobSpec) -> None:
+    if msgspec.json.encode(first) != msgspec.json.encode(second):
+        raise errors.RequestError(
+            422,
+            'Idempotency key reused',
+            'the key was used with another job',
+        )
+
+
+def _ignore(owned: OwnedJob) -> None:
+    """Do nothing; used until the entry sets a callback."""
--- /dev/null
+++ b/damaskpin/store/claims.py
@@ -0,0 +1,97 @@
+"""Idempotency claims of service requests in the store."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin import errors
+from damaskpin.service import claims
+
+if TYPE_CHECKING:
+    from damaskpin.store import client as clients
+    from damaskpin.store import values
+
+PREFIX = '/damaskpin/claims/'
+# Claims of this span share a lease, which saves a write for each claim.
+LEASE_SPAN_S = 600.0
+
+
+class ClaimStore:
+    """Carries out the store calls of claims.
+
+    :param client: client of the store.
+    """
+
+    __slots__ = ('_client', '_lease', '_lease_until')
+
+    def __init__(self, client: clients.StoreClient) -> None:
+        self._client = client
+        self._lease = 0
+        self._lease_until = 0.0
+
+    async def carry_out(self, call: claims.StoreCall) -> claims.StoreResult:
+        """Run one call and return what the store holds after it."""
+        try:
+            match call:
+                case claims.ReadClaim():
+                    return claims.Holds(
+                        _decode(await self._client.get(_make_key(call)))
+                    )
+                case claims.WriteClaim():
+                    return await self._write(call)
+                case claims.MoveClaim():
+                    return await self._move(call)
+        except errors.StoreUnavailableError:
+            return claims.Refused()
+        except errors.StoreError:
+            return claims.Unknown()
+
+    async def _write(self, call: claims.WriteClaim) -> claims.StoreResult:
+        lease = await self._get_lease()
+        try:
+            result = await self._client.create(
+                _make_key(call), msgspec.json.encode(call.claim), lease
+            )
+        except errors.StoreLeaseError:
+            self._lease_until = 0.0
+            raise
+        if result.succeeded:
+            return claims.Holds(call.claim)
+        return claims.Holds(_decode(result.reads[0]))
+
+    async def _get_lease(self) -> int:
+        now = time.monotonic()
+        if now >= self._lease_until:
+            lease = await self._client.grant_lease(claims.TTL_S)
+            self._lease = lease.id
+            self._lease_until = now + LEASE_SPAN_S
+        return self._lease
+
+    async def _move(self, call: claims.MoveClaim) -> claims.StoreResult:
+        key = _make_key(call)
+        item = await self._client.get(key)
+        held = _decode(item)
+        if item is None or held != call.before:
+            return claims.Holds(held)
+        result = await self._client.compare_and_swap(
+            key,
+            item.mod_revision,
+            msgspec.json.encode(call.after),
+            item.lease,
+        )
+        if result.succeeded:
+            return claims.Holds(call.after)
+        return claims.Holds(_decode(result.reads[0]))
+
+
+def _make_key(call: claims.StoreCall) -> str:
+    return f'{PREFIX}{call.account}/{call.key}'
+
+
+def _decode(item: values.KeyValue | None) -> claims.Claim | None:
+    if item is None:
+        return None
+    return msgspec.json.decode(item.value, type=claims.Claim)
--- /dev/null
+++ b/damaskpin/store/records.py
@@ -0,0 +1,212 @@
+"""Records of jobs in the store.
+
+A recorded job outlives the entry that took it. Its attempts are granted by
+compare-and-swap, so that two owners can't grant two of them.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin import errors
+from damaskpin import verdict as verdicts
+from damaskpin.model import job as jobs
+
+if TYPE_CHECKING:
+    from damaskpin.store import client as clients
+    from damaskpin.store import values
+
+PREFIX = '/damaskpin/jobs/'
+# A finished job can be asked for this long.
+KEEP_FINISHED_S = 24 * 3600
+MAX_TRIES = 5
+
+
+class JobRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """A recorded job.
+
+    :ivar owner: instance id of the entry that answers for it.
+    :ivar incarnation: incarnation of that entry.
+    :ivar attempt: attempt that was granted last; empty for none.
+    :ivar verdict: how it ended, or ``None`` while it is open.
+    :ivar digest: digest of the specification, to refuse a reused key.
+    """
+
+    job: jobs.Job
+    region: str
+    owner: str
+    incarnation: str
+    digest: str
+    detached: bool
+    attempt: str = ''
+    verdict: verdicts.Verdict | None = None
+
+
+class StoredJob(msgspec.Struct, frozen=True):
+    """A record and the revision of its last write."""
+
+    record: JobRecord
+    revision: int
+
+
+def make_job_id(account: str, key: str) -> str:
+    """Return the id of a job.
+
+    :param key: idempotency key; the same key gives the same id, so that a
+        repeat at another entry meets the first record. Empty for a new id.
+    """
+    if not key:
+        return f'j-{secrets.token_hex(10)}'
+    digest = hashlib.sha256(f'{account}\0{key}'.encode()).hexdigest()
+    return f'j-{digest[:24]}'
+
+
+def compute_digest(spec: jobs.JobSpec) -> str:
+    """Return a digest of a specification."""
+    return hashlib.sha256(
+        msgspec.json.encode(spec, order='sorted')
+    ).hexdigest()
+
+
+class JobRecords:
+    """Reads and writes job records.
+
+    :param client: client of the store.
+    """
+
+    __slots__ = ('_client',)
+
+    def __init__(self, client: clients.StoreClient) -> None:
+        self._client = client
+
+    async def create(self, record: JobRecord) -> StoredJob:
+        """Write a record unless there is one with its id.
+
+        A lost answer is settled by reading the record back.
+
+        :returns: the record that the store holds; the caller compares its
+            owner with the one it wrote.
+        :raises damaskpin.errors.StoreUnavailableError: nothing was written.
+        :raises damaskpin.errors.StoreUnknownError: may have been written.
+        """
+        key = _make_key(record.job.id)
+        try:
+            result = await self._client.create(key, _encode(record))
+        except errors.StoreUnknownError:
+            found = await self._read_back(key)
+            if found is None:
+                raise
+            return found
+        if result.succeeded:
+            return StoredJob(record, result.revision)
+        found = _decode(result.reads[0])
+        if found is None:
+            raise errors.StoreUnknownError(f'{key} changed while it was read')
+        return found
+
+    async def read(self, job_id: str) -> StoredJob | None:
+        """Return a record, or ``None`` when there is none.
+
+        :raises damaskpin.errors.StoreUnavailableError: no answer.
+        """
+        return _decode(await self._client.get(_make_key(job_id)))
+
+    async def list_jobs(self) -> list[StoredJob]:
+        """Return all records.
+
+        :raises damaskpin.errors.StoreUnavailableError: no answer.
+        """
+        listing = await self._client.list_prefix(PREFIX)
+        found = (_decode(item) for item in listing.items)
+        return [job for job in found if job is not None]
+
+    async def grant(
+        self, job_id: str, owner: str, incarnation: str, attempt: str
+    ) -> bool:
+        """Record an attempt as granted, if the caller owns the job.
+
+        :returns: whether the store holds the grant. False is certain.
+        :raises damaskpin.errors.StoreUnknownError: not known.
+        """
+        for _ in range(MAX_TRIES):
+            stored = await self.read(job_id)
+            if stored is None or stored.record.verdict is not None:
+                return False
+            record = stored.record
+            if (record.owner, record.incarnation) != (owner, incarnation):
+                return False
+            if record.attempt == attempt:
+                return True
+            wanted = msgspec.structs.replace(record, attempt=attempt)
+            try:
+                if await self._swap(stored, wanted):
+                    return True
+            except errors.StoreUnknownError:
+                continue
+        raise errors.StoreUnknownError(f'grant of {attempt} is not settled')
+
+    async def adopt(
+        self, stored: StoredJob, owner: str, incarnation: str
+    ) -> bool:
+        """Take over a job from a dead owner.
+
+        :returns: whether the caller is the owner now.
+        :raises damaskpin.errors.StoreError: not known.
+        """
+        wanted = msgspec.structs.replace(
+            stored.record, owner=owner, incarnation=incarnation
+        )
+        return await self._swap(stored, wanted)
+
+    async def conclude(
+        self, job_id: str, owner: str, verdict: verdicts.Verdict
+    ) -> bool:
+        """Record the verdict on a job that the caller owns.
+
+        :returns: whether the record holds a verdict now.
+        :raises damaskpin.errors.StoreError: not known; repeating is safe.
+        """
+        stored = await self.read(job_id)
+        if stored is None or stored.record.owner != owner:
+            return False
+        if stored.record.verdict is not None:
+            return True
+        wanted = msgspec.structs.replace(stored.record, verdict=verdict)
+        lease = await self._client.grant_lease(KEEP_FINISHED_S)
+        return await self._swap(stored, wanted, lease.id)
+
+    async def _swap(
+        self, stored: StoredJob, wanted: JobRecord, lease: int = 0
+    ) -> bool:
+        result = await self._client.compare_and_swap(
+            _make_key(wanted.job.id), stored.revision, _encode(wanted), lease
+        )
+        return result.succeeded
+
+    async def _read_back(self, key: str) -> StoredJob | None:
+        try:
+            return _decode(await self._client.get(key))
+        except errors.StoreUnavailableError:
+            return None
+
+
+def _make_key(job_id: str) -> str:
+    return PREFIX + job_id
+
+
+def _encode(record: JobRecord) -> bytes:
+    return msgspec.json.encode(record)
+
+
+def _decode(item: values.KeyValue | None) -> StoredJob | None:
+    if item is None:
+        return None
+    try:
+        record = msgspec.json.decode(item.value, type=JobRecord)
+    except msgspec.DecodeError:
+        return None
+    return StoredJob(record, item.mod_revision)
--- /dev/null
+++ b/damaskpin/store/registry.py
@@ -0,0 +1,99 @@
+"""Registry of the entries in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin import errors
+from damaskpin.peer import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpin.store import client as clients
+
+LOG = logging.getLogger(__name__)
+
+PREFIX = '/damaskpin/entries/'
+LEASE_TTL_S = 10
+KEEPALIVE_S = 3.0
+# Entries hear each other directly; the list is read for those that started
+# in an outage or behind a partition.
+LIST_S = 30.0
+
+
+class Registry:
+    """Keeps an entry registered and learns the others.
+
+    :param client: client of the store.
+    :param peer: this process.
+    :param on_entries: called with the registered entries.
+    """
+
+    __slots__ = ('_client', '_lease', '_on_entries', '_peer', '_value')
+
+    def __init__(
+        self,
+        client: clients.StoreClient,
+        peer: messages.Peer,
+        on_entries: Callable[[list[messages.Peer]], None],
+    ) -> None:
+        self._client = client
+        self._peer = peer
+        self._on_entries = on_entries
+        self._lease = 0
+        self._value = msgspec.json.encode(peer)
+
+    async def run(self) -> None:
+        """Stay registered until the task is cancelled."""
+        loop = asyncio.get_running_loop()
+        next_list = 0.0
+        while True:
+            try:
+                await self._refresh()
+                if loop.time() >= next_list:
+                    await self._list_entries()
+                    next_list = loop.time() + LIST_S
+            except errors.StoreError as error:
+                LOG.info('the registry is not reached: %s', error)
+                next_list = 0.0
+            await asyncio.sleep(KEEPALIVE_S)
+
+    async def leave(self) -> None:
+        """Remove the registration."""
+        if not self._lease:
+            return
+        try:
+            await self._client.revoke_lease(self._lease)
+        except errors.StoreError as error:
+            LOG.info('the registration stays until its lease ends: %s', error)
+
+    async def _refresh(self) -> None:
+        if self._lease:
+            try:
+                await self._client.keep_lease(self._lease)
+                return
+            except errors.StoreLeaseError:
+                LOG.info('the lease of the registration had expired')
+                self._lease = 0
+        lease = await self._client.grant_lease(LEASE_TTL_S)
+        await self._client.put(
+            PREFIX + self._peer.instance, self._value, lease.id
+        )
+        self._lease = lease.id
+
+    async def _list_entries(self) -> None:
+        listing = await self._client.list_prefix(PREFIX)
+        peers = []
+        for item in listing.items:
+            try:
+                peers.append(
+                    msgspec.json.decode(item.value, type=messages.Peer)
+                )
+            except msgspec.DecodeError as error:
+                LOG.warning('%s is malformed: %s', item.key, error)
+        self._on_entries(peers)
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demo session against real processes."""
