--- /dev/null
+++ b/damaskpin/scheduler/admission.py
@@ -0,0 +1,123 @@
+"""Refusal of jobs that can never run or that exceed a queue limit."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.model import hardware
+from damaskpin.scheduler import cells
+from damaskpin.scheduler import decisions
+from damaskpin.scheduler import topology as topologies
+
+if TYPE_CHECKING:
+    from damaskpin.model import config as configs
+    from damaskpin.model import job as jobs
+    from damaskpin.scheduler import ledger as ledgers
+
+
+class Admission:
+    """Checks of a job at its submission."""
+
+    __slots__ = ('_configured',)
+
+    def __init__(self, config: configs.Config) -> None:
+        self._configured: dict[hardware.Adjacency, int] = {}
+        self.set_config(config)
+
+    def set_config(self, config: configs.Config) -> None:
+        """Take over the configured hardware."""
+        self._configured = get_largest_cells(config)
+
+    def check(
+        self, job: jobs.Job, ledger: ledgers.Ledger
+    ) -> decisions.Refusal | None:
+        """Return the refusal of a job, or ``None`` if it may wait."""
+        spec = job.spec
+        account = ledger.accounts.get(job.account)
+        if account is None:
+            return decisions.Refusal(job.id, f'unknown account {job.account}')
+        if spec.accelerators > account.quota:
+            return decisions.Refusal(
+                job.id,
+                f'the job needs {spec.accelerators} accelerators, the quota '
+                f'of account {job.account} is {account.quota}',
+            )
+        problem = _check_shape(spec, account)
+        if problem:
+            return decisions.Refusal(job.id, problem)
+        largest = self._get_largest(ledger.topology, spec.adjacency)
+        if largest is not None and spec.accelerators > largest:
+            return decisions.Refusal(
+                job.id,
+                f'the job needs {spec.accelerators} accelerators in one '
+                f'{spec.adjacency.value}, the largest one has {largest}',
+            )
+        if ledger.queue.counts.get(job.account, 0) >= account.max_queued:
+            return decisions.Refusal(
+                job.id,
+                f'{account.max_queued} jobs of account {job.account} are '
+                'waiting, which is the limit',
+                retryable=True,
+            )
+        return None
+
+    def _get_largest(
+        self, topology: topologies.Topology, level: hardware.Adjacency
+    ) -> int | None:
+        """Return the size of the largest cell, or ``None`` if unknown."""
+        if not topology.nodes and not self._configured:
+            return None
+        largest = self._configured.get(level, 0)
+        if level is hardware.Adjacency.WORKER:
+            known = (node.size for node in topology.nodes.values())
+        else:
+            # Failed workers count: they may come back.
+            known = (
+                sum(node.size for node in cell.nodes)
+                for cell in topology.cells[level].values()
+                if sum(node.size for node in cell.nodes) > largest
+            )
+        return max(largest, max(known, default=0))
+
+
+def get_largest_cells(
+    config: configs.Config,
+) -> dict[hardware.Adjacency, int]:
+    """Return the accelerators of the largest configured cell per level."""
+    if not config.racks:
+        return {}
+    sums: dict[tuple[str, ...], int] = {}
+    for rack in config.racks:
+        size = rack.workers * rack.accelerators
+        path = (rack.region, rack.data_centre, rack.name)
+        for length in range(1, 4):
+            key = path[:length]
+            sums[key] = sums.get(key, 0) + size
+    largest = {
+        hardware.Adjacency.WORKER: max(r.accelerators for r in config.racks)
+    }
+    for level, length in (
+        (hardware.Adjacency.RACK, 3),
+        (hardware.Adjacency.DATA_CENTRE, 2),
+        (hardware.Adjacency.REGION, 1),
+    ):
+        largest[level] = max(
+            size for key, size in sums.items() if len(key) == length
+        )
+    return largest
+
+
+def _check_shape(spec: jobs.JobSpec, account: configs.Account) -> str:
+    if spec.shape is None:
+        return ''
+    for shape in account.guarantees:
+        if shape.name != spec.shape:
+            continue
+        if cells.matches(shape, spec):
+            return ''
+        return (
+            f'the job needs {spec.accelerators} accelerators in one '
+            f'{spec.adjacency.value}, shape {shape.name} offers '
+            f'{shape.accelerators} in one {shape.adjacency.value}'
+        )
+    return f'account {account.name} has no shape {spec.shape}'
--- /dev/null
+++ b/damaskpin/scheduler/guaranteed.py
@@ -0,0 +1,177 @@
+"""Start of work that draws on a guaranteed shape."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.model import hardware
+from damaskpin.scheduler import cells
+from damaskpin.scheduler import queue as queues
+from damaskpin.scheduler import reclaim
+
+if TYPE_CHECKING:
+    from damaskpin.scheduler import ledger as ledgers
+    from damaskpin.scheduler import packing
+    from damaskpin.scheduler import topology as topologies
+
+# Exchanging bindings is worth a short search only; the own binding works.
+MAX_EXCHANGES = 64
+
+
+def choose_instance(
+    ledger: ledgers.Ledger, entry: queues.Entry
+) -> cells.Instance | None:
+    """Choose the instance that a job draws on, and where it is bound.
+
+    :returns: an unused instance whose binding needs the least reclaiming;
+        ``None`` if the account has no unused matching shape.
+    """
+    spec = entry.job.spec
+    first = None
+    best: tuple[int, cells.Instance] | None = None
+    for instance in ledger.bindings.by_account.get(entry.job.account, ()):
+        if instance.job_id is not None or not instance.is_met():
+            continue
+        if not cells.matches(instance.shape, spec):
+            continue
+        if first is None:
+            first = instance
+        elif not first.has_same_shape(instance):
+            # Instances are sorted by size: only the smallest shape counts.
+            break
+        cost = _count_reclaimed(instance.parts, entry)
+        if best is None or cost < best[0]:
+            best = (cost, instance)
+        if not cost:
+            return instance
+    if best is None:
+        return None
+    return _improve(ledger, entry, best[1], best[0])
+
+
+def choose_parts(
+    instance: cells.Instance, entry: queues.Entry
+) -> packing.Parts:
+    """Choose the accelerators of a binding that the job uses.
+
+    A job smaller than its shape takes those that need the least reclaiming.
+    """
+    count = entry.job.spec.accelerators
+    parts: packing.Parts = {}
+    for node, bound in sorted(
+        instance.parts.items(),
+        key=lambda item: (
+            item[0].name in entry.avoid,
+            -min(item[0].free, item[1]),
+            item[0].ordinal,
+        ),
+    ):
+        taken = min(count, bound)
+        if taken:
+            parts[node] = taken
+            count -= taken
+    return parts
+
+
+def fits_place(instance: cells.Instance, entry: queues.Entry) -> bool:
+    """Return whether a placed job runs where an instance could be bound."""
+    shape = instance.shape
+    if not cells.matches(shape, entry.job.spec):
+        return False
+    cell = None
+    for node in entry.parts:
+        key = hardware.get_cell(node.worker, shape.adjacency)
+        if cell not in (None, key):
+            return False
+        cell = key
+        if node.worker.region != shape.region:
+            return False
+        if shape.data_centre not in (None, node.worker.data_centre):
+            return False
+    return True
+
+
+def find_victims(
+    now: float,
+    ledger: ledgers.Ledger,
+    entry: queues.Entry,
+    parts: packing.Parts,
+) -> list[queues.Entry] | None:
+    """Choose the borrowers to stop for a guaranteed job.
+
+    :returns: ``None`` if the place or the quota can't be freed.
+    """
+    deficits = reclaim.count_deficits(parts, ledger.entries)
+    victims = reclaim.choose_victims(
+        now, deficits, ledger.entries, queues.Entry.is_borrowing
+    )
+    if victims is None:
+        return None
+    account = entry.job.account
+    known = ledger.accounts[account]
+    size = entry.job.spec.accelerators
+    excess = ledger.used.get(account, 0) + size - known.quota
+    own = ledger.borrowers.get(account, {})
+    for victim in victims:
+        if victim.job.account == account:
+            excess -= victim.job.spec.accelerators
+    for other in ledger.entries.values() if excess > 0 else ():
+        # Jobs that are being stopped free their part of the quota soon.
+        if (
+            other.job.account == account
+            and other.state is queues.State.STOPPING
+        ):
+            excess -= other.job.spec.accelerators
+    if excess <= 0:
+        return victims
+    more = reclaim.choose_for_quota(
+        now,
+        excess,
+        [e for e in own.values() if e.is_borrowing() and e not in victims],
+    )
+    return None if more is None else victims + more
+
+
+def _improve(
+    ledger: ledgers.Ledger,
+    entry: queues.Entry,
+    instance: cells.Instance,
+    cost: int,
+) -> cells.Instance:
+    """Bind an instance elsewhere if that needs less reclaiming."""
+    best = None
+    tried = 0
+    for other in ledger.bindings.instances.values():
+        if other.job_id is not None or other is instance:
+            continue
+        if not other.has_same_shape(instance) or not other.is_met():
+            continue
+        tried += 1
+        other_cost = _count_reclaimed(other.parts, entry)
+        if other_cost < cost:
+            best = other
+            cost = other_cost
+        if not cost or tried >= MAX_EXCHANGES:
+            break
+    if best is not None:
+        ledger.bindings.exchange(instance, best)
+    if not cost:
+        return instance
+
+    def weigh(node: topologies.Node, count: int) -> int:
+        if node.name in entry.avoid:
+            return count
+        return max(0, count - node.free)
+
+    ledger.bindings.move(instance, weigh)
+    return instance
+
+
+def _count_reclaimed(parts: packing.Parts, entry: queues.Entry) -> int:
+    total = 0
+    available = 0
+    for node, count in parts.items():
+        total += count
+        if node.name not in entry.avoid:
+            available += min(node.free, count)
+    return max(0, entry.job.spec.accelerators - available)
--- /dev/null
+++ b/damaskpin/scheduler/ledger.py
@@ -0,0 +1,229 @@
+"""State of all known jobs and what they use."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from damaskpin.scheduler import cells
+from damaskpin.scheduler import decisions
+from damaskpin.scheduler import queue as queues
+from damaskpin.scheduler import topology as topologies
+
+if TYPE_CHECKING:
+    from damaskpin.model import config as configs
+    from damaskpin.model import job as jobs
+    from damaskpin.scheduler import packing
+
+HISTORY_JOBS = 5000
+HISTORY_LINES = 20
+
+
+class Ledger:
+    """Jobs, accelerators, bindings and accounts, kept consistent.
+
+    :ivar used: accelerators that each account uses or has claimed.
+    :ivar running: accelerators that each account uses.
+    :ivar borrowers: ids of borrowing jobs in order of their start, by
+        account.
+    :ivar claims: jobs that wait for others to stop, oldest first.
+    """
+
+    __slots__ = (
+        '_history',
+        '_sequence',
+        'accounts',
+        'bindings',
+        'borrowers',
+        'claims',
+        'entries',
+        'queue',
+        'running',
+        'topology',
+        'used',
+    )
+
+    def __init__(self) -> None:
+        self.topology = topologies.Topology()
+        self.bindings = cells.Bindings(self.topology)
+        self.queue = queues.Queue()
+        self.entries: dict[str, queues.Entry] = {}
+        self.claims: dict[str, queues.Entry] = {}
+        self.accounts: dict[str, configs.Account] = {}
+        self.used: dict[str, int] = {}
+        self.running: dict[str, int] = {}
+        self.borrowers: dict[str, dict[str, queues.Entry]] = {}
+        self._history: collections.OrderedDict[str, collections.deque[str]] = (
+            collections.OrderedDict()
+        )
+        self._sequence = 0
+
+    def add(self, now: float, job: jobs.Job, age: float) -> queues.Entry:
+        """Add a job in the state ``QUEUED`` that is not in the queue yet."""
+        self._sequence += 1
+        entry = queues.Entry(job, now - age, self._sequence)
+        self.entries[job.id] = entry
+        return entry
+
+    def enqueue(self, now: float, entry: queues.Entry) -> None:
+        """Let a job wait."""
+        entry.state = queues.State.QUEUED
+        self.queue.add(entry, now)
+
+    def claim(
+        self,
+        entry: queues.Entry,
+        parts: packing.Parts,
+        waiting_for: tuple[str, ...],
+    ) -> None:
+        """Hold accelerators for a waiting job until they are free."""
+        self.queue.remove(entry)
+        entry.state = queues.State.CLAIMED
+        entry.parts = parts
+        entry.waiting_for = waiting_for
+        for node, count in parts.items():
+            self.topology.hold(node, count)
+        self._change(self.used, entry, 1)
+        self.claims[entry.job.id] = entry
+
+    def drop_claim(self, now: float, entry: queues.Entry) -> None:
+        """Let a job that has claimed accelerators wait again."""
+        self._end_claim(entry)
+        self._change(self.used, entry, -1)
+        self._release_instance(entry)
+        entry.parts = {}
+        entry.waiting_for = ()
+        self.enqueue(now, entry)
+
+    def is_ready(self, entry: queues.Entry) -> bool:
+        """Return whether all accelerators of a claim are free."""
+        account = entry.job.account
+        size = entry.job.spec.accelerators
+        known = self.accounts.get(account)
+        running = self.running.get(account, 0)
+        if known is not None and running + size > known.quota:
+            return False
+        return all(
+            node.unused >= count and node.is_usable()
+            for node, count in entry.parts.items()
+        )
+
+    def place(self, now: float, entry: queues.Entry) -> decisions.Place:
+        """Turn a claim whose accelerators are free into a placement."""
+        self._end_claim(entry)
+        members = []
+        for node, count in entry.parts.items():
+            indexes = tuple(
+                index for index, user in enumerate(node.slots) if user is None
+            )[:count]
+            for index in indexes:
+                self.topology.occupy(node, index, entry.job.id)
+            members.append((node.name, indexes))
+        entry.members = tuple(members)
+        entry.state = queues.State.PLACED
+        entry.started = now
+        self._change(self.running, entry, 1)
+        self._note_borrower(entry)
+        guaranteed = entry.instance is not None
+        waited_for = entry.waiting_for
+        entry.waiting_for = ()
+        return decisions.Place(
+            entry.job.id, entry.members, guaranteed, waited_for
+        )
+
+    def adopt(
+        self, entry: queues.Entry, members: decisions.Members, started: float
+    ) -> None:
+        """Record a job that runs already."""
+        parts: packing.Parts = {}
+        for name, indexes in members:
+            node = self.topology.nodes[name]
+            parts[node] = parts.get(node, 0) + len(indexes)
+            for index in indexes:
+                self.topology.occupy(node, index, entry.job.id)
+        entry.parts = parts
+        entry.members = members
+        entry.state = queues.State.RUNNING
+        entry.started = started
+        self._change(self.used, entry, 1)
+        self._change(self.running, entry, 1)
+        self._note_borrower(entry)
+
+    def unplace(self, entry: queues.Entry) -> None:
+        """Free what a placed job uses."""
+        self.topology.release(entry.members, entry.job.id)
+        self._change(self.used, entry, -1)
+        self._change(self.running, entry, -1)
+        borrowers = self.borrowers.get(entry.job.account)
+        if borrowers is not None:
+            borrowers.pop(entry.job.id, None)
+        self._release_instance(entry)
+        entry.parts = {}
+        entry.members = ()
+        entry.backfilled = False
+
+    def forget(self, entry: queues.Entry) -> None:
+        """Drop a job in any state."""
+        match entry.state:
+            case queues.State.QUEUED:
+                self.queue.remove(entry)
+            case queues.State.CLAIMED:
+                self._end_claim(entry)
+                self._change(self.used, entry, -1)
+                self._release_instance(entry)
+            case _:
+                self.unplace(entry)
+        # The queue drops jobs lazily by their state.
+        entry.state = queues.State.STOPPING
+        del self.entries[entry.job.id]
+
+    def use_instance(
+        self, entry: queues.Entry, instance: cells.Instance
+    ) -> None:
+        """Let a running borrower draw on an instance bound to its place."""
+        entry.instance = instance
+        self.borrowers.get(entry.job.account, {}).pop(entry.job.id, None)
+
+    def lose_instance(self, entry: queues.Entry) -> None:
+        """Let a job whose guaranteed shape is gone go on as a borrower."""
+        entry.instance = None
+        if entry.state in (queues.State.PLACED, queues.State.RUNNING):
+            self._note_borrower(entry)
+
+    def note(self, now: float, job_id: str, text: str) -> None:
+        """Add a line to the history of a job."""
+        lines = self._history.get(job_id)
+        if lines is None:
+            lines = collections.deque(maxlen=HISTORY_LINES)
+            self._history[job_id] = lines
+            if len(self._history) > HISTORY_JOBS:
+                self._history.popitem(last=False)
+        else:
+            self._history.move_to_end(job_id)
+        lines.append(f'{now:.3f} {text}')
+
+    def get_history(self, job_id: str) -> list[str]:
+        """Return the history of a job, oldest line first."""
+        return list(self._history.get(job_id, ()))
+
+    def _note_borrower(self, entry: queues.Entry) -> None:
+        if entry.instance is None:
+            account = entry.job.account
+            self.borrowers.setdefault(account, {})[entry.job.id] = entry
+
+    def _end_claim(self, entry: queues.Entry) -> None:
+        del self.claims[entry.job.id]
+        for node, count in entry.parts.items():
+            self.topology.hold(node, -count)
+
+    def _release_instance(self, entry: queues.Entry) -> None:
+        if entry.instance is not None:
+            self.bindings.release(entry.instance)
+            entry.instance = None
+
+    def _change(
+        self, sums: dict[str, int], entry: queues.Entry, sign: int
+    ) -> None:
+        account = entry.job.account
+        change = sign * entry.job.spec.accelerators
+        sums[account] = sums.get(account, 0) + change
--- /dev/null
+++ b/damaskpin/scheduler/packing.py
@@ -0,0 +1,402 @@
+"""Search for the accelerators that a guaranteed shape is bound to."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from damaskpin.model import hardware
+from damaskpin.scheduler import topology as topologies
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from damaskpin.model import config as configs
+
+Parts = dict[topologies.Node, int]
+
+
+class RackUse(enum.Enum):
+    """How a rack serves shapes that span several of its workers.
+
+    A shared rack keeps its own spare workers. An exclusive rack serves one
+    instance only, and the spare is another empty rack: when one of its workers
+    fails, the instance ends, so the whole rack becomes free.
+    """
+
+    POOL = 'pool'
+    SHARED = 'shared'
+    EXCLUSIVE = 'exclusive'
+
+
+class DataCentreUse:
+    """Untouched workers of a data centre, grouped by worker size.
+
+    Spares are kept for each worker size, so that a spare always holds what
+    was bound to the worker that it stands in for.
+
+    :ivar spares: workers that may still fail under the allowance.
+    :ivar untouched: workers without bindings in pool racks, by size.
+    :ivar touched: workers with bindings in pool racks, by size.
+    :ivar empty: racks without bindings, by size.
+    :ivar exclusive: workers of the largest exclusive rack, by size.
+    """
+
+    __slots__ = ('empty', 'exclusive', 'spares', 'touched', 'untouched')
+
+    def __init__(
+        self,
+        cell: topologies.Cell,
+        allowed: int,
+        expected: dict[tuple[str, ...], int],
+        uses: dict[topologies.Cell, RackUse],
+    ) -> None:
+        self.untouched: dict[int, int] = {}
+        self.touched: dict[int, int] = {}
+        self.empty: dict[int, int] = {}
+        self.exclusive: dict[int, int] = {}
+        failed = 0
+        for rack in cell.children:
+            usable = [node for node in rack.nodes if node.is_usable()]
+            known_failed = rack.failed
+            if rack.key in expected:
+                known_failed = min(
+                    known_failed, max(0, expected[rack.key] - len(usable))
+                )
+            failed += known_failed
+            if not usable:
+                continue
+            use = uses.get(rack, RackUse.POOL)
+            size = usable[0].size
+            if use is RackUse.EXCLUSIVE:
+                self.exclusive[size] = max(
+                    len(usable), self.exclusive.get(size, 0)
+                )
+            if use is not RackUse.POOL:
+                continue
+            if not any(node.bound for node in usable):
+                self.empty[size] = self.empty.get(size, 0) + 1
+            for node in usable:
+                counts = self.touched if node.bound else self.untouched
+                counts[node.size] = counts.get(node.size, 0) + 1
+        self.spares = max(0, allowed - failed)
+
+    def count_available(self, size: int) -> int:
+        """Return the untouched pool workers beyond the spares."""
+        reserve = self.spares * (1 + self.exclusive.get(size, 0))
+        return self.untouched.get(size, 0) - reserve
+
+
+class Packer:
+    """Finds accelerators for one shape among those that are not bound."""
+
+    __slots__ = ('_allowed', '_cache', '_expected', '_topology', 'uses')
+
+    def __init__(self, topology: topologies.Topology) -> None:
+        self._topology = topology
+        self._allowed = 0
+        self._expected: dict[tuple[str, ...], int] = {}
+        self._cache: dict[topologies.Cell, DataCentreUse] = {}
+        self.uses: dict[topologies.Cell, RackUse] = {}
+
+    def set_config(self, config: configs.Config) -> None:
+        """Take over the allowance and the configured racks."""
+        self._allowed = config.failed_workers
+        self._expected = {}
+        for rack in config.racks:
+            key = (rack.region, rack.data_centre, rack.name)
+            self._expected[key] = rack.workers
+        self._cache.clear()
+
+    def forget(self, cell: topologies.Cell) -> None:
+        """Drop what was derived about a data centre that changed."""
+        self._cache.pop(cell, None)
+
+    def find(
+        self,
+        shape: configs.Guarantee,
+        keep_spares: bool,
+        prefer_exclusive: bool,
+        weigh: Callable[[topologies.Node, int], int] | None = None,
+    ) -> tuple[Parts, topologies.Cell | None, RackUse] | None:
+        """Find accelerators for an instance of a shape.
+
+        :param keep_spares: whether the allowance for failures must hold.
+        :param prefer_exclusive: whether a shape that spans workers of a rack
+            takes an empty rack for itself before it shares one.
+        :param weigh: accelerators that must be reclaimed on a worker to use
+            so many there; fewer are preferred.
+        :returns: accelerators of each worker, with the rack whose use changes
+            and its new use; ``None`` if there is no room.
+        """
+        centres = self._get_centres(shape)
+        count = shape.accelerators
+        parts = self._find_worker(centres, count, keep_spares, weigh)
+        if parts is not None:
+            return parts, None, RackUse.POOL
+        if shape.adjacency is hardware.Adjacency.WORKER:
+            return None
+        if shape.adjacency is hardware.Adjacency.RACK:
+            return self._find_rack(
+                centres, count, keep_spares, prefer_exclusive, weigh
+            )
+        best = None
+        for centre in centres:
+            avail = self._get_available([centre], keep_spares)
+            total = sum(avail.values())
+            if total < count:
+                continue
+            parts = fill_cell(centre, count, avail)
+            cost = weigh_parts(parts, weigh)
+            key = (cost, total - count, len(parts))
+            if best is None or key < best[0]:
+                best = (key, parts)
+        if best is not None:
+            return best[1], None, RackUse.POOL
+        if shape.adjacency is hardware.Adjacency.REGION and centres:
+            avail = self._get_available(centres, keep_spares)
+            if sum(avail.values()) >= count:
+                region = centres[0].parent
+                assert region is not None
+                return fill_cell(region, count, avail), None, RackUse.POOL
+        return None
+
+    def _get_centres(self, shape: configs.Guarantee) -> list[topologies.Cell]:
+        regions = self._topology.cells[hardware.Adjacency.REGION]
+        region = regions.get((shape.region,))
+        if region is None:
+            return []
+        if shape.data_centre is None:
+            return region.children
+        return [c for c in region.children if c.key[-1] == shape.data_centre]
+
+    def _get_use(self, centre: topologies.Cell) -> DataCentreUse:
+        use = self._cache.get(centre)
+        if use is None:
+            use = DataCentreUse(
+                centre, self._allowed, self._expected, self.uses
+            )
+            self._cache[centre] = use
+        return use
+
+    def _find_worker(
+        self,
+        centres: list[topologies.Cell],
+        count: int,
+        keep_spares: bool,
+        weigh: Callable[[topologies.Node, int], int] | None,
+    ) -> Parts | None:
+        best: tuple[tuple[int, ...], topologies.Node] | None = None
+        for centre in centres:
+            if centre.total < count:
+                continue
+            avail = self._get_available([centre], keep_spares)
+            for node, free in avail.items():
+                if free < count:
+                    continue
+                key = (
+                    weigh(node, count) if weigh else 0,
+                    0 if node.bound else 1,
+                    free - count,
+                    node.ordinal,
+                )
+                if best is None or key < best[0]:
+                    best = (key, node)
+        return None if best is None else {best[1]: count}
+
+    def _find_rack(
+        self,
+        centres: list[topologies.Cell],
+        count: int,
+        keep_spares: bool,
+        prefer_exclusive: bool,
+        weigh: Callable[[topologies.Node, int], int] | None,
+    ) -> tuple[Parts, topologies.Cell | None, RackUse] | None:
+        best: tuple[tuple[int, ...], Parts, topologies.Cell, RackUse] | None
+        best = None
+        for centre in centres:
+            use = self._get_use(centre)
+            spares = use.spares if keep_spares else 0
+            for position, rack in enumerate(centre.children):
+                if rack.total < count:
+                    continue
+                for kind in (RackUse.SHARED, RackUse.EXCLUSIVE):
+                    if kind is RackUse.SHARED:
+                        avail = self._share_rack(rack, use, spares)
+                    elif spares:
+                        avail = self._take_rack(rack, use, spares)
+                    else:
+                        continue
+                    total = sum(avail.values())
+                    if total < count:
+                        continue
+                    parts = fill_cell(rack, count, avail)
+                    key = (
+                        weigh_parts(parts, weigh),
+                        int((kind is RackUse.EXCLUSIVE) != prefer_exclusive),
+                        total - count,
+                        position,
+                    )
+                    if best is None or key < best[0]:
+                        best = (key, parts, rack, kind)
+        return None if best is None else (best[1], best[2], best[3])
+
+    def _share_rack(
+        self, rack: topologies.Cell, use: DataCentreUse, spares: int
+    ) -> Parts:
+        """Return what a rack has left when it keeps its own spares."""
+        kind = self.uses.get(rack, RackUse.POOL)
+        if not spares:
+            return get_unbound(rack.nodes)
+        if kind is RackUse.EXCLUSIVE:
+            return {}
+        usable = [node for node in rack.nodes if node.is_usable()]
+        untouched = [node for node in usable if not node.bound]
+        if kind is RackUse.POOL:
+            # The rack leaves the pool, which must keep its own spares.
+            size = usable[0].size
+            left = use.count_available(size) - len(untouched)
+            bound = len(usable) - len(untouched)
+            if left < 0 and use.touched.get(size, 0) > bound:
+                return {}
+        kept = untouched[len(untouched) - spares :]
+        if len(untouched) < spares:
+            return {}
+        avail = get_unbound(usable)
+        for node in kept:
+            avail.pop(node, None)
+        return avail
+
+    def _take_rack(
+        self, rack: topologies.Cell, use: DataCentreUse, spares: int
+    ) -> Parts:
+        """Return what an empty rack offers to a single instance."""
+        if self.uses.get(rack, RackUse.POOL) is not RackUse.POOL:
+            return {}
+        usable = [node for node in rack.nodes if node.is_usable()]
+        if any(node.bound for node in usable):
+            return {}
+        size = usable[0].size
+        reserve = spares * max(len(usable), use.exclusive.get(size, 0))
+        if use.touched.get(size, 0):
+            reserve += spares
+        if use.empty.get(size, 0) - 1 < spares:
+            return {}
+        if use.untouched.get(size, 0) - len(usable) < reserve:
+            return {}
+        return get_unbound(usable)
+
+    def _get_available(
+        self, centres: list[topologies.Cell], keep_spares: bool
+    ) -> Parts:
+        """Return what the workers offer to shapes that don't need a rack."""
+        avail: Parts = {}
+        for centre in centres:
+            use = self._get_use(centre)
+            if not keep_spares or not use.spares:
+                avail.update(get_unbound(centre.nodes))
+                continue
+            left: dict[int, int] = {}
+            # Racks that are in use already go first: empty ones are kept.
+            racks = sorted(
+                centre.children,
+                key=lambda rack: not any(node.bound for node in rack.nodes),
+            )
+            for rack in racks:
+                kind = self.uses.get(rack, RackUse.POOL)
+                if kind is RackUse.EXCLUSIVE:
+                    continue
+                shared = kind is RackUse.SHARED
+                rack_left = 0
+                if shared:
+                    rack_left = -use.spares + sum(
+                        1 for n in rack.nodes if n.is_usable() and not n.bound
+                    )
+                for node in rack.nodes:
+                    if not node.is_usable() or node.bound >= node.size:
+                        continue
+                    if node.bound:
+                        avail[node] = node.size - node.bound
+                    elif shared:
+                        rack_left -= 1
+                        if rack_left >= 0:
+                            avail[node] = node.size
+                    else:
+                        if node.size not in left:
+                            left[node.size] = use.count_available(node.size)
+                        left[node.size] -= 1
+                        if left[node.size] >= 0:
+                            avail[node] = node.size
+        return avail
+
+
+def get_unbound(nodes: Iterable[topologies.Node]) -> Parts:
+    """Return the accelerators of workers in service that are not bound."""
+    return {
+        node: node.size - node.bound
+        for node in nodes
+        if node.is_usable() and node.bound < node.size
+    }
+
+
+def weigh_parts(
+    parts: Parts, weigh: Callable[[topologies.Node, int], int] | None
+) -> int:
+    """Return the accelerators to reclaim for a choice."""
+    if weigh is None:
+        return 0
+    return sum(weigh(node, count) for node, count in parts.items())
+
+
+def fill_cell(cell: topologies.Cell, count: int, avail: Parts) -> Parts:
+    """Take accelerators from the fewest cells below a cell.
+
+    The largest cell below is used up first, and the rest goes into the
+    smallest one that holds it.
+
+    :param avail: accelerators that each worker offers; enough in total.
+    :returns: accelerators of each worker.
+    """
+    parts: Parts = {}
+    if cell.children:
+        totals: dict[topologies.Cell, int] = {}
+        for node, free in avail.items():
+            child = node.rack if cell.children[0] is node.rack else None
+            for candidate in node.cells:
+                if candidate.parent is cell:
+                    child = candidate
+            if child is not None:
+                totals[child] = totals.get(child, 0) + free
+        groups = sorted(totals.items(), key=lambda item: -item[1])
+        for child, taken in _choose(groups, count):
+            if not taken:
+                continue
+            inner = {n: f for n, f in avail.items() if child in n.cells}
+            parts.update(fill_cell(child, taken, inner))
+        return parts
+    items = [(n, f) for n, f in avail.items() if n.rack is cell and f > 0]
+    items.sort(key=lambda item: -item[1])
+    for node, taken in _choose(items, count):
+        parts[node] = taken
+    return parts
+
+
+def _choose(items: list, count: int) -> list:
+    """Split a count over items that are sorted by falling capacity."""
+    chosen = []
+    position = 0
+    while count > 0 and position < len(items):
+        item, free = items[position]
+        if free >= count:
+            # Best fit for the rest: the last one that still holds it.
+            while (
+                position + 1 < len(items) and items[position + 1][1] >= count
+            ):
+                position += 1
+            chosen.append((items[position][0], count))
+            return chosen
+        chosen.append((item, free))
+        count -= free
+        position += 1
+    return chosen
--- /dev/null
+++ b/damaskpin/scheduler/reclaim.py
@@ -0,0 +1,140 @@
+"""Choice of the borrowing jobs that are stopped for others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.scheduler import queue as queues
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpin.scheduler import packing
+
+GRACE_SECONDS = 2.0
+
+
+def count_deficits(
+    parts: packing.Parts, entries: dict[str, queues.Entry]
+) -> packing.Parts:
+    """Return the accelerators that must be freed on each worker.
+
+    The parts must not be held yet. Jobs that are stopping already, and jobs
+    that have lost a worker, free theirs soon.
+    """
+    deficits: packing.Parts = {}
+    for node, count in parts.items():
+        missing = count + node.held - node.unused
+        if missing <= 0:
+            continue
+        for job_id in node.slots:
+            if job_id is not None and is_ending(entries[job_id]):
+                missing -= 1
+        if missing > 0:
+            deficits[node] = missing
+    return deficits
+
+
+def is_ending(entry: queues.Entry) -> bool:
+    """Return whether a placed job is about to free its accelerators."""
+    if entry.state is queues.State.STOPPING:
+        return True
+    return not all(node.alive for node in entry.parts)
+
+
+def choose_victims(
+    now: float,
+    deficits: packing.Parts,
+    entries: dict[str, queues.Entry],
+    may_stop: Callable[[queues.Entry], bool],
+) -> list[queues.Entry] | None:
+    """Choose the fewest and cheapest jobs that free enough.
+
+    :param deficits: accelerators to free on each worker.
+    :param may_stop: whether a job may be stopped.
+    :returns: the jobs; ``None`` if they do not free enough.
+    """
+    left = dict(deficits)
+    shares: dict[str, packing.Parts] = {}
+    for node in left:
+        for job_id in node.slots:
+            if job_id is None:
+                continue
+            entry = entries[job_id]
+            if is_ending(entry) or not may_stop(entry):
+                continue
+            share = shares.setdefault(job_id, {})
+            share[node] = share.get(node, 0) + 1
+    chosen: list[queues.Entry] = []
+    while left:
+        best = None
+        for job_id, share in shares.items():
+            covered = sum(min(left.get(n, 0), c) for n, c in share.items())
+            if not covered:
+                continue
+            key = (-covered, *get_cost(now, entries[job_id]))
+            if best is None or key < best[0]:
+                best = (key, job_id)
+        if best is None:
+            return None
+        share = shares.pop(best[1])
+        chosen.append(entries[best[1]])
+        for node, count in share.items():
+            if node not in left:
+                continue
+            left[node] -= count
+            if left[node] <= 0:
+                del left[node]
+    return _drop_needless(now, deficits, chosen)
+
+
+def choose_for_quota(
+    now: float, excess: int, candidates: list[queues.Entry]
+) -> list[queues.Entry] | None:
+    """Choose jobs of one account that free enough of its quota."""
+    chosen = []
+    # One job that suffices is preferred to several smaller ones.
+    candidates = sorted(candidates, key=lambda e: get_cost(now, e))
+    for entry in candidates:
+        if entry.job.spec.accelerators >= excess:
+            return [entry]
+    for entry in sorted(candidates, key=lambda e: -e.job.spec.accelerators):
+        if excess <= 0:
+            break
+        chosen.append(entry)
+        excess -= entry.job.spec.accelerators
+    return chosen if excess <= 0 else None
+
+
+def get_cost(
+    now: float, entry: queues.Entry
+) -> tuple[int, int, int, float, int]:
+    """Return the sort key of the cost of stopping a job."""
+    spec = entry.job.spec
+    return (
+        0 if spec.idempotent else 1,
+        -int(spec.priority),
+        spec.accelerators,
+        now - entry.started,
+        -entry.sequence,
+    )
+
+
+def _drop_needless(
+    now: float, deficits: packing.Parts, chosen: list[queues.Entry]
+) -> list[queues.Entry]:
+    """Drop jobs that the jobs chosen after them made needless."""
+    freed: packing.Parts = {}
+    for entry in chosen:
+        for node, count in entry.parts.items():
+            freed[node] = freed.get(node, 0) + count
+    kept = list(chosen)
+    for entry in sorted(chosen, key=lambda e: get_cost(now, e), reverse=True):
+        if all(
+            freed[node] - count >= deficits.get(node, 0)
+            for node, count in entry.parts.items()
+        ):
+            kept.remove(entry)
+            for node, count in entry.parts.items():
+                freed[node] -= count
+    return kept
--- /dev/null
+++ b/damaskpin/scheduler/scheduler.py
@@ -0,0 +1,385 @@
+"""Decisions about all jobs of a region."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.scheduler import admission
+from damaskpin.scheduler import borrowing
+from damaskpin.scheduler import decisions
+from damaskpin.scheduler import guaranteed
+from damaskpin.scheduler import ledger as ledgers
+from damaskpin.scheduler import queue as queues
+from damaskpin.scheduler import reclaim
+from damaskpin.scheduler import snapshot
+from damaskpin.scheduler import warnings
+
+if TYPE_CHECKING:
+    import random
+
+    from damaskpin.model import config as configs
+    from damaskpin.model import hardware
+    from damaskpin.model import job as jobs
+
+Decision = decisions.Place | decisions.Reclaim | decisions.Warn
+
+# Placements and reclaims of one call. The largest gangs take the longest;
+# 64 of them stay far below the limit of 250 ms for a call.
+MAX_STEPS = 64
+
+# Delay after a placement that failed, doubled with each failure in a row and
+# spread by a random factor, so that two coordinators do not collide again.
+RETRY_SECONDS = 0.25
+MAX_RETRY_SECONDS = 30.0
+
+# Time for which a job keeps off workers where it failed.
+AVOID_SECONDS = 300.0
+
+
+class Scheduler:
+    """Decides which jobs start where, and which are stopped for others.
+
+    The caller reports events, calls :meth:`decide` and carries out what it
+    returns. Times are seconds of one monotonic clock.
+    """
+
+    def __init__(self, config: configs.Config, rng: random.Random) -> None:
+        self._rng = rng
+        self._ledger = ledgers.Ledger()
+        self._admission = admission.Admission(config)
+        self._warnings = warnings.Warnings(config)
+        self._dirty = True
+        self._work_left = False
+        self.set_config(config)
+
+    def set_config(self, config: configs.Config) -> None:
+        """Take over a configuration."""
+        ledger = self._ledger
+        ledger.accounts = {a.name: a for a in config.accounts}
+        self._admission.set_config(config)
+        self._warnings.set_config(config)
+        for job_id in ledger.bindings.set_config(config):
+            entry = ledger.entries[job_id]
+            if entry.state is queues.State.CLAIMED:
+                entry.instance = None
+                ledger.drop_claim(0.0, entry)
+            else:
+                ledger.lose_instance(entry)
+        self._dirty = True
+
+    def set_worker(self, now: float, worker: hardware.Worker) -> None:
+        """Add a worker, update it, or take it back into service."""
+        ledger = self._ledger
+        self._warnings.note_worker(now)
+        if not ledger.topology.set_worker(worker):
+            return
+        self._note_worker_change(now, worker.name)
+
+    def remove_worker(self, now: float, name: str) -> None:
+        """Take a failed worker out of service.
+
+        Its jobs keep their accelerators until :meth:`finished` is called.
+        """
+        if self._ledger.topology.remove_worker(name):
+            self._note_worker_change(now, name)
+
+    def submit(self, now: float, job: jobs.Job) -> decisions.Refusal | None:
+        """Queue a job.
+
+        A job that is known already is not queued again.
+
+        :returns: ``None`` if the job is queued or known.
+        """
+        ledger = self._ledger
+        if job.id in ledger.entries:
+            return None
+        refusal = self._admission.check(job, ledger)
+        if refusal is not None:
+            ledger.note(now, job.id, f'refused: {refusal.reason}')
+            return refusal
+        entry = ledger.add(now, job, job.age_seconds)
+        ledger.enqueue(now, entry)
+        ledger.note(now, job.id, 'queued')
+        self._dirty = True
+        return None
+
+    def cancel(self, now: float, job_id: str) -> None:
+        """Drop a waiting job.
+
+        The caller stops a placed job itself and then calls
+        :meth:`finished`.
+        """
+        entry = self._ledger.entries.get(job_id)
+        if entry is None:
+            return
+        if entry.state in (queues.State.QUEUED, queues.State.CLAIMED):
+            if entry.state is queues.State.CLAIMED:
+                self._dirty = True
+            self._ledger.note(now, job_id, 'cancelled while waiting')
+            self._ledger.forget(entry)
+            return
+        self._ledger.note(now, job_id, 'cancelled, to be stopped')
+        entry.state = queues.State.STOPPING
+        entry.cancelled = True
+
+    def started(self, now: float, job_id: str, attempt: str) -> None:
+        """Record that a placed job has started."""
+        entry = self._ledger.entries.get(job_id)
+        if entry is None or entry.state is not queues.State.PLACED:
+            return
+        entry.state = queues.State.RUNNING
+        entry.started = now
+        entry.failures = 0
+        self._ledger.note(now, job_id, f'started as attempt {attempt}')
+
+    def placement_failed(
+        self,
+        now: float,
+        job_id: str,
+        reason: str,
+        workers: tuple[str, ...] = (),
+    ) -> None:
+        """Let a placed job that did not start wait again.
+
+        :param workers: workers that refused or did not answer.
+        """
+        entry = self._ledger.entries.get(job_id)
+        if entry is None or entry.state in (
+            queues.State.QUEUED,
+            queues.State.CLAIMED,
+        ):
+            return
+        if entry.cancelled:
+            self._ledger.forget(entry)
+            self._dirty = True
+            return
+        entry.failures += 1
+        for name in workers:
+            entry.avoid[name] = now + AVOID_SECONDS
+        self._ledger.note(now, job_id, f'placement failed: {reason}')
+        delay = RETRY_SECONDS * 2 ** min(entry.failures - 1, 16)
+        delay = min(delay, MAX_RETRY_SECONDS) * self._rng.uniform(0.5, 1.0)
+        entry.not_before = now + delay
+        self._ledger.unplace(entry)
+        self._ledger.enqueue(now, entry)
+        self._dirty = True
+
+    def finished(
+        self, now: float, job_id: str, outcome: decisions.Outcome
+    ) -> None:
+        """Record the end of a placed job; nothing of it runs any more."""
+        ledger = self._ledger
+        entry = ledger.entries.get(job_id)
+        if entry is None:
+            return
+        if entry.state in (queues.State.QUEUED, queues.State.CLAIMED):
+            # The owner ended a job that was waiting to be placed again.
+            if outcome.result not in (
+                decisions.Result.CHECKPOINTED,
+                decisions.Result.LOST,
+            ):
+                ledger.forget(entry)
+                self._dirty = True
+            return
+        self._dirty = True
+        result = outcome.result
+        ledger.note(now, job_id, f'ended: {result.value}')
+        for name in outcome.failed_workers:
+            entry.avoid[name] = now + AVOID_SECONDS
+        again = result is decisions.Result.CHECKPOINTED or (
+            result is decisions.Result.LOST and entry.job.spec.idempotent
+        )
+        if not again or entry.cancelled:
+            ledger.forget(entry)
+            return
+        if result is decisions.Result.CHECKPOINTED:
+            entry.run_before += now - entry.started
+        ledger.unplace(entry)
+        ledger.enqueue(now, entry)
+
+    def restore(
+        self,
+        now: float,
+        job: jobs.Job,
+        attempt: str,
+        members: decisions.Members,
+        guaranteed: bool,
+        started_seconds_ago: float,
+    ) -> None:
+        """Record a job that runs already, as its agents report it.
+
+        The workers must be known. A job that waits here is replaced.
+
+        :raises ValueError: a worker is unknown, or an accelerator is used by
+            another job.
+        """
+        ledger = self._ledger
+        entry = ledger.entries.get(job.id)
+        if entry is not None and entry.members:
+            return
+        self._check_members(members, job.id)
+        if entry is not None:
+            ledger.forget(entry)
+        started = now - started_seconds_ago
+        entry = ledger.add(now, job, max(job.age_seconds, started_seconds_ago))
+        ledger.adopt(entry, members, started)
+        ledger.note(now, job.id, f'restored as attempt {attempt}')
+        if guaranteed:
+            self._restore_instance(entry)
+        self._dirty = True
+
+    def decide(self, now: float) -> list[Decision]:
+        """Return what the caller has to carry out now.
+
+        The work of one call is bounded; :meth:`next_wakeup` returns ``now``
+        when some is left.
+        """
+        ledger = self._ledger
+        if ledger.queue.release_delayed(now):
+            self._dirty = True
+        found: list[Decision] = []
+        ledger.bindings.settle()
+        found.extend(self._warnings.update(now, ledger))
+        if not self._dirty:
+            return found
+        self._dirty = False
+        steps = _Steps(MAX_STEPS)
+        self._drop_broken_claims(now)
+        self._finish_claims(now, found)
+        self._start_guaranteed(now, found, steps)
+        if steps.left > 0:
+            borrowing.start(now, ledger, found, steps)
+        self._work_left = steps.left <= 0
+        if self._work_left:
+            self._dirty = True
+        return found
+
+    def explain(self, job_id: str) -> list[str]:
+        """Return what was decided about a job, oldest first."""
+        lines = self._ledger.get_history(job_id)
+        entry = self._ledger.entries.get(job_id)
+        if entry is not None:
+            lines.append(snapshot.describe(entry, self._ledger))
+        return lines
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Return when :meth:`decide` has something to do without events."""
+        if self._dirty:
+            return now
+        times = [
+            self._ledger.queue.get_next_release(),
+            self._warnings.get_next_check(),
+        ]
+        known = [time for time in times if time is not None]
+        return max(now, min(known)) if known else None
+
+    def get_snapshot(self, now: float) -> decisions.Snapshot:
+        """Return the current state for reports."""
+        return snapshot.make_snapshot(now, self._ledger)
+
+    def _note_worker_change(self, now: float, name: str) -> None:
+        ledger = self._ledger
+        ledger.bindings.note_worker_change(ledger.topology.nodes[name])
+        self._warnings.note_change()
+        self._dirty = True
+
+    def _check_members(self, members: decisions.Members, job_id: str) -> None:
+        for name, indexes in members:
+            node = self._ledger.topology.nodes.get(name)
+            if node is None:
+                message = f'job {job_id}: worker {name} is unknown'
+                raise ValueError(message)
+            for index in indexes:
+                if index >= node.size or node.slots[index] is not None:
+                    message = f'job {job_id}: {name}:{index} is not free'
+                    raise ValueError(message)
+
+    def _restore_instance(self, entry: queues.Entry) -> None:
+        bindings = self._ledger.bindings
+        for instance in bindings.by_account.get(entry.job.account, ()):
+            if instance.job_id is not None:
+                continue
+            if not guaranteed.fits_place(instance, entry):
+                continue
+            if bindings.pin(instance, entry.job.id, entry.parts):
+                self._ledger.use_instance(entry, instance)
+                return
+
+    def _drop_broken_claims(self, now: float) -> None:
+        for entry in list(self._ledger.claims.values()):
+            if all(node.is_usable() for node in entry.parts):
+                continue
+            self._ledger.note(now, entry.job.id, 'a claimed worker failed')
+            self._ledger.drop_claim(now, entry)
+
+    def _finish_claims(self, now: float, found: list[Decision]) -> None:
+        for entry in list(self._ledger.claims.values()):
+            if self._ledger.is_ready(entry):
+                found.append(self._ledger.place(now, entry))
+
+    def _start_guaranteed(
+        self, now: float, found: list[Decision], steps: _Steps
+    ) -> None:
+        ledger = self._ledger
+        for account in list(ledger.queue.get_accounts()):
+            if account not in ledger.accounts:
+                continue
+            if not ledger.bindings.by_account.get(account):
+                continue
+            groups = ledger.queue.get_groups(account)
+            groups.sort(key=queues.Group.get_order)
+            for group in groups:
+                while steps.left > 0:
+                    entry = group.peek()
+                    if entry is None:
+                        break
+                    if not self._claim_guaranteed(now, entry, found):
+                        break
+                    steps.left -= 1
+
+    def _claim_guaranteed(
+        self, now: float, entry: queues.Entry, found: list[Decision]
+    ) -> bool:
+        ledger = self._ledger
+        instance = guaranteed.choose_instance(ledger, entry)
+        if instance is None:
+            return False
+        parts = guaranteed.choose_parts(instance, entry)
+        victims = guaranteed.find_victims(now, ledger, entry, parts)
+        if victims is None:
+            borrowing.drop_claims(now, ledger, parts)
+            victims = guaranteed.find_victims(now, ledger, entry, parts)
+        if victims is None:
+            return False
+        for victim in victims:
+            reason = f'guaranteed shape {instance.shape.name} of '
+            reason += f'{entry.job.account} is needed by {entry.job.id}'
+            found.append(self._stop(now, victim, reason))
+        ledger.claim(entry, parts, tuple(v.job.id for v in victims))
+        entry.instance = instance
+        ledger.bindings.acquire(instance, entry.job.id, parts)
+        ledger.note(
+            now,
+            entry.job.id,
+            f'draws on guaranteed shape {instance.shape.name}, '
+            f'reclaims {len(victims)} jobs',
+        )
+        if ledger.is_ready(entry):
+            found.append(ledger.place(now, entry))
+        return True
+
+    def _stop(
+        self, now: float, victim: queues.Entry, reason: str
+    ) -> decisions.Reclaim:
+        victim.state = queues.State.STOPPING
+        self._ledger.note(now, victim.job.id, f'reclaimed: {reason}')
+        return decisions.Reclaim(victim.job.id, reclaim.GRACE_SECONDS, reason)
+
+
+class _Steps:
+    """Work that one call may still do."""
+
+    __slots__ = ('left',)
+
+    def __init__(self, left: int) -> None:
+        self.left = left
--- /dev/null
+++ b/damaskpin/scheduler/topology.py
@@ -0,0 +1,255 @@
+"""Workers, their accelerators and the cells that hold them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.model import hardware
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from damaskpin.scheduler import decisions
+
+LEVELS = (
+    hardware.Adjacency.WORKER,
+    hardware.Adjacency.RACK,
+    hardware.Adjacency.DATA_CENTRE,
+    hardware.Adjacency.REGION,
+)
+RANKS = {level: rank for rank, level in enumerate(LEVELS)}
+
+
+class Cell:
+    """A rack, data centre or region.
+
+    :ivar total: accelerators of the workers in service.
+    :ivar free: accelerators of those that are neither used nor held.
+    :ivar failed: workers that are out of service.
+    """
+
+    __slots__ = (
+        'children',
+        'failed',
+        'free',
+        'key',
+        'level',
+        'nodes',
+        'parent',
+        'total',
+    )
+
+    def __init__(
+        self,
+        key: tuple[str, ...],
+        level: hardware.Adjacency,
+        parent: Cell | None,
+    ) -> None:
+        self.key = key
+        self.level = level
+        self.parent = parent
+        self.children: list[Cell] = []
+        self.nodes: list[Node] = []
+        self.total = 0
+        self.free = 0
+        self.failed = 0
+
+    def is_whole(self) -> bool:
+        """Return whether nothing runs in the cell."""
+        return self.free == self.total
+
+
+class Node:
+    """A worker and the use of its accelerators.
+
+    :ivar ordinal: position in the order of first reports; breaks ties.
+    :ivar slots: id of the job that uses each accelerator, or ``None``.
+    :ivar unused: accelerators without a job.
+    :ivar held: accelerators held for jobs that wait for others to stop.
+    :ivar bound: accelerators bound to guaranteed shapes, used or not.
+    :ivar bound_unused: part of them that no guaranteed job uses.
+    :ivar free: accelerators that a job can take now; 0 out of service.
+    """
+
+    __slots__ = (
+        'alive',
+        'bound',
+        'bound_unused',
+        'cells',
+        'data_centre',
+        'free',
+        'held',
+        'name',
+        'ordinal',
+        'quarantined',
+        'rack',
+        'region',
+        'size',
+        'slots',
+        'total',
+        'unused',
+        'worker',
+    )
+
+    def __init__(
+        self,
+        worker: hardware.Worker,
+        ordinal: int,
+        cells: tuple[Cell, Cell, Cell],
+    ) -> None:
+        self.worker = worker
+        self.name = worker.name
+        self.ordinal = ordinal
+        self.cells = cells
+        self.rack, self.data_centre, self.region = cells
+        self.size = worker.accelerators
+        self.slots: list[str | None] = [None] * worker.accelerators
+        self.unused = worker.accelerators
+        self.held = 0
+        self.bound = 0
+        self.bound_unused = 0
+        self.alive = False
+        self.quarantined = False
+        self.free = 0
+        self.total = 0
+
+    def is_usable(self) -> bool:
+        """Return whether new work may start here."""
+        return self.alive and not self.quarantined
+
+    def get_cell(self, level: hardware.Adjacency) -> Cell | None:
+        """Return the cell of a level; ``None`` for the worker itself."""
+        rank = RANKS[level]
+        return self.cells[rank - 1] if rank else None
+
+
+class Topology:
+    """All known workers in their cells."""
+
+    __slots__ = ('cells', 'nodes')
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {}
+        self.cells: dict[hardware.Adjacency, dict[tuple[str, ...], Cell]] = {
+            level: {} for level in LEVELS[1:]
+        }
+
+    def set_worker(self, worker: hardware.Worker) -> bool:
+        """Add a worker, or take it back into service.
+
+        :returns: whether anything changed.
+        """
+        node = self.nodes.get(worker.name)
+        if node is not None and node.worker != worker:
+            self._move(node, worker)
+        elif node is None:
+            node = Node(worker, len(self.nodes), self._make_cells(worker))
+            self.nodes[worker.name] = node
+            self._attach(node)
+        elif node.alive:
+            return False
+        self._set_state(node, True, node.quarantined)
+        return True
+
+    def remove_worker(self, name: str) -> bool:
+        """Take a worker out of service; its jobs stay until they end.
+
+        :returns: whether anything changed.
+        """
+        node = self.nodes.get(name)
+        if node is None or not node.alive:
+            return False
+        self._set_state(node, False, node.quarantined)
+        return True
+
+    def set_quarantined(self, node: Node, quarantined: bool) -> None:
+        """Stop or resume starting work on a worker."""
+        self._set_state(node, node.alive, quarantined)
+
+    def occupy(self, node: Node, index: int, job_id: str) -> None:
+        """Record that a job uses an accelerator."""
+        if node.slots[index] is not None:
+            message = f'{node.name}:{index} is used by {node.slots[index]}'
+            raise ValueError(message)
+        node.slots[index] = job_id
+        node.unused -= 1
+        self.refresh(node)
+
+    def release(self, members: decisions.Members, job_id: str) -> None:
+        """Free the accelerators of a job."""
+        for name, indexes in members:
+            node = self.nodes[name]
+            for index in indexes:
+                # The worker may have come back with fewer accelerators.
+                if index < len(node.slots) and node.slots[index] == job_id:
+                    node.slots[index] = None
+                    node.unused += 1
+            self.refresh(node)
+
+    def hold(self, node: Node, count: int) -> None:
+        """Hold accelerators back, or with a negative count stop doing so."""
+        node.held += count
+        self.refresh(node)
+
+    def refresh(self, node: Node) -> None:
+        """Carry a change of a worker over to its cells."""
+        usable = node.is_usable()
+        free = max(0, node.unused - node.held) if usable else 0
+        total = node.size if usable else 0
+        free_change = free - node.free
+        total_change = total - node.total
+        if not free_change and not total_change:
+            return
+        node.free = free
+        node.total = total
+        for cell in node.cells:
+            cell.free += free_change
+            cell.total += total_change
+
+    def get_failed(self) -> Iterator[Node]:
+        """Return the workers that are out of service."""
+        return (n for n in self.nodes.values() if not n.is_usable())
+
+    def _make_cells(self, worker: hardware.Worker) -> tuple[Cell, Cell, Cell]:
+        parent = None
+        found = []
+        for level in reversed(LEVELS[1:]):
+            key = hardware.get_cell(worker, level)
+            cell = self.cells[level].get(key)
+            if cell is None:
+                cell = Cell(key, level, parent)
+                self.cells[level][key] = cell
+                if parent is not None:
+                    parent.children.append(cell)
+            found.append(cell)
+            parent = cell
+        region, data_centre, rack = found
+        return rack, data_centre, region
+
+    def _attach(self, node: Node) -> None:
+        for cell in node.cells:
+            cell.nodes.append(node)
+            cell.failed += 1
+
+    def _move(self, node: Node, worker: hardware.Worker) -> None:
+        self._set_state(node, False, node.quarantined)
+        for cell in node.cells:
+            cell.nodes.remove(node)
+            cell.failed -= 1
+        node.worker = worker
+        node.cells = self._make_cells(worker)
+        node.rack, node.data_centre, node.region = node.cells
+        node.size = worker.accelerators
+        kept = node.slots[: node.size]
+        node.slots = kept + [None] * (node.size - len(kept))
+        node.unused = node.slots.count(None)
+        self._attach(node)
+
+    def _set_state(self, node: Node, alive: bool, quarantined: bool) -> None:
+        before = node.is_usable()
+        node.alive = alive
+        node.quarantined = quarantined
+        change = int(before) - int(node.is_usable())
+        for cell in node.cells:
+            cell.failed += change
+        self.refresh(node)
--- /dev/null
+++ b/tests/test_scheduler/test_scheduler_fuzz.py
@@ -0,0 +1,321 @@
+"""Stateful fuzzing of the scheduler against a simple oracle."""
+
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from damaskpin.model import config as configs
+from damaskpin.model import hardware
+from damaskpin.model import job as jobs
+from damaskpin.scheduler import cells
+from damaskpin.scheduler import decisions
+from damaskpin.scheduler import scheduler as schedulers
+
+LEVELS = list(hardware.Adjacency)
+RESULTS = [
+    decisions.Result.SUCCEEDED,
+    decisions.Result.FAILED,
+    decisions.Result.LOST,
+    decisions.Result.CHECKPOINTED,
+]
+
+SHAPES = st.builds(
+    configs.Guarantee,
+    name=st.just('shape'),
+    accelerators=st.integers(1, 8),
+    adjacency=st.sampled_from(LEVELS),
+    count=st.integers(1, 2),
+    region=st.just('r'),
+    data_centre=st.sampled_from([None, None, 'd0', 'd1']),
+)
+
+
+@st.composite
+def make_configs(draw):
+    """Make a feasible configuration of one region."""
+    racks = []
+    for centre in range(draw(st.integers(1, 2))):
+        for index in range(draw(st.integers(1, 4))):
+            racks.append(
+                configs.Rack(
+                    name=f'k{index}',
+                    data_centre=f'd{centre}',
+                    region='r',
+                    workers=draw(st.integers(1, 3)),
+                    accelerators=draw(st.integers(1, 4)),
+                )
+            )
+    accounts = []
+    for index in range(draw(st.integers(1, 3))):
+        guarantees = draw(st.lists(SHAPES, max_size=1))
+        held = sum(g.accelerators * g.count for g in guarantees)
+        accounts.append(
+            configs.Account(
+                name=f'a{index}',
+                token_sha256='0' * 64,
+                weight=draw(st.sampled_from([0.5, 1.0, 2.0])),
+                quota=held + draw(st.integers(0, 12)),
+                guarantees=guarantees,
+            )
+        )
+    config = configs.Config(
+        accounts=accounts,
+        racks=racks,
+        failed_workers=draw(st.integers(0, 2)),
+    )
+    if cells.check_feasibility(config):
+        # The largest shapes are dropped until the rest fits.
+        for index in sorted(
+            range(len(accounts)),
+            key=lambda i: sum(g.accelerators for g in accounts[i].guarantees),
+            reverse=True,
+        ):
+            accounts[index] = configs.Account(
+                name=f'a{index}', token_sha256='0' * 64, quota=16
+            )
+            config = configs.Config(
+                accounts=list(accounts),
+                racks=racks,
+                failed_workers=config.failed_workers,
+            )
+            if not cells.check_feasibility(config):
+                break
+    return config
+
+
+class SchedulerMachine(stateful.RuleBasedStateMachine):
+    """Random events against what a caller can observe."""
+
+    @stateful.initialize(config=make_configs(), seed=st.integers(0, 99))
+    def start(self, config, seed):
+        self.config = config
+        self.now = 0.0
+        self.accounts = {a.name: a for a in config.accounts}
+        self.workers = {}
+        for rack in config.racks:
+            for index in range(rack.workers):
+                name = f'{rack.data_centre}-{rack.name}-{index}'
+                self.workers[name] = hardware.Worker(
+                    name, 'r', rack.data_centre, rack.name, rack.accelerators
+                )
+        self.failed = set()
+        self.jobs = {}
+        self.queued = {}
+        self.placed = {}
+        self.stopping = {}
+        self.count = 0
+        self.seed = seed
+        self.scheduler = self.make_scheduler()
+
+    def make_scheduler(self):
+        made = schedulers.Scheduler(self.config, random.Random(self.seed))
+        for worker in self.workers.values():
+            made.set_worker(self.now, worker)
+        return made
+
+    @stateful.rule(data=st.data())
+    def submit(self, data):
+        account = data.draw(st.sampled_from(sorted(self.accounts)))
+        spec = jobs.JobSpec(
+            accelerators=data.draw(st.integers(1, 10)),
+            adjacency=data.draw(st.sampled_from(LEVELS)),
+            run_seconds=data.draw(st.sampled_from([1.0, 100.0, 5000.0])),
+            priority=data.draw(st.sampled_from(list(jobs.Priority))),
+            idempotent=data.draw(st.booleans()),
+        )
+        self.count += 1
+        job = jobs.Job(f'j{self.count}', account, spec)
+        refusal = self.scheduler.submit(self.now, job)
+        assert self.scheduler.submit(self.now, job) is None or refusal
+        if refusal is None:
+            self.jobs[job.id] = job
+            self.queued[job.id] = self.now
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 10.0, 400.0]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule()
+    def decide(self):
+        for decision in self.scheduler.decide(self.now):
+            match decision:
+                case decisions.Place():
+                    self.check_place(decision)
+                case decisions.Reclaim():
+                    self.check_reclaim(decision)
+                case decisions.Warn():
+                    assert self.has_excess_failures(), decision
+
+    @stateful.precondition(lambda self: self.placed)
+    @stateful.rule(data=st.data())
+    def finish(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.placed)))
+        self.end(job_id, data.draw(st.sampled_from(RESULTS)))
+
+    @stateful.precondition(lambda self: self.placed)
+    @stateful.rule(data=st.data(), fails=st.booleans())
+    def start_job(self, data, fails):
+        job_id = data.draw(st.sampled_from(sorted(self.placed)))
+        if not fails:
+            self.scheduler.started(self.now, job_id, f'{job_id}.1')
+            return
+        self.scheduler.placement_failed(self.now, job_id, 'refused')
+        del self.placed[job_id]
+        self.stopping.pop(job_id, None)
+        self.queued[job_id] = self.now
+
+    @stateful.precondition(lambda self: self.queued)
+    @stateful.rule(data=st.data())
+    def cancel(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.queued)))
+        self.scheduler.cancel(self.now, job_id)
+        del self.queued[job_id]
+        del self.jobs[job_id]
+
+    @stateful.precondition(lambda self: self.placed)
+    @stateful.rule(data=st.data())
+    def cancel_placed(self, data):
+        job_id = data.draw(st.sampled_from(sorted(self.placed)))
+        self.scheduler.cancel(self.now, job_id)
+        self.end(job_id, decisions.Result.CANCELLED)
+
+    @stateful.rule(data=st.data())
+    def fail_worker(self, data):
+        name = data.draw(st.sampled_from(sorted(self.workers)))
+        centre = self.workers[name].data_centre
+        failed = sum(
+            self.workers[n].data_centre == centre for n in self.failed
+        )
+        if name in self.failed or failed >= self.config.failed_workers:
+            return
+        self.failed.add(name)
+        self.scheduler.remove_worker(self.now, name)
+
+    @stateful.precondition(lambda self: self.failed)
+    @stateful.rule(data=st.data(), lost=st.booleans())
+    def restore_worker(self, data, lost):
+        name = data.draw(st.sampled_from(sorted(self.failed)))
+        if lost:
+            self.end_broken()
+        self.failed.remove(name)
+        self.scheduler.set_worker(self.now, self.workers[name])
+
+    @stateful.rule()
+    def replace_coordinator(self):
+        """A new coordinator learns everything from reports."""
+        self.end_broken()
+        self.scheduler = self.make_scheduler()
+        for name in sorted(self.failed):
+            self.scheduler.remove_worker(self.now, name)
+        for job_id, (members, guaranteed) in self.placed.items():
+            self.scheduler.restore(
+                self.now,
+                self.jobs[job_id],
+                f'{job_id}.1',
+                members,
+                guaranteed,
+                5.0,
+            )
+        for job_id in self.queued:
+            assert self.scheduler.submit(self.now, self.jobs[job_id]) is None
+        for job_id in list(self.stopping):
+            self.end(job_id, decisions.Result.CHECKPOINTED)
+
+    @stateful.rule()
+    def meet_guarantees(self):
+        """Unused guarantees start once their victims are stopped."""
+        self.now += 60.0
+        for _ in range(4):
+            self.end_broken()
+            self.decide()
+            for job_id in list(self.stopping):
+                self.end(job_id, decisions.Result.CHECKPOINTED)
+        for job_id in self.queued:
+            job = self.jobs[job_id]
+            for shape in self.accounts[job.account].guarantees:
+                in_use = sum(
+                    guaranteed and self.jobs[other].account == job.account
+                    for other, (_, guaranteed) in self.placed.items()
+                )
+                assert in_use >= shape.count or not cells.matches(
+                    shape, job.spec
+                ), f'{job_id} waits for a free guarantee'
+
+    @stateful.invariant()
+    def check_counts(self):
+        if not hasattr(self, 'scheduler'):
+            return
+        state = self.scheduler.get_snapshot(self.now)
+        # Nothing queued is forgotten, nothing placed is lost.
+        assert sum(a.queued_jobs for a in state.accounts) <= len(self.queued)
+        assert state.used == sum(
+            self.jobs[j].spec.accelerators for j in self.placed
+        )
+        for job_id in self.queued:
+            assert 'waits' in self.scheduler.explain(job_id)[-1]
+        for account in self.accounts.values():
+            used = sum(
+                self.jobs[j].spec.accelerators
+                for j in self.placed
+                if self.jobs[j].account == account.name
+            )
+            assert used <= account.quota
+
+    def check_place(self, place):
+        job = self.jobs[place.job_id]
+        assert place.job_id in self.queued
+        taken = {
+            (name, index)
+            for members, _ in self.placed.values()
+            for name, indexes in members
+            for index in indexes
+        }
+        total = 0
+        keys = set()
+        for name, indexes in place.members:
+            worker = self.workers[name]
+            assert name not in self.failed
+            keys.add(hardware.get_cell(worker, job.spec.adjacency))
+            for index in indexes:
+                assert 0 <= index < worker.accelerators
+                assert (name, index) not in taken
+                taken.add((name, index))
+                total += 1
+        assert total == job.spec.accelerators
+        assert len(keys) == 1
+        del self.queued[place.job_id]
+        self.placed[place.job_id] = (place.members, place.guaranteed)
+
+    def check_reclaim(self, reclaim):
+        _, guaranteed = self.placed[reclaim.job_id]
+        assert not guaranteed
+        assert reclaim.job_id not in self.stopping
+        self.stopping[reclaim.job_id] = True
+
+    def has_excess_failures(self):
+        return False
+
+    def end_broken(self):
+        for job_id, (members, _) in list(self.placed.items()):
+            if any(name in self.failed for name, _ in members):
+                self.end(job_id, decisions.Result.LOST)
+
+    def end(self, job_id, result):
+        self.scheduler.finished(self.now, job_id, decisions.Outcome(result))
+        del self.placed[job_id]
+        self.stopping.pop(job_id, None)
+        idempotent = self.jobs[job_id].spec.idempotent
+        if result is decisions.Result.CHECKPOINTED or (
+            result is decisions.Result.LOST and idempotent
+        ):
+            self.queued[job_id] = self.now
+        else:
+            del self.jobs[job_id]
+
+
+TestSchedulerFuzz = SchedulerMachine.TestCase
+TestSchedulerFuzz.settings = hypothesis.settings(
+    suppress_health_check=list(hypothesis.HealthCheck)
+)
