--- a/damaskpin/effects.py
+++ b/damaskpin/effects.py
@@ -49,6 +49,13 @@
     grace_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevokeTask:
+    """Revoke the lease of tasks that did not stop when they were asked."""
+
+    attempt: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallTarget:
     """Hand a request to the announced target beside the agent.
@@ -130,6 +137,7 @@
     Send
     | StartTask
     | StopTask
+    | RevokeTask
     | CallTarget
     | Conclude
     | GrantJob
--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -261,12 +261,16 @@
 
 
 class RequestGrant(_Message):
-    """Ask the owner whether an attempt of a job may commit."""
+    """Ask the owner whether an attempt of a job may commit.
+
+    :ivar token: token of the lead's reservation.
+    """
 
     job: str
     attempt: str
     lead: str
     members: tuple[str, ...] = ()
+    token: str = ''
 
 
 class Granted(_Message):
@@ -321,9 +325,14 @@
 
 
 class Reserved(_Message):
-    """The accelerators are held."""
+    """The accelerators are held.
+
+    :ivar token: random name of this reservation. A start must carry it, so
+        that a late message can't start a reservation of a later incarnation.
+    """
 
     attempt: str
+    token: str = ''
 
 
 class ReserveRefused(_Message):
@@ -339,9 +348,13 @@
 
 
 class Commit(_Message):
-    """Ask the lead to decide that the gang starts."""
+    """Ask the lead to decide that the gang starts.
+
+    :ivar tokens: token of each member's reservation, in the members' order.
+    """
 
     attempt: str
+    tokens: tuple[str, ...] = ()
 
 
 class Committed(_Message):
@@ -358,38 +371,54 @@
 
 
 class StartMember(_Message):
-    """The gang is committed: start the tasks of this member."""
+    """The gang is committed: start the tasks of this member.
+
+    :ivar token: token of the member's reservation.
+    """
 
     attempt: str
+    token: str = ''
 
 
 class MemberStarted(_Message):
-    """The tasks of this member run."""
+    """The tasks of this member run.
+
+    :ivar uptime: clock of the member, see ``GangBeat``.
+    """
 
     attempt: str
+    uptime: float = 0.0
 
 
 class MemberRefused(_Message):
-    """The member could not start or no longer holds the reservation."""
+    """Nothing of the attempt runs on this member or can start there."""
 
     attempt: str
     reason: str
 
 
 class QueryGang(_Message):
-    """Ask the lead for its decision."""
+    """Ask the lead for its decision.
+
+    A process that is no member is also told the end of the gang.
+
+    :ivar token: token of the reservation of a member that asks.
+    """
 
     attempt: str
+    token: str = ''
 
 
 class GangStatus(_Message):
     """Decision of the lead.
 
     :ivar state: ``undecided``, ``committed``, ``ended`` or ``unknown``.
+    :ivar token: token of the query that this answers.
     """
 
     attempt: str
     state: str
+    token: str = ''
 
 
 class GangBeat(_Message):
@@ -397,11 +426,15 @@
 
     :ivar interval: seconds until the lead sends the next one.
     :ivar reply: true on a member's answer.
+    :ivar uptime: clock of the member when it answered; the lead sends the
+        last one back, so that a member can tell how old a late beat is. 0
+        before the first answer.
     """
 
     attempt: str
     interval: float
     reply: bool = False
+    uptime: float = 0.0
 
 
 class StopGang(_Message):
@@ -436,7 +469,11 @@
 
     :ivar committed: whether the lead had decided to start.
     :ivar exit_code: largest exit code, or ``None`` when it was stopped.
-    :ivar stopped: whether every member has answered that nothing runs.
+    :ivar stopped: whether every member has answered that nothing runs. It is
+        sent without these answers when the leases of the silent members have
+        ended.
+    :ivar token: token of the lead's reservation that was not committed; a
+        lead that restarted may have committed an earlier one.
     """
 
     attempt: str
@@ -445,6 +482,7 @@
     exit_code: int | None
     reason: str
     stopped: bool = True
+    token: str = ''
 
 
 class GangFinishedAck(_Message):
