Replay old messages and split coordinators in the gang fuzzing

Cause: trials with single checks removed from a scratch copy showed that the fuzzing did not notice missing reservation tokens or a second grant. Change: earlier messages are delivered again in any order, a dead machine forgets its tasks, and jobs reach two coordinators at the same time.

--- a/tests/test_gang/simulation.py
+++ b/tests/test_gang/simulation.py
@@ -1,5 +1,6 @@
 """Agents, entries and workers on a network that fails, with an oracle."""
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -38,10 +39,18 @@
 
 
 class Worker:
-    """Tasks survive the agent and end with their leases."""
+    """Tasks survive the agent and end with their leases.
+
+    ``tasks`` is what the worker lists; ``history`` is for the oracle.
+    """
 
     def __init__(self):
         self.tasks = {}
+        self.history = {}
+
+    def add(self, task):
+        self.tasks[task.attempt] = task
+        self.history[task.attempt] = task
 
     def settle(self, now):
         """Return tasks that have ended since the last call."""
@@ -239,7 +248,7 @@
         assert not held.intersection(effect.accelerators), (
             f'{self.name} holds {held}, starts {effect}'
         )
-        assert effect.attempt not in self.worker.tasks, (
+        assert effect.attempt not in self.worker.history, (
             f'{self.name} starts {effect.attempt} again'
         )
         if simulation.rng.random() < simulation.worker_refusals:
@@ -251,16 +260,18 @@
             )
             return
         kind, seconds = effect.command
-        self.worker.tasks[effect.attempt] = Task(
-            attempt=effect.attempt,
-            job=effect.labels['job'],
-            accelerators=effect.accelerators,
-            labels=effect.labels,
-            lease_until=simulation.now + effect.lease_seconds,
-            done_at=simulation.now + float(seconds),
-            exit_code=1 if kind == 'fail' else 0,
-            stubborn=kind == 'stubborn',
-            started=simulation.now,
+        self.worker.add(
+            Task(
+                attempt=effect.attempt,
+                job=effect.labels['job'],
+                accelerators=effect.accelerators,
+                labels=effect.labels,
+                lease_until=simulation.now + effect.lease_seconds,
+                done_at=simulation.now + float(seconds),
+                exit_code=1 if kind == 'fail' else 0,
+                stubborn=kind == 'stubborn',
+                started=simulation.now,
+            )
         )
         simulation.check_start(effect.labels['job'], effect.attempt)
         self.local(
@@ -372,6 +383,9 @@
         self.counts = {}
         self.partial_since = {}
         self.last_fault = 0.0
+        # SubmitJob reaches both entries, as when two coordinators are active.
+        self.split = False
+        self.delivered = collections.deque(maxlen=400)
         self.attempt_agents = {}
         self._events = []
         self._counter = itertools.count()
@@ -434,6 +448,12 @@
         if effect.to == process.name:
             self.after(0.0, lambda: process.deliver(process.name, message))
             return
+        if self.split and isinstance(message, messages.SubmitJob):
+            for entry in self.entries.values():
+                self.after(
+                    0.01, lambda e=entry: e.deliver(process.name, message)
+                )
+            return
         copies = 1
         if self.rng.random() < self.loss:
             copies = 0
@@ -447,8 +467,19 @@
 
     def arrive(self, sender, to, message):
         if not self.is_cut(sender, to) and to in self.processes:
+            self.delivered.append((sender, to, message))
             self.processes[to].deliver(sender, message)
 
+    def replay(self, to):
+        """Deliver some earlier messages again, in any order."""
+        old = [entry for entry in self.delivered if entry[1] == to]
+        chosen = self.rng.sample(old, len(old) // 2)
+        for sender, _, message in chosen:
+            self.after(
+                self.rng.uniform(0, 1),
+                lambda s=sender, m=message: self.processes[to].deliver(s, m),
+            )
+
     # Scheduler
 
     def choose_members(self, size):
@@ -510,9 +541,10 @@
             )
 
     def kill_worker(self, name):
-        """End all tasks of a worker, as when its machine dies."""
+        """End and forget all tasks, as when the machine dies."""
         for task in self.agents[name].worker.list_running():
             self.agents[name].worker.end(task, self.now, None)
+        self.agents[name].worker.tasks.clear()
 
     # Oracle
 
@@ -534,7 +566,7 @@
         if not state.job.spec.idempotent:
             assert attempt == state.attempts[-1], f'{attempt} is superseded'
             for agent in self.agents.values():
-                for task in agent.worker.tasks.values():
+                for task in agent.worker.history.values():
                     assert task.job != job_id or task.attempt == attempt, (
                         f'{job_id} runs twice: {task.attempt}, {attempt}'
                     )
@@ -544,7 +576,9 @@
         self.count('failed')
         self.failed.add(attempt)
         for agent in self.agents.values():
-            assert attempt not in agent.worker.tasks, f'{attempt} has started'
+            assert attempt not in agent.worker.history, (
+                f'{attempt} has started'
+            )
 
     def check_conclusion(self, effect):
         state = self.jobs[effect.work]
@@ -554,7 +588,7 @@
         started = [
             task
             for agent in self.agents.values()
-            for task in agent.worker.tasks.values()
+            for task in agent.worker.history.values()
             if task.job == effect.work
         ]
         match effect.verdict:
@@ -610,8 +644,8 @@
         finished = {
             agent.name
             for agent in self.agents.values()
-            if attempt in agent.worker.tasks
-            and agent.worker.tasks[attempt].result == 0
+            if attempt in agent.worker.history
+            and agent.worker.history[attempt].result == 0
         }
         members_of = self.attempt_agents[attempt]
         if running | finished == members_of:
--- a/tests/test_gang/test_gang_fuzz.py
+++ b/tests/test_gang/test_gang_fuzz.py
@@ -110,6 +110,14 @@
         self.simulation.max_delay = max_delay
         self.simulation.last_fault = self.simulation.now
 
+    @stateful.rule(name=strategies.sampled_from(AGENTS + ENTRIES))
+    def replay(self, name):
+        self.simulation.replay(name)
+
+    @stateful.rule(split=strategies.booleans())
+    def split_coordinators(self, split):
+        self.simulation.split = split
+
     @stateful.rule(
         refusals=strategies.sampled_from([0.0, 0.5]),
         store_up=strategies.booleans(),
@@ -176,6 +184,7 @@
         simulation = self.simulation
         self.set_network(0.0, 0.0, 0.05)
         self.set_surroundings(0.0, True)
+        self.split_coordinators(False)
         self.partition(())
         for process in simulation.processes.values():
             process.frozen_until = 0.0
