--- /dev/null
+++ b/tests/test_store/simulation.py
@@ -0,0 +1,224 @@
+"""Store, operators and network of the configuration fuzzer, in memory."""
+
+import dataclasses
+
+import msgspec
+
+from damaskpin import effects
+from damaskpin import errors
+from damaskpin.peer import messages
+from damaskpin.store import client as clients
+from damaskpin.store import configuration
+from damaskpin.store import values
+
+CONFIG_KEY = configuration.CONFIG_KEY
+DATA_CENTRES = {'e1': 'd1', 'e2': 'd1', 'e3': 'd2', 'e4': 'd2', 'e5': 'd3'}
+ENTRIES = tuple(DATA_CENTRES)
+HOMES = {'a1': 'e1', 'a2': 'e2', 'a3': 'e3', 'a4': 'e5'}
+# Heartbeats between entries, and reports of agents that were not answered.
+# The others report every 12 s, so they don't report within a test of 9 s.
+BEAT_S = 1.0
+STEP_S = 0.25
+# A watch on a silent connection, renewed with the longest back-off.
+WATCH_DELAY_S = 5.5
+
+
+class Call:
+    """One transaction of an operator, waiting for its fate."""
+
+    def __init__(self, compares, success, failure):
+        self.arguments = (compares, success, failure)
+
+    def __await__(self):
+        return (yield self)
+
+
+class MemoryStore(clients.StoreClient):
+    """Client whose transactions wait until the test decides their fate."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+
+    async def transact(self, compares, success, failure=()):
+        return await Call(compares, success, failure)
+
+    def run(self, call):
+        compares, success, failure = call.arguments
+        holds = all(self.compare(item) for item in compares)
+        reads = []
+        writes = False
+        for operation in success if holds else failure:
+            match operation:
+                case values.Get(key=key):
+                    reads.append(self.items.get(key))
+                case values.Put(key=key, value=value):
+                    writes = True
+                    self.write(key, value, self.revision + 1)
+        self.revision += writes
+        return values.TxnResult(holds, self.revision, tuple(reads))
+
+    def compare(self, item):
+        found = self.items.get(item.key)
+        match item:
+            case values.HasRevision(mod_revision=wanted):
+                return (found.mod_revision if found else 0) == wanted
+            case values.HasCreateRevision(create_revision=wanted):
+                return (found.create_revision if found else 0) == wanted
+        raise AssertionError(item)
+
+    def write(self, key, value, revision):
+        former = self.items.get(key)
+        self.items[key] = values.KeyValue(
+            key,
+            value,
+            revision,
+            former.create_revision if former else revision,
+            1,
+        )
+        if key == CONFIG_KEY:
+            self.history.append((revision, value))
+
+
+@dataclasses.dataclass
+class Change:
+    """A change of an operator and what the operator was told."""
+
+    token: str
+    body: bytes
+    revision: int
+    attempt: object = None
+    call: Call | None = None
+    outcome: object = None
+
+
+class Fleet:
+    """Holders, the messages between them, and the clock."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.queue = []
+        self.holders = {}
+        # Agents whose first report was not answered; they repeat it.
+        self.unanswered = set()
+        for name in (*ENTRIES, *HOMES):
+            self.start(name)
+
+    def start(self, name):
+        """Start or replace an instance; messages to it stay under way."""
+        role = 'entry' if name in DATA_CENTRES else 'agent'
+        holder = configuration.ConfigHolder(name, role)
+        self.holders[name] = holder
+        if role == 'agent':
+            self.unanswered.add(name)
+            # An answer to a report reaches only the process that sent it.
+            self.queue = [
+                item for item in self.queue if not is_ack(item, name)
+            ]
+            return
+        holder.set_agents([a for a, home in HOMES.items() if home == name])
+        same = [e for e in ENTRIES if DATA_CENTRES[e] == DATA_CENTRES[name]]
+        others = same if len(same) > 1 else ENTRIES
+        self.carry_out(name, holder.set_neighbours(self.now, others))
+
+    def carry_out(self, name, produced):
+        for effect in produced:
+            if isinstance(effect, effects.Send):
+                self.queue.append((name, effect.to, effect.message))
+
+    def deliver(self, index):
+        sender, to, message = self.queue.pop(index)
+        holder = self.holders[to]
+        if isinstance(message, messages.EntryBeat):
+            self.unanswered.discard(to)
+            produced = holder.peer_revision(self.now, sender, message.revision)
+        else:
+            produced = holder.receive(self.now, sender, message)
+        self.carry_out(to, produced)
+
+    def report(self, agent):
+        self.beat(agent, HOMES[agent])
+        self.beat(HOMES[agent], agent)
+
+    def beat(self, sender, to):
+        beat = messages.EntryBeat(None, self.holders[sender].revision)
+        self.queue.append((sender, to, beat))
+
+    def answer_of_store(self, name, revision, body):
+        holder = self.holders[name]
+        self.carry_out(name, holder.store_answered(self.now, revision, body))
+
+    def watch(self, store):
+        """Let the watching entry of each data centre read the store."""
+        found = store.items.get(CONFIG_KEY)
+        for name in ENTRIES:
+            live = [
+                e for e in ENTRIES if DATA_CENTRES[e] == DATA_CENTRES[name]
+            ]
+            if found is not None and configuration.is_watcher(name, live):
+                self.answer_of_store(name, found.mod_revision, found.value)
+
+    def advance(self, seconds):
+        self.now += seconds
+        for name, holder in self.holders.items():
+            self.carry_out(name, holder.tick(self.now))
+
+    def run_healthy(self, seconds, store=None):
+        """Run without message faults; the watches come back late."""
+        begin = self.now
+        steps = round(seconds / STEP_S)
+        for step in range(steps):
+            self.advance(STEP_S)
+            elapsed = self.now - begin
+            if store is not None and elapsed >= WATCH_DELAY_S:
+                self.watch(store)
+            if step % round(BEAT_S / STEP_S) == 0:
+                for sender in ENTRIES:
+                    for to in ENTRIES:
+                        if sender != to:
+                            self.beat(sender, to)
+                for agent in sorted(self.unanswered):
+                    self.report(agent)
+            delivered = 0
+            for _ in range(3):
+                # Three message delays fit into one step.
+                for _ in range(len(self.queue)):
+                    self.deliver(0)
+                    delivered += 1
+            assert delivered < 2000, 'messages multiply'
+
+
+def is_ack(item, agent):
+    """Return whether a message under way answers a report of an agent."""
+    return item[1] == agent and isinstance(item[2], messages.EntryBeat)
+
+
+def drive(change, answer=None, error=None):
+    """Let an operator go on until it waits for the store or has an outcome."""
+    try:
+        if error is not None:
+            change.call = change.attempt.throw(error)
+        else:
+            change.call = change.attempt.send(answer)
+    except StopIteration as stop:
+        change.attempt = None
+        change.call = None
+        change.outcome = stop.value
+
+
+UNAVAILABLE = errors.StoreUnavailableError('down')
+UNKNOWN = errors.StoreUnknownError('no answer')
+
+
+def make_body(number):
+    """Return a document that differs from all others."""
+    return (
+        msgspec.json.format(
+            msgspec.json.encode(
+                {'accounts': [], 'failed_workers': number, 'racks': []}
+            ),
+            indent=2,
+        )
+        + b'\n'
+    )
