Add the explain history and the burn rates

Ruled out: one ring of entries without an index (get would scan all of it), and storing each repetition of the same reason (a job that waits for hours would displace the history of the others).

Change: damaskpin.report.explain keeps 8,000 entries, 64 per request or job, the first of each included. damaskpin.report.burn counts good and bad events in minute buckets of 3 days; burn_page renders text, JSON and an HTML page without scripts.

Conclusion: both are ready to be fed by the daemons.

--- /dev/null
+++ b/damaskpin/report/burn_page.py
@@ -0,0 +1,177 @@
+"""Burn rates as text, as JSON and as a self-contained HTML page."""
+
+from __future__ import annotations
+
+import html
+import time
+
+import msgspec
+import pygal
+from pygal import etree
+from pygal import style as styles
+
+from damaskpin.report import burn
+
+# More lines than this cannot be told apart in one plot.
+_MAX_LINES = 8
+_LABEL_HOURS = 6
+_WINDOW_NAMES = {
+    5: '5 min',
+    30: '30 min',
+    60: '1 h',
+    360: '6 h',
+    burn.RETAINED_MINUTES: '3 d',
+}
+_STYLE = """
+body { font-family: sans-serif; margin: 2em; color: #222; }
+table { border-collapse: collapse; }
+td, th { border: 1px solid #bbb; padding: 0.2em 0.6em; text-align: right; }
+td:first-child, td:nth-child(2), td:last-child { text-align: left; }
+tr.page { background: #f6c6c0; }
+tr.ticket { background: #fbeebc; }
+svg { max-width: 70em; }
+"""
+
+
+class _Document(msgspec.Struct, frozen=True):
+    """Content of the JSON form."""
+
+    wall: float
+    rows: list[burn.Row]
+
+
+def format_json(rows: list[burn.Row], wall: float) -> bytes:
+    """Encode burn rates.
+
+    :param wall: seconds since the epoch at which they were computed.
+    """
+    text = msgspec.json.encode(_Document(wall, rows))
+    return msgspec.json.format(text, indent=2) + b'\n'
+
+
+def format_text(rows: list[burn.Row], wall: float) -> str:
+    """Format burn rates as a table, alerts first.
+
+    :param wall: seconds since the epoch at which they were computed.
+    """
+    header = ['objective', 'account', 'target', *_WINDOW_NAMES.values()]
+    table = [[*header, 'bad/all 3 d', 'alert']]
+    table += [_list_cells(row) for row in _sort(rows)]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    lines = [f'Burn rates at {_format_time(wall)}; 1 uses the budget up.']
+    for cells in table:
+        line = '  '.join(
+            cell.ljust(width) if index < 2 else cell.rjust(width)
+            for index, (cell, width) in enumerate(
+                zip(cells, widths, strict=True)
+            )
+        )
+        lines.append(line.rstrip())
+    if not rows:
+        lines.append('No events.')
+    return '\n'.join(lines) + '\n'
+
+
+def format_html(rows: list[burn.Row], wall: float) -> str:
+    """Format burn rates as one page without scripts and outside content.
+
+    :param wall: seconds since the epoch at which they were computed.
+    """
+    header = ['objective', 'account', 'target', *_WINDOW_NAMES.values()]
+    header += ['bad/all 3 d', 'alert']
+    lines = [
+        '<!DOCTYPE html>',
+        '<html lang="en"><head><meta charset="utf-8">',
+        f'<title>Burn rates</title><style>{_STYLE}</style></head><body>',
+        f'<h1>Burn rates at {_format_time(wall)}</h1>',
+        '<p>A rate of 1 uses the error budget up exactly in its period.</p>',
+        '<table><tr>',
+        *(f'<th>{html.escape(name)}</th>' for name in header),
+        '</tr>',
+    ]
+    for row in _sort(rows):
+        severity = row.alerts[0].rule.severity if row.alerts else ''
+        cells = ''.join(
+            f'<td>{html.escape(cell)}</td>' for cell in _list_cells(row)
+        )
+        lines.append(f'<tr class="{severity}">{cells}</tr>')
+    lines.append('</table>')
+    for objective in burn.Objective:
+        chosen = [row for row in rows if row.series.objective == objective]
+        if chosen:
+            lines.append(_draw(objective, chosen))
+    lines.append('</body></html>')
+    return '\n'.join(lines) + '\n'
+
+
+def _draw(objective: burn.Objective, rows: list[burn.Row]) -> str:
+    """Plot the hourly burn rates of the accounts with the highest ones."""
+    chart = pygal.Line(
+        js=(),
+        title=f'{objective}: burn rate in each hour before now',
+        style=styles.CleanStyle,
+        width=900,
+        height=300,
+        dots_size=1,
+        x_label_rotation=0,
+        show_minor_x_labels=False,
+        include_x_axis=True,
+        truncate_legend=-1,
+    )
+    hours = range(burn.RETAINED_HOURS, 0, -1)
+    chart.x_labels = [f'-{hour} h' for hour in hours]
+    chart.x_labels_major = [
+        f'-{hour} h' for hour in hours if hour % _LABEL_HOURS == 0
+    ]
+    for row in _sort(rows)[:_MAX_LINES]:
+        rates = [
+            burn.get_rate(counts, row.target) for counts in row.series.hours
+        ]
+        chart.add(row.series.account, rates[::-1])
+    root = chart.render_tree()
+    # pygal adds a script for tooltips, which pages under a strict content
+    # security policy may not run.
+    for parent in list(root.iter()):
+        for child in list(parent):
+            if child.tag == 'script':
+                parent.remove(child)
+    return etree.etree.tostring(root, encoding='unicode')
+
+
+def _list_cells(row: burn.Row) -> list[str]:
+    counts = row.series.windows[burn.RETAINED_MINUTES]
+    return [
+        str(row.series.objective),
+        row.series.account,
+        f'{row.target:.4g}',
+        *(_format_rate(row.rates[minutes]) for minutes in _WINDOW_NAMES),
+        f'{counts.bad}/{counts.good + counts.bad}',
+        ', '.join(_format_alert(alert) for alert in row.alerts) or '-',
+    ]
+
+
+def _sort(rows: list[burn.Row]) -> list[burn.Row]:
+    """Put pages first, then tickets, then the highest rate over 3 days."""
+    ranks = {burn.Severity.PAGE: 0, burn.Severity.TICKET: 1}
+    return sorted(
+        rows,
+        key=lambda row: (
+            ranks[row.alerts[0].rule.severity] if row.alerts else 2,
+            -(row.rates[burn.RETAINED_MINUTES] or 0.0),
+            row.series.objective,
+            row.series.account,
+        ),
+    )
+
+
+def _format_alert(alert: burn.Alert) -> str:
+    window = _WINDOW_NAMES[alert.rule.long_minutes]
+    return f'{alert.rule.severity} ({window} >= {alert.rule.threshold:g})'
+
+
+def _format_rate(rate: float | None) -> str:
+    return '-' if rate is None else f'{rate:.2f}'
+
+
+def _format_time(wall: float) -> str:
+    return time.strftime('%Y-%m-%d %H:%M:%SZ', time.gmtime(wall))
--- /dev/null
+++ b/tests/test_report/test_report_explain.py
@@ -0,0 +1,113 @@
+"""Tests of the explain history."""
+
+import tracemalloc
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from damaskpin.report import explain
+
+
+def add(history, work, event, account='', now=0.0, detail='because'):
+    history.add(now, 1e9 + now, work, event, detail, 'entry-1', account)
+
+
+def test_get_returns_what_when_who_and_why():
+    # An entry without one of these does not explain a decision.
+    history = explain.History()
+    add(history, 'j1', 'queued', 'screening', 5.0, 'no free rack')
+    trail = history.get('j1')
+    assert trail.account == 'screening'
+    assert trail.entries == (
+        explain.Entry(5.0, 1e9 + 5.0, 'queued', 'no free rack', 'entry-1'),
+    )
+    assert history.get('j2') is None
+
+
+def test_first_entry_survives_many_decisions():
+    # Without the first entry nobody can tell when the job was accepted.
+    history = explain.History(max_entries=100, max_entries_per_work=4)
+    for index in range(10):
+        add(history, 'j1', f'e{index}')
+    trail = history.get('j1')
+    assert [entry.event for entry in trail.entries] == ['e0', 'e7', 'e8', 'e9']
+    assert trail.dropped == 6
+
+
+def test_repetitions_do_not_displace_other_work():
+    # A job that waits for hours repeats its reason in every decision.
+    history = explain.History(max_entries=4)
+    add(history, 'j1', 'queued')
+    for index in range(1000):
+        add(history, 'j2', 'waiting', now=float(index))
+    assert history.get('j1').entries[0].event == 'queued'
+    (entry,) = history.get('j2').entries
+    assert (entry.now, entry.repeats) == (0.0, 999)
+    assert entry.last_wall == 1e9 + 999
+
+
+def test_list_recent_is_by_account_and_latest_first():
+    # An account must not see work of another one.
+    history = explain.History(max_entries=6)
+    for work in ('a1', 'a2', 'a3'):
+        add(history, work, 'queued', 'a')
+    add(history, 'b1', 'queued', 'b')
+    add(history, 'a1', 'started')
+    recent = [trail.work for trail in history.list_recent('a')]
+    assert recent == ['a1', 'a3', 'a2']
+    assert [t.work for t in history.list_recent('a', limit=1)] == ['a1']
+    for index in range(6):
+        add(history, 'b2', f'e{index}', 'b')
+    assert history.list_recent('a') == []
+
+
+@pytest.mark.parametrize('sizes', [(0, 64), (10, 1)])
+def test_rejects_bounds_that_keep_nothing(sizes):
+    # A bound of 0 would drop entries silently.
+    with pytest.raises(ValueError, match='at least'):
+        explain.History(*sizes)
+
+
+@pytest.mark.parametrize('works', [1, 200, 10**9])
+def test_memory_stays_below_the_stated_bound(works):
+    # A daemon has 128 MB; texts of callers must not exhaust them.
+    tracemalloc.start()
+    try:
+        history = explain.History()
+        for index in range(3 * explain.MAX_ENTRIES):
+            wide = f'{index}' + '\N{PINEAPPLE}' * 5000
+            work = f'{index % works}' + '\N{PINEAPPLE}' * 5000
+            history.add(0.0, 0.0, work, wide, wide, wide, work)
+        used = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    assert used < explain.MAX_BYTES
+    assert len(history) <= explain.MAX_ENTRIES
+
+
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from('abc'),
+            strategies.sampled_from('xyz'),
+            strategies.sampled_from(['', 'p', 'q']),
+        ),
+        max_size=80,
+    )
+)
+def test_bounds_hold_and_order_is_kept(steps):
+    # The per-work and total limits evict from the same structures.
+    history = explain.History(max_entries=7, max_entries_per_work=3)
+    for index, (work, event, account) in enumerate(steps):
+        add(history, work, event, account, now=float(index))
+        trails = [t for t in map(history.get, 'abc') if t is not None]
+        assert sum(len(t.entries) for t in trails) == len(history) <= 7
+        for trail in trails:
+            times = [entry.now for entry in trail.entries]
+            assert times == sorted(times)
+            assert 1 <= len(times) <= 3
+        listed = [t.work for name in 'pq' for t in history.list_recent(name)]
+        assert sorted(listed) == [t.work for t in trails if t.account]
+    if steps:
+        assert history.get(steps[-1][0]).entries[-1].event == steps[-1][1]
