--- /dev/null
+++ b/bench/cost_driver.py
@@ -0,0 +1,151 @@
+"""Calls a policy without a trace and times every call."""
+
+from __future__ import annotations
+
+import math
+import random
+import statistics
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bench import fleets
+from damaskpin.scheduler import decisions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from damaskpin.model import config as configs
+    from damaskpin.model import job as jobs
+
+_FINISHED = decisions.Outcome(decisions.Result.SUCCEEDED)
+_STOPPED = decisions.Outcome(decisions.Result.CHECKPOINTED)
+# Calls after which a scheduler that goes on deciding counts as endless.
+_MAX_CALLS = 5_000
+
+
+class Phase(msgspec.Struct, frozen=True):
+    """Times of one phase in seconds.
+
+    :ivar events: total time of the calls other than ``decide``.
+    :ivar total: total time of ``decide``.
+    :ivar settled: whether ``decide`` came to an end.
+    """
+
+    calls: int
+    events: float
+    total: float
+    mean: float
+    p99: float
+    longest: float
+    settled: bool = True
+
+
+class Driver:
+    """Carries decisions out at once and times every call."""
+
+    def __init__(
+        self, factory: Callable[..., Any], config: configs.Config, seed: int
+    ) -> None:
+        self.now = 0.0
+        self.running: dict[str, None] = {}
+        self.waiting: dict[str, None] = {}
+        self._scheduler = factory(config, random.Random(seed))
+        self._times: list[float] = []
+        self._events = 0.0
+        self._settled = True
+        for worker in fleets.make_workers(config):
+            self._scheduler.set_worker(0.0, worker)
+
+    def submit(self, job: jobs.Job) -> None:
+        if self._call('submit', job) is None:
+            self.waiting[job.id] = None
+
+    def finish(self, job_id: str) -> None:
+        del self.running[job_id]
+        self._call('finished', job_id, _FINISHED)
+
+    def cancel(self, job_id: str) -> None:
+        del self.waiting[job_id]
+        self._call('cancel', job_id)
+
+    def decide(self) -> int:
+        """Decide once.
+
+        :returns: number of gangs that were started or stopped.
+        """
+        begin = time.perf_counter()
+        result = self._scheduler.decide(self.now)
+        self._times.append(time.perf_counter() - begin)
+        done = 0
+        for decision in result:
+            match decision:
+                case decisions.Place():
+                    del self.waiting[decision.job_id]
+                    self.running[decision.job_id] = None
+                    attempt = f'{decision.job_id}-1'
+                    self._call('started', decision.job_id, attempt)
+                    done += 1
+                case decisions.Reclaim():
+                    del self.running[decision.job_id]
+                    self.waiting[decision.job_id] = None
+                    self._call('finished', decision.job_id, _STOPPED)
+                    done += 1
+        return done
+
+    def settle(self) -> None:
+        """Decide until nothing more is started or stopped."""
+        for _ in range(_MAX_CALLS):
+            if not self.decide():
+                return
+        self._settled = False
+
+    def end_phase(self) -> Phase:
+        """Return the times since the previous phase."""
+        times = self._times or [0.0]
+        phase = Phase(
+            calls=len(self._times),
+            events=self._events,
+            total=sum(times),
+            mean=statistics.fmean(times),
+            p99=sorted(times)[math.ceil(0.99 * len(times)) - 1],
+            longest=max(times),
+            settled=self._settled,
+        )
+        self._times = []
+        self._events = 0.0
+        self._settled = True
+        return phase
+
+    def _call(self, name: str, *arguments: object) -> Any:
+        begin = time.perf_counter()
+        result = getattr(self._scheduler, name)(self.now, *arguments)
+        self._events += time.perf_counter() - begin
+        return result
+
+
+class Timed:
+    """A scheduler whose calls are timed."""
+
+    def __init__(self, scheduler: Any) -> None:
+        self._scheduler = scheduler
+        self.processor = 0.0
+        self.longest = 0.0
+        self.calls = 0
+
+    def __getattr__(self, name: str) -> Any:
+        function = getattr(self._scheduler, name)
+
+        def call(*arguments: object) -> Any:
+            begin = time.perf_counter()
+            result = function(*arguments)
+            took = time.perf_counter() - begin
+            self.processor += took
+            self.calls += name == 'decide'
+            if name == 'decide':
+                self.longest = max(self.longest, took)
+            return result
+
+        return call
--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,322 @@
+"""Time and memory of the decision logic at three fleet sizes."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+import sys
+import tracemalloc
+from typing import TYPE_CHECKING
+
+import fire
+import msgspec
+
+from bench import cost_driver
+from bench import decisions as command
+from bench import fleets
+from bench import replay
+from bench import traces
+from damaskpin.model import config as configs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from damaskpin.model import job as jobs
+
+FLEET_SIZES = (10, 100, 1500)
+TASKS = 12_000
+BURST_JOBS = 2_000
+WAVE_JOBS = 1_000
+STEADY_EVENTS = 300
+DAY_JOBS = 1_900
+DAY_SECONDS = 24 * 3600.0
+# Stated limits: a longer call delays a heartbeat, and the share of a core is
+# that of a daemon.
+MAX_CALL_SECONDS = 0.25
+MAX_CORE_SHARE = 0.046
+
+# Racks of 2 and of 4 accelerators per worker that make up 100 workers.
+_MEDIUM_RACKS = {2: 16, 4: 4}
+_MEDIUM_GUARANTEES = 4
+
+
+class Cost(msgspec.Struct, frozen=True):
+    """Costs at one fleet size.
+
+    :ivar memory: bytes that the scheduler holds after the burst.
+    """
+
+    workers: int
+    accelerators: int
+    running: int
+    waiting: int
+    phases: dict[str, cost_driver.Phase]
+    memory: int
+
+
+class Day(msgspec.Struct, frozen=True):
+    """Costs of a replayed day at design size.
+
+    :ivar span: seconds of the fake clock.
+    :ivar share: processor time of all calls over a day with 1,900 jobs.
+    """
+
+    jobs: int
+    calls: int
+    span: float
+    processor: float
+    longest: float
+    share: float
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Costs at all sizes.
+
+    :ivar slopes: exponent of the mean ``decide`` time in the number of
+        workers, between one size and the next.
+    """
+
+    policy: str
+    costs: list[Cost]
+    slopes: list[float]
+    day: Day | None
+
+
+def measure(
+    factory: Callable[..., Any],
+    workers: int,
+    seed: int = 0,
+    tasks: int = TASKS,
+    burst: int = BURST_JOBS,
+    wave: int = WAVE_JOBS,
+    steady: int = STEADY_EVENTS,
+) -> Cost:
+    """Measure one fleet size.
+
+    :param factory: called with a configuration and a random generator.
+    :param workers: one of ``FLEET_SIZES``.
+    :param tasks: tasks that run or wait before the burst.
+    :param burst: jobs submitted at the same moment.
+    :param wave: waiting jobs cancelled at the same moment.
+    :param steady: jobs that end one by one, each followed by a decision.
+    """
+    config = _make_config(workers)
+    fill, late = _make_jobs(workers, seed, tasks, burst)
+    running, waiting, phases = _run_phases(
+        factory, config, fill, late, wave, steady, seed
+    )
+    tracemalloc.start()
+    try:
+        traced = cost_driver.Driver(factory, config, seed)
+        for job in itertools.chain(fill, late):
+            traced.submit(job)
+        traced.settle()
+        memory = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    return Cost(
+        workers=workers,
+        accelerators=sum(
+            rack.workers * rack.accelerators for rack in config.racks
+        ),
+        running=running,
+        waiting=waiting,
+        phases=phases,
+        memory=memory,
+    )
+
+
+def measure_day(
+    factory: Callable[..., Any], seed: int = 0, jobs_count: int = DAY_JOBS
+) -> Day:
+    """Replay the jobs of a day at design size and add up the time."""
+    trace = traces.make_trace('repair', seed, jobs_count, fleet=fleets.LARGE)
+    timed: list[cost_driver.Timed] = []
+
+    def make_timed(
+        config: configs.Config, rng: random.Random
+    ) -> cost_driver.Timed:
+        timed.append(cost_driver.Timed(factory(config, rng)))
+        return timed[0]
+
+    result = replay.run(trace, make_timed, seed)
+    per_job = timed[0].processor / jobs_count
+    return Day(
+        jobs=jobs_count,
+        calls=timed[0].calls,
+        span=result.end,
+        processor=timed[0].processor,
+        longest=timed[0].longest,
+        share=per_job * DAY_JOBS / DAY_SECONDS,
+    )
+
+
+def run(
+    policy: str = command.SCHEDULER,
+    scheduler_ref: str = '',
+    seed: int = 0,
+    day: bool = True,
+    json: bool = False,
+) -> None:
+    """Print the cost of a policy.
+
+    :param policy: policy to measure.
+    :param scheduler_ref: importable module to measure instead.
+    :param seed: seed of the jobs.
+    :param day: also replay a day at design size.
+    :param json: print JSON instead of a table.
+    """
+    if scheduler_ref:
+        policy = scheduler_ref
+        policies = command.load_policies(['first-fit'], scheduler_ref)
+    else:
+        policies = command.load_policies([policy])
+    factory = policies[policy]
+    costs = [measure(factory, workers, seed) for workers in FLEET_SIZES]
+    report = Report(
+        policy,
+        costs,
+        [_get_slope(*pair) for pair in itertools.pairwise(costs)],
+        measure_day(factory, seed) if day else None,
+    )
+    if json:
+        text = msgspec.json.format(msgspec.json.encode(report), indent=2)
+        sys.stdout.write(text.decode() + '\n')
+        return
+    sys.stdout.write(render(report) + '\n')
+
+
+def render(report: Report) -> str:
+    """Render a report as text, in milliseconds and megabytes."""
+    lines = [
+        f'policy {report.policy}; limit of a call '
+        f'{MAX_CALL_SECONDS * 1000:.0f} ms',
+        f'{"workers":>8}{"phase":>10}{"calls":>7}{"events ms":>11}'
+        f'{"decide ms":>11}{"mean ms":>9}{"p99 ms":>9}{"longest":>9}',
+    ]
+    for cost in report.costs:
+        for name, phase in cost.phases.items():
+            lines.append(
+                f'{cost.workers:>8}{name:>10}{phase.calls:>7}'
+                f'{phase.events * 1000:>11.1f}{phase.total * 1000:>11.1f}'
+                f'{phase.mean * 1000:>9.2f}{phase.p99 * 1000:>9.2f}'
+                f'{phase.longest * 1000:>9.2f}'
+                + ('' if phase.settled else '  does not settle')
+            )
+        lines.append(
+            f'{cost.workers:>8}  {cost.accelerators} accelerators, '
+            f'{cost.running} jobs running, {cost.waiting} waiting after the '
+            f'fill, {cost.memory / 1e6:.1f} MB after the burst'
+        )
+    slopes = ', '.join(f'{slope:.2f}' for slope in report.slopes)
+    lines.append(f'exponent of the mean steady decide: {slopes}')
+    if report.day is not None:
+        lines.append(
+            f'day of {report.day.jobs} jobs: {report.day.processor:.1f} s in '
+            f'{report.day.calls} decisions, longest '
+            f'{report.day.longest * 1000:.1f} ms, {report.day.share:.2%} of '
+            f'a core (limit {MAX_CORE_SHARE:.1%})'
+        )
+    return '\n'.join(lines)
+
+
+def _run_phases(
+    factory: Callable[..., Any],
+    config: configs.Config,
+    fill: list[jobs.Job],
+    late: list[jobs.Job],
+    wave: int,
+    steady: int,
+    seed: int,
+) -> tuple[int, int, dict[str, cost_driver.Phase]]:
+    rng = random.Random(seed)
+    driver = cost_driver.Driver(factory, config, seed)
+    phases = {}
+    for job in fill:
+        driver.submit(job)
+    driver.settle()
+    phases['fill'] = driver.end_phase()
+    counts = len(driver.running), len(driver.waiting)
+    for _ in range(steady):
+        if not driver.running:
+            break
+        driver.now += 60.0
+        driver.finish(rng.choice(list(driver.running)))
+        driver.decide()
+    phases['steady'] = driver.end_phase()
+    driver.now += 60.0
+    for job in late:
+        driver.submit(job)
+    driver.settle()
+    phases['burst'] = driver.end_phase()
+    driver.now += 60.0
+    count = min(wave, len(driver.waiting))
+    for job_id in rng.sample(list(driver.waiting), count):
+        driver.cancel(job_id)
+    driver.settle()
+    phases['wave'] = driver.end_phase()
+    return *counts, phases
+
+
+def _make_config(workers: int) -> configs.Config:
+    if workers == FLEET_SIZES[0]:
+        return fleets.make_config('repair')
+    config = fleets.make_config('repair', fleets.LARGE)
+    if workers == FLEET_SIZES[2]:
+        return config
+    if workers != FLEET_SIZES[1]:
+        raise ValueError(f'workers must be one of {FLEET_SIZES}')
+    region = config.racks[0].region
+    centre = config.racks[0].data_centre
+    racks = [
+        rack
+        for accelerators, count in _MEDIUM_RACKS.items()
+        for rack in [
+            rack
+            for rack in config.racks
+            if rack.data_centre == centre and rack.accelerators == accelerators
+        ][:count]
+    ]
+    accounts = []
+    kept = 0
+    for account in config.accounts:
+        guarantees = [
+            guarantee
+            for guarantee in account.guarantees
+            if guarantee.region == region and kept < _MEDIUM_GUARANTEES
+        ]
+        kept += len(guarantees)
+        accounts.append(
+            msgspec.structs.replace(account, guarantees=guarantees)
+        )
+    return configs.Config(accounts=accounts, racks=racks, failed_workers=1)
+
+
+def _make_jobs(
+    workers: int, seed: int, tasks: int, burst: int
+) -> tuple[list[jobs.Job], list[jobs.Job]]:
+    """Make the jobs that fill the fleet and its queue, and the burst."""
+    fleet = fleets.SMALL if workers == FLEET_SIZES[0] else fleets.LARGE
+    # The smallest mean size of a gang in the traces is about 4.
+    trace = traces.make_trace('repair', seed, tasks // 4 + burst, fleet=fleet)
+    late = [entry.job for entry in trace.jobs[:burst]]
+    fill = []
+    left = tasks
+    for entry in trace.jobs[burst:]:
+        if left <= 0:
+            break
+        fill.append(entry.job)
+        left -= entry.job.spec.accelerators
+    return fill, late
+
+
+def _get_slope(first: Cost, second: Cost) -> float:
+    before = first.phases['steady'].mean
+    after = second.phases['steady'].mean
+    return math.log(after / before) / math.log(second.workers / first.workers)
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,228 @@
+"""Compares the decision logic of the policies on the same traces."""
+
+from __future__ import annotations
+
+import functools
+import importlib
+import statistics
+import sys
+from typing import TYPE_CHECKING
+
+import fire
+import msgspec
+
+from bench import baselines
+from bench import fleets
+from bench import metrics
+from bench import replay
+from bench import traces
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+DEFAULT_SEEDS = 20
+SCHEDULER = 'scheduler'
+_SCHEDULER_MODULE = 'damaskpin.scheduler.scheduler'
+_BASELINES = {
+    'first-fit': baselines.FirstFit,
+    'best-fit-backfill': baselines.BestFitBackfill,
+}
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """Median and quartiles over the seeds that have the figure."""
+
+    median: float
+    lower: float
+    upper: float
+    runs: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Figures of all policies on one deployment.
+
+    :ivar spreads: policy, then figure.
+    :ivar runs: policy, then one entry for each seed.
+    """
+
+    trace: str
+    jobs: int
+    load: float
+    faults: list[str]
+    seeds: list[int]
+    spreads: dict[str, dict[str, Spread]]
+    runs: dict[str, list[metrics.Figures]]
+
+
+def compare(
+    deployment: str,
+    policies: dict[str, Callable[..., Any]],
+    seeds: list[int],
+    jobs_count: int = traces.DEFAULT_JOBS,
+    load: float = traces.DEFAULT_LOAD,
+    fleet: str = fleets.SMALL,
+    faults: frozenset[traces.Fault] = frozenset(),
+) -> Report:
+    """Run every policy over the same traces.
+
+    :param deployment: ``shortlist`` or ``repair``.
+    :param policies: factories by name.
+    :param seeds: one trace for each.
+    :returns: figures, a pure function of the arguments.
+    """
+    runs: dict[str, list[metrics.Figures]] = {name: [] for name in policies}
+    for seed in seeds:
+        trace = traces.make_trace(
+            deployment, seed, jobs_count, load, fleet, faults
+        )
+        for name, factory in policies.items():
+            result = replay.run(trace, factory, seed)
+            runs[name].append(metrics.measure(result))
+    return Report(
+        trace=f'{deployment}-{fleet}',
+        jobs=jobs_count,
+        load=load,
+        faults=sorted(faults),
+        seeds=seeds,
+        spreads={name: summarise(figures) for name, figures in runs.items()},
+        runs=runs,
+    )
+
+
+def summarise(runs: list[metrics.Figures]) -> dict[str, Spread]:
+    """Compute the median and the quartiles of each figure."""
+    spreads = {}
+    for field in metrics.Figures.__struct_fields__:
+        values = [getattr(figures, field) for figures in runs]
+        values = [float(value) for value in values if value is not None]
+        if not values:
+            continue
+        lower = upper = median = values[0]
+        if len(values) > 1:
+            lower, median, upper = statistics.quantiles(
+                values, n=4, method='inclusive'
+            )
+        spreads[field] = Spread(median, lower, upper, len(values))
+    return spreads
+
+
+def render(report: Report) -> str:
+    """Render a report as a table: median [lower to upper quartile]."""
+    names = list(report.spreads)
+    faults = ', '.join(report.faults) or 'none'
+    lines = [
+        f'{report.trace}: {len(report.seeds)} seeds, {report.jobs} jobs, '
+        f'load {report.load:g}, faults: {faults}',
+        f'{"figure":<22}' + ''.join(f'{name:>34}' for name in names),
+    ]
+    for field in metrics.Figures.__struct_fields__:
+        cells = [
+            _format_spread(report.spreads[name].get(field)) for name in names
+        ]
+        lines.append(f'{field:<22}' + ''.join(f'{cell:>34}' for cell in cells))
+    return '\n'.join(lines)
+
+
+def load_policies(
+    names: list[str], scheduler_ref: str = ''
+) -> dict[str, Callable[..., Any]]:
+    """Return the factories of policies.
+
+    :param names: names of policies; empty for all of them.
+    :param scheduler_ref: another module with a class ``Scheduler``, whose
+        policy is added under the name of the module.
+    :raises ImportError: a module is missing.
+    :raises ValueError: a policy is unknown.
+    """
+    known = [*_BASELINES, SCHEDULER]
+    unknown = sorted(set(names) - set(known))
+    if unknown:
+        raise ValueError(
+            f'unknown policies {", ".join(unknown)}; known: {", ".join(known)}'
+        )
+    policies = {}
+    for name in names or known:
+        if name in _BASELINES:
+            policies[name] = _BASELINES[name]
+            continue
+        module = importlib.import_module(_SCHEDULER_MODULE)
+        policies[name] = module.Scheduler
+    if scheduler_ref:
+        module = importlib.import_module(scheduler_ref)
+        policies[scheduler_ref] = module.Scheduler
+    return policies
+
+
+def run(
+    deployment: str = 'all',
+    seeds: int = DEFAULT_SEEDS,
+    jobs: int = traces.DEFAULT_JOBS,
+    load: float = traces.DEFAULT_LOAD,
+    fleet: str = fleets.SMALL,
+    faults: str = '',
+    policies: str = '',
+    scheduler_ref: str = '',
+    json: bool = False,
+    output: str = '',
+) -> None:
+    """Print the figures of all policies on the same traces.
+
+    :param deployment: shortlist, repair or all.
+    :param seeds: number of traces of each deployment.
+    :param jobs: jobs of each trace.
+    :param load: offered work over capacity.
+    :param fleet: small or large.
+    :param faults: comma-separated faults, or all.
+    :param policies: comma-separated policies; empty for all of them.
+    :param scheduler_ref: another importable module with a Scheduler class.
+    :param json: print JSON instead of a table.
+    :param output: file that gets the JSON as well.
+    """
+    names = traces.DEPLOYMENTS if deployment == 'all' else (deployment,)
+    chosen = load_policies(_split(policies), scheduler_ref)
+    kinds = frozenset(
+        traces.Fault if faults == 'all' else map(traces.Fault, _split(faults))
+    )
+    make_report = functools.partial(
+        compare,
+        policies=chosen,
+        seeds=list(range(seeds)),
+        jobs_count=jobs,
+        load=load,
+        fleet=fleet,
+        faults=kinds,
+    )
+    reports = [make_report(name) for name in names]
+    text = msgspec.json.format(msgspec.json.encode(reports), indent=2)
+    if output:
+        with open(output, 'wb') as file:
+            file.write(text)
+    if json:
+        sys.stdout.write(text.decode() + '\n')
+        return
+    sys.stdout.write('\n\n'.join(map(render, reports)) + '\n')
+
+
+def _split(value: str | tuple[str, ...]) -> list[str]:
+    """Split a list; fire turns ``a,b`` into a tuple."""
+    if isinstance(value, str):
+        return [part for part in value.split(',') if part]
+    return list(value)
+
+
+def _format_spread(spread: Spread | None) -> str:
+    if spread is None:
+        return '-'
+    return (
+        f'{_format_number(spread.median)} '
+        f'[{_format_number(spread.lower)}, {_format_number(spread.upper)}]'
+    )
+
+
+def _format_number(value: float) -> str:
+    return f'{value:.0f}' if abs(value) >= 100 else f'{value:.3g}'
+
+
+if __name__ == '__main__':
+    fire.Fire(run)
--- /dev/null
+++ b/bench/fleets.py
@@ -0,0 +1,208 @@
+"""Workers and client accounts that the traces run on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.model import config as configs
+from damaskpin.model import hardware
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SMALL = 'small'
+LARGE = 'large'
+FLEETS = (SMALL, LARGE)
+# 37 teams at design size: 4 kinds of account, 9 copies of each, and one more
+# of the first kind.
+LARGE_COPIES = 9
+LARGE_ACCOUNTS = 37
+
+_ACCELERATORS = 8
+_LARGE_REGIONS = 3
+_LARGE_CENTRES_PER_REGION = 4
+# Per data centre: 125 workers with 300 accelerators, so that 12 data centres
+# have the 1,500 workers and 3,600 accelerators of the design size.
+_LARGE_RACKS = ((20, 2), (5, 4))
+_LARGE_WORKERS_PER_RACK = 5
+
+_SMALL_CENTRES = {
+    'shortlist': (
+        ('gauteng', 'sandton', (3, 1)),
+        ('gauteng', 'midrand', (3,)),
+        ('western-cape', 'observatory', (3,)),
+    ),
+    'repair': (
+        ('almaty', 'medeu', (3, 1)),
+        ('almaty', 'bostandyk', (3,)),
+        ('astana', 'yesil', (3,)),
+    ),
+}
+# account: (weight, shape, accelerators, adjacency, count, region index)
+_SMALL_ACCOUNTS = {
+    'shortlist': {
+        'screening': (2.0, 'screen', 4, hardware.Adjacency.WORKER, 4, 0),
+        'scoring': (2.0, None, 0, hardware.Adjacency.WORKER, 0, 0),
+        'agency': (1.0, 'pitch', 16, hardware.Adjacency.RACK, 1, 0),
+        'founders': (1.0, None, 0, hardware.Adjacency.WORKER, 0, 0),
+    },
+    'repair': {
+        'counters': (1.0, None, 0, hardware.Adjacency.WORKER, 0, 0),
+        'matching': (2.0, 'seam', 16, hardware.Adjacency.RACK, 1, 0),
+        'museum': (1.0, 'textile', 8, hardware.Adjacency.WORKER, 2, 1),
+        'workshop': (1.0, None, 0, hardware.Adjacency.WORKER, 0, 0),
+    },
+}
+# Workers of the large fleet have two or four accelerators, so shapes above
+# two need a rack or a data centre.
+_LARGE_SHAPES = {
+    'screening': (2, hardware.Adjacency.WORKER, 4),
+    'agency': (32, hardware.Adjacency.DATA_CENTRE, 1),
+    'matching': (32, hardware.Adjacency.DATA_CENTRE, 1),
+    'museum': (8, hardware.Adjacency.RACK, 2),
+}
+
+
+def make_config(deployment: str, fleet: str = SMALL) -> configs.Config:
+    """Build the configuration of a deployment.
+
+    :param deployment: ``shortlist`` or ``repair``.
+    :param fleet: ``small`` (current size) or ``large`` (design size).
+    :returns: racks and accounts; every guarantee fits with one failed worker
+        in each data centre.
+    """
+    if fleet == LARGE:
+        racks = list(_list_large_racks())
+        accounts = _make_large_accounts(deployment, racks)
+    else:
+        racks = list(_list_small_racks(deployment))
+        accounts = _make_small_accounts(deployment, racks)
+    return configs.Config(accounts=accounts, racks=racks, failed_workers=1)
+
+
+def make_workers(config: configs.Config) -> list[hardware.Worker]:
+    """List the workers that a configuration expects.
+
+    :param config: configuration with racks.
+    :returns: workers in the order of the racks.
+    """
+    return [
+        hardware.Worker(
+            name=f'{rack.data_centre}-{rack.name}-w{index}',
+            region=rack.region,
+            data_centre=rack.data_centre,
+            rack=rack.name,
+            accelerators=rack.accelerators,
+        )
+        for rack in config.racks
+        for index in range(rack.workers)
+    ]
+
+
+def choose_adjacency(size: int, fleet: str) -> hardware.Adjacency:
+    """Return the tightest level at which gangs of a size are common.
+
+    :param size: accelerators of the gang.
+    :param fleet: ``small`` or ``large``.
+    :returns: level that the fleet can hold the gang in.
+    """
+    worker, rack = (2, 10) if fleet == LARGE else (8, 24)
+    if size <= worker:
+        return hardware.Adjacency.WORKER
+    if size <= rack:
+        return hardware.Adjacency.RACK
+    return hardware.Adjacency.DATA_CENTRE
+
+
+def _list_small_racks(deployment: str) -> Iterator[configs.Rack]:
+    for region, centre, sizes in _SMALL_CENTRES[deployment]:
+        for index, workers in enumerate(sizes):
+            yield configs.Rack(
+                name=f'r{index}',
+                data_centre=centre,
+                region=region,
+                workers=workers,
+                accelerators=_ACCELERATORS,
+            )
+
+
+def _list_large_racks() -> Iterator[configs.Rack]:
+    for region in range(_LARGE_REGIONS):
+        for centre in range(_LARGE_CENTRES_PER_REGION):
+            index = 0
+            for count, accelerators in _LARGE_RACKS:
+                for _ in range(count):
+                    yield configs.Rack(
+                        name=f'r{index}',
+                        data_centre=f'dc-{region}-{centre}',
+                        region=f'region-{region}',
+                        workers=_LARGE_WORKERS_PER_RACK,
+                        accelerators=accelerators,
+                    )
+                    index += 1
+
+
+def _make_small_accounts(
+    deployment: str, racks: list[configs.Rack]
+) -> list[configs.Account]:
+    regions = list(dict.fromkeys(rack.region for rack in racks))
+    capacity = sum(rack.workers * rack.accelerators for rack in racks)
+    accounts = []
+    for name, row in _SMALL_ACCOUNTS[deployment].items():
+        weight, shape, accelerators, adjacency, count, region = row
+        guarantees = []
+        if shape is not None:
+            guarantees.append(
+                configs.Guarantee(
+                    name=shape,
+                    accelerators=accelerators,
+                    adjacency=adjacency,
+                    count=count,
+                    region=regions[region],
+                )
+            )
+        accounts.append(_make_account(name, weight, capacity, guarantees))
+    return accounts
+
+
+def _make_large_accounts(
+    deployment: str, racks: list[configs.Rack]
+) -> list[configs.Account]:
+    regions = list(dict.fromkeys(rack.region for rack in racks))
+    capacity = sum(rack.workers * rack.accelerators for rack in racks)
+    kinds = list(_SMALL_ACCOUNTS[deployment])
+    accounts = []
+    for index in range(LARGE_ACCOUNTS):
+        kind = kinds[index % len(kinds)]
+        weight, shape = _SMALL_ACCOUNTS[deployment][kind][:2]
+        guarantees = []
+        if shape is not None:
+            accelerators, adjacency, count = _LARGE_SHAPES[kind]
+            guarantees.append(
+                configs.Guarantee(
+                    name=shape,
+                    accelerators=accelerators,
+                    adjacency=adjacency,
+                    count=count,
+                    region=regions[index % len(regions)],
+                )
+            )
+        name = f'{kind}-{index // len(kinds)}'
+        accounts.append(_make_account(name, weight, capacity // 4, guarantees))
+    return accounts
+
+
+def _make_account(
+    name: str,
+    weight: float,
+    quota: int,
+    guarantees: list[configs.Guarantee],
+) -> configs.Account:
+    return configs.Account(
+        name=name,
+        token_sha256='0' * 64,
+        weight=weight,
+        quota=quota,
+        max_queued=20_000,
+        guarantees=guarantees,
+    )
--- /dev/null
+++ b/bench/metrics.py
@@ -0,0 +1,162 @@
+"""Figures of one run."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bench import records
+from damaskpin.model import job as jobs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LARGE_GANG_ACCELERATORS = 16
+# Bound on the start of urgent and of guaranteed work (invariant 1).
+START_LIMIT_SECONDS = 7.6
+
+
+class Figures(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of one run; ``None`` where no job counts towards one.
+
+    Times are in seconds and count from the submission. The figures of times
+    leave out cancelled, refused and unfinished jobs.
+
+    :ivar urgent_start_p99: first start of urgent jobs.
+    :ivar urgent_late: share of them that started after 7.6 s, or never.
+    :ivar guaranteed_start_p99: first start of jobs whose guarantee was not
+        in use when they arrived.
+    :ivar guaranteed_late: share of those that started after 7.6 s, or never.
+    :ivar large_wait_p95: time in the queue, over all attempts, of gangs of
+        16 and more.
+    :ivar fragmentation: share of free accelerators that no waiting gang can
+        use, averaged over the time with a waiting job.
+    :ivar unusable: the same accelerators as a share of all.
+    :ivar idle: share of accelerators that are free over the same time.
+    :ivar lost_work: accelerator-seconds that interruptions cost, as a share
+        of the work of the trace.
+    :ivar makespan_ratio: end of the last job over a lower bound: work over
+        capacity, or the latest end without any wait.
+    :ivar slowdown: mean completion time over the mean of true run times.
+    :ivar unfinished: jobs that could run and did not finish.
+    :ivar wrongly_refused: jobs that could run and were refused.
+    """
+
+    completion_mean: float | None
+    completion_p95: float | None
+    urgent_start_p99: float | None
+    urgent_late: float | None
+    guaranteed_start_p99: float | None
+    guaranteed_late: float | None
+    large_wait_p95: float | None
+    fragmentation: float
+    unusable: float
+    idle: float
+    lost_work: float
+    makespan_ratio: float
+    slowdown: float | None
+    reclaims: int
+    unfinished: int
+    wrongly_refused: int
+
+
+def measure(result: records.Result) -> Figures:
+    """Compute the figures of a run."""
+    done = [
+        record
+        for record in result.records.values()
+        if record.state == records.State.DONE
+    ]
+    valid = [
+        record
+        for record in result.records.values()
+        if record.entry.runnable and record.state != records.State.CANCELLED
+    ]
+    completions = [record.end - record.entry.at for record in done]
+    work = sum(
+        record.entry.run_seconds * record.entry.job.spec.accelerators
+        for record in valid
+    )
+    run_mean = _mean(record.entry.run_seconds for record in done)
+    completion_mean = _mean(completions)
+    urgent = [
+        record
+        for record in valid
+        if record.entry.job.spec.priority == jobs.Priority.URGENT
+    ]
+    entitled = [record for record in valid if record.entitled]
+    waiting = result.waiting_time or 1.0
+    return Figures(
+        completion_mean=completion_mean,
+        completion_p95=_percentile(completions, 95),
+        urgent_start_p99=_get_start_p99(urgent),
+        urgent_late=_get_late_share(urgent),
+        guaranteed_start_p99=_get_start_p99(entitled),
+        guaranteed_late=_get_late_share(entitled),
+        large_wait_p95=_percentile(
+            [
+                record.waited
+                for record in done
+                if record.entry.job.spec.accelerators
+                >= LARGE_GANG_ACCELERATORS
+            ],
+            95,
+        ),
+        fragmentation=result.fragmentation_time / waiting,
+        unusable=result.unusable_time / waiting,
+        idle=result.idle_time / waiting,
+        lost_work=sum(
+            record.lost_seconds for record in result.records.values()
+        )
+        / work,
+        makespan_ratio=max((record.end for record in done), default=0.0)
+        / _bound_makespan(result, valid, work),
+        slowdown=None if run_mean is None else completion_mean / run_mean,
+        reclaims=sum(record.reclaims for record in result.records.values()),
+        unfinished=sum(
+            record.state not in (records.State.DONE, records.State.REFUSED)
+            for record in valid
+        ),
+        wrongly_refused=sum(
+            record.state == records.State.REFUSED for record in valid
+        ),
+    )
+
+
+def _get_start(record: records.Record) -> float:
+    if record.first_start is None:
+        return float('inf')
+    return record.first_start - record.entry.at
+
+
+def _get_start_p99(chosen: list[records.Record]) -> float | None:
+    done = [rec for rec in chosen if rec.state == records.State.DONE]
+    return _percentile([_get_start(record) for record in done], 99)
+
+
+def _get_late_share(chosen: list[records.Record]) -> float | None:
+    return _mean(_get_start(rec) > START_LIMIT_SECONDS for rec in chosen)
+
+
+def _bound_makespan(
+    result: records.Result, valid: list[records.Record], work: float
+) -> float:
+    capacity = sum(worker.accelerators for worker in result.trace.workers)
+    longest = max(
+        record.entry.at + record.entry.run_seconds for record in valid
+    )
+    return max(work / capacity, longest)
+
+
+def _mean(values: Iterable[float]) -> float | None:
+    values = list(values)
+    return statistics.fmean(values) if values else None
+
+
+def _percentile(values: list[float], percent: int) -> float | None:
+    if len(values) < 2:
+        return values[0] if values else None
+    cuts = statistics.quantiles(values, n=100, method='inclusive')
+    return cuts[percent - 1]
--- /dev/null
+++ b/bench/mixes.py
@@ -0,0 +1,81 @@
+"""Kinds of jobs of the two deployments."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from damaskpin.model import job as jobs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of job.
+
+    :ivar share: share of the jobs.
+    :ivar sizes: accelerators of a gang, with weights.
+    :ivar median: median of the true run time in seconds.
+    :ivar arrival: window of submissions as shares of the horizon.
+    :ivar bursts: number of bursts; 0 spreads the submissions evenly.
+    :ivar shape_size: gangs of this size name the shape, or smaller ones too
+        when ``shape_up_to`` is set.
+    """
+
+    account: str
+    share: float
+    sizes: dict[int, float]
+    median: float
+    priority: jobs.Priority
+    arrival: tuple[float, float] = (0.0, 1.0)
+    bursts: int = 0
+    shape: str | None = None
+    shape_size: int = 0
+    shape_up_to: bool = False
+
+
+_URGENT = jobs.Priority.URGENT
+_HIGH = jobs.Priority.HIGH
+_NORMAL = jobs.Priority.NORMAL
+_LOW = jobs.Priority.LOW
+
+SMALL_KINDS = {
+    'shortlist': (
+        Kind(
+            'screening', 0.35, {1: 2, 2: 3, 4: 2}, 300, _URGENT, (0.3, 1.0),
+            bursts=14, shape='screen', shape_size=4, shape_up_to=True,
+        ),
+        Kind(
+            'scoring', 0.35, {1: 3, 2: 3, 4: 3, 8: 4, 16: 2, 24: 1}, 5400,
+            _NORMAL, (0.0, 0.85),
+        ),
+        Kind(
+            'agency', 0.12, {16: 2, 24: 1}, 2400, _NORMAL, shape='pitch',
+            shape_size=16,
+        ),
+        Kind('founders', 0.18, {1: 3, 2: 2}, 900, _LOW),
+    ),
+    'repair': (
+        Kind(
+            'counters', 0.55, {1: 6, 2: 3, 4: 1}, 900, _NORMAL, bursts=11
+        ),
+        Kind(
+            'matching', 0.25, {8: 2, 12: 2, 16: 4, 20: 1, 24: 2}, 4500,
+            _NORMAL, shape='seam', shape_size=16,
+        ),
+        Kind(
+            'museum', 0.08, {8: 1}, 2400, _HIGH, shape='textile', shape_size=8
+        ),
+        Kind('workshop', 0.12, {1: 2, 2: 2, 4: 2, 8: 1}, 1800, _LOW),
+    ),
+}  # fmt: skip
+# At design size most jobs run for hours and the largest gangs have 128 tasks.
+LARGE_SIZES = {
+    'screening': {1: 2, 2: 3},
+    'scoring': {1: 2, 4: 3, 10: 4, 32: 3, 64: 2, 128: 1},
+    'agency': {32: 2, 64: 1},
+    'founders': {1: 3, 2: 2},
+    'counters': {1: 6, 2: 4},
+    'matching': {16: 3, 32: 4, 64: 3, 128: 1},
+    'museum': {8: 1},
+    'workshop': {1: 2, 2: 2, 8: 2},
+}
+LARGE_RUN_FACTOR = 2.5
--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,349 @@
+"""Event loop that runs a policy over a trace with a fake clock."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bench import fleet_state
+from bench import records
+from bench import traces
+from damaskpin.scheduler import decisions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+# Two-phase commit over the peer links.
+START_SECONDS = 0.1
+# A task whose agent is gone ends with its lease on the platform.
+LEASE_SECONDS = 15.0
+# Time from a worker's refusal of a task to the verdict on the gang.
+FAIL_SECONDS = 5.0
+BACKOFF_SECONDS = 10.0
+# The platform revokes the lease of a borrower that outlives the grace.
+REVOKE_SECONDS = 1.0
+MAX_ATTEMPTS = 50
+
+_DAY_SECONDS = 24 * 3600.0
+# Wake-ups in a row, with no other event pending, after which the remaining
+# jobs count as unfinished.
+_MAX_IDLE_WAKEUPS = 2000
+
+_State = records.State
+
+
+class ReplayError(Exception):
+    """A decision breaks an invariant."""
+
+
+def run(
+    trace: traces.Trace, make_scheduler: Callable[..., Any], seed: int = 0
+) -> records.Result:
+    """Run a policy over a trace.
+
+    :param trace: trace to replay.
+    :param make_scheduler: called with a configuration and a random number
+        generator; returns an object with the interface of ``Scheduler``.
+    :param seed: seed of the generator that the scheduler gets.
+    :returns: records of all jobs, a pure function of the arguments.
+    :raises ReplayError: a decision breaks an invariant.
+    """
+    return _Replay(trace, make_scheduler, seed).run()
+
+
+class _Replay:
+    def __init__(
+        self,
+        trace: traces.Trace,
+        make_scheduler: Callable[..., Any],
+        seed: int,
+    ) -> None:
+        self._trace = trace
+        self._rng = random.Random(f'replay:{seed}')
+        self._scheduler = make_scheduler(trace.config, random.Random(seed))
+        self._fleet = fleet_state.FleetState(trace)
+        self._records = {
+            entry.job.id: records.Record(entry) for entry in trace.jobs
+        }
+        self._result = records.Result(trace, self._records)
+        self._heap: list[tuple[float, int, Callable, tuple]] = []
+        self._order = itertools.count()
+        self._pending = 0
+        self._unfinished = len(self._records)
+        self._now = 0.0
+        self._wakeup: float | None = None
+
+    def run(self) -> records.Result:
+        for worker in self._trace.workers:
+            self._scheduler.set_worker(0.0, worker)
+        for entry in self._trace.jobs:
+            self._schedule(entry.at, self._submit, entry.job.id)
+            if entry.cancel_at is not None:
+                self._schedule(entry.cancel_at, self._cancel, entry.job.id)
+        for event in self._trace.worker_events:
+            self._schedule(event.at, self._change_worker, event)
+        limit = self._trace.horizon * 2 + 2 * _DAY_SECONDS
+        idle_wakeups = 0
+        while self._heap and self._unfinished and self._now < limit:
+            idle_wakeups = 0 if self._pending else idle_wakeups + 1
+            if idle_wakeups > _MAX_IDLE_WAKEUPS:
+                break
+            self._step()
+        self._result.end = self._now
+        return self._result
+
+    def _schedule(self, at: float, handler: Callable, *args: object) -> None:
+        self._pending += handler != self._wake
+        heapq.heappush(self._heap, (at, next(self._order), handler, args))
+
+    def _step(self) -> None:
+        """Handle every event of the next moment, then decide once."""
+        at = self._heap[0][0]
+        self._integrate(at - self._now)
+        self._now = at
+        while self._heap and self._heap[0][0] <= at:
+            _, _, handler, args = heapq.heappop(self._heap)
+            self._pending -= handler != self._wake
+            handler(*args)
+        self._result.decide_calls += 1
+        for decision in self._scheduler.decide(at):
+            match decision:
+                case decisions.Place():
+                    self._place(decision)
+                case decisions.Reclaim():
+                    self._reclaim(decision)
+                case decisions.Warn():
+                    self._result.warnings.append(str(decision))
+        wakeup = self._scheduler.next_wakeup(at)
+        if wakeup is None:
+            return
+        # A wake-up that is already due must not stop the clock.
+        wakeup = max(wakeup, at + 0.01)
+        if self._wakeup is None or wakeup < self._wakeup:
+            self._wakeup = wakeup
+            self._schedule(wakeup, self._wake, wakeup)
+
+    def _integrate(self, seconds: float) -> None:
+        waiting = [
+            record.entry.job
+            for record in self._records.values()
+            if record.state == _State.WAITING
+        ]
+        if waiting and seconds > 0:
+            free, unusable = self._fleet.measure_free(waiting)
+            total = self._fleet.count_accelerators()
+            self._result.add_interval(seconds, free, unusable, total)
+
+    def _wake(self, at: float) -> None:
+        if at == self._wakeup:
+            self._wakeup = None
+
+    def _submit(self, job_id: str) -> None:
+        record = self._records[job_id]
+        if record.state != _State.PENDING:
+            return
+        job = record.entry.job
+        if record.attempt == 0:
+            record.entitled = records.is_entitled(
+                job, self._fleet.get_guarantee(job), self._records.values()
+            )
+        job = msgspec.structs.replace(
+            job, age_seconds=self._now - record.entry.at
+        )
+        refusal = self._scheduler.submit(self._now, job)
+        if refusal is not None:
+            record.reason = refusal.reason
+            self._close(record, _State.REFUSED)
+            return
+        record.state = _State.WAITING
+        record.waiting_since = self._now
+
+    def _place(self, place: decisions.Place) -> None:
+        record = self._records.get(place.job_id)
+        if record is None or record.state != _State.WAITING:
+            raise ReplayError(f'{place.job_id} is not waiting')
+        problem = self._fleet.occupy(record.entry.job, place.members)
+        if problem:
+            raise ReplayError(f'{place.job_id}: {problem}')
+        record.state = _State.PLACED
+        record.guaranteed = place.guaranteed
+        record.waited += self._now - record.waiting_since
+        record.attempt += 1
+        self._schedule(
+            self._now + START_SECONDS,
+            self._start,
+            place.job_id,
+            record.attempt,
+        )
+
+    def _start(self, job_id: str, attempt: int) -> None:
+        record = self._records[job_id]
+        if record.state != _State.PLACED or record.attempt != attempt:
+            return
+        if self._fleet.has_lost_member(job_id):
+            self._fleet.release(job_id)
+            record.state = _State.WAITING
+            record.waiting_since = self._now
+            self._scheduler.placement_failed(
+                self._now, job_id, 'worker is gone'
+            )
+            return
+        record.state = _State.RUNNING
+        record.running_since = self._now
+        if record.first_start is None:
+            record.first_start = self._now
+        self._scheduler.started(self._now, job_id, f'{job_id}-{attempt}')
+        if self._fleet.list_broken_members(job_id):
+            self._schedule(
+                self._now + FAIL_SECONDS, self._fail, job_id, attempt
+            )
+            return
+        left = record.entry.run_seconds - record.progress
+        if attempt > 1:
+            left += records.RESTORE_SECONDS
+        self._schedule(self._now + left, self._succeed, job_id, attempt)
+
+    def _succeed(self, job_id: str, attempt: int) -> None:
+        record = self._records[job_id]
+        if record.state != _State.RUNNING or record.attempt != attempt:
+            return
+        self._stop(record, decisions.Result.SUCCEEDED)
+        self._close(record, _State.DONE)
+
+    def _fail(self, job_id: str, attempt: int) -> None:
+        record = self._records[job_id]
+        if record.state != _State.RUNNING or record.attempt != attempt:
+            return
+        self._stop(record, decisions.Result.FAILED)
+        self._retry_later(record)
+
+    def _reclaim(self, reclaim: decisions.Reclaim) -> None:
+        record = self._records.get(reclaim.job_id)
+        if record is not None and record.state == _State.STOPPING:
+            # Its worker is lost, which the scheduler learns with the end.
+            return
+        if record is None or record.state not in (
+            _State.RUNNING,
+            _State.PLACED,
+        ):
+            raise ReplayError(f'{reclaim.job_id} does not run')
+        record.reclaims += 1
+        self._begin_stop(record, reclaim.grace, cancelled=False)
+
+    def _begin_stop(
+        self, record: records.Record, grace: float, cancelled: bool
+    ) -> None:
+        """Checkpoint within the grace, or else lose the unsaved progress."""
+        checkpoint = record.entry.checkpoint_seconds
+        saved = checkpoint <= grace
+        took = checkpoint if saved else grace + REVOKE_SECONDS
+        result = decisions.Result.LOST
+        if cancelled:
+            result = decisions.Result.CANCELLED
+        elif saved:
+            result = decisions.Result.CHECKPOINTED
+        if record.state == _State.PLACED:
+            record.running_since = self._now
+        records.save_progress(record, self._now, saved, took)
+        self._stop_after(record, took, result)
+
+    def _stop_after(
+        self, record: records.Record, seconds: float, result: decisions.Result
+    ) -> None:
+        record.state = _State.STOPPING
+        self._schedule(
+            self._now + seconds,
+            self._end_stop,
+            record.entry.job.id,
+            record.attempt,
+            result,
+        )
+
+    def _end_stop(
+        self, job_id: str, attempt: int, result: decisions.Result
+    ) -> None:
+        record = self._records[job_id]
+        if record.state != _State.STOPPING or record.attempt != attempt:
+            return
+        self._stop(record, result)
+        if result == decisions.Result.CANCELLED:
+            self._close(record, _State.CANCELLED)
+            return
+        # The scheduler itself puts the job back into its queue.
+        record.state = _State.WAITING
+        record.waiting_since = self._now
+
+    def _cancel(self, job_id: str) -> None:
+        record = self._records[job_id]
+        if record.state in (
+            _State.DONE,
+            _State.REFUSED,
+            _State.ABANDONED,
+        ):
+            return
+        if record.state != _State.PENDING:
+            self._scheduler.cancel(self._now, job_id)
+        if record.state in (_State.RUNNING, _State.PLACED):
+            self._begin_stop(record, 0.0, cancelled=True)
+            return
+        if record.state == _State.STOPPING:
+            # The new attempt number makes the end of the first stop obsolete.
+            record.attempt += 1
+            self._stop_after(
+                record, REVOKE_SECONDS, decisions.Result.CANCELLED
+            )
+            return
+        self._close(record, _State.CANCELLED)
+
+    def _change_worker(self, event: traces.WorkerEvent) -> None:
+        match event.change:
+            case traces.WorkerChange.LOST:
+                self._lose_worker(event.worker)
+            case traces.WorkerChange.BACK:
+                worker = self._fleet.restore(event.worker)
+                self._scheduler.set_worker(self._now, worker)
+            case traces.WorkerChange.BROKEN:
+                self._fleet.broken.add(event.worker)
+            case traces.WorkerChange.REPAIRED:
+                self._fleet.broken.discard(event.worker)
+
+    def _lose_worker(self, name: str) -> None:
+        self._fleet.lose(name)
+        self._scheduler.remove_worker(self._now, name)
+        for job_id in self._fleet.list_jobs(name):
+            record = self._records[job_id]
+            if record.state != _State.RUNNING:
+                continue
+            records.save_progress(record, self._now, False, LEASE_SECONDS)
+            self._stop_after(record, LEASE_SECONDS, decisions.Result.LOST)
+
+    def _retry_later(self, record: records.Record) -> None:
+        if record.attempt >= MAX_ATTEMPTS:
+            self._close(record, _State.ABANDONED)
+            return
+        record.state = _State.PENDING
+        delay = BACKOFF_SECONDS * self._rng.uniform(0.5, 1.5)
+        self._schedule(self._now + delay, self._submit, record.entry.job.id)
+
+    def _stop(self, record: records.Record, result: decisions.Result) -> None:
+        job = record.entry.job
+        failed = ()
+        if result == decisions.Result.FAILED:
+            failed = self._fleet.list_broken_members(job.id)
+        self._fleet.release(job.id)
+        record.used_seconds += (
+            self._now - record.running_since
+        ) * job.spec.accelerators
+        self._scheduler.finished(
+            self._now, job.id, decisions.Outcome(result, failed)
+        )
+
+    def _close(self, record: records.Record, state: str) -> None:
+        record.state = state
+        record.end = self._now
+        self._unfinished -= 1
--- /dev/null
+++ b/tests/test_bench/test_bench_decision_cost.py
@@ -0,0 +1,61 @@
+"""Tests of the cost measurement."""
+
+import pytest
+
+from bench import baselines
+from bench import cost_driver
+from bench import decision_cost
+from bench import fleets
+
+
+@pytest.mark.parametrize(
+    ('workers', 'accelerators'), [(10, 80), (100, 240), (1500, 3600)]
+)
+def test_fleets_have_the_stated_sizes(workers, accelerators):
+    # Costs at another size than the design size prove nothing about it.
+    config = decision_cost._make_config(workers)
+    made = fleets.make_workers(config)
+    assert len({worker.name for worker in made}) == len(made) == workers
+    assert sum(worker.accelerators for worker in made) == accelerators
+
+
+def test_phases_handle_every_job():
+    # A phase that measures nothing would look cheap.
+    cost = decision_cost.measure(
+        baselines.BestFitBackfill, 10, tasks=600, burst=50, wave=30, steady=20
+    )
+    assert list(cost.phases) == ['fill', 'steady', 'burst', 'wave']
+    assert cost.phases['steady'].calls == 20
+    assert cost.running > 0
+    assert cost.waiting > 30
+    assert cost.memory > 0
+    assert all(phase.settled for phase in cost.phases.values())
+    for phase in cost.phases.values():
+        assert 0 < phase.mean <= phase.longest <= phase.total
+
+
+def test_endless_decisions_are_reported():
+    # A scheduler that reclaims and places the same job for ever would hang.
+    class Endless(baselines.FirstFit):
+        def decide(self, now):
+            stops = [
+                cost_driver.decisions.Reclaim(job_id, 0.0, 'test')
+                for job_id in self._running
+            ]
+            return stops or super().decide(now)
+
+    config = decision_cost._make_config(10)
+    fill, _ = decision_cost._make_jobs(10, 0, 50, 10)
+    driver = cost_driver.Driver(Endless, config, 0)
+    driver.submit(fill[0])
+    driver.settle()
+    assert not driver.end_phase().settled
+
+
+def test_day_counts_the_time_of_all_calls():
+    # The share of a core is scaled to a day with 1,900 jobs.
+    day = decision_cost.measure_day(baselines.FirstFit, jobs_count=60)
+    assert day.calls > 60
+    assert 0 < day.longest < day.processor
+    expected = day.processor / 60 * 1900 / 86_400
+    assert day.share == pytest.approx(expected)
--- /dev/null
+++ b/tests/test_bench/test_bench_replay.py
@@ -0,0 +1,158 @@
+"""Tests of the traces, the replay and the figures."""
+
+import json
+
+import pytest
+
+from bench import baselines
+from bench import decisions as command
+from bench import metrics
+from bench import records
+from bench import replay
+from bench import traces
+from damaskpin.scheduler import decisions
+
+ALL_FAULTS = frozenset(traces.Fault)
+
+
+class _Recorder(baselines.BestFitBackfill):
+    """Reclaims every job once, 100 s after its start."""
+
+    def __init__(self, config, rng):
+        super().__init__(config, rng)
+        self.started_at = {}
+        self.reclaimed = set()
+
+    def started(self, now, job_id, attempt):
+        super().started(now, job_id, attempt)
+        self.started_at[job_id] = now
+
+    def finished(self, now, job_id, outcome):
+        super().finished(now, job_id, outcome)
+        del self.started_at[job_id]
+
+    def decide(self, now):
+        result = super().decide(now)
+        for job_id, since in self.started_at.items():
+            if now - since >= 100 and job_id not in self.reclaimed:
+                self.reclaimed.add(job_id)
+                result.append(decisions.Reclaim(job_id, 2.0, 'test'))
+        return result
+
+    def next_wakeup(self, now):
+        return now + 100.0 if self.started_at else None
+
+
+class _Doubler(baselines.FirstFit):
+    """Places every gang on the same accelerators."""
+
+    def decide(self, now):
+        places = super().decide(now)
+        return [place for place in places for _ in range(2)]
+
+
+@pytest.mark.parametrize('deployment', traces.DEPLOYMENTS)
+def test_traces_are_seeded_and_faults_change_nothing_else(deployment):
+    # Figures before and after a change are comparable only on equal traces.
+    plain = traces.make_trace(deployment, 3)
+    assert plain == traces.make_trace(deployment, 3)
+    assert plain != traces.make_trace(deployment, 4)
+    faulty = traces.make_trace(deployment, 3, faults=ALL_FAULTS)
+    assert [entry.job for entry in faulty.jobs if entry.runnable] == [
+        entry.job for entry in plain.jobs
+    ]
+    assert {event.change for event in faulty.worker_events} == set(
+        traces.WorkerChange
+    )
+    sizes = {entry.job.spec.accelerators for entry in plain.jobs}
+    assert {min(sizes), max(sizes)} == {1, 24}
+    for entry in plain.jobs:
+        error = entry.job.spec.run_seconds / entry.run_seconds
+        assert 0.099 <= error <= 10.01
+
+
+@pytest.mark.parametrize('deployment', traces.DEPLOYMENTS)
+@pytest.mark.parametrize(
+    'policy', [baselines.FirstFit, baselines.BestFitBackfill, _Recorder]
+)
+def test_replay_conserves_work(deployment, policy):
+    # A lost or repeated event would show as work that appears or vanishes:
+    # what a job used is its true work plus the cost of its interruptions.
+    trace = traces.make_trace(deployment, 1, jobs_count=80)
+    result = replay.run(trace, policy)
+    for record in result.records.values():
+        entry = record.entry
+        assert record.state == records.State.DONE
+        work = entry.run_seconds * entry.job.spec.accelerators
+        expected = work + record.lost_seconds
+        assert record.used_seconds == pytest.approx(expected, rel=1e-6)
+        assert record.end >= entry.at + entry.run_seconds
+    reclaims = sum(entry.reclaims for entry in result.records.values())
+    assert (reclaims > 0) == (policy is _Recorder)
+
+
+@pytest.mark.parametrize('policy', [baselines.FirstFit, _Recorder])
+def test_every_job_ends_under_faults(policy):
+    # A job whose event is dropped would disappear from the figures.
+    trace = traces.make_trace('repair', 2, jobs_count=80, faults=ALL_FAULTS)
+    result = replay.run(trace, policy)
+    states = {record.state for record in result.records.values()}
+    final = {
+        records.State.DONE,
+        records.State.CANCELLED,
+        records.State.REFUSED,
+        records.State.ABANDONED,
+    }
+    assert states <= final
+    for record in result.records.values():
+        refused = record.state == records.State.REFUSED
+        assert refused == (not record.entry.runnable)
+
+
+def test_replay_rejects_broken_invariants():
+    # A policy that shares accelerators must not get figures at all.
+    trace = traces.make_trace('repair', 1, jobs_count=20)
+    with pytest.raises(replay.ReplayError):
+        replay.run(trace, _Doubler)
+
+
+def test_same_seed_gives_same_figures():
+    # Any other input than the arguments would make figures irreproducible.
+    trace = traces.make_trace('shortlist', 5, jobs_count=80, faults=ALL_FAULTS)
+    first = metrics.measure(replay.run(trace, baselines.BestFitBackfill, 5))
+    again = metrics.measure(replay.run(trace, baselines.BestFitBackfill, 5))
+    assert first == again
+
+
+def test_fragmentation_counts_only_cells_too_small_for_every_gang():
+    # Hand-computed: 8 of 80 accelerators are free, 2 of them in a rack that
+    # no waiting gang fits into, for half of the time with a queue.
+    result = records.Result(traces.make_trace('repair', 1, jobs_count=2), {})
+    result.add_interval(10.0, free=8, unusable=2, total=80)
+    result.add_interval(10.0, free=0, unusable=0, total=80)
+    assert result.waiting_time == 20.0
+    assert result.fragmentation_time == 10.0 * 2 / 8
+    assert result.unusable_time == 10.0 * 2 / 80
+
+
+def test_command_prints_the_policies_as_json(capsys, tmp_path):
+    # Comparisons between versions read the file.
+    output = tmp_path / 'figures.json'
+    command.run(
+        deployment='repair',
+        seeds=2,
+        jobs=40,
+        policies='first-fit,best-fit-backfill',
+        json=True,
+        output=str(output),
+    )
+    printed = json.loads(capsys.readouterr().out)
+    assert printed == json.loads(output.read_bytes())
+    assert set(printed[0]['spreads']) == {'first-fit', 'best-fit-backfill'}
+    assert len(printed[0]['runs']['first-fit']) == 2
+
+
+def test_command_names_unknown_policies():
+    # A misspelt policy must not silently leave a column out.
+    with pytest.raises(ValueError, match='unknown policies fifo'):
+        command.load_policies(['fifo'])
