--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -134,7 +134,7 @@
 
     peer: Peer
     revision: int
-    interval: float
+    interval: float = 1.0
     draining: bool = False
     reply: bool = False
     leaving: bool = False
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example deployments."""
