Add backfill, estimates, health and pre-emption to the scheduler

Cause: the first version starved large gangs and trusted declared run times. Change: reservations for waiting large gangs with backfill, moving small borrowers that fit elsewhere, correction of declared run times per account, quarantine by outcome, and spare empty racks that shared racks leave alone. Ruled out: promoting a running borrower into a guarantee, because its place may use up the spares of the allowance.

--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -5,96 +5,235 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from damaskpin.model import job as jobs
+from damaskpin.scheduler import backfill
 from damaskpin.scheduler import placement
-from damaskpin.scheduler import queue as queues
+from damaskpin.scheduler import preemption
 from damaskpin.scheduler import topology as topologies
 
 if TYPE_CHECKING:
+    from damaskpin.scheduler import decisions
+    from damaskpin.scheduler import estimates
     from damaskpin.scheduler import ledger as ledgers
     from damaskpin.scheduler import packing
-
-
-def start(now: float, ledger: ledgers.Ledger, found: list, steps) -> None:
-    """Place waiting jobs in their order until nothing more fits."""
-    heaps = _make_heaps(ledger)
-    # Smallest gang of each level that found no room in this call.
-    too_large: dict[int, int] = {}
-    while heaps and steps.left > 0:
-        account = min(heaps, key=lambda name: _get_order(ledger, heaps, name))
-        group = heaps[account][0][-1]
-        if _start_first(now, ledger, group, too_large, found):
-            steps.left -= 1
+    from damaskpin.scheduler import queue as queues
+
+# Jobs that are moved for a large gang are at most this share of its size, and
+# they have run for a while and will run for a while, so that moving them pays.
+MAX_MOVED_SHARE = 0.25
+MIN_RUN_SECONDS = 300.0
+MIN_REMAINING_SECONDS = 60.0
+
+
+class Borrowing:
+    """Places waiting jobs beyond the guarantees, in their order."""
+
+    __slots__ = ('_estimates', '_ledger', '_reservations', '_too_large')
+
+    def __init__(
+        self, ledger: ledgers.Ledger, known: estimates.Estimates
+    ) -> None:
+        self._ledger = ledger
+        self._estimates = known
+        self._reservations = backfill.Reservations(ledger, known)
+        # Smallest gang of each level that found no room in this call.
+        self._too_large: dict[int, int] = {}
+
+    def start(
+        self, now: float, found: list[decisions.Decision], budget: int
+    ) -> int:
+        """Place waiting jobs until nothing more fits.
+
+        :param budget: jobs to place at most.
+        :returns: what is left of the budget.
+        """
+        self._reservations.refresh(now)
+        self._too_large = {}
+        heaps = self._make_heaps()
+        while heaps and budget > 0:
+            account = min(heaps, key=lambda name: self._get_order(heaps, name))
+            heap = heaps[account]
+            group = heap[0][-1]
             entry = group.peek()
-            if entry is not None:
-                heapq.heapreplace(heaps[account], _make_item(group))
+            if entry is not None and self._start_job(now, entry, found):
+                budget -= 1
+                if group.peek() is not None:
+                    heapq.heapreplace(heap, _make_item(group))
+                    continue
+            heapq.heappop(heap)
+            if not heap:
+                del heaps[account]
+        return budget
+
+    def drop_claims(self, now: float, parts: packing.Parts) -> None:
+        """Drop claims of borrowers on workers that a guarantee needs."""
+        ledger = self._ledger
+        for entry in list(ledger.claims.values()):
+            if entry.instance is not None:
                 continue
-        heapq.heappop(heaps[account])
-        if not heaps[account]:
-            del heaps[account]
-
-
-def drop_claims(
-    now: float, ledger: ledgers.Ledger, parts: packing.Parts
-) -> None:
-    """Drop claims of borrowing work on workers that a guarantee needs."""
-    for entry in list(ledger.claims.values()):
-        if entry.instance is not None:
-            continue
-        if any(node in parts for node in entry.parts):
-            ledger.note(now, entry.job.id, 'claim dropped for a guarantee')
-            ledger.drop_claim(now, entry)
-
-
-def _start_first(
-    now: float,
-    ledger: ledgers.Ledger,
-    group: queues.Group,
-    too_large: dict[int, int],
-    found: list,
-) -> bool:
-    entry = group.peek()
-    if entry is None:
-        return False
-    spec = entry.job.spec
-    account = ledger.accounts[entry.job.account]
-    used = ledger.used.get(account.name, 0)
-    if used + spec.accelerators > account.quota:
+            if any(node in parts for node in entry.parts):
+                ledger.note(now, entry.job.id, 'claim dropped for a guarantee')
+                ledger.drop_claim(now, entry)
+
+    def _start_job(
+        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
+    ) -> bool:
+        ledger = self._ledger
+        spec = entry.job.spec
+        account = ledger.accounts[entry.job.account]
+        used = ledger.used.get(account.name, 0)
+        if used + spec.accelerators > account.quota:
+            return False
+        parts = self._find_free(now, entry)
+        if parts is not None:
+            ledger.claim(entry, parts, ())
+            self._reservations.note_placed(entry)
+            ledger.note(now, entry.job.id, 'placed beyond the guarantees')
+            found.append(ledger.place(now, entry))
+            return True
+        if spec.priority is jobs.Priority.URGENT and self._preempt(
+            now, entry, found
+        ):
+            return True
+        if spec.accelerators < backfill.LARGE_GANG:
+            self._reservations.reserve(now, entry)
+            return self._end_backfill(now, entry, found)
+        self._reservations.reserve(now, entry)
+        return self._end_backfill(now, entry, found) or self._move_small(
+            now, entry, found
+        )
+
+    def _find_free(
+        self, now: float, entry: queues.Entry
+    ) -> packing.Parts | None:
+        spec = entry.job.spec
+        rank = topologies.RANKS[spec.adjacency]
+        if spec.accelerators >= self._too_large.get(
+            rank, spec.accelerators + 1
+        ):
+            return None
+        closed = self._reservations.get_closed(now, entry)
+        avoid = [name for name, end in entry.avoid.items() if end > now]
+        request = placement.Request(
+            spec.accelerators, spec.adjacency, closed, avoid
+        )
+        parts = placement.find_place(self._ledger.topology, request)
+        if parts is None and not avoid and not closed:
+            self._too_large[rank] = spec.accelerators
+        return parts
+
+    def _preempt(
+        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
+    ) -> bool:
+        """Stop normal and low borrowers for an urgent one."""
+        for plan in preemption.find_plans(
+            now,
+            self._ledger,
+            entry,
+            preemption.list_cells(
+                self._ledger.topology, entry.job.spec.adjacency
+            ),
+            lambda other: other.job.spec.priority >= jobs.Priority.NORMAL,
+        ):
+            reason = f'urgent job {entry.job.id} needs the accelerators'
+            self._claim(now, entry, plan, reason, found)
+            return True
         return False
-    rank = topologies.RANKS[spec.adjacency]
-    if spec.accelerators >= too_large.get(rank, spec.accelerators + 1):
+
+    def _end_backfill(
+        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
+    ) -> bool:
+        """Stop the jobs that have outrun the reservation of a gang."""
+        reservation = self._reservations.by_job.get(entry.job.id)
+        if reservation is None:
+            return False
+        priority = entry.job.spec.priority
+        cells = [reservation.cell.nodes]
+        if not topologies.RANKS[entry.job.spec.adjacency]:
+            cells = [[node] for node in reservation.cell.nodes]
+        for plan in preemption.find_plans(
+            now,
+            self._ledger,
+            entry,
+            cells,
+            lambda other: (
+                other.backfilled and other.job.spec.priority >= priority
+            ),
+        ):
+            reason = f'outran the reservation of {entry.job.id}'
+            self._claim(now, entry, plan, reason, found)
+            return True
         return False
-    avoid = [name for name, end in entry.avoid.items() if end > now]
-    request = placement.Request(spec.accelerators, spec.adjacency, avoid=avoid)
-    parts = placement.find_place(ledger.topology, request)
-    if parts is None:
-        if not avoid:
-            too_large[rank] = spec.accelerators
+
+    def _move_small(
+        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
+    ) -> bool:
+        """Stop small jobs that fit elsewhere, to make room for a gang."""
+        ledger = self._ledger
+        spec = entry.job.spec
+        if ledger.topology.count_free() < spec.accelerators:
+            return False
+        limit = spec.accelerators * MAX_MOVED_SHARE
+
+        def may_move(other: queues.Entry) -> bool:
+            return (
+                other.job.spec.accelerators <= limit
+                and other.job.spec.priority >= spec.priority
+                and now - other.started >= MIN_RUN_SECONDS
+                and self._estimates.get_remaining(now, other)
+                >= MIN_REMAINING_SECONDS
+            )
+
+        for plan in preemption.find_plans(
+            now,
+            ledger,
+            entry,
+            preemption.list_cells(ledger.topology, spec.adjacency),
+            may_move,
+        ):
+            cell = next(iter(plan[0])).get_cell(spec.adjacency)
+            if not preemption.fit_elsewhere(ledger, plan[1], cell):
+                continue
+            reason = f'moved to make room for the gang {entry.job.id}'
+            self._claim(now, entry, plan, reason, found)
+            return True
         return False
-    ledger.claim(entry, parts, ())
-    found.append(ledger.place(now, entry))
-    ledger.note(now, entry.job.id, 'placed beyond the guarantees')
-    return True
 
+    def _claim(
+        self,
+        now: float,
+        entry: queues.Entry,
+        plan: preemption.Plan,
+        reason: str,
+        found: list[decisions.Decision],
+    ) -> None:
+        ledger = self._ledger
+        parts, victims = plan
+        for victim in victims:
+            found.append(ledger.stop(now, victim, reason))
+        ledger.claim(entry, parts, tuple(v.job.id for v in victims))
+        ledger.note(now, entry.job.id, f'waits for {len(victims)} jobs')
+        if ledger.is_ready(entry):
+            found.append(ledger.place(now, entry))
+
+    def _make_heaps(self) -> dict[str, list]:
+        ledger = self._ledger
+        heaps: dict[str, list] = {}
+        for name in list(ledger.queue.get_accounts()):
+            if name not in ledger.accounts:
+                continue
+            items = [_make_item(g) for g in ledger.queue.get_groups(name)]
+            if items:
+                heapq.heapify(items)
+                heaps[name] = items
+        return heaps
 
-def _make_heaps(ledger: ledgers.Ledger) -> dict[str, list]:
-    heaps: dict[str, list] = {}
-    for name in list(ledger.queue.get_accounts()):
-        if name not in ledger.accounts:
-            continue
-        items = [_make_item(g) for g in ledger.queue.get_groups(name)]
-        if items:
-            heapq.heapify(items)
-            heaps[name] = items
-    return heaps
+    def _get_order(self, heaps: dict[str, list], name: str) -> tuple:
+        priority, submitted, sequence, _ = heaps[name][0]
+        used = self._ledger.used.get(name, 0)
+        share = used / self._ledger.accounts[name].weight
+        return (priority, share, submitted, sequence)
 
 
 def _make_item(group: queues.Group) -> tuple:
     return (*group.get_order(), group)
-
-
-def _get_order(
-    ledger: ledgers.Ledger, heaps: dict[str, list], name: str
-) -> tuple:
-    priority, submitted, sequence, _ = heaps[name][0]
-    share = ledger.used.get(name, 0) / ledger.accounts[name].weight
-    return (priority, share, submitted, sequence)
--- a/damaskpin/scheduler/cells.py
+++ b/damaskpin/scheduler/cells.py
@@ -245,7 +245,8 @@
                     parts[node] = parts.get(node, 0) + taken
                     extra -= taken
         instance.job_id = job_id
-        self._apply(instance, parts, None, used)
+        rack = self._packer.classify(parts, instance.shape.adjacency)
+        self._apply(instance, parts, None, used, rack)
         self._dirty = True
         return True
 
--- a/damaskpin/scheduler/decisions.py
+++ b/damaskpin/scheduler/decisions.py
@@ -67,6 +67,9 @@
     retryable: bool = False
 
 
+Decision = Place | Reclaim | Warn
+
+
 class Result(enum.StrEnum):
     """How a placed job ended."""
 
--- a/damaskpin/scheduler/guaranteed.py
+++ b/damaskpin/scheduler/guaranteed.py
@@ -124,10 +124,14 @@
             excess -= other.job.spec.accelerators
     if excess <= 0:
         return victims
-    more = reclaim.choose_for_quota(
+    more = reclaim.choose_for_count(
         now,
         excess,
-        [e for e in own.values() if e.is_borrowing() and e not in victims],
+        [
+            (other, other.job.spec.accelerators)
+            for other in own.values()
+            if other.is_borrowing() and other not in victims
+        ],
     )
     return None if more is None else victims + more
 
--- /dev/null
+++ b/damaskpin/scheduler/health.py
@@ -0,0 +1,157 @@
+"""Quarantine of workers on which jobs fail that succeed elsewhere."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from damaskpin.scheduler import topology as topologies
+
+# Different jobs that must have failed in a row on a worker, and how many of
+# them must have succeeded elsewhere. Jobs that are broken themselves fail
+# everywhere, so they are no evidence.
+MIN_FAILURES = 3
+MIN_CONFIRMED = 2
+
+MAX_SHARE = 0.1
+MAX_PER_RACK = 1
+
+PROBE_SECONDS = 60.0
+MAX_PROBE_SECONDS = 3600.0
+
+# Evidence is kept about so many jobs and workers, oldest dropped first.
+MAX_JOBS = 4096
+MAX_FAILURES_KEPT = 16
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """What is held against a worker.
+
+    :ivar failures: jobs that failed since the last success, with whether
+        they succeeded elsewhere.
+    :ivar probe_at: time of the next probe while quarantined.
+    :ivar backoff: seconds of the present quarantine; 0 if there is none.
+    """
+
+    failures: dict[str, bool] = dataclasses.field(default_factory=dict)
+    probe_at: float = 0.0
+    backoff: float = 0.0
+
+
+class Health:
+    """Decides which workers are quarantined and when they are probed."""
+
+    __slots__ = ('_jobs', '_records', '_topology')
+
+    def __init__(self, topology: topologies.Topology) -> None:
+        self._topology = topology
+        self._records: dict[str, _Record] = {}
+        # Workers on which each job failed.
+        self._jobs: dict[str, list[str]] = {}
+
+    def note_success(self, job_id: str, workers: Collection[str]) -> list[str]:
+        """Record that a job succeeded.
+
+        :returns: workers whose quarantine ends.
+        """
+        cleared = []
+        for name in workers:
+            record = self._records.pop(name, None)
+            if record is not None and record.backoff:
+                cleared.append(name)
+        for name in self._jobs.pop(job_id, ()):
+            record = self._records.get(name)
+            if record is not None and job_id in record.failures:
+                record.failures[job_id] = True
+        return cleared
+
+    def note_failure(
+        self, now: float, job_id: str, workers: Collection[str]
+    ) -> list[str]:
+        """Record that a job failed on workers.
+
+        :returns: probed workers whose quarantine goes on.
+        """
+        again = []
+        for name in workers:
+            record = self._records.setdefault(name, _Record())
+            record.failures.setdefault(job_id, False)
+            if len(record.failures) > MAX_FAILURES_KEPT:
+                del record.failures[next(iter(record.failures))]
+            known = self._jobs.setdefault(job_id, [])
+            if name not in known:
+                known.append(name)
+            if record.backoff:
+                record.backoff = min(record.backoff * 2, MAX_PROBE_SECONDS)
+                record.probe_at = now + record.backoff
+                again.append(name)
+        while len(self._jobs) > MAX_JOBS:
+            del self._jobs[next(iter(self._jobs))]
+        return again
+
+    def find_suspects(self) -> list[topologies.Node]:
+        """Return workers that should be quarantined and may be."""
+        nodes = self._topology.nodes
+        suspects = []
+        allowed = int(len(nodes) * MAX_SHARE) - sum(
+            1 for record in self._records.values() if record.backoff
+        )
+        racks = {
+            nodes[name].rack: 1
+            for name, record in self._records.items()
+            if record.backoff and name in nodes
+        }
+        for name, record in self._records.items():
+            if record.backoff or len(record.failures) < MIN_FAILURES:
+                continue
+            if sum(record.failures.values()) < MIN_CONFIRMED:
+                continue
+            node = nodes.get(name)
+            if node is None or not node.alive or allowed <= 0:
+                continue
+            if racks.get(node.rack, 0) >= MAX_PER_RACK:
+                continue
+            racks[node.rack] = racks.get(node.rack, 0) + 1
+            allowed -= 1
+            suspects.append(node)
+        return suspects
+
+    def quarantine(self, now: float, name: str) -> None:
+        """Record that a worker is quarantined from now on."""
+        record = self._records[name]
+        record.backoff = PROBE_SECONDS
+        record.probe_at = now + record.backoff
+
+    def forgive(self, name: str) -> None:
+        """Drop what is held against a worker."""
+        self._records.pop(name, None)
+
+    def get_quarantined(self) -> list[str]:
+        """Return the quarantined workers."""
+        return [name for name, r in self._records.items() if r.backoff]
+
+    def find_due_probes(self, now: float) -> list[topologies.Node]:
+        """Return quarantined workers that one job may try now."""
+        found = []
+        for name, record in self._records.items():
+            node = self._topology.nodes.get(name)
+            if node is None or not node.quarantined or node.probing:
+                continue
+            if record.backoff and record.probe_at <= now:
+                found.append(node)
+        return found
+
+    def get_next_probe(self) -> float | None:
+        """Return the time of the next probe."""
+        return min(
+            (
+                record.probe_at
+                for name, record in self._records.items()
+                if record.backoff and not self._topology.nodes[name].probing
+            ),
+            default=None,
+        )
--- a/damaskpin/scheduler/ledger.py
+++ b/damaskpin/scheduler/ledger.py
@@ -8,6 +8,7 @@
 from damaskpin.scheduler import cells
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import queue as queues
+from damaskpin.scheduler import reclaim
 from damaskpin.scheduler import topology as topologies
 
 if TYPE_CHECKING:
@@ -104,7 +105,7 @@
         if known is not None and running + size > known.quota:
             return False
         return all(
-            node.unused >= count and node.is_usable()
+            node.unused >= count and node.is_open()
             for node, count in entry.parts.items()
         )
 
@@ -131,6 +132,14 @@
             entry.job.id, entry.members, guaranteed, waited_for
         )
 
+    def stop(
+        self, now: float, victim: queues.Entry, reason: str
+    ) -> decisions.Reclaim:
+        """Decide that a borrower is stopped."""
+        victim.state = queues.State.STOPPING
+        self.note(now, victim.job.id, f'reclaimed: {reason}')
+        return decisions.Reclaim(victim.job.id, reclaim.GRACE_SECONDS, reason)
+
     def adopt(
         self, entry: queues.Entry, members: decisions.Members, started: float
     ) -> None:
--- a/damaskpin/scheduler/packing.py
+++ b/damaskpin/scheduler/packing.py
@@ -39,7 +39,7 @@
     :ivar spares: workers that may still fail under the allowance.
     :ivar untouched: workers without bindings in pool racks, by size.
     :ivar touched: workers with bindings in pool racks, by size.
-    :ivar empty: racks without bindings, by size.
+    :ivar empty: workers of each rack without bindings, by size.
     :ivar exclusive: workers of the largest exclusive rack, by size.
     """
 
@@ -54,7 +54,7 @@
     ) -> None:
         self.untouched: dict[int, int] = {}
         self.touched: dict[int, int] = {}
-        self.empty: dict[int, int] = {}
+        self.empty: dict[int, list[int]] = {}
         self.exclusive: dict[int, int] = {}
         failed = 0
         for rack in cell.children:
@@ -76,7 +76,7 @@
             if use is not RackUse.POOL:
                 continue
             if not any(node.bound for node in usable):
-                self.empty[size] = self.empty.get(size, 0) + 1
+                self.empty.setdefault(size, []).append(len(usable))
             for node in usable:
                 counts = self.touched if node.bound else self.untouched
                 counts[node.size] = counts.get(node.size, 0) + 1
@@ -84,9 +84,28 @@
 
     def count_available(self, size: int) -> int:
         """Return the untouched pool workers beyond the spares."""
-        reserve = self.spares * (1 + self.exclusive.get(size, 0))
+        reserve = self.spares + sum(self.get_kept_racks(size))
         return self.untouched.get(size, 0) - reserve
 
+    def get_kept_racks(self, size: int) -> list[int]:
+        """Return the workers of the empty racks that are kept as spares."""
+        need = self.exclusive.get(size, 0)
+        if not need:
+            return []
+        racks = sorted(r for r in self.empty.get(size, ()) if r >= need)
+        return racks[: self.spares]
+
+    def can_give_rack(self, size: int, workers: int, need: int) -> bool:
+        """Return whether enough empty racks remain without one.
+
+        :param workers: workers of the rack that is given away.
+        :param need: workers that a spare rack must have; 0 for no spare.
+        """
+        if not need:
+            return True
+        racks = sum(1 for r in self.empty.get(size, ()) if r >= need)
+        return racks - int(workers >= need) >= self.spares
+
 
 class Packer:
     """Finds accelerators for one shape among those that are not bound."""
@@ -113,6 +132,23 @@
         """Drop what was derived about a data centre that changed."""
         self._cache.pop(cell, None)
 
+    def classify(
+        self, parts: Parts, adjacency: hardware.Adjacency
+    ) -> tuple[topologies.Cell | None, RackUse]:
+        """Return how the rack of a binding that exists already is used."""
+        if adjacency is not hardware.Adjacency.RACK or len(parts) < 2:
+            return None, RackUse.POOL
+        rack = next(iter(parts)).rack
+        spares = self._get_use(rack.parent).spares
+        untouched = sum(
+            1
+            for node in rack.nodes
+            if node.is_usable() and not node.bound and node not in parts
+        )
+        if untouched >= spares:
+            return rack, RackUse.SHARED
+        return rack, RackUse.EXCLUSIVE
+
     def find(
         self,
         shape: configs.Guarantee,
@@ -260,6 +296,9 @@
             bound = len(usable) - len(untouched)
             if left < 0 and use.touched.get(size, 0) > bound:
                 return {}
+            need = use.exclusive.get(size, 0)
+            if not bound and not use.can_give_rack(size, len(usable), need):
+                return {}
         kept = untouched[len(untouched) - spares :]
         if len(untouched) < spares:
             return {}
@@ -278,11 +317,12 @@
         if any(node.bound for node in usable):
             return {}
         size = usable[0].size
-        reserve = spares * max(len(usable), use.exclusive.get(size, 0))
+        need = max(len(usable), use.exclusive.get(size, 0))
+        if not use.can_give_rack(size, len(usable), need):
+            return {}
+        reserve = spares * need
         if use.touched.get(size, 0):
             reserve += spares
-        if use.empty.get(size, 0) - 1 < spares:
-            return {}
         if use.untouched.get(size, 0) - len(usable) < reserve:
             return {}
         return get_unbound(usable)
@@ -298,6 +338,7 @@
                 avail.update(get_unbound(centre.nodes))
                 continue
             left: dict[int, int] = {}
+            kept = {size: use.get_kept_racks(size) for size in use.exclusive}
             # Racks that are in use already go first: empty ones are kept.
             racks = sorted(
                 centre.children,
@@ -308,6 +349,8 @@
                 if kind is RackUse.EXCLUSIVE:
                     continue
                 shared = kind is RackUse.SHARED
+                if kept and not shared and _is_kept(rack, kept):
+                    continue
                 rack_left = 0
                 if shared:
                     rack_left = -use.spares + sum(
@@ -331,6 +374,18 @@
         return avail
 
 
+def _is_kept(rack: topologies.Cell, kept: dict[int, list[int]]) -> bool:
+    """Take an empty rack off the list of spare racks, if it is one."""
+    usable = [node for node in rack.nodes if node.is_usable()]
+    if not usable or any(node.bound for node in usable):
+        return False
+    racks = kept.get(usable[0].size, [])
+    if len(usable) not in racks:
+        return False
+    racks.remove(len(usable))
+    return True
+
+
 def get_unbound(nodes: Iterable[topologies.Node]) -> Parts:
     """Return the accelerators of workers in service that are not bound."""
     return {
--- /dev/null
+++ b/damaskpin/scheduler/preemption.py
@@ -0,0 +1,158 @@
+"""Start of borrowing work in the place of other borrowing work."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.model import hardware
+from damaskpin.scheduler import packing
+from damaskpin.scheduler import placement
+from damaskpin.scheduler import reclaim
+from damaskpin.scheduler import topology as topologies
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from damaskpin.scheduler import ledger as ledgers
+    from damaskpin.scheduler import queue as queues
+
+Plan = tuple[packing.Parts, list['queues.Entry']]
+Cells = list[list[topologies.Node]]
+
+# Cells that are examined in detail, those with the smallest deficit first.
+MAX_CELLS = 3
+
+
+def list_cells(
+    topology: topologies.Topology, adjacency: hardware.Adjacency
+) -> Cells:
+    """Return the workers of every cell of a level."""
+    if adjacency is hardware.Adjacency.WORKER:
+        return [[node] for node in topology.nodes.values()]
+    return [cell.nodes for cell in topology.cells[adjacency].values()]
+
+
+def find_plans(
+    now: float,
+    ledger: ledgers.Ledger,
+    entry: queues.Entry,
+    cells: Cells,
+    may_stop: Callable[[queues.Entry], bool],
+) -> Iterable[Plan]:
+    """Find places for a gang where some borrowing jobs are stopped.
+
+    :param cells: workers of each cell that is considered.
+    :returns: accelerators of each worker and the jobs to stop, the place
+        that needs the fewest accelerators first.
+    """
+    size = entry.job.spec.accelerators
+    options = []
+    for position, nodes in enumerate(cells):
+        free = sum(node.free for node in nodes)
+        if sum(node.total for node in nodes) < size:
+            continue
+        options.append((size - free, position, nodes))
+    options.sort()
+    tried = 0
+    for missing, _, nodes in options:
+        sums = _sum_candidates(nodes, ledger, may_stop)
+        if sum(sums.values()) < missing:
+            continue
+        plan = _make_plan(now, ledger, entry, nodes, missing, sums)
+        if plan is not None:
+            yield plan
+        tried += 1
+        if tried >= MAX_CELLS:
+            return
+
+
+def fit_elsewhere(
+    ledger: ledgers.Ledger,
+    victims: list[queues.Entry],
+    cell: topologies.Cell | None,
+) -> bool:
+    """Return whether stopped jobs could start again outside a cell."""
+    topology = ledger.topology
+    closed = {} if cell is None else {cell: 0}
+    held: list[packing.Parts] = []
+    fit = True
+    for victim in victims:
+        spec = victim.job.spec
+        parts = placement.find_place(
+            topology,
+            placement.Request(spec.accelerators, spec.adjacency, closed),
+        )
+        if parts is None:
+            fit = False
+            break
+        for node, count in parts.items():
+            topology.hold(node, count)
+        held.append(parts)
+    for parts in held:
+        for node, count in parts.items():
+            topology.hold(node, -count)
+    return fit
+
+
+def _sum_candidates(
+    nodes: list[topologies.Node],
+    ledger: ledgers.Ledger,
+    may_stop: Callable[[queues.Entry], bool],
+) -> dict[str, int]:
+    """Return the accelerators on some workers of the jobs that may stop."""
+    sums: dict[str, int] = {}
+    for node in nodes:
+        if not node.total:
+            continue
+        for job_id in node.slots:
+            if job_id is None:
+                continue
+            if job_id in sums:
+                sums[job_id] += 1
+                continue
+            other = ledger.entries[job_id]
+            if reclaim.is_ending(other) or not other.is_borrowing():
+                continue
+            if may_stop(other):
+                sums[job_id] = 1
+    return sums
+
+
+def _make_plan(
+    now: float,
+    ledger: ledgers.Ledger,
+    entry: queues.Entry,
+    nodes: list[topologies.Node],
+    missing: int,
+    sums: dict[str, int],
+) -> Plan | None:
+    entries = ledger.entries
+    chosen = reclaim.choose_for_count(
+        now, missing, [(entries[job_id], n) for job_id, n in sums.items()]
+    )
+    if chosen is None:
+        return None
+    ids = {other.job.id for other in chosen}
+    avail: packing.Parts = {}
+    for node in nodes:
+        if not node.total:
+            continue
+        count = node.free + sum(1 for job_id in node.slots if job_id in ids)
+        if count:
+            avail[node] = count
+    size = entry.job.spec.accelerators
+    if sum(avail.values()) < size:
+        return None
+    cell = nodes[0].get_cell(entry.job.spec.adjacency)
+    if cell is None:
+        parts = {nodes[0]: size}
+    else:
+        parts = packing.fill_cell(cell, size, avail)
+    victims = reclaim.choose_victims(
+        now,
+        reclaim.count_deficits(parts, entries),
+        entries,
+        lambda other: other.job.id in ids,
+    )
+    return None if victims is None else (parts, victims)
--- a/damaskpin/scheduler/reclaim.py
+++ b/damaskpin/scheduler/reclaim.py
@@ -88,22 +88,26 @@
     return _drop_needless(now, deficits, chosen)
 
 
-def choose_for_quota(
-    now: float, excess: int, candidates: list[queues.Entry]
+def choose_for_count(
+    now: float, missing: int, candidates: list[tuple[queues.Entry, int]]
 ) -> list[queues.Entry] | None:
-    """Choose jobs of one account that free enough of its quota."""
+    """Choose the fewest and cheapest jobs that free a number together.
+
+    :param missing: accelerators to free.
+    :param candidates: jobs with the accelerators that count for each.
+    :returns: the jobs; ``None`` if they do not free enough.
+    """
+    if missing <= 0:
+        return []
+    left = sorted(candidates, key=lambda item: get_cost(now, item[0]))
     chosen = []
-    # One job that suffices is preferred to several smaller ones.
-    candidates = sorted(candidates, key=lambda e: get_cost(now, e))
-    for entry in candidates:
-        if entry.job.spec.accelerators >= excess:
-            return [entry]
-    for entry in sorted(candidates, key=lambda e: -e.job.spec.accelerators):
-        if excess <= 0:
-            break
-        chosen.append(entry)
-        excess -= entry.job.spec.accelerators
-    return chosen if excess <= 0 else None
+    while missing > 0 and left:
+        # One job that frees the rest is preferred to several smaller ones.
+        best = min(left, key=lambda item: (-min(item[1], missing), item[1]))
+        left.remove(best)
+        chosen.append(best[0])
+        missing -= best[1]
+    return chosen if missing <= 0 else None
 
 
 def get_cost(
--- a/damaskpin/scheduler/scheduler.py
+++ b/damaskpin/scheduler/scheduler.py
@@ -7,10 +7,11 @@
 from damaskpin.scheduler import admission
 from damaskpin.scheduler import borrowing
 from damaskpin.scheduler import decisions
+from damaskpin.scheduler import estimates
 from damaskpin.scheduler import guaranteed
+from damaskpin.scheduler import health
 from damaskpin.scheduler import ledger as ledgers
 from damaskpin.scheduler import queue as queues
-from damaskpin.scheduler import reclaim
 from damaskpin.scheduler import snapshot
 from damaskpin.scheduler import warnings
 
@@ -21,8 +22,6 @@
     from damaskpin.model import hardware
     from damaskpin.model import job as jobs
 
-Decision = decisions.Place | decisions.Reclaim | decisions.Warn
-
 # Placements and reclaims of one call. The largest gangs take the longest;
 # 64 of them stay far below the limit of 250 ms for a call.
 MAX_STEPS = 64
@@ -48,8 +47,10 @@
         self._ledger = ledgers.Ledger()
         self._admission = admission.Admission(config)
         self._warnings = warnings.Warnings(config)
+        self._estimates = estimates.Estimates()
+        self._health = health.Health(self._ledger.topology)
+        self._borrowing = borrowing.Borrowing(self._ledger, self._estimates)
         self._dirty = True
-        self._work_left = False
         self.set_config(config)
 
     def set_config(self, config: configs.Config) -> None:
@@ -184,8 +185,7 @@
         self._dirty = True
         result = outcome.result
         ledger.note(now, job_id, f'ended: {result.value}')
-        for name in outcome.failed_workers:
-            entry.avoid[name] = now + AVOID_SECONDS
+        self._note_outcome(now, entry, outcome)
         again = result is decisions.Result.CHECKPOINTED or (
             result is decisions.Result.LOST and entry.job.spec.idempotent
         )
@@ -228,7 +228,7 @@
             self._restore_instance(entry)
         self._dirty = True
 
-    def decide(self, now: float) -> list[Decision]:
+    def decide(self, now: float) -> list[decisions.Decision]:
         """Return what the caller has to carry out now.
 
         The work of one call is bounded; :meth:`next_wakeup` returns ``now``
@@ -237,20 +237,20 @@
         ledger = self._ledger
         if ledger.queue.release_delayed(now):
             self._dirty = True
-        found: list[Decision] = []
+        found: list[decisions.Decision] = []
+        self._update_health(now)
         ledger.bindings.settle()
+        self._lift_quarantines()
         found.extend(self._warnings.update(now, ledger))
         if not self._dirty:
             return found
         self._dirty = False
-        steps = _Steps(MAX_STEPS)
         self._drop_broken_claims(now)
         self._finish_claims(now, found)
-        self._start_guaranteed(now, found, steps)
-        if steps.left > 0:
-            borrowing.start(now, ledger, found, steps)
-        self._work_left = steps.left <= 0
-        if self._work_left:
+        budget = self._start_guaranteed(now, found, MAX_STEPS)
+        if budget > 0:
+            budget = self._borrowing.start(now, found, budget)
+        if budget <= 0:
             self._dirty = True
         return found
 
@@ -269,6 +269,7 @@
         times = [
             self._ledger.queue.get_next_release(),
             self._warnings.get_next_check(),
+            self._health.get_next_probe(),
         ]
         known = [time for time in times if time is not None]
         return max(now, min(known)) if known else None
@@ -307,19 +308,21 @@
 
     def _drop_broken_claims(self, now: float) -> None:
         for entry in list(self._ledger.claims.values()):
-            if all(node.is_usable() for node in entry.parts):
+            if all(node.is_open() for node in entry.parts):
                 continue
             self._ledger.note(now, entry.job.id, 'a claimed worker failed')
             self._ledger.drop_claim(now, entry)
 
-    def _finish_claims(self, now: float, found: list[Decision]) -> None:
+    def _finish_claims(
+        self, now: float, found: list[decisions.Decision]
+    ) -> None:
         for entry in list(self._ledger.claims.values()):
             if self._ledger.is_ready(entry):
                 found.append(self._ledger.place(now, entry))
 
     def _start_guaranteed(
-        self, now: float, found: list[Decision], steps: _Steps
-    ) -> None:
+        self, now: float, found: list[decisions.Decision], budget: int
+    ) -> int:
         ledger = self._ledger
         for account in list(ledger.queue.get_accounts()):
             if account not in ledger.accounts:
@@ -329,16 +332,17 @@
             groups = ledger.queue.get_groups(account)
             groups.sort(key=queues.Group.get_order)
             for group in groups:
-                while steps.left > 0:
+                while budget > 0:
                     entry = group.peek()
                     if entry is None:
                         break
                     if not self._claim_guaranteed(now, entry, found):
                         break
-                    steps.left -= 1
+                    budget -= 1
+        return budget
 
     def _claim_guaranteed(
-        self, now: float, entry: queues.Entry, found: list[Decision]
+        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
         ledger = self._ledger
         instance = guaranteed.choose_instance(ledger, entry)
@@ -347,14 +351,14 @@
         parts = guaranteed.choose_parts(instance, entry)
         victims = guaranteed.find_victims(now, ledger, entry, parts)
         if victims is None:
-            borrowing.drop_claims(now, ledger, parts)
+            self._borrowing.drop_claims(now, parts)
             victims = guaranteed.find_victims(now, ledger, entry, parts)
         if victims is None:
             return False
         for victim in victims:
             reason = f'guaranteed shape {instance.shape.name} of '
             reason += f'{entry.job.account} is needed by {entry.job.id}'
-            found.append(self._stop(now, victim, reason))
+            found.append(ledger.stop(now, victim, reason))
         ledger.claim(entry, parts, tuple(v.job.id for v in victims))
         entry.instance = instance
         ledger.bindings.acquire(instance, entry.job.id, parts)
@@ -368,18 +372,61 @@
             found.append(ledger.place(now, entry))
         return True
 
-    def _stop(
-        self, now: float, victim: queues.Entry, reason: str
-    ) -> decisions.Reclaim:
-        victim.state = queues.State.STOPPING
-        self._ledger.note(now, victim.job.id, f'reclaimed: {reason}')
-        return decisions.Reclaim(victim.job.id, reclaim.GRACE_SECONDS, reason)
-
-
-class _Steps:
-    """Work that one call may still do."""
+    def _note_outcome(
+        self, now: float, entry: queues.Entry, outcome: decisions.Outcome
+    ) -> None:
+        """Learn run times and the health of workers from an outcome."""
+        names = [name for name, _ in entry.members]
+        if outcome.result is decisions.Result.SUCCEEDED:
+            self._estimates.observe(
+                entry.job.account,
+                entry.job.spec.run_seconds,
+                entry.run_before + now - entry.started,
+            )
+            for name in self._health.note_success(entry.job.id, names):
+                self._set_quarantined(now, name, False)
+            return
+        if outcome.result is not decisions.Result.FAILED:
+            names = []
+        elif len(names) > 1:
+            # It is not known which member of a gang is to blame.
+            names = []
+        blamed = outcome.failed_workers or names
+        for name in blamed:
+            entry.avoid[name] = now + AVOID_SECONDS
+        for name in self._health.note_failure(now, entry.job.id, blamed):
+            self._set_quarantined(now, name, True)
 
-    __slots__ = ('left',)
+    def _update_health(self, now: float) -> None:
+        topology = self._ledger.topology
+        for node in self._health.find_due_probes(now):
+            topology.start_probe(node)
+            self._dirty = True
+        for node in self._health.find_suspects():
+            unmet = sum(self._ledger.bindings.get_unmet().values())
+            self._set_quarantined(now, node.name, True)
+            self._health.quarantine(now, node.name)
+            self._ledger.bindings.settle()
+            if sum(self._ledger.bindings.get_unmet().values()) > unmet:
+                # A suspect worker is better than a guarantee without one.
+                self._health.forgive(node.name)
+                self._set_quarantined(now, node.name, False)
+
+    def _lift_quarantines(self) -> None:
+        """End all quarantines if a guarantee can't be met otherwise."""
+        names = self._health.get_quarantined()
+        if not names or not self._ledger.bindings.get_unmet():
+            return
+        for name in names:
+            self._health.forgive(name)
+            self._set_quarantined(0.0, name, False)
+        self._ledger.bindings.settle()
 
-    def __init__(self, left: int) -> None:
-        self.left = left
+    def _set_quarantined(
+        self, now: float, name: str, quarantined: bool
+    ) -> None:
+        node = self._ledger.topology.nodes.get(name)
+        if node is None:
+            return
+        self._ledger.topology.set_quarantined(node, quarantined)
+        self._note_worker_change(now, name)
--- a/damaskpin/scheduler/topology.py
+++ b/damaskpin/scheduler/topology.py
@@ -68,6 +68,7 @@
     :ivar held: accelerators held for jobs that wait for others to stop.
     :ivar bound: accelerators bound to guaranteed shapes, used or not.
     :ivar bound_unused: part of them that no guaranteed job uses.
+    :ivar probing: whether one job at a time may try a quarantined worker.
     :ivar free: accelerators that a job can take now; 0 out of service.
     """
 
@@ -81,6 +82,7 @@
         'held',
         'name',
         'ordinal',
+        'probing',
         'quarantined',
         'rack',
         'region',
@@ -110,13 +112,18 @@
         self.bound_unused = 0
         self.alive = False
         self.quarantined = False
+        self.probing = False
         self.free = 0
         self.total = 0
 
     def is_usable(self) -> bool:
-        """Return whether new work may start here."""
+        """Return whether guaranteed shapes may be bound here."""
         return self.alive and not self.quarantined
 
+    def is_open(self) -> bool:
+        """Return whether new work may start here."""
+        return self.alive and (not self.quarantined or self.probing)
+
     def get_cell(self, level: hardware.Adjacency) -> Cell | None:
         """Return the cell of a level; ``None`` for the worker itself."""
         rank = RANKS[level]
@@ -164,8 +171,19 @@
 
     def set_quarantined(self, node: Node, quarantined: bool) -> None:
         """Stop or resume starting work on a worker."""
+        node.probing = False
         self._set_state(node, node.alive, quarantined)
 
+    def start_probe(self, node: Node) -> None:
+        """Let one job at a time try a quarantined worker."""
+        node.probing = True
+        self.refresh(node)
+
+    def count_free(self) -> int:
+        """Return the accelerators that jobs can take now."""
+        regions = self.cells[hardware.Adjacency.REGION].values()
+        return sum(cell.free for cell in regions)
+
     def occupy(self, node: Node, index: int, job_id: str) -> None:
         """Record that a job uses an accelerator."""
         if node.slots[index] is not None:
@@ -193,9 +211,12 @@
 
     def refresh(self, node: Node) -> None:
         """Carry a change of a worker over to its cells."""
-        usable = node.is_usable()
-        free = max(0, node.unused - node.held) if usable else 0
-        total = node.size if usable else 0
+        is_open = node.is_open()
+        free = max(0, node.unused - node.held) if is_open else 0
+        if node.probing and node.unused < node.size:
+            # One job is enough to try a worker out.
+            free = 0
+        total = node.size if is_open else 0
         free_change = free - node.free
         total_change = total - node.total
         if not free_change and not total_change:
--- /dev/null
+++ b/tests/test_scheduler/simulation.py
@@ -0,0 +1,247 @@
+"""Discrete-event runs of the scheduler at design size.
+
+``python -m tests.test_scheduler.simulation --seeds 3`` prints the cost of the
+decisions and the waits of a day.
+"""
+
+import argparse
+import heapq
+import random
+import statistics
+import time
+
+from damaskpin.model import config as configs
+from damaskpin.model import hardware
+from damaskpin.model import job as jobs
+from damaskpin.scheduler import decisions
+from damaskpin.scheduler import scheduler as schedulers
+
+DAY = 86_400.0
+STOP_SECONDS = 2.5
+
+
+def make_config(accounts=37, guaranteed_share=0.5, seed=0):
+    """Make 3 regions with 12 data centres, 1,500 workers, 3,600 slots."""
+    rng = random.Random(seed)
+    racks = []
+    for centre in range(12):
+        # 25 racks of 5 workers with 2 or 4 accelerators: 300 in total.
+        for index in range(25):
+            racks.append(
+                configs.Rack(
+                    name=f'k{index}',
+                    data_centre=f'd{centre}',
+                    region=f'r{centre // 4}',
+                    workers=5,
+                    accelerators=4 if index < 5 else 2,
+                )
+            )
+    total = 3600 * guaranteed_share
+    made = []
+    for index in range(accounts):
+        shapes = []
+        budget = int(total / accounts)
+        region = f'r{index % 3}'
+        sizes = [
+            (2, 'worker'),
+            (8, 'rack'),
+            (32, 'data_centre'),
+        ]
+        if index % 9 == 0:
+            sizes.append((64, 'data_centre'))
+        for size, level in reversed(sizes):
+            count = min(3, budget // size)
+            if not count:
+                continue
+            budget -= size * count
+            shapes.append(
+                configs.Guarantee(
+                    name=f's{size}',
+                    accelerators=size,
+                    adjacency=hardware.Adjacency(level),
+                    count=count,
+                    region=region,
+                )
+            )
+        made.append(
+            configs.Account(
+                name=f'a{index}',
+                token_sha256='0' * 64,
+                weight=rng.choice([1.0, 2.0]),
+                quota=400,
+                max_queued=2000,
+                guarantees=shapes,
+            )
+        )
+    return configs.Config(accounts=made, racks=racks, failed_workers=1)
+
+
+def make_workers(config):
+    """Make the workers that a configuration expects."""
+    return [
+        hardware.Worker(
+            f'{rack.data_centre}-{rack.name}-{index}',
+            rack.region,
+            rack.data_centre,
+            rack.name,
+            rack.accelerators,
+        )
+        for rack in config.racks
+        for index in range(rack.workers)
+    ]
+
+
+def make_day(config, count, seed, load=1.0):
+    """Make the jobs of a day: (time, job, true run time)."""
+    rng = random.Random(seed)
+    day = []
+    for index in range(count):
+        size = rng.choice([1] * 8 + [2] * 4 + [4, 8, 16, 16, 32, 64, 128])
+        level = 'worker' if size <= 2 else 'data_centre'
+        if size in (4, 8):
+            level = 'rack'
+        seconds = load * min(rng.lognormvariate(9.0, 1.0), DAY)
+        declared = seconds * 10 ** rng.uniform(-1, 1)
+        declared = min(max(declared, 1.0), jobs.MAX_RUN_SECONDS)
+        spec = jobs.JobSpec(
+            accelerators=size,
+            adjacency=hardware.Adjacency(level),
+            run_seconds=declared,
+            priority=jobs.Priority(rng.choice([1, 2, 2, 2, 2, 3])),
+        )
+        account = rng.choice(config.accounts).name
+        when = rng.uniform(0, DAY)
+        day.append((when, jobs.Job(f'j{index}', account, spec), seconds))
+    return sorted(day, key=lambda item: item[0])
+
+
+class Simulation:
+    """Runs a scheduler against jobs whose true run times are known."""
+
+    def __init__(self, config, seed=0):
+        self.config = config
+        self.scheduler = schedulers.Scheduler(config, random.Random(seed))
+        self.longest = 0.0
+        self.cpu = 0.0
+        self.calls = 0
+        self.reclaims = 0
+        self.waits = {}
+        self.completions = []
+        self.left = {}
+        self.info = {}
+        self.running = {}
+        self.events = []
+        self.count = 0
+
+    def call(self, function, *args):
+        begin = time.process_time()
+        result = function(*args)
+        spent = time.process_time() - begin
+        self.cpu += spent
+        self.calls += 1
+        self.longest = max(self.longest, spent)
+        return result
+
+    def push(self, when, kind, item):
+        self.count += 1
+        heapq.heappush(self.events, (when, self.count, kind, item))
+
+    def run(self, day, until):
+        for worker in make_workers(self.config):
+            self.call(self.scheduler.set_worker, 0.0, worker)
+        for when, job, seconds in day:
+            self.push(when, 'submit', (job, seconds))
+        while self.events and self.events[0][0] <= until:
+            now, _, kind, item = heapq.heappop(self.events)
+            self.handle(now, kind, item)
+            self.decide(now)
+
+    def handle(self, now, kind, item):
+        call, scheduler = self.call, self.scheduler
+        if kind == 'submit':
+            job, seconds = item
+            if call(scheduler.submit, now, job) is None:
+                self.info[job.id] = (now, job)
+                self.left[job.id] = seconds
+        elif kind == 'end':
+            job_id, attempt = item
+            if self.running.get(job_id, (0, 0))[1] != attempt:
+                return
+            del self.running[job_id]
+            self.completions.append(now - self.info[job_id][0])
+            outcome = decisions.Outcome(decisions.Result.SUCCEEDED)
+            call(scheduler.finished, now, job_id, outcome)
+        elif kind == 'stop':
+            if item not in self.running:
+                return
+            begin, _ = self.running.pop(item)
+            self.left[item] -= now - begin
+            outcome = decisions.Outcome(decisions.Result.CHECKPOINTED)
+            call(scheduler.finished, now, item, outcome)
+
+    def decide(self, now):
+        for _ in range(100):
+            for decision in self.call(self.scheduler.decide, now):
+                self.carry_out(now, decision)
+            wakeup = self.scheduler.next_wakeup(now)
+            if wakeup is None or wakeup > now:
+                break
+        else:
+            raise AssertionError('decide never runs out of work')
+
+    def carry_out(self, now, decision):
+        match decision:
+            case decisions.Place(job_id=job_id):
+                self.count += 1
+                self.running[job_id] = (now, self.count)
+                submitted, job = self.info[job_id]
+                size = job.spec.accelerators
+                kind = 'large' if size >= 16 else 'small'
+                if decision.guaranteed:
+                    kind = 'guaranteed'
+                if job_id not in self.waits:
+                    self.waits[job_id] = (kind, now - submitted)
+                self.call(self.scheduler.started, now, job_id, 'x')
+                end = now + max(self.left[job_id], 0.1)
+                self.push(end, 'end', (job_id, self.count))
+            case decisions.Reclaim(job_id=job_id):
+                self.reclaims += 1
+                self.push(now + STOP_SECONDS, 'stop', job_id)
+
+
+def get_percentile(values, share):
+    """Return a percentile, or 0 without values."""
+    ranked = sorted(values)
+    return ranked[int(share * (len(ranked) - 1))] if ranked else 0.0
+
+
+def main():
+    """Print the results of some seeds."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seeds', type=int, default=3)
+    parser.add_argument('--jobs', type=int, default=1900)
+    parser.add_argument('--load', type=float, default=1.0)
+    options = parser.parse_args()
+    for seed in range(options.seeds):
+        config = make_config(seed=seed)
+        run = Simulation(config, seed)
+        run.run(make_day(config, options.jobs, seed, options.load), DAY)
+        text = f'seed {seed}: cpu {run.cpu:.2f} s, calls {run.calls}, '
+        text += f'longest {run.longest * 1000:.0f} ms, '
+        text += f'reclaims {run.reclaims}, done {len(run.completions)}'
+        for kind in ('guaranteed', 'large', 'small'):
+            waits = [w for k, w in run.waits.values() if k == kind]
+            text += (
+                f', {kind} {len(waits)}, p95 {get_percentile(waits, 0.95):.0f}'
+            )
+            text += f' max {max(waits, default=0):.0f}'
+        waiting = [j for j in run.info if j not in run.waits]
+        large = sum(run.info[j][1].spec.accelerators >= 16 for j in waiting)
+        text += f', never started {len(waiting)} ({large} large)'
+        if run.completions:
+            text += f', mean {statistics.mean(run.completions):.0f} s'
+        print(text)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_scheduler/test_scheduler_fuzz.py
+++ b/tests/test_scheduler/test_scheduler_fuzz.py
@@ -9,6 +9,8 @@
 from damaskpin.model import config as configs
 from damaskpin.model import hardware
 from damaskpin.model import job as jobs
+from damaskpin.scheduler import backfill
+from damaskpin.scheduler import borrowing
 from damaskpin.scheduler import cells
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import scheduler as schedulers
@@ -88,6 +90,16 @@
 class SchedulerMachine(stateful.RuleBasedStateMachine):
     """Random events against what a caller can observe."""
 
+    def __init__(self):
+        super().__init__()
+        # The cells are small, so gangs count as large earlier.
+        self.kept = (backfill.LARGE_GANG, borrowing.MIN_RUN_SECONDS)
+        backfill.LARGE_GANG = 4
+        borrowing.MIN_RUN_SECONDS = 5.0
+
+    def teardown(self):
+        backfill.LARGE_GANG, borrowing.MIN_RUN_SECONDS = self.kept
+
     @stateful.initialize(config=make_configs(), seed=st.integers(0, 99))
     def start(self, config, seed):
         self.config = config
@@ -133,6 +145,20 @@
             self.jobs[job.id] = job
             self.queued[job.id] = self.now
 
+    @stateful.rule(
+        account=st.integers(0, 2),
+        sizes=st.lists(st.integers(1, 3), min_size=2, max_size=8),
+    )
+    def submit_burst(self, account, sizes):
+        names = sorted(self.accounts)
+        for size in sizes:
+            spec = jobs.JobSpec(accelerators=size, run_seconds=100.0)
+            self.count += 1
+            job = jobs.Job(f'j{self.count}', names[account % len(names)], spec)
+            if self.scheduler.submit(self.now, job) is None:
+                self.jobs[job.id] = job
+                self.queued[job.id] = self.now
+
     @stateful.rule(seconds=st.sampled_from([0.1, 10.0, 400.0]))
     def wait(self, seconds):
         self.now += seconds
