--- a/damaskpin/gang/coordinator.py
+++ b/damaskpin/gang/coordinator.py
@@ -87,6 +87,17 @@
         """Agents of all members."""
         return tuple(member.agent for member in self.members)
 
+    @property
+    def released_by(self) -> float:
+        """When the reservations have expired by themselves."""
+        return self.began + PLACE_SECONDS + timing.RESERVATION_SECONDS
+
+    @property
+    def settled_at(self) -> float:
+        """When nothing runs any more of a gang whose lead is lost."""
+        settle = timing.compute_settle_seconds(len(self.members))
+        return (self.lost_at or 0.0) + settle
+
     @property
     def order(self) -> tuple[int, float, str]:
         """Place in the total order of gangs; smaller goes first."""
@@ -178,6 +189,7 @@
         elif placement.stop is None:
             placement.stop = (reason, grace)
             self._hurry(now, placement)
+            self._advance(now, placement)
         return self._flush()
 
     def agent_lost(self, now: float, instance: str) -> list[effects.Effect]:
@@ -344,12 +356,21 @@
             return
         if now >= placement.next_send:
             self._repeat(now, placement)
-        due = placement.next_send
-        if placement.fail_at is not None:
-            due = min(due, placement.fail_at)
-        if placement.phase in (Phase.RESERVING, Phase.GRANTING):
-            due = min(due, placement.began + PLACE_SECONDS)
-        self._timers.set(placement.attempt, max(due, now))
+        self._timers.set(placement.attempt, self._compute_due(now, placement))
+
+    def _compute_due(self, now: float, placement: Placement) -> float:
+        due = [placement.next_send]
+        match placement.phase:
+            case Phase.RESERVING | Phase.GRANTING:
+                due.append(placement.began + PLACE_SECONDS)
+                if placement.fail_at is not None:
+                    due.append(placement.fail_at)
+            case Phase.RELEASING:
+                due.append(placement.released_by)
+            case _ if placement.lost_at is not None:
+                due.append(placement.settled_at)
+        # A time that has passed has been acted on.
+        return min(time for time in due if time > now)
 
     def _check_placing(self, now: float, placement: Placement) -> None:
         answered = len(placement.tokens) + len(placement.refused)
@@ -375,12 +396,11 @@
     def _check_lost(self, now: float, placement: Placement) -> None:
         if placement.lost_at is None:
             return
-        settle = timing.compute_settle_seconds(len(placement.members))
-        if now >= placement.lost_at + settle:
+        if now >= placement.settled_at:
             self._end(placement, None, 'lead is lost')
 
     def _check_released(self, now: float, placement: Placement) -> None:
-        limit = placement.began + PLACE_SECONDS + timing.RESERVATION_SECONDS
+        limit = placement.released_by
         released = placement.released.issuperset(placement.agents)
         told = placement.owner_told or not placement.asked_owner
         if now >= limit:
@@ -452,7 +472,7 @@
             )
 
     def _send_releases(self, now: float, placement: Placement) -> None:
-        limit = placement.began + PLACE_SECONDS + timing.RESERVATION_SECONDS
+        limit = placement.released_by
         for agent in placement.agents:
             if agent not in placement.released and now < limit:
                 self._send(
--- /dev/null
+++ b/tests/test_gang/test_gang_owner.py
@@ -0,0 +1,318 @@
+"""Tests of the owner side: grants, retries and truthful verdicts."""
+
+import time
+
+import pytest
+
+from damaskpin import effects
+from damaskpin import verdict as verdicts
+from damaskpin.gang import owner as owners
+from damaskpin.gang import timing
+from damaskpin.model import job as jobs
+from damaskpin.peer import messages
+
+
+def _make_job(name='j', idempotent=False, deadline=None, age=0.0):
+    spec = jobs.JobSpec(
+        accelerators=3, idempotent=idempotent, deadline_seconds=deadline
+    )
+    return jobs.Job(name, 'c', spec, age)
+
+
+def _make(idempotent=False, detached=False, **options):
+    owner = owners.Owner('owner')
+    owner.set_coordinator(0.0, 'coordinator')
+    owner.submit(0.0, _make_job(idempotent=idempotent, **options), detached)
+    return owner
+
+
+def _request(attempt='a1', job='j'):
+    return messages.RequestGrant(job, attempt, 'lead', ('lead', 'm'), 't')
+
+
+def _grant(owner, now=1.0, attempt='a1'):
+    out = owner.receive(now, 'coordinator', _request(attempt))
+    granted = messages.Granted('j', attempt)
+    assert effects.Send('coordinator', granted) in out
+
+
+def _finish(owner, now, exit_code=None, reason='x', attempt='a1'):
+    return owner.receive(
+        now,
+        'lead',
+        messages.GangFinished(attempt, 'j', True, exit_code, reason),
+    )
+
+
+def _get_verdicts(out):
+    return [e.verdict for e in out if isinstance(e, effects.Conclude)]
+
+
+def _list_sent(out, kind):
+    return [
+        e.message
+        for e in out
+        if isinstance(e, effects.Send) and isinstance(e.message, kind)
+    ]
+
+
+def _run(owner, start, end):
+    out = []
+    for step in range(int((end - start) * 4)):
+        out += owner.tick(start + step / 4)
+    return out
+
+
+def test_job_is_resubmitted_every_two_seconds_and_on_a_change():
+    """Guards against a job that is lost with its coordinator."""
+    owner = _make()
+    out = _run(owner, 0.25, 10.0)
+    submits = _list_sent(out, messages.SubmitJob)
+    assert len(submits) == 4
+    assert submits[-1].job.age_seconds == 8.0
+    out = owner.set_coordinator(10.1, 'coordinator-2')
+    assert [e.to for e in out] == ['coordinator-2']
+    assert owner.set_coordinator(10.2, 'coordinator-2') == []
+
+
+def test_one_attempt_is_granted_at_a_time():
+    """Guards against two coordinators that both start the job."""
+    owner = _make()
+    _grant(owner)
+    out = owner.receive(1.1, 'coordinator-2', _request('a2'))
+    assert _list_sent(out, messages.Denied)
+    # A repeat of the granted attempt is answered the same way.
+    _grant(owner, 1.2)
+
+
+def test_void_attempt_is_not_granted_by_a_late_request():
+    owner = _make()
+    void = messages.GangFinished('a1', 'j', False, None, 'x', True, 't')
+    owner.receive(1.0, 'coordinator', void)
+    out = owner.receive(1.1, 'coordinator', _request())
+    assert _list_sent(out, messages.Denied)
+    _grant(owner, 1.2, 'a2')
+
+
+def test_detached_job_is_granted_after_the_store_has_it():
+    """Guards against a second run by an entry that adopts the job."""
+    owner = _make(detached=True)
+    out = owner.receive(1.0, 'coordinator', _request())
+    assert effects.GrantJob('j', 'a1') in out
+    assert not _list_sent(out, messages.Granted)
+    # A repeat does not write again.
+    assert owner.receive(1.1, 'coordinator', _request()) == []
+    out = owner.grant_recorded(1.2, 'j', 'a1', True)
+    assert _list_sent(out, messages.Granted)
+
+
+def test_store_outage_leaves_the_job_waiting():
+    owner = _make(detached=True)
+    owner.receive(1.0, 'coordinator', _request())
+    out = owner.grant_recorded(1.2, 'j', 'a1', False)
+    assert _list_sent(out, messages.Denied)
+    assert not _get_verdicts(out)
+    assert owner.get_phase('j') is owners.Phase.WAITING
+
+
+@pytest.mark.parametrize('detached', [True, False])
+def test_cancelled_job_that_holds_no_grant_did_not_run(detached):
+    owner = _make(detached=detached)
+    if detached:
+        owner.receive(1.0, 'coordinator', _request())
+    out = owner.cancel(2.0, 'j', 'cancelled')
+    assert _get_verdicts(out) == [verdicts.NotRun('cancelled')]
+    assert _list_sent(out, messages.CancelJob)
+    assert owner.grant_recorded(2.1, 'j', 'a1', True) == []
+    out = owner.receive(2.2, 'coordinator', _request())
+    assert _list_sent(out, messages.Denied)
+
+
+@pytest.mark.parametrize(
+    ('committed', 'token', 'verdict'),
+    [
+        (False, 't', verdicts.NotRun),
+        (True, '', verdicts.MayHaveRun),
+    ],
+)
+def test_cancelled_grant_concludes_with_what_the_lead_says(
+    committed, token, verdict
+):
+    """Guards against NotRun while the gang is starting."""
+    owner = _make()
+    _grant(owner)
+    out = owner.cancel(2.0, 'j', 'cancelled')
+    assert not _get_verdicts(out)
+    assert _list_sent(out, messages.StopGang)
+    assert _list_sent(_run(owner, 2.1, 5.0), messages.StopGang)
+    finished = messages.GangFinished(
+        'a1', 'j', committed, None, 'x', True, token
+    )
+    (given,) = _get_verdicts(owner.receive(5.0, 'lead', finished))
+    assert isinstance(given, verdict)
+
+
+def test_report_about_a_later_reservation_proves_nothing():
+    """Guards against NotRun after the lead restarted."""
+    owner = _make()
+    _grant(owner)
+    other = messages.GangFinished('a1', 'j', False, None, 'x', True, 'u')
+    out = owner.receive(2.0, 'lead', other)
+    out += _run(owner, 2.0, 100.0)
+    (given,) = _get_verdicts(out)
+    assert isinstance(given, verdicts.MayHaveRun)
+
+
+def test_grant_without_news_is_looked_into():
+    """Guards against a job that hangs when its coordinator dies."""
+    owner = _make()
+    _grant(owner)
+    assert not _list_sent(_run(owner, 1.25, 5.75), messages.QueryGang)
+    assert _list_sent(_run(owner, 5.75, 8.0), messages.QueryGang)
+    void = messages.GangFinished('a1', 'j', False, None, 'expired', True, 't')
+    out = owner.receive(8.0, 'lead', void)
+    assert _list_sent(out, messages.SubmitJob)[0].attempt == ''
+    _grant(owner, 8.1, 'a2')
+
+
+def test_deadline_ends_the_waiting_only():
+    owner = _make(deadline=5.0, age=1.0)
+    _grant(owner, 3.5)
+    assert not _get_verdicts(_run(owner, 3.75, 9.0))
+    owner = _make(deadline=5.0, age=1.0)
+    out = _run(owner, 0.25, 4.25)
+    assert _get_verdicts(out) == [verdicts.NotRun('deadline passed')]
+    # A paused entry finds the deadline passed before it grants.
+    owner = _make(deadline=5.0)
+    out = owner.receive(6.0, 'coordinator', _request())
+    assert _list_sent(out, messages.Denied)
+
+
+def test_exit_code_decides_the_verdict_of_a_job_that_ran():
+    for code in (0, 1):
+        owner = _make()
+        _grant(owner)
+        out = _finish(owner, 9.0, code)
+        assert _list_sent(out, messages.GangFinishedAck)
+        (given,) = _get_verdicts(out)
+        assert given.answer.body == b'{"exit_code":%d}' % code
+
+
+def test_idempotent_job_is_retried_three_times_with_back_off():
+    owner = _make(idempotent=True)
+    now = 1.0
+    for retry in range(3):
+        attempt = f'a{retry}'
+        _grant(owner, now, attempt)
+        out = _finish(owner, now, 1, attempt=attempt)
+        assert not _get_verdicts(out)
+        early = owner.receive(now + 0.9, 'coordinator', _request('early'))
+        assert _list_sent(early, messages.Denied)
+        # The next attempt may run after 1, 2 and 4 s.
+        now += 2.0**retry
+        assert _list_sent(owner.tick(now), messages.SubmitJob)
+    _grant(owner, now, 'last')
+    (given,) = _get_verdicts(_finish(owner, now, 1, attempt='last'))
+    assert isinstance(given, verdicts.Ran)
+
+
+def test_reclaimed_job_does_not_use_up_its_retries():
+    owner = _make(idempotent=True)
+    for index in range(10):
+        _grant(owner, float(index), f'a{index}')
+        out = _finish(owner, index + 0.5, None, 'reclaimed', f'a{index}')
+        assert not _get_verdicts(out)
+    out = owner.cancel(20.0, 'j', 'cancelled')
+    assert isinstance(_get_verdicts(out)[0], verdicts.MayHaveRun)
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_lost_lead_is_waited_for_until_its_gang_must_have_ended(idempotent):
+    """Guards against a second attempt beside the first."""
+    owner = _make(idempotent=idempotent)
+    _grant(owner)
+    owner.agent_lost(10.0, 'lead')
+    settle = timing.compute_settle_seconds(2)
+    out = _run(owner, 10.0, 9.75 + settle)
+    assert not _get_verdicts(out)
+    denied = owner.receive(9.8 + settle, 'coordinator', _request('a2'))
+    assert _list_sent(denied, messages.Denied)
+    out = _run(owner, 10.0 + settle, 20.0 + settle)
+    if idempotent:
+        assert _list_sent(out, messages.SubmitJob)
+        # The lead may still run it behind a partition.
+        assert _list_sent(_run(owner, 70.0, 90.0), messages.StopGang)
+    else:
+        assert isinstance(_get_verdicts(out)[0], verdicts.MayHaveRun)
+
+
+def test_lead_that_answers_again_is_not_lost():
+    owner = _make()
+    _grant(owner)
+    owner.agent_lost(10.0, 'lead')
+    owner.receive(12.0, 'lead', messages.GangStatus('a1', 'committed'))
+    assert not _get_verdicts(_run(owner, 12.0, 200.0))
+    (given,) = _get_verdicts(_finish(owner, 200.0, 0))
+    assert isinstance(given, verdicts.Ran)
+
+
+def test_adopted_job_finds_its_gang_in_the_reports():
+    owner = owners.Owner('owner-2')
+    owner.adopt(0.0, _make_job(), 'a1')
+    gang = messages.GangState('a1', 'j', 'c', (0,), 'lead', True, False)
+    out = owner.gang_seen(1.0, gang)
+    assert out == [effects.Send('lead', messages.QueryGang('a1'))]
+    owner.receive(1.1, 'lead', messages.GangStatus('a1', 'committed'))
+    assert not _get_verdicts(_run(owner, 1.2, 400.0))
+    assert isinstance(_get_verdicts(_finish(owner, 400.0, 0))[0], verdicts.Ran)
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'granted', 'verdict'),
+    [
+        (False, '', verdicts.NotRun),
+        (True, '', verdicts.MayHaveRun),
+        (False, 'a1', verdicts.MayHaveRun),
+    ],
+)
+def test_adopted_job_does_not_deny_what_a_former_owner_did(
+    idempotent, granted, verdict
+):
+    """Guards against NotRun for grants that the store does not hold."""
+    owner = owners.Owner('owner-2')
+    owner.adopt(0.0, _make_job(idempotent=idempotent), granted)
+    out = owner.cancel(1.0, 'j', 'cancelled') + _run(owner, 1.0, 300.0)
+    (given,) = _get_verdicts(out)
+    assert isinstance(given, verdict)
+
+
+def _time_cancellations(count):
+    owner = owners.Owner('owner')
+    owner.set_coordinator(0.0, 'coordinator')
+    for index in range(count):
+        owner.submit(0.0, _make_job(f'j{index}'), False)
+        if index % 2:
+            owner.receive(
+                0.0, 'coordinator', _request(f'a{index}', f'j{index}')
+            )
+    begin = time.process_time()
+    for index in range(count):
+        owner.cancel(1.0, f'j{index}', 'cancelled')
+    for index in range(1, count, 2):
+        attempt, job = f'a{index}', f'j{index}'
+        status = messages.GangStatus(attempt, 'committed')
+        owner.receive(1.5, 'lead', status)
+        void = messages.GangFinished(attempt, job, False, None, 'x', True, 't')
+        owner.receive(2.0, 'lead', void)
+    assert owner.tick(60.0) == []
+    return time.process_time() - begin
+
+
+def test_a_thousand_cancellations_are_linear():
+    """Guards against a wave of 1,000 that blocks the event loop."""
+    small = min(_time_cancellations(1_000) for _ in range(3))
+    large = min(_time_cancellations(8_000) for _ in range(3))
+    # Quadratic work would take 64 times as long; 8 is linear, and the rest
+    # allows for noise. The event loop may be blocked for 250 ms.
+    assert large < 24 * small
+    assert small < 0.25
