Carry the beat interval in StartMember

Cause: members learnt the interval from a first beat within 5 s, which came on top of the interval of large gangs: the lead of 128 members used 1,554.7 bytes a second in its first minute, against a budget of 1,500. Ruled out: a longer interval, which delays the end of gangs with dead members. Change: the start message carries the interval, so the first beats spread over it.

--- a/damaskpin/gang/lead.py
+++ b/damaskpin/gang/lead.py
@@ -151,11 +151,8 @@
         member.uptime = uptime
         if not member.started:
             member.started = True
-            # The first beat comes soon, so that a member learns the interval
-            # before its first deadline; random times spread the load.
-            member.next_send = now + self._rng.uniform(
-                0.0, timing.MIN_BEAT_SECONDS
-            )
+            # Random times spread the beats over the interval.
+            member.next_send = now + self._rng.uniform(0.0, self.interval)
 
     def note_beat(self, now: float, agent: str, uptime: float) -> None:
         """Note an answer to a beat."""
@@ -263,7 +260,9 @@
         member.next_send = now + member.delay * self._rng.uniform(0.75, 1.25)
         member.delay = min(2 * member.delay, MAX_REPEAT_SECONDS)
         if self.decision is Decision.COMMITTED:
-            return messages.StartMember(self.attempt, member.token)
+            return messages.StartMember(
+                self.attempt, member.token, self.interval
+            )
         return messages.StopGang(self.attempt, self.reason, self._grace)
 
     def _conclude(self, now: float) -> None:
--- a/damaskpin/gang/member.py
+++ b/damaskpin/gang/member.py
@@ -298,9 +298,10 @@
             command=message.command,
             token=f'{self._rng.getrandbits(48):012x}',
             phase=records.Phase.RESERVED,
+            reserved=now,
             expires=now + message.ttl,
             next_query=now + message.ttl / 2,
-            # The first beat brings the interval of the gang.
+            # The start message brings the interval of the gang.
             right_until=now
             + timing.compute_member_patience(timing.MIN_BEAT_SECONDS),
         )
@@ -409,10 +410,16 @@
         elif holding.token != message.token:
             if holding.phase is records.Phase.RESERVED:
                 self._send(sender, messages.MemberRefused(attempt, 'unknown'))
-        elif holding.phase is records.Phase.RESERVED:
-            self._start_tasks(now, holding, ())
-        elif holding.phase is records.Phase.RUNNING:
-            self._tell_started(now, holding)
+        else:
+            if holding.confirmed:
+                right = holding.reserved + timing.compute_member_patience(
+                    message.interval
+                )
+                holding.right_until = max(holding.right_until, right)
+            if holding.phase is records.Phase.RESERVED:
+                self._start_tasks(now, holding, ())
+            elif holding.phase is records.Phase.RUNNING:
+                self._tell_started(now, holding)
 
     def _start_tasks(
         self, now: float, holding: records.Holding, tokens: tuple[str, ...]
--- a/damaskpin/gang/records.py
+++ b/damaskpin/gang/records.py
@@ -29,6 +29,7 @@
 
     :ivar members: the whole gang when this agent is the lead.
     :ivar coordinator: instance that sent the reservation.
+    :ivar reserved: when the reservation was made.
     :ivar expires: when an undecided reservation ends.
     :ivar right_until: when a member stops unless it hears from the lead.
     :ivar confirmed: false for adopted tasks until the lead has answered this
@@ -50,6 +51,7 @@
     command: tuple[str, ...]
     token: str
     phase: Phase
+    reserved: float = 0.0
     expires: float = 0.0
     right_until: float = 0.0
     confirmed: bool = True
--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -374,10 +374,12 @@
     """The gang is committed: start the tasks of this member.
 
     :ivar token: token of the member's reservation.
+    :ivar interval: seconds between beats of the lead.
     """
 
     attempt: str
     token: str = ''
+    interval: float = 0.0
 
 
 class MemberStarted(_Message):
--- a/tests/test_gang/test_gang_member.py
+++ b/tests/test_gang/test_gang_member.py
@@ -213,7 +213,7 @@
     commit = messages.Commit('a1', (token, 'other-token'))
     out = lead.receive(1.0, 'coordinator', commit)
     assert _list_messages(out, messages.Committed)
-    start = messages.StartMember('a1', 'other-token')
+    start = messages.StartMember('a1', 'other-token', 5.0)
     assert effects.Send('other', start) in out
     assert effects.Send('other', start) in lead.tick(2.0)
     lead.receive(2.1, 'other', messages.MemberStarted('a1', 7.0))
@@ -365,7 +365,7 @@
     _, labels = _run_lead()
     successor = members.Member('lead', 2, random.Random(5))
     out = successor.adopt(100.0, 'a1', labels, (0,))
-    start = messages.StartMember('a1', 'other-token')
+    start = messages.StartMember('a1', 'other-token', 5.0)
     assert effects.Send('other', start) in out
     out = successor.receive(101.0, 'owner', messages.QueryGang('a1'))
     assert _list_messages(out, messages.GangStatus)[0].state == 'committed'
