Bound the end of stopped gangs in the fuzzing, and add busy bursts

Cause: the fuzzing did not notice a stop that waited for the next poll, and its short sequences start few gangs. Change: a reclaim without faults must end the tasks within 4 s; a rule calls several others with weights; a stop goes out even while the lead is lost. Conclusion: the stated bound of 4 s is checked.

--- a/damaskpin/gang/coordinator.py
+++ b/damaskpin/gang/coordinator.py
@@ -428,15 +428,15 @@
                 )
             case Phase.RELEASING:
                 self._send_releases(now, placement)
-            case _ if placement.lost_at is not None:
-                self._send(placement.lead, messages.QueryGang(attempt))
-                placement.next_send = self._draw_delay(now, LOST_POLL_SECONDS)
-                return
             case _ if placement.stop is not None:
                 reason, grace = placement.stop
                 self._send(
                     placement.lead, messages.StopGang(attempt, reason, grace)
                 )
+            case _ if placement.lost_at is not None:
+                self._send(placement.lead, messages.QueryGang(attempt))
+                placement.next_send = self._draw_delay(now, LOST_POLL_SECONDS)
+                return
             case Phase.COMMITTING:
                 tokens = tuple(placement.tokens[a] for a in placement.agents)
                 self._send(placement.lead, messages.Commit(attempt, tokens))
--- a/damaskpin/gang/owner.py
+++ b/damaskpin/gang/owner.py
@@ -375,6 +375,8 @@
                 record.running = True
                 if record.phase is Phase.SETTLING and not record.forgotten:
                     record.phase = Phase.GRANTED
+                    if record.cancelled is not None:
+                        record.next_poll = now
             case 'unknown':
                 self._note_forgotten(now, record)
         self._advance(now, record)
--- a/tests/test_gang/simulation.py
+++ b/tests/test_gang/simulation.py
@@ -21,6 +21,9 @@
 # members', a lease of 15 s, and time for the messages.
 START_BOUND_SECONDS = 25.0
 END_BOUND_SECONDS = 60.0
+# A reclaim ends a gang within 4 s: 2 s for a checkpoint, 1 s to stop, then
+# the revocation of the lease.
+STOP_BOUND_SECONDS = 4.0
 
 
 @dataclasses.dataclass
@@ -101,6 +104,7 @@
         return self.simulation.now + self.offset
 
     def boot(self):
+        self.simulation.last_fault = self.simulation.now
         self.run += 1
         self.up = True
         self.frozen_until = 0.0
@@ -371,7 +375,7 @@
 
     def __init__(self, seed, agents=4, accelerators=2):
         self.rng = random.Random(seed)
-        self.now = 0.0
+        self.now = self.last_fault = 0.0
         self.revision = 1
         self.loss = self.duplication = 0.0
         self.max_delay = 0.05
@@ -382,7 +386,7 @@
         self.failed = set()
         self.counts = {}
         self.partial_since = {}
-        self.last_fault = 0.0
+        self.stops = []
         # SubmitJob reaches both entries, as when two coordinators are active.
         self.split = False
         self.delivered = collections.deque(maxlen=400)
@@ -623,6 +627,27 @@
                 del self.partial_since[attempt]
         for attempt, names in running.items():
             self.check_partial(attempt, names)
+        self.check_stops()
+
+    def note_stop(self, attempt):
+        """Expect the end of a gang, if nothing fails on the way."""
+        self.stops.append((self.now, attempt))
+
+    def check_stops(self):
+        due = [s for s in self.stops if self.now > s[0] + STOP_BOUND_SECONDS]
+        for stopped, attempt in due:
+            self.stops.remove((stopped, attempt))
+            if self.is_quiet() and self.last_fault < stopped:
+                running = self.list_running(attempt)
+                assert not running, f'{attempt} ignores a stop: {running}'
+
+    def is_quiet(self):
+        """Tell whether everything runs and can talk."""
+        quiet = not self.cut and self.loss == 0 and self.max_delay <= 0.1
+        return quiet and all(
+            process.up and not process.is_frozen()
+            for process in self.processes.values()
+        )
 
     def check_accelerators(self, agent):
         if agent.up:
@@ -656,8 +681,7 @@
         assert age <= END_BOUND_SECONDS, (
             f'{attempt} runs on {running} of {members_of} for {age} s'
         )
-        quiet = not self.cut and self.loss == 0 and self.max_delay <= 0.1
-        if quiet and not any(p.is_frozen() for p in self.processes.values()):
+        if self.is_quiet():
             age = self.now - max(since, self.last_fault)
             assert age <= START_BOUND_SECONDS, (
                 f'{attempt} runs on {running} of {members_of} for {age} s'
--- a/tests/test_gang/test_gang_fuzz.py
+++ b/tests/test_gang/test_gang_fuzz.py
@@ -1,5 +1,7 @@
 """Stateful fuzzing of members, coordinators and owners."""
 
+import random
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -10,6 +12,58 @@
 AGENTS = [f'agent-{i}' for i in range(4)]
 ENTRIES = ['entry-1', 'entry-2']
 CONCLUDE_SECONDS = 900.0
+COMMANDS = [('sleep', '1'), ('sleep', '60'), ('fail', '2'), ('stubborn', '40')]
+BURST_EVENTS = 8
+# Weight and arguments of each rule in a burst. Hypothesis draws short and
+# simple sequences, in which few gangs start; bursts are busier.
+BURST = {
+    'submit': (
+        4,
+        {
+            'size': [1, 2, 3, 4],
+            'idempotent': [True, False],
+            'detached': [True, False],
+            'entry': ENTRIES,
+            'command': COMMANDS,
+            'deadline': [None, None, 20.0],
+        },
+    ),
+    'run_on': (8, {'seconds': [0.05, 0.5, 2, 6, 25]}),
+    'crash_agent': (
+        1,
+        {
+            'name': AGENTS,
+            'back_after': [0.01, 3.0, 13.0, 50.0],
+            'adopt': [True, False],
+            'machine': [True, False],
+        },
+    ),
+    'crash_entry': (0.7, {'name': ENTRIES, 'back_after': [1.0, 30.0]}),
+    'freeze': (1, {'name': AGENTS + ENTRIES, 'seconds': [4.0, 14.0, 70.0]}),
+    'partition': (1, {'cut': [{'agent-0'}, {'agent-1', 'entry-1'}]}),
+    'heal': (1, {}),
+    'set_network': (
+        1,
+        {
+            'loss': [0.0, 0.0, 0.1, 0.5],
+            'duplication': [0.0, 0.3],
+            'max_delay': [0.05, 0.05, 2.0, 20.0],
+        },
+    ),
+    'replay': (1.5, {'name': AGENTS + ENTRIES}),
+    'split_coordinators': (0.7, {'split': [True, False]}),
+    'change_coordinator': (0.5, {'name': ENTRIES}),
+    'end_job': (
+        1,
+        {
+            'entry': ENTRIES,
+            'number': [1, 2, 3, 4, 5, 6, 7, 8],
+            'cancel': [True, False],
+            'grace': [0.0, 2.0],
+        },
+    ),
+    'suspect': (0.5, {'entry': ENTRIES, 'name': AGENTS}),
+}
 
 
 class GangFuzz(stateful.RuleBasedStateMachine):
@@ -25,14 +79,7 @@
         idempotent=strategies.booleans(),
         detached=strategies.booleans(),
         entry=strategies.sampled_from(ENTRIES),
-        command=strategies.sampled_from(
-            [
-                ('sleep', '1'),
-                ('sleep', '60'),
-                ('fail', '2'),
-                ('stubborn', '40'),
-            ]
-        ),
+        command=strategies.sampled_from(COMMANDS),
         deadline=strategies.sampled_from([None, 3.0, 20.0]),
     )
     def submit(self, size, idempotent, detached, entry, command, deadline):
@@ -55,6 +102,20 @@
         )
         process.carry_out(process.owner.submit(process.clock(), job, detached))
 
+    @stateful.rule(seed=strategies.integers(0, 2**32))
+    def burst(self, seed):
+        """Call several of the other rules."""
+        rng = random.Random(seed)
+        weights = [weight for weight, _ in BURST.values()]
+        for name in rng.choices(list(BURST), weights, k=BURST_EVENTS):
+            arguments = {
+                key: rng.choice(values)
+                for key, values in BURST[name][1].items()
+            }
+            rule = getattr(type(self), name)
+            # Hypothesis wraps rules; the plain function is kept in it.
+            rule.hypothesis_stateful_rule.function(self, **arguments)
+
     @stateful.rule(seconds=strategies.sampled_from([0.05, 0.5, 2, 6, 25]))
     def run_on(self, seconds):
         self.simulation.run(seconds)
@@ -160,9 +221,10 @@
         if cancel:
             effects = process.owner.cancel(now, f'job-{number}', 'cancelled')
         else:
-            effects = process.coordinator.stop(
-                now, f'job-{number}', 'reclaimed', grace
-            )
+            job_id = f'job-{number}'
+            effects = process.coordinator.stop(now, job_id, 'reclaimed', grace)
+            if job_id in process.placing:
+                self.simulation.note_stop(process.placing[job_id])
         process.carry_out(effects)
 
     @stateful.rule(
