--- a/damaskpin/service/attempts.py
+++ b/damaskpin/service/attempts.py
@@ -8,9 +8,11 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from damaskpin import effects
+from damaskpin.peer import messages
+
 if TYPE_CHECKING:
     from damaskpin import verdict
-    from damaskpin.peer import messages
 
 KEEP_S = 120.0
 # About 0.5 kB each, so that a full table stays under 20 MB of the 128 MB.
@@ -97,10 +99,6 @@
         """Return whether no further record may be added."""
         return len(self._records) >= self._max_records
 
-    def is_closed(self, expires_uptime: float) -> bool:
-        """Return whether unseen attempts of this expiry are refused."""
-        return expires_uptime <= self._floor_uptime
-
     def close_until(self, expires_uptime: float) -> None:
         """Refuse every unseen attempt that expires until then.
 
@@ -108,30 +106,54 @@
         """
         self._floor_uptime = max(self._floor_uptime, expires_uptime)
 
-    def add(self, record: Record) -> None:
-        """Add the record of an attempt that was not seen before."""
+    def add(
+        self,
+        sender: str,
+        message: messages.RunRequest | messages.CancelRequest,
+        service: str = '',
+        digest: bytes = b'',
+    ) -> Record:
+        """Add an attempt that was not seen before."""
+        record = Record(
+            attempt=message.attempt,
+            service=service,
+            digest=digest,
+            expires_uptime=message.expires_uptime,
+            state=State.WAITING,
+            senders={sender: None},
+        )
         self._records[record.attempt] = record
+        return record
 
-    def end(self, record: Record, uptime: float, state: State) -> None:
-        """Mark an attempt as ended and plan the removal of its record.
+    def end(
+        self,
+        record: Record,
+        uptime: float,
+        state: State,
+        reason: str = '',
+        answer: verdict.Answer | None = None,
+    ) -> list[effects.Send]:
+        """Record the end of an attempt and plan the removal of its record.
 
         :param uptime: uptime of the agent in seconds.
+        :returns: the outcome for every sender that asked.
         """
         record.state = state
+        record.reason = reason
         record.request = None
+        if answer is not None:
+            self._keep_answer(record, answer)
         drop = max(uptime, record.expires_uptime) + KEEP_S
         heapq.heappush(self._drops, (drop, record.attempt))
+        message = describe_end(record)
+        return [effects.Send(sender, message) for sender in record.senders]
 
-    def keep_answer(self, record: Record, answer: verdict.Answer) -> None:
-        """Keep the answer of an ended attempt, and drop the oldest ones."""
-        record.answer = answer
-        self._answers[record.attempt] = None
-        self._answer_bytes += len(answer.body)
-        while self._answer_bytes > self._max_answer_bytes:
-            oldest = next(iter(self._answers))
-            if oldest == record.attempt:
-                return
-            self._drop_answer(self._records[oldest])
+    def join(self, sender: str, record: Record) -> list[effects.Send]:
+        """Return the outcome, or remember the sender until there is one."""
+        if record.state in (State.WAITING, State.RUNNING):
+            record.senders[sender] = None
+            return []
+        return [effects.Send(sender, describe_end(record))]
 
     def drop_old(self, uptime: float) -> None:
         """Drop records that no message can need any more.
@@ -144,6 +166,43 @@
             if record.answer is not None:
                 self._drop_answer(record)
 
+    def answer_unseen(
+        self,
+        uptime: float,
+        incarnation: str,
+        message: messages.RunRequest
+        | messages.CancelRequest
+        | messages.QueryRun,
+    ) -> messages.RunRefused | messages.RunUncertain | None:
+        """Return the answer for an attempt without a record.
+
+        :param uptime: uptime of the agent in seconds.
+        :param incarnation: incarnation of the agent.
+        :returns: the answer, or ``None`` when the attempt may still start.
+        """
+        attempt = message.attempt
+        if message.incarnation != incarnation:
+            # It may have run under the earlier incarnation.
+            return messages.RunUncertain(attempt, 'unknown-incarnation')
+        if uptime > message.expires_uptime + KEEP_S:
+            return messages.RunUncertain(attempt, 'record-dropped')
+        if uptime > message.expires_uptime:
+            return messages.RunRefused(attempt, 'expired')
+        if message.expires_uptime <= self._floor_uptime:
+            return messages.RunRefused(attempt, 'busy')
+        return None
+
+    def _keep_answer(self, record: Record, answer: verdict.Answer) -> None:
+        """Keep the answer of an ended attempt, and drop the oldest ones."""
+        record.answer = answer
+        self._answers[record.attempt] = None
+        self._answer_bytes += len(answer.body)
+        while self._answer_bytes > self._max_answer_bytes:
+            oldest = next(iter(self._answers))
+            if oldest == record.attempt:
+                return
+            self._drop_answer(self._records[oldest])
+
     def _drop_answer(self, record: Record) -> None:
         del self._answers[record.attempt]
         self._answer_bytes -= len(record.answer.body)
@@ -158,3 +217,13 @@
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
     return digest.digest()
+
+
+def describe_end(record: Record) -> messages.Message:
+    """Return the message that tells a sender how an attempt ended."""
+    match record.state:
+        case State.ANSWERED if record.answer is not None:
+            return messages.RunAnswer(record.attempt, record.answer)
+        case State.REFUSED:
+            return messages.RunRefused(record.attempt, record.reason)
+    return messages.RunUncertain(record.attempt, record.reason)
--- a/damaskpin/service/requests.py
+++ b/damaskpin/service/requests.py
@@ -86,6 +86,8 @@
         "not run" is truthful exactly when it is empty.
     :ivar planned: attempt whose claim is being written; never sent yet.
     :ivar settler: writes the claim of a request with a caller's key.
+    :ivar check_at: when the next check is planned.
+    :ivar joined: an earlier request with the same key was found.
     :ivar claim: what the store is known to hold for the key.
     :ivar pinned: attempt that a key issued by the system names.
     :ivar excluded: agents that are not tried again for now.
@@ -97,7 +99,7 @@
     submitted: float
     deadline: float
     phase: Phase = Phase.WAITING
-    waiting_since: float = 0.0
+    check_at: float = float('inf')
     give_up: float = float('inf')
     end_reason: str = ''
     attempts: dict[str, Attempt] = dataclasses.field(default_factory=dict)
@@ -109,6 +111,7 @@
     refusals: int = 0
     retries: int = 0
     not_before: float = 0.0
+    joined: bool = False
     running: bool = False
     concluded: bool = False
 
--- a/damaskpin/service/slots.py
+++ b/damaskpin/service/slots.py
@@ -2,46 +2,30 @@
 
 from __future__ import annotations
 
-import collections
-import dataclasses
 from typing import TYPE_CHECKING
 
 from damaskpin import effects
 from damaskpin.peer import messages
 from damaskpin.service import attempts
+from damaskpin.service import targets
 
 if TYPE_CHECKING:
     from damaskpin import verdict
 
-DEFAULT_SLOTS = 8
-MAX_CONNECTIONS = 64
 MAX_WAITING = 0
-MAX_TTL_S = 3.0
 # A target call that is not reported as ended this long after its timeout is
 # given up, so that a fault in the caller can't hold a slot for ever.
 CALL_MARGIN_S = 5.0
 # While draining, an answer that was lost on the way is asked for again within
 # this time.
 LINGER_S = 3.0
-
-
-@dataclasses.dataclass(slots=True)
-class _Target:
-    """The announced target of one service."""
-
-    slots: int
-    expires: float
-    leaving: bool
-    running: int = 0
-    waiting: collections.deque[str] = dataclasses.field(
-        default_factory=collections.deque
-    )
-
-    def accepts(self, now: float) -> bool:
-        return not self.leaving and now < self.expires
-
-    def limit(self) -> int:
-        return min(self.slots, MAX_CONNECTIONS)
+# After a longer time without a call, the process was paused and messages may
+# have waited that long in its sockets.
+STALL_S = 0.5
+# Messages that waited during a pause are handled within this time after it.
+STALL_SETTLE_S = 0.5
+# Expiry that a full table may close: that of ordinary requests.
+MAX_CLOSE_AHEAD_S = 65.0
 
 
 class Slots:
@@ -57,11 +41,12 @@
     __slots__ = (
         '_draining',
         '_incarnation',
-        '_instance',
         '_last_answer',
         '_max_waiting',
         '_now',
         '_running',
+        '_stall_end',
+        '_stall_start',
         '_started',
         '_table',
         '_targets',
@@ -75,46 +60,49 @@
         max_waiting: int = MAX_WAITING,
         table: attempts.AttemptTable | None = None,
     ) -> None:
-        self._instance = instance
         self._incarnation = incarnation
         self._started = started
         self._max_waiting = max_waiting
-        self._table = table or attempts.AttemptTable()
-        self._targets: dict[str, _Target] = {}
+        self._table = attempts.AttemptTable() if table is None else table
+        self._targets: dict[str, targets.Target] = {}
         self._running: set[str] = set()
         self._draining = False
-        self._now = started
+        self._now: float | None = None
         self._last_answer = float('-inf')
+        self._stall_start = started
+        self._stall_end = float('-inf')
 
     def announce(
         self,
         now: float,
         service: str,
-        slots: int = DEFAULT_SLOTS,
-        ttl: float = MAX_TTL_S,
+        slots: int = targets.DEFAULT_SLOTS,
+        ttl: float = targets.MAX_TTL_S,
         leaving: bool = False,
     ) -> list[effects.Effect]:
         """Record the announcement of a target.
 
         :param slots: requests that the target serves at the same time.
         :param ttl: seconds after which the announcement expires; at most
-            ``MAX_TTL_S`` counts.
+            ``targets.MAX_TTL_S`` counts.
         :param leaving: the target accepts nothing new.
         """
-        self._now = now
+        self._advance(now)
         target = self._targets.get(service)
         if target is None:
-            target = self._targets[service] = _Target(slots, now, leaving)
+            target = self._targets[service] = targets.Target(
+                slots, now, leaving
+            )
         target.slots = slots
-        target.expires = now + min(ttl, MAX_TTL_S)
+        target.expires = self._find_sent(now) + min(ttl, targets.MAX_TTL_S)
         target.leaving = leaving
         if leaving:
             return self._refuse_waiting(target, 'leaving')
-        return self._start_waiting(now, target)
+        return self._start_waiting(now, service)
 
     def withdraw(self, now: float, service: str) -> list[effects.Effect]:
         """Record that a target accepts nothing new."""
-        self._now = now
+        self._advance(now)
         target = self._targets.get(service)
         if target is None:
             return []
@@ -130,7 +118,7 @@
 
         :param sender: instance id of the entry.
         """
-        self._now = now
+        self._advance(now)
         match message:
             case messages.RunRequest():
                 return self._run(now, sender, message)
@@ -142,7 +130,7 @@
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Expire announcements, waiting requests, calls and old records."""
-        self._now = now
+        self._advance(now)
         result: list[effects.Effect] = []
         for service, target in list(self._targets.items()):
             if not target.accepts(now):
@@ -166,14 +154,18 @@
         self, now: float, attempt: str, answer: verdict.Answer
     ) -> list[effects.Effect]:
         """Record the whole answer of a called target."""
-        self._now = now
+        self._advance(now)
         record = self._stop_running(attempt)
         if record is None:
             return []
-        self._table.end(record, now - self._started, attempts.State.ANSWERED)
-        self._table.keep_answer(record, answer)
         self._last_answer = now
-        return self._tell_senders(record) + self._start_next(now, record)
+        result = self._table.end(
+            record,
+            now - self._started,
+            attempts.State.ANSWERED,
+            answer=answer,
+        )
+        return [*result, *self._start_waiting(now, record.service)]
 
     def target_failed(
         self, now: float, attempt: str, reason: str, reached: bool = True
@@ -182,24 +174,21 @@
 
         :param reached: whether the target may have received the request.
         """
-        self._now = now
+        self._advance(now)
         record = self._stop_running(attempt)
         if record is None:
             return []
         self._last_answer = now
         if reached:
-            record.reason = reason
-            self._table.end(
-                record, now - self._started, attempts.State.UNCERTAIN
-            )
-            result = self._tell_senders(record)
+            state = attempts.State.UNCERTAIN
         else:
-            result = self._refuse(record, 'unreachable')
-        return result + self._start_next(now, record)
+            state, reason = attempts.State.REFUSED, 'unreachable'
+        result = self._table.end(record, now - self._started, state, reason)
+        return [*result, *self._start_waiting(now, record.service)]
 
     def drain(self, now: float) -> list[effects.Effect]:
         """Refuse everything new; requests in progress are finished."""
-        self._now = now
+        self._advance(now)
         self._draining = True
         result: list[effects.Effect] = []
         for target in self._targets.values():
@@ -228,6 +217,22 @@
             for service, target in sorted(self._targets.items())
         )
 
+    def _advance(self, now: float) -> None:
+        if self._now is not None and now - self._now > STALL_S:
+            self._stall_start = self._now
+            self._stall_end = now
+        self._now = now
+
+    def _find_sent(self, now: float) -> float:
+        """Return the earliest time at which a message may have been sent.
+
+        An announcement that was sent before a pause of this process must not
+        count from the end of the pause: the target may have left since.
+        """
+        if now < self._stall_end + STALL_SETTLE_S:
+            return self._stall_start
+        return now
+
     def _run(
         self, now: float, sender: str, request: messages.RunRequest
     ) -> list[effects.Effect]:
@@ -237,96 +242,54 @@
         record = self._table.get(request.attempt)
         if record is not None:
             if record.digest and record.digest != digest:
-                return _refuse_unseen(sender, request.attempt, 'conflict')
-            return self._join(sender, record)
-        unknown = self._check_unseen(
-            now,
-            sender,
-            request.attempt,
-            request.incarnation,
-            request.expires_uptime,
-        )
-        if unknown is not None:
-            return unknown
-        if self._table.is_full():
-            # Silence is truthful where refusing all attempts up to a distant
-            # expiry would stop the agent for minutes.
-            if request.expires_uptime > now - self._started + LINGER_S + 60:
+                return [
+                    effects.Send(
+                        sender,
+                        messages.RunRefused(request.attempt, 'conflict'),
+                    )
+                ]
+            return self._table.join(sender, record)
+        uptime = now - self._started
+        reply = self._table.answer_unseen(uptime, self._incarnation, request)
+        if reply is None and self._table.is_full():
+            # Silence is truthful; refusing everything up to a distant expiry
+            # would stop the agent for minutes.
+            if request.expires_uptime > uptime + MAX_CLOSE_AHEAD_S:
                 return []
             self._table.close_until(request.expires_uptime)
-            return _refuse_unseen(sender, request.attempt, 'busy')
-        record = attempts.Record(
-            attempt=request.attempt,
-            service=request.service,
-            digest=digest,
-            expires_uptime=request.expires_uptime,
-            state=attempts.State.WAITING,
-            deadline=now + request.timeout,
-            senders={sender: None},
-        )
-        self._table.add(record)
-        reason = self._find_refusal(now, request)
+            reply = messages.RunRefused(request.attempt, 'busy')
+        if reply is not None:
+            return [effects.Send(sender, reply)]
+        record = self._table.add(sender, request, request.service, digest)
+        record.deadline = now + request.timeout
+        target = self._targets.get(request.service)
+        reason = 'draining'
+        if not self._draining:
+            reason = targets.find_refusal(
+                target, now, request.timeout, self._max_waiting
+            )
         if reason:
             return self._refuse(record, reason)
-        target = self._targets[request.service]
-        if target.running < target.limit():
+        if target.has_free_slot():
             return [self._start(now, target, record, request)]
         record.request = request
         target.waiting.append(request.attempt)
         return []
 
-    def _find_refusal(self, now: float, request: messages.RunRequest) -> str:
-        if self._draining:
-            return 'draining'
-        target = self._targets.get(request.service)
-        if target is None:
-            return 'no-target'
-        if not target.accepts(now):
-            return 'leaving'
-        if request.timeout <= 0:
-            return 'expired'
-        if target.running < target.limit():
-            return ''
-        if len(target.waiting) < self._max_waiting:
-            return ''
-        return 'busy'
-
-    def _check_unseen(
-        self,
-        now: float,
-        sender: str,
-        attempt: str,
-        incarnation: str,
-        expires_uptime: float,
-    ) -> list[effects.Effect] | None:
-        """Answer for an attempt without a record, unless it may start."""
-        if incarnation != self._incarnation:
-            # It may have run under the earlier incarnation.
-            return [
-                effects.Send(
-                    sender,
-                    messages.RunUncertain(attempt, 'unknown-incarnation'),
-                )
-            ]
-        uptime = now - self._started
-        if uptime > expires_uptime + attempts.KEEP_S:
-            return [
-                effects.Send(
-                    sender, messages.RunUncertain(attempt, 'record-dropped')
-                )
-            ]
-        if uptime > expires_uptime:
-            return _refuse_unseen(sender, attempt, 'expired')
-        if self._table.is_closed(expires_uptime):
-            return _refuse_unseen(sender, attempt, 'busy')
-        return None
-
     def _cancel(
         self, now: float, sender: str, message: messages.CancelRequest
     ) -> list[effects.Effect]:
         record = self._table.get(message.attempt)
         if record is None:
-            return self._cancel_unseen(now, sender, message)
+            reply = self._table.answer_unseen(
+                now - self._started, self._incarnation, message
+            )
+            if reply is not None:
+                return [effects.Send(sender, reply)]
+            if self._table.is_full():
+                return []
+            record = self._table.add(sender, message)
+            return self._refuse(record, 'cancelled')
         if record.state is attempts.State.WAITING:
             self._targets[record.service].waiting.remove(record.attempt)
             record.senders[sender] = None
@@ -334,74 +297,31 @@
         if record.state is attempts.State.RUNNING:
             # The target keeps its slot until its call ends: a call that was
             # only abandoned here would still load the target.
-            return [
-                effects.Send(
-                    sender, messages.RunUncertain(record.attempt, 'cancelled')
-                )
-            ]
-        return self._join(sender, record)
-
-    def _cancel_unseen(
-        self, now: float, sender: str, message: messages.CancelRequest
-    ) -> list[effects.Effect]:
-        unknown = self._check_unseen(
-            now,
-            sender,
-            message.attempt,
-            message.incarnation,
-            message.expires_uptime,
-        )
-        if unknown is not None:
-            return unknown
-        if self._table.is_full():
-            return []
-        record = attempts.Record(
-            attempt=message.attempt,
-            service='',
-            digest=b'',
-            expires_uptime=message.expires_uptime,
-            state=attempts.State.WAITING,
-            senders={sender: None},
-        )
-        self._table.add(record)
-        return self._refuse(record, 'cancelled')
+            reply = messages.RunUncertain(record.attempt, 'cancelled')
+            return [effects.Send(sender, reply)]
+        return self._table.join(sender, record)
 
     def _query(
         self, now: float, sender: str, message: messages.QueryRun
     ) -> list[effects.Effect]:
         record = self._table.get(message.attempt)
-        if record is not None:
-            return self._join(sender, record) or [
-                effects.Send(
-                    sender,
-                    messages.RunState(message.attempt, record.state.value),
-                )
-            ]
-        unknown = self._check_unseen(
-            now,
-            sender,
-            message.attempt,
-            message.incarnation,
-            message.expires_uptime,
-        )
-        if unknown is not None:
-            return unknown
-        return [
-            effects.Send(sender, messages.RunState(message.attempt, 'unknown'))
+        if record is None:
+            reply = self._table.answer_unseen(
+                now - self._started, self._incarnation, message
+            )
+            if reply is None:
+                reply = messages.RunState(message.attempt, 'unknown')
+            return [effects.Send(sender, reply)]
+        return self._table.join(sender, record) or [
+            effects.Send(
+                sender, messages.RunState(message.attempt, record.state.value)
+            )
         ]
 
-    def _join(
-        self, sender: str, record: attempts.Record
-    ) -> list[effects.Effect]:
-        record.senders[sender] = None
-        if record.state in (attempts.State.WAITING, attempts.State.RUNNING):
-            return []
-        return [effects.Send(sender, _describe_end(record))]
-
     def _start(
         self,
         now: float,
-        target: _Target,
+        target: targets.Target,
         record: attempts.Record,
         request: messages.RunRequest,
     ) -> effects.CallTarget:
@@ -418,15 +338,15 @@
             trace=request.trace,
         )
 
-    def _start_waiting(
-        self, now: float, target: _Target
-    ) -> list[effects.Effect]:
+    def _start_waiting(self, now: float, service: str) -> list[effects.Effect]:
         result: list[effects.Effect] = []
+        target = self._targets.get(service)
         while (
-            target.waiting
+            target is not None
+            and target.waiting
             and not self._draining
             and target.accepts(now)
-            and target.running < target.limit()
+            and target.has_free_slot()
         ):
             record = self._table.get(target.waiting.popleft())
             if (
@@ -438,14 +358,6 @@
             result.append(self._start(now, target, record, record.request))
         return result
 
-    def _start_next(
-        self, now: float, record: attempts.Record
-    ) -> list[effects.Effect]:
-        target = self._targets.get(record.service)
-        if target is None:
-            return []
-        return self._start_waiting(now, target)
-
     def _stop_running(self, attempt: str) -> attempts.Record | None:
         if attempt not in self._running:
             return None
@@ -456,7 +368,7 @@
         return record
 
     def _refuse_waiting(
-        self, target: _Target, reason: str
+        self, target: targets.Target, reason: str
     ) -> list[effects.Effect]:
         result: list[effects.Effect] = []
         while target.waiting:
@@ -466,35 +378,12 @@
 
     def _refuse(
         self, record: attempts.Record, reason: str
-    ) -> list[effects.Effect]:
-        record.reason = reason
-        self._table.end(
-            record, self._now - self._started, attempts.State.REFUSED
+    ) -> list[effects.Send]:
+        return self._table.end(
+            record, self._now - self._started, attempts.State.REFUSED, reason
         )
-        return self._tell_senders(record)
-
-    def _tell_senders(self, record: attempts.Record) -> list[effects.Effect]:
-        message = _describe_end(record)
-        return [effects.Send(sender, message) for sender in record.senders]
 
     def _forget_target(self, service: str) -> None:
         """Drop a target that left and runs nothing."""
-        target = self._targets[service]
-        if target.accepts(self._now) or target.running or target.waiting:
-            return
-        del self._targets[service]
-
-
-def _refuse_unseen(
-    sender: str, attempt: str, reason: str
-) -> list[effects.Effect]:
-    return [effects.Send(sender, messages.RunRefused(attempt, reason))]
-
-
-def _describe_end(record: attempts.Record) -> messages.Message:
-    match record.state:
-        case attempts.State.ANSWERED if record.answer is not None:
-            return messages.RunAnswer(record.attempt, record.answer)
-        case attempts.State.REFUSED:
-            return messages.RunRefused(record.attempt, record.reason)
-    return messages.RunUncertain(record.attempt, record.reason)
+        if self._targets[service].is_gone(self._now):
+            del self._targets[service]
--- /dev/null
+++ b/tests/test_service/test_service_fuzz.py
@@ -0,0 +1,163 @@
+"""Stateful fuzzing of slots and dispatchers under all faults at once.
+
+Guards against a second run of a non-idempotent request, untruthful verdicts,
+answers of other requests, requests without an end, and work for targets that
+left.
+"""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from damaskpin.model import job as jobs
+from tests.test_service import world as worlds
+
+AGENTS = st.sampled_from(['a0', 'a1', 'a2'])
+ENTRIES = st.sampled_from(['e0', 'e1'])
+DEADLINES = st.sampled_from([0.5, 3.0, 12.0, 40.0])
+
+
+class FuzzRequests(stateful.RuleBasedStateMachine):
+    """Draws the faults; the simulated world checks after every step."""
+
+    @stateful.initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        self.world = worlds.World(seed)
+        self.keyed = []
+
+    @stateful.rule(
+        entry=ENTRIES,
+        deadline=DEADLINES,
+        idempotent=st.booleans(),
+        priority=st.sampled_from(jobs.Priority),
+        count=st.integers(1, 4),
+    )
+    def submit(self, entry, deadline, idempotent, priority, count):
+        for _ in range(count):
+            self.world.submit(
+                entry,
+                deadline_seconds=deadline,
+                idempotent=idempotent,
+                priority=priority,
+            )
+
+    @stateful.rule(entry=ENTRIES, deadline=DEADLINES)
+    def submit_with_key(self, entry, deadline):
+        key = f'k{len(self.keyed)}'
+        self.keyed.append(
+            self.world.submit(
+                entry, deadline_seconds=deadline, idempotency_key=key
+            )
+        )
+
+    @stateful.rule(entry=ENTRIES, deadline=DEADLINES)
+    def submit_with_issued_key(self, entry, deadline):
+        process = self.world.entries[entry]
+        if process.is_frozen():
+            return
+        key = process.machine.issue_key(
+            process.now(), 'naamkunde', worlds.SERVICE
+        )
+        if key is not None:
+            self.keyed.append(
+                self.world.submit(
+                    entry, deadline_seconds=deadline, idempotency_key=key
+                )
+            )
+
+    @stateful.precondition(lambda self: self.keyed)
+    @stateful.rule(entry=ENTRIES, deadline=DEADLINES, data=st.data())
+    def retry_key(self, entry, deadline, data):
+        name = data.draw(st.sampled_from(self.keyed))
+        request = self.world.submissions[name].request
+        self.world.submit(
+            entry,
+            deadline_seconds=deadline,
+            idempotency_key=request.idempotency_key,
+            body=request.body,
+        )
+
+    @stateful.precondition(lambda self: self.keyed)
+    @stateful.rule(entry=ENTRIES)
+    def crash_and_retry_elsewhere(self, entry):
+        self.world.entries[entry].restart()
+        other = 'e1' if entry == 'e0' else 'e0'
+        for name in self.keyed:
+            submission = self.world.submissions[name]
+            if submission.crashed and submission.entry == entry:
+                self.world.submit(
+                    other,
+                    deadline_seconds=12.0,
+                    idempotency_key=submission.request.idempotency_key,
+                    body=submission.request.body,
+                )
+
+    @stateful.precondition(lambda self: self.world.submissions)
+    @stateful.rule(data=st.data())
+    def cancel(self, data):
+        name = data.draw(st.sampled_from(sorted(self.world.submissions)))
+        entry = self.world.entries[self.world.submissions[name].entry]
+        entry.call(lambda now: entry.machine.cancel(now, name))
+
+    @stateful.rule(
+        loss=st.sampled_from([0.0, 0.0, 0.2, 0.6, 1.0]),
+        duplicates=st.sampled_from([0.0, 0.5]),
+        delay=st.sampled_from([0.0, 0.3, 5.0, 90.0]),
+        failing=st.sampled_from([0.0, 0.0, 0.5]),
+    )
+    def change_network(self, loss, duplicates, delay, failing):
+        self.world.loss = loss
+        self.world.duplicates = duplicates
+        self.world.delay = delay
+        self.world.failing = failing
+
+    @stateful.rule(mode=st.sampled_from(['up', 'up', 'down', 'lossy', 'slow']))
+    def change_store(self, mode):
+        self.world.store_mode = mode
+
+    @stateful.rule(name=AGENTS, told=st.sampled_from([None, 0.1, 3.0]))
+    def restart_agent(self, name, told):
+        agent = self.world.agents[name]
+        old = agent.incarnation
+        agent.restart()
+        if told is not None:
+            for entry in self.world.entries.values():
+                self.world.later(told, entry.lose, name, old)
+
+    @stateful.rule(name=AGENTS, told=st.booleans())
+    def leave(self, name, told):
+        agent = self.world.agents[name]
+        if agent.leaving_since is None:
+            agent.leaving_since = self.world.time
+            if told:
+                agent.announce(leaving=True)
+
+    @stateful.rule(name=AGENTS)
+    def return_target(self, name):
+        self.world.agents[name].leaving_since = None
+
+    @stateful.rule(name=AGENTS)
+    def drain(self, name):
+        agent = self.world.agents[name]
+        agent.draining = True
+        agent.call(lambda now: agent.machine.drain(now))
+
+    @stateful.rule(
+        name=AGENTS | ENTRIES, seconds=st.sampled_from([0.4, 2.0, 7.0, 70.0])
+    )
+    def freeze(self, name, seconds):
+        self.world.processes[name].freeze(seconds)
+
+    @stateful.rule(seconds=st.sampled_from([0.25, 1.0, 3.0, 10.0, 130.0]))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    def teardown(self):
+        if hasattr(self, 'world'):
+            self.world.heal()
+
+
+TestFuzzRequests = FuzzRequests.TestCase
+TestFuzzRequests.settings = hypothesis.settings(
+    suppress_health_check=list(hypothesis.HealthCheck)
+)
