Bound the work of one scheduler call

Ruled out: a clock in the decision logic, which would make runs differ. Change: bindings are found in portions of 64, one region is bound anew per call, what racks offer is cached per data centre, searches per call are limited, and jobs that lost a worker carry a flag.

--- a/damaskpin/scheduler/backfill.py
+++ b/damaskpin/scheduler/backfill.py
@@ -25,6 +25,9 @@
 # small change would let the cells fill up again.
 MOVE_SHARE = 0.5
 
+# The comparison looks at all cells of a level, so it is not made each time.
+CHECK_SECONDS = 30.0
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Reservation:
@@ -32,12 +35,14 @@
 
     :ivar start: expected time of the start.
     :ivar surplus: accelerators that the gang does not need at that time.
+    :ivar checked: time of the last comparison with other cells.
     """
 
     entry: queues.Entry
     cell: topologies.Cell
     start: float
     surplus: int
+    checked: float
 
 
 class Reservations:
@@ -69,6 +74,9 @@
                 del self.by_job[job_id]
                 continue
             reservation.start, reservation.surplus = found
+            if now - reservation.checked < CHECK_SECONDS:
+                continue
+            reservation.checked = now
             best = self._find_best(now, entry, reservation)
             wait = reservation.start - now
             if best is not None and best.start - now < wait * MOVE_SHARE:
@@ -152,7 +160,7 @@
             # Among equal starts, the cell that needs the least more is best.
             key = (found[0], spec.accelerators - cell.free)
             if best is None or key < best[0]:
-                best = (key, Reservation(entry, cell, *found))
+                best = (key, Reservation(entry, cell, *found, now))
         return None if best is None else best[1]
 
     def _is_taken(
--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -24,11 +24,20 @@
 MIN_RUN_SECONDS = 300.0
 MIN_REMAINING_SECONDS = 60.0
 
+# Searches of one call for borrowers to stop; each looks at all accelerators.
+MAX_SEARCHES = 6
+
 
 class Borrowing:
     """Places waiting jobs beyond the guarantees, in their order."""
 
-    __slots__ = ('_estimates', '_ledger', '_reservations', '_too_large')
+    __slots__ = (
+        '_estimates',
+        '_ledger',
+        '_reservations',
+        '_searches',
+        '_too_large',
+    )
 
     def __init__(
         self, ledger: ledgers.Ledger, known: estimates.Estimates
@@ -38,6 +47,7 @@
         self._reservations = backfill.Reservations(ledger, known)
         # Smallest gang of each level that found no room in this call.
         self._too_large: dict[int, int] = {}
+        self._searches = 0
 
     def start(
         self, now: float, found: list[decisions.Decision], budget: int
@@ -49,6 +59,7 @@
         """
         self._reservations.refresh(now)
         self._too_large = {}
+        self._searches = MAX_SEARCHES
         heaps = self._make_heaps()
         while heaps and budget > 0:
             account = min(heaps, key=lambda name: self._get_order(heaps, name))
@@ -126,6 +137,9 @@
         self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
         """Stop normal and low borrowers for an urgent one."""
+        if self._searches <= 0:
+            return False
+        self._searches -= 1
         for plan in preemption.find_plans(
             now,
             self._ledger,
@@ -173,6 +187,9 @@
         spec = entry.job.spec
         if ledger.topology.count_free() < spec.accelerators:
             return False
+        if self._searches <= 0:
+            return False
+        self._searches -= 1
         limit = spec.accelerators * MAX_MOVED_SHARE
 
         def may_move(other: queues.Entry) -> bool:
--- a/damaskpin/scheduler/cells.py
+++ b/damaskpin/scheduler/cells.py
@@ -28,6 +28,7 @@
     :ivar backup: binding that replaces ``parts`` when the job that uses the
         instance has ended, because a worker of ``parts`` failed.
     :ivar used: accelerators of each worker that its job uses or will use.
+    :ivar tried: whether no binding was found since the last change.
     """
 
     __slots__ = (
@@ -39,6 +40,7 @@
         'rack',
         'rack_use',
         'shape',
+        'tried',
         'used',
     )
 
@@ -52,6 +54,7 @@
         self.backup: packing.Parts | None = None
         self.used: packing.Parts = {}
         self.job_id: str | None = None
+        self.tried = False
         self.rack: topologies.Cell | None = None
         self.rack_use = packing.RackUse.POOL
 
@@ -114,8 +117,10 @@
         self._strict = strict
         self._topology = topology
         self._packer = packing.Packer(topology)
-        self._dirty = True
-        self._degraded = False
+        # Regions whose bindings may have to change, with whether an instance
+        # was tried in vain; and those that don't keep the allowance.
+        self._dirty: dict[str, bool] = {}
+        self._degraded: dict[str, bool] = {}
         self.instances: dict[InstanceKey, Instance] = {}
         self.by_account: dict[str, list[Instance]] = {}
 
@@ -148,13 +153,14 @@
                 dropped.append(instance.job_id)
             self._apply(instance, {}, None, {})
         self.instances = wanted
-        self._dirty = True
+        for instance in wanted.values():
+            self._touch(instance.shape.region)
         return dropped
 
     def note_worker_change(self, node: topologies.Node) -> None:
         """Adjust the bindings after a worker left or came back."""
         self._packer.forget(node.data_centre)
-        self._dirty = True
+        self._touch(node.worker.region)
         if node.is_usable():
             for instance in self.instances.values():
                 if instance.backup is not None and all(
@@ -185,8 +191,9 @@
         if not all(node.is_usable() for node in parts):
             parts = {}
         self._apply(instance, parts, None, {})
-        if not parts or self._degraded:
-            self._dirty = True
+        region = instance.shape.region
+        if not parts or region in self._degraded:
+            self._touch(region)
 
     def exchange(self, first: Instance, second: Instance) -> None:
         """Exchange the bindings of two unused instances of equal shape."""
@@ -247,26 +254,41 @@
         instance.job_id = job_id
         rack = self._packer.classify(parts, instance.shape.adjacency)
         self._apply(instance, parts, None, used, rack)
-        self._dirty = True
+        self._touch(instance.shape.region)
         return True
 
-    def settle(self) -> None:
+    def settle(self, limit: int) -> bool:
         """Bind what is not bound, or bind everything anew if that is better.
 
         Instances in use stay where they are.
+
+        :param limit: instances to bind at most, or one region anew.
+        :returns: whether everything is done.
         """
-        if not self._dirty:
-            return
-        self._dirty = False
-        unmet = [i for i in self.instances.values() if not i.is_met()]
-        if not unmet and not self._degraded:
-            return
-        if not self._degraded and 0 < len(unmet) < len(self.instances):
-            self._rebind(unmet)
-            unmet = [i for i in unmet if not i.is_met()]
-            if not unmet and not self._degraded:
-                return
-        self._repack(len(unmet))
+        for region in list(self._dirty):
+            unmet = [
+                instance
+                for instance in self.instances.values()
+                if instance.shape.region == region and not instance.is_met()
+            ]
+            waiting = [i for i in unmet if not i.tried]
+            waiting.sort(key=_get_pack_order)
+            for instance in waiting[:limit]:
+                instance.tried = not self._find_and_apply(instance, True)
+                if instance.tried:
+                    self._dirty[region] = True
+            if len(waiting) > limit:
+                return False
+            if region in self._degraded or any(i.tried for i in unmet):
+                if waiting:
+                    return False
+                self._repack(region)
+                for instance in unmet:
+                    instance.tried = False
+                del self._dirty[region]
+                return not self._dirty
+            del self._dirty[region]
+        return True
 
     def get_unmet(self) -> dict[tuple[str, str], int]:
         """Return the number of instances of each shape without a binding."""
@@ -283,7 +305,15 @@
 
     def is_degraded(self) -> bool:
         """Return whether the allowance for failures is not kept."""
-        return self._degraded
+        return bool(self._degraded)
+
+    def _touch(self, region: str) -> None:
+        """Look at the bindings of a region again."""
+        if self._dirty.get(region):
+            for instance in self.instances.values():
+                if instance.shape.region == region:
+                    instance.tried = False
+        self._dirty[region] = False
 
     def _apply(
         self,
@@ -302,6 +332,8 @@
             for node, count in instance.get_held().items():
                 node.bound += sign * count
                 node.bound_unused += sign * count
+                for cell in node.cells:
+                    cell.bound += sign * count
                 self._packer.forget(node.data_centre)
             for node, count in instance.used.items():
                 node.bound_unused -= sign * count
@@ -388,13 +420,18 @@
             if self._find_and_apply(instance, True):
                 continue
             if self._find_and_apply(instance, False):
-                self._degraded = True
+                self._degraded[instance.shape.region] = True
 
-    def _repack(self, unmet: int) -> None:
-        unused = [i for i in self.instances.values() if i.job_id is None]
+    def _repack(self, region: str) -> None:
+        """Bind all unused instances of a region anew if that is better."""
+        local = [
+            i for i in self.instances.values() if i.shape.region == region
+        ]
+        unused = [i for i in local if i.job_id is None]
         unused.sort(key=_get_pack_order)
         kept = [(i, i.parts, (i.rack, i.rack_use)) for i in unused]
-        best = (unmet, 1 if self._degraded else 0)
+        missing = sum(1 for i in local if not i.is_met())
+        best = (missing, int(region in self._degraded))
         for keep_spares, exclusive in (
             (True, False),
             (True, True),
@@ -406,18 +443,20 @@
                 self._apply(instance, {}, None, {})
             for instance in unused:
                 self._find_and_apply(instance, keep_spares, exclusive)
-            missing = sum(1 for i in self.instances.values() if not i.is_met())
+            missing = sum(1 for i in local if not i.is_met())
             score = (missing, 0 if keep_spares else 1)
             if score < best:
                 best = score
                 kept = [(i, i.parts, (i.rack, i.rack_use)) for i in unused]
-            if not missing:
+            if not best[0]:
                 break
         for instance in unused:
             self._apply(instance, {}, None, {})
         for instance, parts, rack in kept:
             self._apply(instance, parts, None, {}, rack)
-        self._degraded = bool(best[1])
+        self._degraded.pop(region, None)
+        if best[1]:
+            self._degraded[region] = True
 
 
 def _get_size_order(instance: Instance) -> tuple[int, int]:
@@ -454,7 +493,8 @@
             )
     bindings = Bindings(topology, strict=True)
     bindings.set_config(config)
-    bindings.settle()
+    while not bindings.settle(len(bindings.instances)):
+        pass
     problems = []
     unmet = bindings.get_unmet()
     for account in config.accounts:
--- a/damaskpin/scheduler/ledger.py
+++ b/damaskpin/scheduler/ledger.py
@@ -153,6 +153,7 @@
         entry.parts = parts
         entry.members = members
         entry.state = queues.State.RUNNING
+        entry.broken = not all(node.alive for node in parts)
         entry.started = started
         self._change(self.used, entry, 1)
         self._change(self.running, entry, 1)
@@ -170,6 +171,15 @@
         entry.parts = {}
         entry.members = ()
         entry.backfilled = False
+        entry.broken = False
+
+    def mark_broken(self, node: topologies.Node) -> None:
+        """Note which jobs end or go on after a worker left or came back."""
+        for job_id in node.slots:
+            if job_id is None:
+                continue
+            entry = self.entries[job_id]
+            entry.broken = not all(part.alive for part in entry.parts)
 
     def forget(self, entry: queues.Entry) -> None:
         """Drop a job in any state."""
--- a/damaskpin/scheduler/packing.py
+++ b/damaskpin/scheduler/packing.py
@@ -30,6 +30,20 @@
     EXCLUSIVE = 'exclusive'
 
 
+class RackOffer:
+    """What a rack offers to shapes that span several of its workers."""
+
+    __slots__ = ('avail', 'rack', 'total', 'use')
+
+    def __init__(
+        self, rack: topologies.Cell, use: RackUse, avail: Parts
+    ) -> None:
+        self.rack = rack
+        self.use = use
+        self.avail = avail
+        self.total = sum(avail.values())
+
+
 class DataCentreUse:
     """Untouched workers of a data centre, grouped by worker size.
 
@@ -110,13 +124,23 @@
 class Packer:
     """Finds accelerators for one shape among those that are not bound."""
 
-    __slots__ = ('_allowed', '_cache', '_expected', '_topology', 'uses')
+    __slots__ = (
+        '_allowed',
+        '_available',
+        '_cache',
+        '_expected',
+        '_offers',
+        '_topology',
+        'uses',
+    )
 
     def __init__(self, topology: topologies.Topology) -> None:
         self._topology = topology
         self._allowed = 0
         self._expected: dict[tuple[str, ...], int] = {}
         self._cache: dict[topologies.Cell, DataCentreUse] = {}
+        self._available: dict[tuple[topologies.Cell, bool], Parts] = {}
+        self._offers: dict[tuple[topologies.Cell, bool], list[RackOffer]] = {}
         self.uses: dict[topologies.Cell, RackUse] = {}
 
     def set_config(self, config: configs.Config) -> None:
@@ -127,10 +151,15 @@
             key = (rack.region, rack.data_centre, rack.name)
             self._expected[key] = rack.workers
         self._cache.clear()
+        self._available.clear()
+        self._offers.clear()
 
     def forget(self, cell: topologies.Cell) -> None:
         """Drop what was derived about a data centre that changed."""
         self._cache.pop(cell, None)
+        for keep_spares in (False, True):
+            self._available.pop((cell, keep_spares), None)
+            self._offers.pop((cell, keep_spares), None)
 
     def classify(
         self, parts: Parts, adjacency: hardware.Adjacency
@@ -179,7 +208,7 @@
             )
         best = None
         for centre in centres:
-            avail = self._get_available([centre], keep_spares)
+            avail = self._get_available(centre, keep_spares)
             total = sum(avail.values())
             if total < count:
                 continue
@@ -191,7 +220,9 @@
         if best is not None:
             return best[1], None, RackUse.POOL
         if shape.adjacency is hardware.Adjacency.REGION and centres:
-            avail = self._get_available(centres, keep_spares)
+            avail = {}
+            for centre in centres:
+                avail.update(self._get_available(centre, keep_spares))
             if sum(avail.values()) >= count:
                 region = centres[0].parent
                 assert region is not None
@@ -225,9 +256,9 @@
     ) -> Parts | None:
         best: tuple[tuple[int, ...], topologies.Node] | None = None
         for centre in centres:
-            if centre.total < count:
+            if centre.size - centre.bound < count:
                 continue
-            avail = self._get_available([centre], keep_spares)
+            avail = self._get_available(centre, keep_spares)
             for node, free in avail.items():
                 if free < count:
                     continue
@@ -249,34 +280,53 @@
         prefer_exclusive: bool,
         weigh: Callable[[topologies.Node, int], int] | None,
     ) -> tuple[Parts, topologies.Cell | None, RackUse] | None:
-        best: tuple[tuple[int, ...], Parts, topologies.Cell, RackUse] | None
-        best = None
+        best: tuple[tuple[int, ...], RackOffer] | None = None
         for centre in centres:
-            use = self._get_use(centre)
-            spares = use.spares if keep_spares else 0
-            for position, rack in enumerate(centre.children):
-                if rack.total < count:
+            for position, offer in enumerate(
+                self._get_offers(centre, keep_spares)
+            ):
+                if offer.total < count:
                     continue
-                for kind in (RackUse.SHARED, RackUse.EXCLUSIVE):
-                    if kind is RackUse.SHARED:
-                        avail = self._share_rack(rack, use, spares)
-                    elif spares:
-                        avail = self._take_rack(rack, use, spares)
-                    else:
-                        continue
-                    total = sum(avail.values())
-                    if total < count:
-                        continue
-                    parts = fill_cell(rack, count, avail)
-                    key = (
-                        weigh_parts(parts, weigh),
-                        int((kind is RackUse.EXCLUSIVE) != prefer_exclusive),
-                        total - count,
-                        position,
-                    )
-                    if best is None or key < best[0]:
-                        best = (key, parts, rack, kind)
-        return None if best is None else (best[1], best[2], best[3])
+                cost = 0
+                if weigh is not None:
+                    parts = fill_cell(offer.rack, count, offer.avail)
+                    cost = weigh_parts(parts, weigh)
+                exclusive = offer.use is RackUse.EXCLUSIVE
+                key = (
+                    cost,
+                    int(exclusive != prefer_exclusive),
+                    offer.total - count,
+                    position,
+                )
+                if best is None or key < best[0]:
+                    best = (key, offer)
+        if best is None:
+            return None
+        offer = best[1]
+        parts = fill_cell(offer.rack, count, offer.avail)
+        return parts, offer.rack, offer.use
+
+    def _get_offers(
+        self, centre: topologies.Cell, keep_spares: bool
+    ) -> list[RackOffer]:
+        offers = self._offers.get((centre, keep_spares))
+        if offers is not None:
+            return offers
+        offers = []
+        use = self._get_use(centre)
+        spares = use.spares if keep_spares else 0
+        for rack in centre.children:
+            if rack.bound >= rack.size:
+                continue
+            avail = self._share_rack(rack, use, spares)
+            if avail:
+                offers.append(RackOffer(rack, RackUse.SHARED, avail))
+            if spares:
+                avail = self._take_rack(rack, use, spares)
+                if avail:
+                    offers.append(RackOffer(rack, RackUse.EXCLUSIVE, avail))
+        self._offers[centre, keep_spares] = offers
+        return offers
 
     def _share_rack(
         self, rack: topologies.Cell, use: DataCentreUse, spares: int
@@ -288,6 +338,8 @@
         if kind is RackUse.EXCLUSIVE:
             return {}
         usable = [node for node in rack.nodes if node.is_usable()]
+        if not usable:
+            return {}
         untouched = [node for node in usable if not node.bound]
         if kind is RackUse.POOL:
             # The rack leaves the pool, which must keep its own spares.
@@ -314,7 +366,7 @@
         if self.uses.get(rack, RackUse.POOL) is not RackUse.POOL:
             return {}
         usable = [node for node in rack.nodes if node.is_usable()]
-        if any(node.bound for node in usable):
+        if not usable or any(node.bound for node in usable):
             return {}
         size = usable[0].size
         need = max(len(usable), use.exclusive.get(size, 0))
@@ -328,49 +380,53 @@
         return get_unbound(usable)
 
     def _get_available(
-        self, centres: list[topologies.Cell], keep_spares: bool
+        self, centre: topologies.Cell, keep_spares: bool
     ) -> Parts:
         """Return what the workers offer to shapes that don't need a rack."""
-        avail: Parts = {}
-        for centre in centres:
+        avail = self._available.get((centre, keep_spares))
+        if avail is None:
             use = self._get_use(centre)
-            if not keep_spares or not use.spares:
-                avail.update(get_unbound(centre.nodes))
+            if keep_spares and use.spares:
+                avail = self._list_available(centre, use)
+            else:
+                avail = get_unbound(centre.nodes)
+            self._available[centre, keep_spares] = avail
+        return avail
+
+    def _list_available(
+        self, centre: topologies.Cell, use: DataCentreUse
+    ) -> Parts:
+        avail: Parts = {}
+        left: dict[int, int] = {}
+        kept = {size: use.get_kept_racks(size) for size in use.exclusive}
+        # Racks that are in use already go first: empty ones are kept.
+        for rack in sorted(centre.children, key=lambda rack: not rack.bound):
+            kind = self.uses.get(rack, RackUse.POOL)
+            if kind is RackUse.EXCLUSIVE:
                 continue
-            left: dict[int, int] = {}
-            kept = {size: use.get_kept_racks(size) for size in use.exclusive}
-            # Racks that are in use already go first: empty ones are kept.
-            racks = sorted(
-                centre.children,
-                key=lambda rack: not any(node.bound for node in rack.nodes),
-            )
-            for rack in racks:
-                kind = self.uses.get(rack, RackUse.POOL)
-                if kind is RackUse.EXCLUSIVE:
-                    continue
-                shared = kind is RackUse.SHARED
-                if kept and not shared and _is_kept(rack, kept):
+            shared = kind is RackUse.SHARED
+            if kept and not shared and _is_kept(rack, kept):
+                continue
+            rack_left = 0
+            if shared:
+                rack_left = -use.spares + sum(
+                    1 for n in rack.nodes if n.is_usable() and not n.bound
+                )
+            for node in rack.nodes:
+                if not node.is_usable() or node.bound >= node.size:
                     continue
-                rack_left = 0
-                if shared:
-                    rack_left = -use.spares + sum(
-                        1 for n in rack.nodes if n.is_usable() and not n.bound
-                    )
-                for node in rack.nodes:
-                    if not node.is_usable() or node.bound >= node.size:
-                        continue
-                    if node.bound:
-                        avail[node] = node.size - node.bound
-                    elif shared:
-                        rack_left -= 1
-                        if rack_left >= 0:
-                            avail[node] = node.size
-                    else:
-                        if node.size not in left:
-                            left[node.size] = use.count_available(node.size)
-                        left[node.size] -= 1
-                        if left[node.size] >= 0:
-                            avail[node] = node.size
+                if node.bound:
+                    avail[node] = node.size - node.bound
+                elif shared:
+                    rack_left -= 1
+                    if rack_left >= 0:
+                        avail[node] = node.size
+                else:
+                    if node.size not in left:
+                        left[node.size] = use.count_available(node.size)
+                    left[node.size] -= 1
+                    if left[node.size] >= 0:
+                        avail[node] = node.size
         return avail
 
 
--- a/damaskpin/scheduler/preemption.py
+++ b/damaskpin/scheduler/preemption.py
@@ -106,17 +106,16 @@
         if not node.total:
             continue
         for job_id in node.slots:
-            if job_id is None:
-                continue
-            if job_id in sums:
-                sums[job_id] += 1
-                continue
-            other = ledger.entries[job_id]
-            if reclaim.is_ending(other) or not other.is_borrowing():
-                continue
-            if may_stop(other):
-                sums[job_id] = 1
-    return sums
+            if job_id is not None:
+                sums[job_id] = sums.get(job_id, 0) + 1
+    entries = ledger.entries
+    return {
+        job_id: count
+        for job_id, count in sums.items()
+        if entries[job_id].is_borrowing()
+        and not entries[job_id].broken
+        and may_stop(entries[job_id])
+    }
 
 
 def _make_plan(
--- a/damaskpin/scheduler/queue.py
+++ b/damaskpin/scheduler/queue.py
@@ -45,6 +45,8 @@
     :ivar avoid: workers where the job failed, with the end of the avoidance.
     :ivar backfilled: whether the job runs in cells reserved for another.
     :ivar cancelled: whether the job must not be queued again.
+    :ivar broken: whether a worker of the placed job has failed, so that the
+        job is about to end.
     """
 
     job: jobs.Job
@@ -62,6 +64,7 @@
     avoid: dict[str, float] = dataclasses.field(default_factory=dict)
     backfilled: bool = False
     cancelled: bool = False
+    broken: bool = False
 
     def is_borrowing(self) -> bool:
         """Return whether the job may be reclaimed."""
--- a/damaskpin/scheduler/reclaim.py
+++ b/damaskpin/scheduler/reclaim.py
@@ -37,9 +37,7 @@
 
 def is_ending(entry: queues.Entry) -> bool:
     """Return whether a placed job is about to free its accelerators."""
-    if entry.state is queues.State.STOPPING:
-        return True
-    return not all(node.alive for node in entry.parts)
+    return entry.broken or entry.state is queues.State.STOPPING
 
 
 def choose_victims(
--- a/damaskpin/scheduler/scheduler.py
+++ b/damaskpin/scheduler/scheduler.py
@@ -26,6 +26,9 @@
 # 64 of them stay far below the limit of 250 ms for a call.
 MAX_STEPS = 64
 
+# Instances of guaranteed shapes that one call binds; one takes up to 1 ms.
+MAX_BINDINGS = 64
+
 # Delay after a placement that failed, doubled with each failure in a row and
 # spread by a random factor, so that two coordinators do not collide again.
 RETRY_SECONDS = 0.25
@@ -72,6 +75,10 @@
         """Add a worker, update it, or take it back into service."""
         ledger = self._ledger
         self._warnings.note_worker(now)
+        known = ledger.topology.nodes.get(worker.name)
+        if known is not None and known.worker != worker:
+            # What was bound to the worker may not fit it any more.
+            self.remove_worker(now, worker.name)
         if not ledger.topology.set_worker(worker):
             return
         self._note_worker_change(now, worker.name)
@@ -239,9 +246,14 @@
             self._dirty = True
         found: list[decisions.Decision] = []
         self._update_health(now)
-        ledger.bindings.settle()
-        self._lift_quarantines()
-        found.extend(self._warnings.update(now, ledger))
+        settled = ledger.bindings.settle(MAX_BINDINGS)
+        if settled:
+            self._lift_quarantines(now)
+            settled = ledger.bindings.settle(MAX_BINDINGS)
+        if settled:
+            found.extend(self._warnings.update(now, ledger))
+        else:
+            self._dirty = True
         if not self._dirty:
             return found
         self._dirty = False
@@ -250,7 +262,7 @@
         budget = self._start_guaranteed(now, found, MAX_STEPS)
         if budget > 0:
             budget = self._borrowing.start(now, found, budget)
-        if budget <= 0:
+        if budget <= 0 or not settled:
             self._dirty = True
         return found
 
@@ -280,7 +292,9 @@
 
     def _note_worker_change(self, now: float, name: str) -> None:
         ledger = self._ledger
-        ledger.bindings.note_worker_change(ledger.topology.nodes[name])
+        node = ledger.topology.nodes[name]
+        ledger.mark_broken(node)
+        ledger.bindings.note_worker_change(node)
         self._warnings.note_change()
         self._dirty = True
 
@@ -406,21 +420,20 @@
             unmet = sum(self._ledger.bindings.get_unmet().values())
             self._set_quarantined(now, node.name, True)
             self._health.quarantine(now, node.name)
-            self._ledger.bindings.settle()
+            self._ledger.bindings.settle(MAX_BINDINGS)
             if sum(self._ledger.bindings.get_unmet().values()) > unmet:
                 # A suspect worker is better than a guarantee without one.
                 self._health.forgive(node.name)
                 self._set_quarantined(now, node.name, False)
 
-    def _lift_quarantines(self) -> None:
+    def _lift_quarantines(self, now: float) -> None:
         """End all quarantines if a guarantee can't be met otherwise."""
         names = self._health.get_quarantined()
         if not names or not self._ledger.bindings.get_unmet():
             return
         for name in names:
             self._health.forgive(name)
-            self._set_quarantined(0.0, name, False)
-        self._ledger.bindings.settle()
+            self._set_quarantined(now, name, False)
 
     def _set_quarantined(
         self, now: float, name: str, quarantined: bool
--- a/damaskpin/scheduler/topology.py
+++ b/damaskpin/scheduler/topology.py
@@ -23,12 +23,15 @@
 class Cell:
     """A rack, data centre or region.
 
+    :ivar size: accelerators of all known workers.
     :ivar total: accelerators of the workers in service.
     :ivar free: accelerators of those that are neither used nor held.
+    :ivar bound: accelerators bound to guaranteed shapes, used or not.
     :ivar failed: workers that are out of service.
     """
 
     __slots__ = (
+        'bound',
         'children',
         'failed',
         'free',
@@ -36,6 +39,7 @@
         'level',
         'nodes',
         'parent',
+        'size',
         'total',
     )
 
@@ -50,8 +54,10 @@
         self.parent = parent
         self.children: list[Cell] = []
         self.nodes: list[Node] = []
+        self.size = 0
         self.total = 0
         self.free = 0
+        self.bound = 0
         self.failed = 0
 
     def is_whole(self) -> bool:
@@ -251,12 +257,16 @@
         for cell in node.cells:
             cell.nodes.append(node)
             cell.failed += 1
+            cell.size += node.size
+            cell.bound += node.bound
 
     def _move(self, node: Node, worker: hardware.Worker) -> None:
         self._set_state(node, False, node.quarantined)
         for cell in node.cells:
             cell.nodes.remove(node)
             cell.failed -= 1
+            cell.size -= node.size
+            cell.bound -= node.bound
         node.worker = worker
         node.cells = self._make_cells(worker)
         node.rack, node.data_centre, node.region = node.cells
--- a/tests/test_scheduler/simulation.py
+++ b/tests/test_scheduler/simulation.py
@@ -1,11 +1,13 @@
 """Discrete-event runs of the scheduler at design size.
 
 ``python -m tests.test_scheduler.simulation --seeds 3`` prints the cost of the
-decisions and the waits of a day.
+decisions and the waits of a day. ``--set borrowing.MAX_MOVED_SHARE=0`` changes
+a constant of a module of the scheduler for a comparison.
 """
 
 import argparse
 import heapq
+import importlib
 import random
 import statistics
 import time
@@ -221,7 +223,14 @@
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument('--jobs', type=int, default=1900)
     parser.add_argument('--load', type=float, default=1.0)
+    parser.add_argument('--set', action='append', default=[])
     options = parser.parse_args()
+    for item in options.set:
+        name, value = item.split('=')
+        module, constant = name.split('.')
+        changed = importlib.import_module(f'damaskpin.scheduler.{module}')
+        assert hasattr(changed, constant)
+        setattr(changed, constant, float(value))
     for seed in range(options.seeds):
         config = make_config(seed=seed)
         run = Simulation(config, seed)
