--- a/damaskpin/scheduler/admission.py
+++ b/damaskpin/scheduler/admission.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.model import hardware
-from damaskpin.scheduler import cells
 from damaskpin.scheduler import decisions
+from damaskpin.scheduler import shapes
 from damaskpin.scheduler import topology as topologies
 
 if TYPE_CHECKING:
@@ -113,7 +113,7 @@
     for shape in account.guarantees:
         if shape.name != spec.shape:
             continue
-        if cells.matches(shape, spec):
+        if shapes.matches(shape, spec):
             return ''
         return (
             f'the job needs {spec.accelerators} accelerators in one '
--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from damaskpin.scheduler import decisions
     from damaskpin.scheduler import estimates
+    from damaskpin.scheduler import filling
     from damaskpin.scheduler import ledger as ledgers
-    from damaskpin.scheduler import packing
     from damaskpin.scheduler import queue as queues
 
 # Jobs that are moved for a large gang are at most this share of its size, and
@@ -76,16 +76,6 @@
                 del heaps[account]
         return budget
 
-    def drop_claims(self, now: float, parts: packing.Parts) -> None:
-        """Drop claims of borrowers on workers that a guarantee needs."""
-        ledger = self._ledger
-        for entry in list(ledger.claims.values()):
-            if entry.instance is not None:
-                continue
-            if any(node in parts for node in entry.parts):
-                ledger.note(now, entry.job.id, 'claim dropped for a guarantee')
-                ledger.drop_claim(now, entry)
-
     def _start_job(
         self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
@@ -116,7 +106,7 @@
 
     def _find_free(
         self, now: float, entry: queues.Entry
-    ) -> packing.Parts | None:
+    ) -> filling.Parts | None:
         spec = entry.job.spec
         rank = topologies.RANKS[spec.adjacency]
         if spec.accelerators >= self._too_large.get(
--- a/damaskpin/scheduler/guaranteed.py
+++ b/damaskpin/scheduler/guaranteed.py
@@ -5,22 +5,86 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.model import hardware
-from damaskpin.scheduler import cells
 from damaskpin.scheduler import queue as queues
 from damaskpin.scheduler import reclaim
+from damaskpin.scheduler import shapes
 
 if TYPE_CHECKING:
+    from damaskpin.scheduler import decisions
+    from damaskpin.scheduler import filling
     from damaskpin.scheduler import ledger as ledgers
-    from damaskpin.scheduler import packing
     from damaskpin.scheduler import topology as topologies
 
 # Exchanging bindings is worth a short search only; the own binding works.
 MAX_EXCHANGES = 64
 
 
+def start(
+    now: float,
+    ledger: ledgers.Ledger,
+    found: list[decisions.Decision],
+    budget: int,
+) -> int:
+    """Start waiting jobs that an unused guaranteed shape matches.
+
+    :param budget: jobs to start at most.
+    :returns: what is left of the budget.
+    """
+    for account in list(ledger.queue.get_accounts()):
+        if account not in ledger.accounts:
+            continue
+        if not ledger.bindings.by_account.get(account):
+            continue
+        groups = ledger.queue.get_groups(account)
+        groups.sort(key=queues.Group.get_order)
+        for group in groups:
+            while budget > 0:
+                entry = group.peek()
+                if entry is None:
+                    break
+                if not _claim(now, ledger, entry, found):
+                    break
+                budget -= 1
+    return budget
+
+
+def _claim(
+    now: float,
+    ledger: ledgers.Ledger,
+    entry: queues.Entry,
+    found: list[decisions.Decision],
+) -> bool:
+    instance = choose_instance(ledger, entry)
+    if instance is None:
+        return False
+    parts = choose_parts(instance, entry)
+    victims = find_victims(now, ledger, entry, parts)
+    if victims is None:
+        ledger.drop_borrowed_claims(now, parts)
+        victims = find_victims(now, ledger, entry, parts)
+    if victims is None:
+        return False
+    for victim in victims:
+        reason = f'guaranteed shape {instance.shape.name} of '
+        reason += f'{entry.job.account} is needed by {entry.job.id}'
+        found.append(ledger.stop(now, victim, reason))
+    ledger.claim(entry, parts, tuple(v.job.id for v in victims))
+    entry.instance = instance
+    ledger.bindings.acquire(instance, entry.job.id, parts)
+    ledger.note(
+        now,
+        entry.job.id,
+        f'draws on guaranteed shape {instance.shape.name}, '
+        f'reclaims {len(victims)} jobs',
+    )
+    if ledger.is_ready(entry):
+        found.append(ledger.place(now, entry))
+    return True
+
+
 def choose_instance(
     ledger: ledgers.Ledger, entry: queues.Entry
-) -> cells.Instance | None:
+) -> shapes.Instance | None:
     """Choose the instance that a job draws on, and where it is bound.
 
     :returns: an unused instance whose binding needs the least reclaiming;
@@ -28,11 +92,11 @@
     """
     spec = entry.job.spec
     first = None
-    best: tuple[int, cells.Instance] | None = None
+    best: tuple[int, shapes.Instance] | None = None
     for instance in ledger.bindings.by_account.get(entry.job.account, ()):
         if instance.job_id is not None or not instance.is_met():
             continue
-        if not cells.matches(instance.shape, spec):
+        if not shapes.matches(instance.shape, spec):
             continue
         if first is None:
             first = instance
@@ -50,14 +114,14 @@
 
 
 def choose_parts(
-    instance: cells.Instance, entry: queues.Entry
-) -> packing.Parts:
+    instance: shapes.Instance, entry: queues.Entry
+) -> filling.Parts:
     """Choose the accelerators of a binding that the job uses.
 
     A job smaller than its shape takes those that need the least reclaiming.
     """
     count = entry.job.spec.accelerators
-    parts: packing.Parts = {}
+    parts: filling.Parts = {}
     for node, bound in sorted(
         instance.parts.items(),
         key=lambda item: (
@@ -73,10 +137,10 @@
     return parts
 
 
-def fits_place(instance: cells.Instance, entry: queues.Entry) -> bool:
+def fits_place(instance: shapes.Instance, entry: queues.Entry) -> bool:
     """Return whether a placed job runs where an instance could be bound."""
     shape = instance.shape
-    if not cells.matches(shape, entry.job.spec):
+    if not shapes.matches(shape, entry.job.spec):
         return False
     cell = None
     for node in entry.parts:
@@ -95,7 +159,7 @@
     now: float,
     ledger: ledgers.Ledger,
     entry: queues.Entry,
-    parts: packing.Parts,
+    parts: filling.Parts,
 ) -> list[queues.Entry] | None:
     """Choose the borrowers to stop for a guaranteed job.
 
@@ -139,9 +203,9 @@
 def _improve(
     ledger: ledgers.Ledger,
     entry: queues.Entry,
-    instance: cells.Instance,
+    instance: shapes.Instance,
     cost: int,
-) -> cells.Instance:
+) -> shapes.Instance:
     """Bind an instance elsewhere if that needs less reclaiming."""
     best = None
     tried = 0
@@ -171,7 +235,7 @@
     return instance
 
 
-def _count_reclaimed(parts: packing.Parts, entry: queues.Entry) -> int:
+def _count_reclaimed(parts: filling.Parts, entry: queues.Entry) -> int:
     total = 0
     available = 0
     for node, count in parts.items():
--- a/damaskpin/scheduler/ledger.py
+++ b/damaskpin/scheduler/ledger.py
@@ -5,7 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
-from damaskpin.scheduler import cells
+from damaskpin.scheduler import bindings
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import queue as queues
 from damaskpin.scheduler import reclaim
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from damaskpin.model import config as configs
     from damaskpin.model import job as jobs
-    from damaskpin.scheduler import packing
+    from damaskpin.scheduler import filling
+    from damaskpin.scheduler import shapes
 
 HISTORY_JOBS = 5000
 HISTORY_LINES = 20
@@ -46,7 +47,7 @@
 
     def __init__(self) -> None:
         self.topology = topologies.Topology()
-        self.bindings = cells.Bindings(self.topology)
+        self.bindings = bindings.Bindings(self.topology)
         self.queue = queues.Queue()
         self.entries: dict[str, queues.Entry] = {}
         self.claims: dict[str, queues.Entry] = {}
@@ -74,7 +75,7 @@
     def claim(
         self,
         entry: queues.Entry,
-        parts: packing.Parts,
+        parts: filling.Parts,
         waiting_for: tuple[str, ...],
     ) -> None:
         """Hold accelerators for a waiting job until they are free."""
@@ -144,7 +145,7 @@
         self, entry: queues.Entry, members: decisions.Members, started: float
     ) -> None:
         """Record a job that runs already."""
-        parts: packing.Parts = {}
+        parts: filling.Parts = {}
         for name, indexes in members:
             node = self.topology.nodes[name]
             parts[node] = parts.get(node, 0) + len(indexes)
@@ -173,13 +174,23 @@
         entry.backfilled = False
         entry.broken = False
 
-    def mark_broken(self, node: topologies.Node) -> None:
-        """Note which jobs end or go on after a worker left or came back."""
+    def note_worker_change(self, node: topologies.Node) -> None:
+        """Adjust jobs and bindings after a worker left or came back."""
         for job_id in node.slots:
             if job_id is None:
                 continue
             entry = self.entries[job_id]
             entry.broken = not all(part.alive for part in entry.parts)
+        self.bindings.note_worker_change(node)
+
+    def drop_borrowed_claims(self, now: float, parts: filling.Parts) -> None:
+        """Drop claims of borrowers on workers that a guarantee needs."""
+        for entry in list(self.claims.values()):
+            if entry.instance is not None:
+                continue
+            if any(node in parts for node in entry.parts):
+                self.note(now, entry.job.id, 'claim dropped for a guarantee')
+                self.drop_claim(now, entry)
 
     def forget(self, entry: queues.Entry) -> None:
         """Drop a job in any state."""
@@ -197,7 +208,7 @@
         del self.entries[entry.job.id]
 
     def use_instance(
-        self, entry: queues.Entry, instance: cells.Instance
+        self, entry: queues.Entry, instance: shapes.Instance
     ) -> None:
         """Let a running borrower draw on an instance bound to its place."""
         entry.instance = instance
--- a/damaskpin/scheduler/placement.py
+++ b/damaskpin/scheduler/placement.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.model import hardware
-from damaskpin.scheduler import packing
+from damaskpin.scheduler import filling
 from damaskpin.scheduler import topology as topologies
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
 
 def find_place(
     topology: topologies.Topology, request: Request
-) -> packing.Parts | None:
+) -> filling.Parts | None:
     """Find free accelerators for a gang.
 
     One worker is preferred to one rack, and so on. Among cells of a level,
@@ -91,7 +91,7 @@
 
 def _find_worker(
     centres: list[topologies.Cell], request: Request
-) -> packing.Parts | None:
+) -> filling.Parts | None:
     count = request.count
     best: tuple[tuple[int, ...], topologies.Node] | None = None
     for centre in centres:
@@ -117,8 +117,8 @@
 
 def _find_cell(
     candidates: list[topologies.Cell], request: Request
-) -> packing.Parts | None:
-    best: tuple[tuple[int, ...], packing.Parts] | None = None
+) -> filling.Parts | None:
+    best: tuple[tuple[int, ...], filling.Parts] | None = None
     for position, cell in enumerate(candidates):
         avail = {
             node: node.free
@@ -130,7 +130,7 @@
         }
         if sum(avail.values()) < request.count:
             continue
-        parts = packing.fill_cell(cell, request.count, avail)
+        parts = filling.fill_cell(cell, request.count, avail)
         lent = sum(count_lent(node, taken) for node, taken in parts.items())
         key = (lent, cell.free - request.count, len(parts), position)
         if best is None or key < best[0]:
--- a/damaskpin/scheduler/preemption.py
+++ b/damaskpin/scheduler/preemption.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.model import hardware
-from damaskpin.scheduler import packing
+from damaskpin.scheduler import filling
 from damaskpin.scheduler import placement
 from damaskpin.scheduler import reclaim
 from damaskpin.scheduler import topology as topologies
@@ -17,7 +17,7 @@
     from damaskpin.scheduler import ledger as ledgers
     from damaskpin.scheduler import queue as queues
 
-Plan = tuple[packing.Parts, list['queues.Entry']]
+Plan = tuple[filling.Parts, list['queues.Entry']]
 Cells = list[list[topologies.Node]]
 
 # Cells that are examined in detail, those with the smallest deficit first.
@@ -75,7 +75,7 @@
     """Return whether stopped jobs could start again outside a cell."""
     topology = ledger.topology
     closed = {} if cell is None else {cell: 0}
-    held: list[packing.Parts] = []
+    held: list[filling.Parts] = []
     fit = True
     for victim in victims:
         spec = victim.job.spec
@@ -133,7 +133,7 @@
     if chosen is None:
         return None
     ids = {other.job.id for other in chosen}
-    avail: packing.Parts = {}
+    avail: filling.Parts = {}
     for node in nodes:
         if not node.total:
             continue
@@ -147,7 +147,7 @@
     if cell is None:
         parts = {nodes[0]: size}
     else:
-        parts = packing.fill_cell(cell, size, avail)
+        parts = filling.fill_cell(cell, size, avail)
     victims = reclaim.choose_victims(
         now,
         reclaim.count_deficits(parts, entries),
--- /dev/null
+++ b/damaskpin/scheduler/quarantine.py
@@ -0,0 +1,84 @@
+"""Taking failing workers out of service and trying them again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.scheduler import decisions
+from damaskpin.scheduler import health
+
+if TYPE_CHECKING:
+    from damaskpin.scheduler import ledger as ledgers
+    from damaskpin.scheduler import queue as queues
+
+# Time for which a job keeps off workers where it failed.
+AVOID_SECONDS = 300.0
+
+# Instances of guaranteed shapes that are bound again for one suspect.
+MAX_BINDINGS = 64
+
+
+class Quarantine:
+    """Applies the evidence about workers to the ledger."""
+
+    __slots__ = ('_health', '_ledger')
+
+    def __init__(self, ledger: ledgers.Ledger) -> None:
+        self._ledger = ledger
+        self._health = health.Health(ledger.topology)
+
+    def get_next_probe(self) -> float | None:
+        """Return the time of the next probe."""
+        return self._health.get_next_probe()
+
+    def note_outcome(
+        self, now: float, entry: queues.Entry, outcome: decisions.Outcome
+    ) -> None:
+        """Learn about the health of workers from an outcome."""
+        names = [name for name, _ in entry.members]
+        if outcome.result is decisions.Result.SUCCEEDED:
+            for name in self._health.note_success(entry.job.id, names):
+                self._set_quarantined(name, False)
+            return
+        if outcome.result is not decisions.Result.FAILED:
+            names = []
+        elif len(names) > 1:
+            # It is not known which member of a gang is to blame.
+            names = []
+        blamed = outcome.failed_workers or names
+        for name in blamed:
+            entry.avoid[name] = now + AVOID_SECONDS
+        for name in self._health.note_failure(now, entry.job.id, blamed):
+            self._set_quarantined(name, True)
+
+    def update(self, now: float) -> None:
+        """Quarantine suspects and probe workers that are due."""
+        topology = self._ledger.topology
+        for node in self._health.find_due_probes(now):
+            topology.start_probe(node)
+            self._ledger.bindings.changes += 1
+        for node in self._health.find_suspects():
+            unmet = sum(self._ledger.bindings.get_unmet().values())
+            self._set_quarantined(node.name, True)
+            self._health.quarantine(now, node.name)
+            self._ledger.bindings.settle(MAX_BINDINGS)
+            if sum(self._ledger.bindings.get_unmet().values()) > unmet:
+                # A suspect worker is better than a guarantee without one.
+                self._health.forgive(node.name)
+                self._set_quarantined(node.name, False)
+
+    def lift(self) -> None:
+        """End all quarantines if a guarantee can't be met otherwise."""
+        names = self._health.get_quarantined()
+        if not names or not self._ledger.bindings.get_unmet():
+            return
+        for name in names:
+            self._health.forgive(name)
+            self._set_quarantined(name, False)
+
+    def _set_quarantined(self, name: str, quarantined: bool) -> None:
+        node = self._ledger.topology.nodes.get(name)
+        if node is None:
+            return
+        self._ledger.topology.set_quarantined(node, quarantined)
+        self._ledger.note_worker_change(node)
--- a/damaskpin/scheduler/queue.py
+++ b/damaskpin/scheduler/queue.py
@@ -13,8 +13,8 @@
     from collections.abc import Iterator
 
     from damaskpin.model import job as jobs
-    from damaskpin.scheduler import cells
     from damaskpin.scheduler import decisions
+    from damaskpin.scheduler import shapes
 
 
 class State(enum.Enum):
@@ -55,7 +55,7 @@
     state: State = State.QUEUED
     parts: dict[topologies.Node, int] = dataclasses.field(default_factory=dict)
     members: decisions.Members = ()
-    instance: cells.Instance | None = None
+    instance: shapes.Instance | None = None
     waiting_for: tuple[str, ...] = ()
     started: float = 0.0
     run_before: float = 0.0
--- a/damaskpin/scheduler/reclaim.py
+++ b/damaskpin/scheduler/reclaim.py
@@ -9,20 +9,20 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from damaskpin.scheduler import packing
+    from damaskpin.scheduler import filling
 
 GRACE_SECONDS = 2.0
 
 
 def count_deficits(
-    parts: packing.Parts, entries: dict[str, queues.Entry]
-) -> packing.Parts:
+    parts: filling.Parts, entries: dict[str, queues.Entry]
+) -> filling.Parts:
     """Return the accelerators that must be freed on each worker.
 
     The parts must not be held yet. Jobs that are stopping already, and jobs
     that have lost a worker, free theirs soon.
     """
-    deficits: packing.Parts = {}
+    deficits: filling.Parts = {}
     for node, count in parts.items():
         missing = count + node.held - node.unused
         if missing <= 0:
@@ -42,7 +42,7 @@
 
 def choose_victims(
     now: float,
-    deficits: packing.Parts,
+    deficits: filling.Parts,
     entries: dict[str, queues.Entry],
     may_stop: Callable[[queues.Entry], bool],
 ) -> list[queues.Entry] | None:
@@ -53,7 +53,7 @@
     :returns: the jobs; ``None`` if they do not free enough.
     """
     left = dict(deficits)
-    shares: dict[str, packing.Parts] = {}
+    shares: dict[str, filling.Parts] = {}
     for node in left:
         for job_id in node.slots:
             if job_id is None:
@@ -123,10 +123,10 @@
 
 
 def _drop_needless(
-    now: float, deficits: packing.Parts, chosen: list[queues.Entry]
+    now: float, deficits: filling.Parts, chosen: list[queues.Entry]
 ) -> list[queues.Entry]:
     """Drop jobs that the jobs chosen after them made needless."""
-    freed: packing.Parts = {}
+    freed: filling.Parts = {}
     for entry in chosen:
         for node, count in entry.parts.items():
             freed[node] = freed.get(node, 0) + count
--- a/damaskpin/scheduler/scheduler.py
+++ b/damaskpin/scheduler/scheduler.py
@@ -9,8 +9,8 @@
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import estimates
 from damaskpin.scheduler import guaranteed
-from damaskpin.scheduler import health
 from damaskpin.scheduler import ledger as ledgers
+from damaskpin.scheduler import quarantine
 from damaskpin.scheduler import queue as queues
 from damaskpin.scheduler import snapshot
 from damaskpin.scheduler import warnings
@@ -34,9 +34,6 @@
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 30.0
 
-# Time for which a job keeps off workers where it failed.
-AVOID_SECONDS = 300.0
-
 
 class Scheduler:
     """Decides which jobs start where, and which are stopped for others.
@@ -51,9 +48,10 @@
         self._admission = admission.Admission(config)
         self._warnings = warnings.Warnings(config)
         self._estimates = estimates.Estimates()
-        self._health = health.Health(self._ledger.topology)
+        self._care = quarantine.Quarantine(self._ledger)
         self._borrowing = borrowing.Borrowing(self._ledger, self._estimates)
         self._dirty = True
+        self._seen_changes = 0
         self.set_config(config)
 
     def set_config(self, config: configs.Config) -> None:
@@ -81,7 +79,7 @@
             self.remove_worker(now, worker.name)
         if not ledger.topology.set_worker(worker):
             return
-        self._note_worker_change(now, worker.name)
+        self._note_worker_change(worker.name)
 
     def remove_worker(self, now: float, name: str) -> None:
         """Take a failed worker out of service.
@@ -89,7 +87,7 @@
         Its jobs keep their accelerators until :meth:`finished` is called.
         """
         if self._ledger.topology.remove_worker(name):
-            self._note_worker_change(now, name)
+            self._note_worker_change(name)
 
     def submit(self, now: float, job: jobs.Job) -> decisions.Refusal | None:
         """Queue a job.
@@ -163,7 +161,7 @@
             return
         entry.failures += 1
         for name in workers:
-            entry.avoid[name] = now + AVOID_SECONDS
+            entry.avoid[name] = now + quarantine.AVOID_SECONDS
         self._ledger.note(now, job_id, f'placement failed: {reason}')
         delay = RETRY_SECONDS * 2 ** min(entry.failures - 1, 16)
         delay = min(delay, MAX_RETRY_SECONDS) * self._rng.uniform(0.5, 1.0)
@@ -192,7 +190,13 @@
         self._dirty = True
         result = outcome.result
         ledger.note(now, job_id, f'ended: {result.value}')
-        self._note_outcome(now, entry, outcome)
+        self._care.note_outcome(now, entry, outcome)
+        if result is decisions.Result.SUCCEEDED:
+            self._estimates.observe(
+                entry.job.account,
+                entry.job.spec.run_seconds,
+                entry.run_before + now - entry.started,
+            )
         again = result is decisions.Result.CHECKPOINTED or (
             result is decisions.Result.LOST and entry.job.spec.idempotent
         )
@@ -245,21 +249,24 @@
         if ledger.queue.release_delayed(now):
             self._dirty = True
         found: list[decisions.Decision] = []
-        self._update_health(now)
+        self._care.update(now)
         settled = ledger.bindings.settle(MAX_BINDINGS)
         if settled:
-            self._lift_quarantines(now)
+            self._care.lift()
             settled = ledger.bindings.settle(MAX_BINDINGS)
         if settled:
             found.extend(self._warnings.update(now, ledger))
         else:
             self._dirty = True
+        if ledger.bindings.changes != self._seen_changes:
+            self._seen_changes = ledger.bindings.changes
+            self._dirty = True
         if not self._dirty:
             return found
         self._dirty = False
         self._drop_broken_claims(now)
         self._finish_claims(now, found)
-        budget = self._start_guaranteed(now, found, MAX_STEPS)
+        budget = guaranteed.start(now, ledger, found, MAX_STEPS)
         if budget > 0:
             budget = self._borrowing.start(now, found, budget)
         if budget <= 0 or not settled:
@@ -281,7 +288,7 @@
         times = [
             self._ledger.queue.get_next_release(),
             self._warnings.get_next_check(),
-            self._health.get_next_probe(),
+            self._care.get_next_probe(),
         ]
         known = [time for time in times if time is not None]
         return max(now, min(known)) if known else None
@@ -290,12 +297,9 @@
         """Return the current state for reports."""
         return snapshot.make_snapshot(now, self._ledger)
 
-    def _note_worker_change(self, now: float, name: str) -> None:
+    def _note_worker_change(self, name: str) -> None:
         ledger = self._ledger
-        node = ledger.topology.nodes[name]
-        ledger.mark_broken(node)
-        ledger.bindings.note_worker_change(node)
-        self._warnings.note_change()
+        ledger.note_worker_change(ledger.topology.nodes[name])
         self._dirty = True
 
     def _check_members(self, members: decisions.Members, job_id: str) -> None:
@@ -333,113 +337,3 @@
         for entry in list(self._ledger.claims.values()):
             if self._ledger.is_ready(entry):
                 found.append(self._ledger.place(now, entry))
-
-    def _start_guaranteed(
-        self, now: float, found: list[decisions.Decision], budget: int
-    ) -> int:
-        ledger = self._ledger
-        for account in list(ledger.queue.get_accounts()):
-            if account not in ledger.accounts:
-                continue
-            if not ledger.bindings.by_account.get(account):
-                continue
-            groups = ledger.queue.get_groups(account)
-            groups.sort(key=queues.Group.get_order)
-            for group in groups:
-                while budget > 0:
-                    entry = group.peek()
-                    if entry is None:
-                        break
-                    if not self._claim_guaranteed(now, entry, found):
-                        break
-                    budget -= 1
-        return budget
-
-    def _claim_guaranteed(
-        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
-    ) -> bool:
-        ledger = self._ledger
-        instance = guaranteed.choose_instance(ledger, entry)
-        if instance is None:
-            return False
-        parts = guaranteed.choose_parts(instance, entry)
-        victims = guaranteed.find_victims(now, ledger, entry, parts)
-        if victims is None:
-            self._borrowing.drop_claims(now, parts)
-            victims = guaranteed.find_victims(now, ledger, entry, parts)
-        if victims is None:
-            return False
-        for victim in victims:
-            reason = f'guaranteed shape {instance.shape.name} of '
-            reason += f'{entry.job.account} is needed by {entry.job.id}'
-            found.append(ledger.stop(now, victim, reason))
-        ledger.claim(entry, parts, tuple(v.job.id for v in victims))
-        entry.instance = instance
-        ledger.bindings.acquire(instance, entry.job.id, parts)
-        ledger.note(
-            now,
-            entry.job.id,
-            f'draws on guaranteed shape {instance.shape.name}, '
-            f'reclaims {len(victims)} jobs',
-        )
-        if ledger.is_ready(entry):
-            found.append(ledger.place(now, entry))
-        return True
-
-    def _note_outcome(
-        self, now: float, entry: queues.Entry, outcome: decisions.Outcome
-    ) -> None:
-        """Learn run times and the health of workers from an outcome."""
-        names = [name for name, _ in entry.members]
-        if outcome.result is decisions.Result.SUCCEEDED:
-            self._estimates.observe(
-                entry.job.account,
-                entry.job.spec.run_seconds,
-                entry.run_before + now - entry.started,
-            )
-            for name in self._health.note_success(entry.job.id, names):
-                self._set_quarantined(now, name, False)
-            return
-        if outcome.result is not decisions.Result.FAILED:
-            names = []
-        elif len(names) > 1:
-            # It is not known which member of a gang is to blame.
-            names = []
-        blamed = outcome.failed_workers or names
-        for name in blamed:
-            entry.avoid[name] = now + AVOID_SECONDS
-        for name in self._health.note_failure(now, entry.job.id, blamed):
-            self._set_quarantined(now, name, True)
-
-    def _update_health(self, now: float) -> None:
-        topology = self._ledger.topology
-        for node in self._health.find_due_probes(now):
-            topology.start_probe(node)
-            self._dirty = True
-        for node in self._health.find_suspects():
-            unmet = sum(self._ledger.bindings.get_unmet().values())
-            self._set_quarantined(now, node.name, True)
-            self._health.quarantine(now, node.name)
-            self._ledger.bindings.settle(MAX_BINDINGS)
-            if sum(self._ledger.bindings.get_unmet().values()) > unmet:
-                # A suspect worker is better than a guarantee without one.
-                self._health.forgive(node.name)
-                self._set_quarantined(now, node.name, False)
-
-    def _lift_quarantines(self, now: float) -> None:
-        """End all quarantines if a guarantee can't be met otherwise."""
-        names = self._health.get_quarantined()
-        if not names or not self._ledger.bindings.get_unmet():
-            return
-        for name in names:
-            self._health.forgive(name)
-            self._set_quarantined(now, name, False)
-
-    def _set_quarantined(
-        self, now: float, name: str, quarantined: bool
-    ) -> None:
-        node = self._ledger.topology.nodes.get(name)
-        if node is None:
-            return
-        self._ledger.topology.set_quarantined(node, quarantined)
-        self._note_worker_change(now, name)
--- /dev/null
+++ b/damaskpin/scheduler/spares.py
@@ -0,0 +1,126 @@
+"""Workers and racks that are kept free for the allowance for failures."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpin.scheduler import filling
+    from damaskpin.scheduler import topology as topologies
+
+
+class RackUse(enum.Enum):
+    """How a rack serves shapes that span several of its workers.
+
+    A shared rack keeps its own spare workers. An exclusive rack serves one
+    instance only, and the spare is another empty rack: when one of its workers
+    fails, the instance ends, so the whole rack becomes free.
+    """
+
+    POOL = 'pool'
+    SHARED = 'shared'
+    EXCLUSIVE = 'exclusive'
+
+
+class RackOffer:
+    """What a rack offers to shapes that span several of its workers."""
+
+    __slots__ = ('avail', 'rack', 'total', 'use')
+
+    def __init__(
+        self, rack: topologies.Cell, use: RackUse, avail: filling.Parts
+    ) -> None:
+        self.rack = rack
+        self.use = use
+        self.avail = avail
+        self.total = sum(avail.values())
+
+
+class DataCentreUse:
+    """Untouched workers of a data centre, grouped by worker size.
+
+    Spares are kept for each worker size, so that a spare always holds what
+    was bound to the worker that it stands in for.
+
+    :ivar spares: workers that may still fail under the allowance.
+    :ivar untouched: workers without bindings in pool racks, by size.
+    :ivar touched: workers with bindings in pool racks, by size.
+    :ivar empty: workers of each rack without bindings, by size.
+    :ivar exclusive: workers of the largest exclusive rack, by size.
+    """
+
+    __slots__ = ('empty', 'exclusive', 'spares', 'touched', 'untouched')
+
+    def __init__(
+        self,
+        cell: topologies.Cell,
+        allowed: int,
+        expected: dict[tuple[str, ...], int],
+        uses: dict[topologies.Cell, RackUse],
+    ) -> None:
+        self.untouched: dict[int, int] = {}
+        self.touched: dict[int, int] = {}
+        self.empty: dict[int, list[int]] = {}
+        self.exclusive: dict[int, int] = {}
+        failed = 0
+        for rack in cell.children:
+            usable = [node for node in rack.nodes if node.is_usable()]
+            known_failed = rack.failed
+            if rack.key in expected:
+                known_failed = min(
+                    known_failed, max(0, expected[rack.key] - len(usable))
+                )
+            failed += known_failed
+            if not usable:
+                continue
+            use = uses.get(rack, RackUse.POOL)
+            size = usable[0].size
+            if use is RackUse.EXCLUSIVE:
+                self.exclusive[size] = max(
+                    len(usable), self.exclusive.get(size, 0)
+                )
+            if use is not RackUse.POOL:
+                continue
+            if not any(node.bound for node in usable):
+                self.empty.setdefault(size, []).append(len(usable))
+            for node in usable:
+                counts = self.touched if node.bound else self.untouched
+                counts[node.size] = counts.get(node.size, 0) + 1
+        self.spares = max(0, allowed - failed)
+
+    def count_available(self, size: int) -> int:
+        """Return the untouched pool workers beyond the spares."""
+        reserve = self.spares + sum(self.get_kept_racks(size))
+        return self.untouched.get(size, 0) - reserve
+
+    def get_kept_racks(self, size: int) -> list[int]:
+        """Return the workers of the empty racks that are kept as spares."""
+        need = self.exclusive.get(size, 0)
+        if not need:
+            return []
+        racks = sorted(r for r in self.empty.get(size, ()) if r >= need)
+        return racks[: self.spares]
+
+    def can_give_rack(self, size: int, workers: int, need: int) -> bool:
+        """Return whether enough empty racks remain without one.
+
+        :param workers: workers of the rack that is given away.
+        :param need: workers that a spare rack must have; 0 for no spare.
+        """
+        if not need:
+            return True
+        racks = sum(1 for r in self.empty.get(size, ()) if r >= need)
+        return racks - int(workers >= need) >= self.spares
+
+
+def take_kept_rack(rack: topologies.Cell, kept: dict[int, list[int]]) -> bool:
+    """Take an empty rack off the list of spare racks, if it is one."""
+    usable = [node for node in rack.nodes if node.is_usable()]
+    if not usable or any(node.bound for node in usable):
+        return False
+    racks = kept.get(usable[0].size, [])
+    if len(usable) not in racks:
+        return False
+    racks.remove(len(usable))
+    return True
--- a/damaskpin/scheduler/warnings.py
+++ b/damaskpin/scheduler/warnings.py
@@ -19,10 +19,10 @@
     """Reports each change of the guarantees that can't be met once."""
 
     __slots__ = (
-        '_changed',
         '_expected',
         '_first_worker',
         '_reported',
+        '_seen_changes',
         '_settled',
     )
 
@@ -30,7 +30,7 @@
         self._reported: dict[tuple[str, str], decisions.Warn] = {}
         self._first_worker: float | None = None
         self._settled = False
-        self._changed = True
+        self._seen_changes = -1
         self._expected: dict[str, int] = {}
         self.set_config(config)
 
@@ -40,17 +40,12 @@
         for rack in config.racks:
             known = self._expected.get(rack.region, 0)
             self._expected[rack.region] = known + rack.workers
-        self._changed = True
 
     def note_worker(self, now: float) -> None:
         """Record that a worker reported."""
         if self._first_worker is None:
             self._first_worker = now
 
-    def note_change(self) -> None:
-        """Record that workers or bindings changed."""
-        self._changed = True
-
     def get_next_check(self) -> float | None:
         """Return when the state after a start counts as complete."""
         if self._settled or self._first_worker is None:
@@ -64,10 +59,10 @@
         check = self.get_next_check()
         if check is not None and now >= check:
             self._settled = True
-            self._changed = True
-        if not self._changed:
+            self._seen_changes = -1
+        if self._seen_changes == ledger.bindings.changes:
             return []
-        self._changed = False
+        self._seen_changes = ledger.bindings.changes
         found = []
         unmet = ledger.bindings.get_unmet()
         current = {}
--- a/tests/test_scheduler/test_scheduler_fuzz.py
+++ b/tests/test_scheduler/test_scheduler_fuzz.py
@@ -14,6 +14,7 @@
 from damaskpin.scheduler import cells
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import scheduler as schedulers
+from damaskpin.scheduler import shapes
 
 LEVELS = list(hardware.Adjacency)
 RESULTS = [
@@ -265,7 +266,7 @@
                     guaranteed and self.jobs[other].account == job.account
                     for other, (_, guaranteed) in self.placed.items()
                 )
-                assert in_use >= shape.count or not cells.matches(
+                assert in_use >= shape.count or not shapes.matches(
                     shape, job.spec
                 ), f'{job_id} waits for a free guarantee'
 
