--- a/damaskpin/scheduler/bindings.py
+++ b/damaskpin/scheduler/bindings.py
@@ -94,8 +94,8 @@
         self._touch(node.worker.region)
         if node.is_usable():
             for instance in self.instances.values():
-                if instance.backup is not None and all(
-                    part.is_usable() for part in instance.parts
+                if instance.backup is not None and instance.holds(
+                    instance.parts
                 ):
                     # The job goes on where it was.
                     self._apply(instance, instance.parts, None, instance.used)
@@ -119,7 +119,7 @@
         """End the use of an instance by a job."""
         instance.job_id = None
         parts = instance.parts if instance.backup is None else instance.backup
-        if not all(node.is_usable() for node in parts):
+        if not instance.holds(parts):
             parts = {}
         self._apply(instance, parts, None, {})
         region = instance.shape.region
--- a/damaskpin/scheduler/health.py
+++ b/damaskpin/scheduler/health.py
@@ -138,11 +138,10 @@
         """Return quarantined workers that one job may try now."""
         found = []
         for name, record in self._records.items():
-            node = self._topology.nodes.get(name)
-            if node is None or not node.quarantined or node.probing:
+            if not self._is_waiting(name):
                 continue
             if record.backoff and record.probe_at <= now:
-                found.append(node)
+                found.append(self._topology.nodes[name])
         return found
 
     def get_next_probe(self) -> float | None:
@@ -151,7 +150,12 @@
             (
                 record.probe_at
                 for name, record in self._records.items()
-                if record.backoff and not self._topology.nodes[name].probing
+                if record.backoff and self._is_waiting(name)
             ),
             default=None,
         )
+
+    def _is_waiting(self, name: str) -> bool:
+        """Return whether a worker is quarantined and not probed yet."""
+        node = self._topology.nodes.get(name)
+        return node is not None and node.quarantined and not node.probing
--- a/damaskpin/scheduler/ledger.py
+++ b/damaskpin/scheduler/ledger.py
@@ -183,6 +183,16 @@
             entry.broken = not all(part.alive for part in entry.parts)
         self.bindings.note_worker_change(node)
 
+    def forget_workers(self, removed_before: float) -> None:
+        """Drop workers that went out of service long ago and are unused."""
+        for node in list(self.topology.get_failed()):
+            if node.alive or node.removed > removed_before:
+                continue
+            if node.bound or node.held or node.unused < node.size:
+                continue
+            self.topology.forget_worker(node)
+            self.bindings.note_worker_change(node)
+
     def drop_borrowed_claims(self, now: float, parts: filling.Parts) -> None:
         """Drop claims of borrowers on workers that a guarantee needs."""
         for entry in list(self.claims.values()):
--- a/damaskpin/scheduler/scheduler.py
+++ b/damaskpin/scheduler/scheduler.py
@@ -44,6 +44,9 @@
 # reservations, moves and avoided workers depend on time too.
 RECHECK_SECONDS = 60.0
 
+# A worker that has been gone for so long was taken away rather than failed.
+FORGET_SECONDS = 24 * 3600.0
+
 
 class Scheduler:
     """Decides which jobs start where, and which are stopped for others.
@@ -98,7 +101,7 @@
 
         Its jobs keep their accelerators until :meth:`finished` is called.
         """
-        if self._ledger.topology.remove_worker(name):
+        if self._ledger.topology.remove_worker(now, name):
             self._note_worker_change(name)
 
     def submit(self, now: float, job: jobs.Job) -> decisions.Refusal | None:
@@ -282,6 +285,7 @@
             return found
         self._dirty = False
         self._next_check = now + RECHECK_SECONDS
+        ledger.forget_workers(now - FORGET_SECONDS)
         self._drop_broken_claims(now)
         self._finish_claims(now, found)
         budget = guaranteed.start(now, ledger, found, MAX_STEPS)
--- a/damaskpin/scheduler/shapes.py
+++ b/damaskpin/scheduler/shapes.py
@@ -63,8 +63,15 @@
 
     def is_met(self) -> bool:
         """Return whether the instance is bound to workers in service."""
-        parts = self.parts if self.backup is None else self.backup
-        return bool(parts) and all(node.is_usable() for node in parts)
+        return self.holds(self.parts if self.backup is None else self.backup)
+
+    def holds(self, parts: filling.Parts) -> bool:
+        """Return whether a binding is complete and in service."""
+        if sum(parts.values()) < self.shape.accelerators:
+            # A restored job smaller than its shape may lie in a cell without
+            # room for the rest.
+            return False
+        return all(node.is_usable() for node in parts)
 
     def has_same_shape(self, other: Instance) -> bool:
         """Return whether two instances can exchange their bindings."""
--- a/damaskpin/scheduler/topology.py
+++ b/damaskpin/scheduler/topology.py
@@ -74,6 +74,7 @@
     :ivar held: accelerators held for jobs that wait for others to stop.
     :ivar bound: accelerators bound to guaranteed shapes, used or not.
     :ivar bound_unused: part of them that no guaranteed job uses.
+    :ivar removed: time at which the worker went out of service.
     :ivar probing: whether one job at a time may try a quarantined worker.
     :ivar free: accelerators that a job can take now; 0 out of service.
     """
@@ -92,6 +93,7 @@
         'quarantined',
         'rack',
         'region',
+        'removed',
         'size',
         'slots',
         'total',
@@ -119,6 +121,7 @@
         self.alive = False
         self.quarantined = False
         self.probing = False
+        self.removed = 0.0
         self.free = 0
         self.total = 0
 
@@ -139,9 +142,10 @@
 class Topology:
     """All known workers in their cells."""
 
-    __slots__ = ('cells', 'nodes')
+    __slots__ = ('_count', 'cells', 'nodes')
 
     def __init__(self) -> None:
+        self._count = 0
         self.nodes: dict[str, Node] = {}
         self.cells: dict[hardware.Adjacency, dict[tuple[str, ...], Cell]] = {
             level: {} for level in LEVELS[1:]
@@ -156,7 +160,8 @@
         if node is not None and node.worker != worker:
             self._move(node, worker)
         elif node is None:
-            node = Node(worker, len(self.nodes), self._make_cells(worker))
+            self._count += 1
+            node = Node(worker, self._count, self._make_cells(worker))
             self.nodes[worker.name] = node
             self._attach(node)
         elif node.alive:
@@ -164,7 +169,7 @@
         self._set_state(node, True, node.quarantined)
         return True
 
-    def remove_worker(self, name: str) -> bool:
+    def remove_worker(self, now: float, name: str) -> bool:
         """Take a worker out of service; its jobs stay until they end.
 
         :returns: whether anything changed.
@@ -172,9 +177,18 @@
         node = self.nodes.get(name)
         if node is None or not node.alive:
             return False
+        node.removed = now
         self._set_state(node, False, node.quarantined)
         return True
 
+    def forget_worker(self, node: Node) -> None:
+        """Drop a worker that is out of service and unused."""
+        del self.nodes[node.name]
+        for cell in node.cells:
+            cell.nodes.remove(node)
+            cell.failed -= 1
+            cell.size -= node.size
+
     def set_quarantined(self, node: Node, quarantined: bool) -> None:
         """Stop or resume starting work on a worker."""
         node.probing = False
--- a/tests/test_scheduler/test_scheduler_rules.py
+++ b/tests/test_scheduler/test_scheduler_rules.py
@@ -450,3 +450,15 @@
         submit(scheduler, f'g{index}', 'a', 4, now=2.0)
     found = decide(scheduler, 2.0)
     assert sum(p.guaranteed for p in found['place'].values()) <= 1
+
+
+def test_workers_gone_for_a_day_are_forgotten():
+    """Guards against growth without bound while workers are replaced."""
+    scheduler = make_scheduler(make_config(make_account('a')))
+    scheduler.remove_worker(1.0, 'k0-0')
+    submit(scheduler, 'j', 'a', 1, now=80_000.0)
+    decide(scheduler, 80_000.0)
+    assert scheduler.get_snapshot(80_000.0).workers == 8
+    end(scheduler, 'j', 90_000.0)
+    decide(scheduler, 90_000.0)
+    assert scheduler.get_snapshot(90_000.0).workers == 7
