--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from damaskpin.scheduler import decisions
     from damaskpin.scheduler import estimates
+    from damaskpin.scheduler import filling
     from damaskpin.scheduler import ledger as ledgers
-    from damaskpin.scheduler import packing
     from damaskpin.scheduler import queue as queues
 
 # Jobs that are moved for a large gang are at most this share of its size, and
@@ -24,11 +24,20 @@
 MIN_RUN_SECONDS = 300.0
 MIN_REMAINING_SECONDS = 60.0
 
+# Searches of one call for borrowers to stop; each looks at all accelerators.
+MAX_SEARCHES = 6
+
 
 class Borrowing:
     """Places waiting jobs beyond the guarantees, in their order."""
 
-    __slots__ = ('_estimates', '_ledger', '_reservations', '_too_large')
+    __slots__ = (
+        '_estimates',
+        '_ledger',
+        '_reservations',
+        '_searches',
+        '_too_large',
+    )
 
     def __init__(
         self, ledger: ledgers.Ledger, known: estimates.Estimates
@@ -38,6 +47,7 @@
         self._reservations = backfill.Reservations(ledger, known)
         # Smallest gang of each level that found no room in this call.
         self._too_large: dict[int, int] = {}
+        self._searches = 0
 
     def start(
         self, now: float, found: list[decisions.Decision], budget: int
@@ -49,6 +59,7 @@
         """
         self._reservations.refresh(now)
         self._too_large = {}
+        self._searches = MAX_SEARCHES
         heaps = self._make_heaps()
         while heaps and budget > 0:
             account = min(heaps, key=lambda name: self._get_order(heaps, name))
@@ -65,16 +76,6 @@
                 del heaps[account]
         return budget
 
-    def drop_claims(self, now: float, parts: packing.Parts) -> None:
-        """Drop claims of borrowers on workers that a guarantee needs."""
-        ledger = self._ledger
-        for entry in list(ledger.claims.values()):
-            if entry.instance is not None:
-                continue
-            if any(node in parts for node in entry.parts):
-                ledger.note(now, entry.job.id, 'claim dropped for a guarantee')
-                ledger.drop_claim(now, entry)
-
     def _start_job(
         self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
@@ -105,7 +106,7 @@
 
     def _find_free(
         self, now: float, entry: queues.Entry
-    ) -> packing.Parts | None:
+    ) -> filling.Parts | None:
         spec = entry.job.spec
         rank = topologies.RANKS[spec.adjacency]
         if spec.accelerators >= self._too_large.get(
@@ -114,11 +115,16 @@
             return None
         closed = self._reservations.get_closed(now, entry)
         avoid = [name for name, end in entry.avoid.items() if end > now]
+        topology = self._ledger.topology
         request = placement.Request(
             spec.accelerators, spec.adjacency, closed, avoid
         )
-        parts = placement.find_place(self._ledger.topology, request)
-        if parts is None and not avoid and not closed:
+        parts = placement.find_place(topology, request)
+        if parts is None and avoid:
+            # A worker where the job failed is better than none.
+            request.avoid = ()
+            parts = placement.find_place(topology, request)
+        if parts is None and not closed:
             self._too_large[rank] = spec.accelerators
         return parts
 
@@ -126,6 +132,9 @@
         self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
         """Stop normal and low borrowers for an urgent one."""
+        if self._searches <= 0:
+            return False
+        self._searches -= 1
         for plan in preemption.find_plans(
             now,
             self._ledger,
@@ -173,6 +182,9 @@
         spec = entry.job.spec
         if ledger.topology.count_free() < spec.accelerators:
             return False
+        if self._searches <= 0:
+            return False
+        self._searches -= 1
         limit = spec.accelerators * MAX_MOVED_SHARE
 
         def may_move(other: queues.Entry) -> bool:
--- a/damaskpin/scheduler/topology.py
+++ b/damaskpin/scheduler/topology.py
@@ -23,12 +23,15 @@
 class Cell:
     """A rack, data centre or region.
 
+    :ivar size: accelerators of all known workers.
     :ivar total: accelerators of the workers in service.
     :ivar free: accelerators of those that are neither used nor held.
+    :ivar bound: accelerators bound to guaranteed shapes, used or not.
     :ivar failed: workers that are out of service.
     """
 
     __slots__ = (
+        'bound',
         'children',
         'failed',
         'free',
@@ -36,6 +39,7 @@
         'level',
         'nodes',
         'parent',
+        'size',
         'total',
     )
 
@@ -50,8 +54,10 @@
         self.parent = parent
         self.children: list[Cell] = []
         self.nodes: list[Node] = []
+        self.size = 0
         self.total = 0
         self.free = 0
+        self.bound = 0
         self.failed = 0
 
     def is_whole(self) -> bool:
@@ -68,6 +74,7 @@
     :ivar held: accelerators held for jobs that wait for others to stop.
     :ivar bound: accelerators bound to guaranteed shapes, used or not.
     :ivar bound_unused: part of them that no guaranteed job uses.
+    :ivar removed: time at which the worker went out of service.
     :ivar probing: whether one job at a time may try a quarantined worker.
     :ivar free: accelerators that a job can take now; 0 out of service.
     """
@@ -86,6 +93,7 @@
         'quarantined',
         'rack',
         'region',
+        'removed',
         'size',
         'slots',
         'total',
@@ -113,6 +121,7 @@
         self.alive = False
         self.quarantined = False
         self.probing = False
+        self.removed = 0.0
         self.free = 0
         self.total = 0
 
@@ -133,9 +142,10 @@
 class Topology:
     """All known workers in their cells."""
 
-    __slots__ = ('cells', 'nodes')
+    __slots__ = ('_count', 'cells', 'nodes')
 
     def __init__(self) -> None:
+        self._count = 0
         self.nodes: dict[str, Node] = {}
         self.cells: dict[hardware.Adjacency, dict[tuple[str, ...], Cell]] = {
             level: {} for level in LEVELS[1:]
@@ -150,7 +160,8 @@
         if node is not None and node.worker != worker:
             self._move(node, worker)
         elif node is None:
-            node = Node(worker, len(self.nodes), self._make_cells(worker))
+            self._count += 1
+            node = Node(worker, self._count, self._make_cells(worker))
             self.nodes[worker.name] = node
             self._attach(node)
         elif node.alive:
@@ -158,7 +169,7 @@
         self._set_state(node, True, node.quarantined)
         return True
 
-    def remove_worker(self, name: str) -> bool:
+    def remove_worker(self, now: float, name: str) -> bool:
         """Take a worker out of service; its jobs stay until they end.
 
         :returns: whether anything changed.
@@ -166,9 +177,18 @@
         node = self.nodes.get(name)
         if node is None or not node.alive:
             return False
+        node.removed = now
         self._set_state(node, False, node.quarantined)
         return True
 
+    def forget_worker(self, node: Node) -> None:
+        """Drop a worker that is out of service and unused."""
+        del self.nodes[node.name]
+        for cell in node.cells:
+            cell.nodes.remove(node)
+            cell.failed -= 1
+            cell.size -= node.size
+
     def set_quarantined(self, node: Node, quarantined: bool) -> None:
         """Stop or resume starting work on a worker."""
         node.probing = False
@@ -251,12 +271,16 @@
         for cell in node.cells:
             cell.nodes.append(node)
             cell.failed += 1
+            cell.size += node.size
+            cell.bound += node.bound
 
     def _move(self, node: Node, worker: hardware.Worker) -> None:
         self._set_state(node, False, node.quarantined)
         for cell in node.cells:
             cell.nodes.remove(node)
             cell.failed -= 1
+            cell.size -= node.size
+            cell.bound -= node.bound
         node.worker = worker
         node.cells = self._make_cells(worker)
         node.rack, node.data_centre, node.region = node.cells
