--- a/damaskpin/gang/coordinator.py
+++ b/damaskpin/gang/coordinator.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin import effects
+from damaskpin.gang import metrics
 from damaskpin.gang import timers
 from damaskpin.gang import timing
 from damaskpin.peer import messages
@@ -301,6 +302,7 @@
             return
         placement.phase = Phase.RUNNING
         placement.started = True
+        metrics.PLACEMENTS.add(1, {'outcome': 'started'})
         self._out.append(
             effects.GangStarted(placement.job.id, placement.attempt)
         )
@@ -557,6 +559,7 @@
     def _emit_failed(
         self, placement: Placement, reason: str, agents: tuple[str, ...]
     ) -> None:
+        metrics.PLACEMENTS.add(1, {'outcome': 'failed'})
         self._out.append(
             effects.GangFailed(
                 placement.job.id, placement.attempt, reason, agents
--- a/damaskpin/gang/lead.py
+++ b/damaskpin/gang/lead.py
@@ -4,9 +4,11 @@
 
 import dataclasses
 import enum
+import logging
 from typing import TYPE_CHECKING
 
 from damaskpin import effects
+from damaskpin.gang import metrics
 from damaskpin.gang import timing
 from damaskpin.peer import messages
 
@@ -14,6 +16,8 @@
     from collections.abc import Sequence
     import random
 
+LOG = logging.getLogger(__name__)
+
 REPEAT_SECONDS = 0.5
 MAX_REPEAT_SECONDS = 5.0
 MAX_REPORT_SECONDS = 30.0
@@ -189,6 +193,12 @@
         """
         if self.decision is not Decision.COMMITTED:
             return
+        LOG.warning(
+            'ending gang %s: %s',
+            self.attempt,
+            reason,
+            extra={'attempt': self.attempt, 'job': self.job},
+        )
         self.decision = Decision.ENDING
         self.reason = reason
         self._grace = grace
@@ -270,6 +280,8 @@
             return
         self.decision = Decision.ENDED
         self._ended_at = now
+        stopped = self.make_report().exit_code is None
+        metrics.ENDS.add(1, {'end': 'stopped' if stopped else 'exited'})
 
     def _is_gone(self, now: float, member: MemberStatus) -> bool:
         """Tell whether nothing of a member runs.
--- a/damaskpin/gang/owner.py
+++ b/damaskpin/gang/owner.py
@@ -10,6 +10,7 @@
 
 from damaskpin import effects
 from damaskpin import verdict as verdicts
+from damaskpin.gang import metrics
 from damaskpin.gang import timers
 from damaskpin.gang import timing
 from damaskpin.model import job as jobs
@@ -445,7 +446,9 @@
         del self._records[record.job.id]
         self._attempts.pop(record.attempt, None)
         self._timers.remove(record.job.id)
-        self._record(record, 'concluded', verdicts.name_verdict(verdict))
+        name = verdicts.name_verdict(verdict)
+        metrics.VERDICTS.add(1, {'verdict': name})
+        self._record(record, 'concluded', name)
         self._out.append(effects.Conclude(record.job.id, verdict))
 
     def _reopen(self, now: float, record: Record) -> None:
--- a/damaskpin/gang/records.py
+++ b/damaskpin/gang/records.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 import msgspec
 
@@ -51,7 +52,7 @@
     command: tuple[str, ...]
     token: str
     phase: Phase
-    reserved: float = 0.0
+    reserved: float = -math.inf
     expires: float = 0.0
     right_until: float = 0.0
     confirmed: bool = True
