Split jobs from the owner, and keep results until they are stored

The end of a detached job was acknowledged before its verdict was in the store, so an entry that died in between lost it and its successor could only say MayHaveRun. Ruled out: a store write inside the state machine.

--- a/tests/test_gang/simulation.py
+++ b/tests/test_gang/simulation.py
@@ -361,6 +361,12 @@
                     )
                 case effects.Conclude():
                     simulation.check_conclusion(effect)
+                    self.local(
+                        simulation.rng.uniform(0, 1),
+                        lambda e=effect: self.owner.conclusion_recorded(
+                            self.clock(), e.work
+                        ),
+                    )
                 case effects.GangStarted():
                     simulation.count('started')
                 case effects.GangFailed():
--- a/tests/test_gang/test_gang_owner.py
+++ b/tests/test_gang/test_gang_owner.py
@@ -6,6 +6,7 @@
 
 from damaskpin import effects
 from damaskpin import verdict as verdicts
+from damaskpin.gang import jobs as gang_jobs
 from damaskpin.gang import owner as owners
 from damaskpin.gang import timing
 from damaskpin.model import job as jobs
@@ -112,7 +113,7 @@
     out = owner.grant_recorded(1.2, 'j', 'a1', False)
     assert _list_sent(out, messages.Denied)
     assert not _get_verdicts(out)
-    assert owner.get_phase('j') is owners.Phase.WAITING
+    assert owner.get_phase('j') is gang_jobs.Phase.WAITING
 
 
 @pytest.mark.parametrize('detached', [True, False])
@@ -198,6 +199,18 @@
         assert given.answer.body == b'{"exit_code":%d}' % code
 
 
+def test_end_of_a_detached_job_is_acknowledged_after_the_store_has_it():
+    """Guards against a result that dies with the entry."""
+    owner = _make(detached=True)
+    owner.receive(1.0, 'coordinator', _request())
+    owner.grant_recorded(1.1, 'j', 'a1', True)
+    out = _finish(owner, 2.0, 0)
+    assert _get_verdicts(out)
+    assert not _list_sent(out, messages.GangFinishedAck)
+    owner.conclusion_recorded(3.0, 'j')
+    assert _list_sent(_finish(owner, 4.0, 0), messages.GangFinishedAck)
+
+
 def test_idempotent_job_is_retried_three_times_with_back_off():
     owner = _make(idempotent=True)
     now = 1.0
