--- a/damaskpin/service/routing.py
+++ b/damaskpin/service/routing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.service import breaker as breakers
+from damaskpin.service import candidates
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -14,9 +15,6 @@
 
     from damaskpin.peer import messages
 
-RAMP_S = 5.0
-# Reported load older than this says little: requests take less time.
-FRESH_S = 2.0
 # After a refusal for lack of slots the agent is left alone this long.
 BUSY_HOLD_S = 0.1
 # A refusal of a leaving target holds until a newer report, at most this long.
@@ -27,27 +25,29 @@
 # beyond it the requests are more likely at fault than the targets.
 MAX_FAILING_SHARE = 0.5
 MAX_KNOWN = 8192
+# When all slots are taken, looking at each of 1,500 agents for every request
+# would cost more than a tenth of a core; slots that become free by an answer
+# are found through the recent agents.
+SCAN_INTERVAL_S = 0.05
+MAX_RECENT = 64
+# Weight of the newest answer in the mean time of all agents.
+MEAN_WEIGHT = 0.01
 
 
 @dataclasses.dataclass(slots=True)
-class _Agent:
-    """What the router knows about one agent.
+class _Tier:
+    """The agents of a service at one distance.
 
-    :ivar outstanding: attempts that this entry has open on the agent.
-    :ivar others: slots that other entries use, by service.
-    :ivar ramp_from: when a returning target began to ramp up, by service.
+    :ivar recent: agents that may just have got a free slot.
+    :ivar scan_after: no agent had a free slot before this time, except for
+        the recent ones.
     """
 
-    state: messages.AgentState
-    tier: int
-    breaker: breakers.Breaker
-    updated: float
-    outstanding: int = 0
-    hold_until: float = 0.0
-    slots: dict[str, int] = dataclasses.field(default_factory=dict)
-    others: dict[str, int] = dataclasses.field(default_factory=dict)
-    ramp_from: dict[str, float] = dataclasses.field(default_factory=dict)
-    opened_by_failure: bool = False
+    agents: list[candidates.Agent] = dataclasses.field(default_factory=list)
+    recent: collections.deque[candidates.Agent] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_RECENT)
+    )
+    scan_after: float = float('-inf')
 
 
 class Router:
@@ -62,6 +62,7 @@
         '_agents',
         '_data_centre',
         '_known',
+        '_mean_seconds',
         '_pools',
         '_region',
         '_rng',
@@ -73,8 +74,9 @@
         self._data_centre = data_centre
         self._region = region
         self._rng = rng
-        self._agents: dict[str, _Agent] = {}
-        self._pools: dict[str, tuple[list[_Agent], ...]] = {}
+        self._agents: dict[str, candidates.Agent] = {}
+        self._mean_seconds: float | None = None
+        self._pools: dict[str, tuple[_Tier, ...]] = {}
         # Instances that were seen before, oldest first: they ramp up when
         # they return.
         self._known: collections.OrderedDict[str, None] = (
@@ -118,14 +120,14 @@
 
     def knows_service(self, service: str) -> bool:
         """Return whether any agent has an accepting target of a service."""
-        return any(self._pools.get(service, ()))
+        return any(tier.agents for tier in self._pools.get(service, ()))
 
     def count_slots(self, service: str) -> int:
         """Return the number of slots on healthy agents."""
         return sum(
             agent.slots[service]
             for tier in self._pools.get(service, ())
-            for agent in tier
+            for agent in tier.agents
             if agent.breaker.is_closed()
         )
 
@@ -146,7 +148,7 @@
         :returns: state of the agent, or ``None`` when no slot is free.
         """
         for tier in self._pools.get(service, ()):
-            if not tier:
+            if not tier.agents:
                 continue
             agent = self._pick(now, service, tier, exclude)
             if agent is not None:
@@ -156,11 +158,7 @@
     def has_room(self, now: float, instance: str, service: str) -> bool:
         """Return whether a given agent has a free slot."""
         agent = self._agents.get(instance)
-        return (
-            agent is not None
-            and service in agent.slots
-            and self._is_usable(now, service, agent)
-        )
+        return agent is not None and self._is_usable(now, service, agent)
 
     def started(self, now: float, instance: str) -> None:
         """Record that an attempt was sent to an agent."""
@@ -171,14 +169,24 @@
         agent.breaker.start(now)
 
     def finished(
-        self, now: float, instance: str, outcome: breakers.Outcome
+        self,
+        now: float,
+        instance: str,
+        outcome: breakers.Outcome,
+        seconds: float | None = None,
     ) -> None:
-        """Record the end of an attempt; once for each ``started``."""
+        """Record the end of an attempt; once for each ``started``.
+
+        :param seconds: how long an answered attempt took, if known.
+        """
         agent = self._agents.get(instance)
         if agent is None:
             return
         agent.outstanding = max(0, agent.outstanding - 1)
+        self._mark_recent(agent)
         match outcome:
+            case breakers.Outcome.ANSWERED if seconds is not None:
+                self._learn_time(now, agent, seconds)
             case breakers.Outcome.BUSY:
                 agent.hold_until = now + BUSY_HOLD_S * self._rng.uniform(
                     0.5, 1.5
@@ -196,7 +204,7 @@
         if was_closed and not agent.breaker.is_closed():
             agent.opened_by_failure = outcome is breakers.Outcome.FAILED
 
-    def _add(self, now: float, state: messages.AgentState) -> _Agent:
+    def _add(self, now: float, state: messages.AgentState) -> candidates.Agent:
         peer = state.peer
         if peer.data_centre == self._data_centre:
             tier = 0
@@ -204,11 +212,11 @@
             tier = 1
         else:
             tier = 2
-        agent = _Agent(state, tier, breakers.Breaker(self._rng), now)
+        agent = candidates.Agent(state, tier, breakers.Breaker(self._rng), now)
         self._agents[peer.instance] = agent
         return agent
 
-    def _set_targets(self, now: float, agent: _Agent) -> None:
+    def _set_targets(self, now: float, agent: candidates.Agent) -> None:
         state = agent.state
         accepting: dict[str, messages.TargetState] = {}
         if state.healthy and not state.draining:
@@ -227,27 +235,38 @@
             agent.slots[service] = target.slots
             # The reported number contains the attempts of this entry.
             agent.others[service] = max(0, target.busy - agent.outstanding)
+        self._mark_recent(agent)
+
+    def _mark_recent(self, agent: candidates.Agent) -> None:
+        for service in agent.slots:
+            self._pools[service][agent.tier].recent.append(agent)
 
-    def _join_pool(self, now: float, agent: _Agent, service: str) -> None:
-        pool = self._pools.setdefault(service, tuple([] for _ in range(TIERS)))
-        pool[agent.tier].append(agent)
+    def _join_pool(
+        self, now: float, agent: candidates.Agent, service: str
+    ) -> None:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = tuple(_Tier() for _ in range(TIERS))
+            self._pools[service] = pool
+        pool[agent.tier].agents.append(agent)
         if agent.state.peer.instance in self._known:
             agent.ramp_from[service] = now
 
-    def _leave_pool(self, agent: _Agent, service: str) -> None:
-        self._pools[service][agent.tier].remove(agent)
+    def _leave_pool(self, agent: candidates.Agent, service: str) -> None:
+        self._pools[service][agent.tier].agents.remove(agent)
         del agent.slots[service]
 
     def _pick(
         self,
         now: float,
         service: str,
-        tier: list[_Agent],
+        tier: _Tier,
         exclude: Collection[str],
-    ) -> _Agent | None:
+    ) -> candidates.Agent | None:
         first = None
         for _ in range(SAMPLES):
-            agent = tier[int(self._rng.random() * len(tier))]
+            index = int(self._rng.random() * len(tier.agents))
+            agent = tier.agents[index]
             if agent is first or not self._is_usable(
                 now, service, agent, exclude
             ):
@@ -255,20 +274,44 @@
             if first is None:
                 first = agent
                 continue
-            return self._take_less_loaded(service, first, agent)
+            return self._take_cheaper(now, service, first, agent)
+        if first is not None:
+            return first
+        while tier.recent:
+            if self._is_usable(now, service, tier.recent[0], exclude):
+                return tier.recent[0]
+            tier.recent.popleft()
+        if now < tier.scan_after:
+            return None
         usable = [
             agent
-            for agent in tier
+            for agent in tier.agents
             if self._is_usable(now, service, agent, exclude)
         ]
+        if not usable and not exclude:
+            tier.scan_after = now + SCAN_INTERVAL_S
         if len(usable) < 2:
             return usable[0] if usable else None
-        return self._take_less_loaded(service, *self._rng.sample(usable, 2))
+        return self._take_cheaper(now, service, *self._rng.sample(usable, 2))
+
+    def _learn_time(
+        self, now: float, agent: candidates.Agent, seconds: float
+    ) -> None:
+        mean = seconds if self._mean_seconds is None else self._mean_seconds
+        self._mean_seconds = mean + MEAN_WEIGHT * (seconds - mean)
+        if self._mean_seconds > 0:
+            agent.learn_time(now, seconds / self._mean_seconds)
 
-    def _take_less_loaded(
-        self, service: str, first: _Agent, second: _Agent
-    ) -> _Agent:
-        if _compute_load(second, service) < _compute_load(first, service):
+    def _take_cheaper(
+        self,
+        now: float,
+        service: str,
+        first: candidates.Agent,
+        second: candidates.Agent,
+    ) -> candidates.Agent:
+        if second.compute_cost(now, service) < first.compute_cost(
+            now, service
+        ):
             return second
         return first
 
@@ -276,31 +319,24 @@
         self,
         now: float,
         service: str,
-        agent: _Agent,
+        agent: candidates.Agent,
         exclude: Collection[str] = (),
     ) -> bool:
-        used = agent.outstanding
-        if now - agent.updated < FRESH_S:
-            used += agent.others[service]
-        slots = agent.slots[service]
-        ramp_from = agent.ramp_from.get(service)
-        if ramp_from is not None:
-            if now - ramp_from >= RAMP_S:
-                del agent.ramp_from[service]
-            else:
-                slots = max(1, int(slots * (now - ramp_from) / RAMP_S))
         return (
-            used < slots
+            service in agent.slots
+            and agent.count_free(now, service) > 0
             and now >= agent.hold_until
             and agent.breaker.allows(now)
             and agent.state.peer.instance not in exclude
         )
 
-    def _is_limit_reached(self, agent: _Agent) -> bool:
+    def _is_limit_reached(self, agent: candidates.Agent) -> bool:
         """Return whether too many agents are out of use for failures."""
         for service in agent.slots:
             members = [
-                member for tier in self._pools[service] for member in tier
+                member
+                for tier in self._pools[service]
+                for member in tier.agents
             ]
             failing = sum(
                 member.opened_by_failure and not member.breaker.is_closed()
@@ -309,7 +345,3 @@
             if failing + 1 > max(1, len(members) * MAX_FAILING_SHARE):
                 return True
         return False
-
-
-def _compute_load(agent: _Agent, service: str) -> float:
-    return (agent.outstanding + agent.others[service]) / agent.slots[service]
--- a/damaskpin/service/tracking.py
+++ b/damaskpin/service/tracking.py
@@ -121,7 +121,8 @@
         """Tell the router that an attempt takes no slot any more."""
         if attempt.counted:
             attempt.counted = False
-            self._router.finished(now, attempt.instance, outcome)
+            seconds = None if attempt.sent is None else now - attempt.sent
+            self._router.finished(now, attempt.instance, outcome, seconds)
 
     def send(
         self, now: float, work: requests.Work, attempt: requests.Attempt
