--- a/damaskpin/service/candidates.py
+++ b/damaskpin/service/candidates.py
@@ -18,6 +18,7 @@
 # learnt about it halves in this time.
 SLOWNESS_HALF_LIFE_S = 10.0
 MAX_SLOWNESS = 16.0
+NEGLIGIBLE_SLOWNESS = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,6 +85,6 @@
         if self.slowness <= 1.0:
             return 1.0
         age = now - self.slowness_at
-        return 1.0 + (self.slowness - 1.0) * 0.5 ** (
-            age / SLOWNESS_HALF_LIFE_S
-        )
+        rest = (self.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+        # Any rest would decide between idle agents for ever.
+        return 1.0 + rest if rest > NEGLIGIBLE_SLOWNESS else 1.0
--- a/damaskpin/service/claims.py
+++ b/damaskpin/service/claims.py
@@ -249,7 +249,11 @@
         mac, payload = data[:KEY_MAC_BYTES], data[KEY_MAC_BYTES:]
         if not hmac.compare_digest(mac, _compute_mac(secret, payload)):
             raise ValueError('authentication code does not match')
-        return msgspec.msgpack.decode(payload, type=IssuedKey)
+        key = msgspec.msgpack.decode(payload, type=IssuedKey)
+        # The unused bits of the last character would give a key many texts.
+        if format_key(secret, key) != text:
+            raise ValueError('not in canonical form')
+        return key
     except (ValueError, binascii.Error, msgspec.DecodeError) as error:
         raise errors.RequestError(
             400, 'Invalid idempotency key', str(error)
--- a/damaskpin/service/limits.py
+++ b/damaskpin/service/limits.py
@@ -58,6 +58,12 @@
         self._tokens = burst
         self._updated: float | None = None
 
+    def resize(self, rate: float, burst: float) -> None:
+        """Change the rate and the burst; tokens beyond the burst are lost."""
+        self.rate = rate
+        self.burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def take(self, now: float) -> float:
         """Take a token.
 
@@ -140,13 +146,12 @@
         max_queued: int = DEFAULT_MAX_QUEUED,
         max_running: int = DEFAULT_MAX_RUNNING,
     ) -> None:
-        """Set the limits of an account; its tokens in hand stay.
+        """Set the limits of an account; tokens in hand stay up to the burst.
 
         :param rate: requests per second.
         """
         account = self._get_account(name)
-        account.bucket.rate = rate
-        account.bucket.burst = max(1.0, rate * BURST_S)
+        account.bucket.resize(rate, max(1.0, rate * BURST_S))
         account.max_queued = max_queued
         account.max_running = max_running
 
