--- /dev/null
+++ b/examples/repair/__init__.py
@@ -0,0 +1,1 @@
+"""The repair service of the Tauelsiz Zhondeu Cooperative."""
--- /dev/null
+++ b/examples/shortlist/__init__.py
@@ -0,0 +1,1 @@
+"""The shortlist service of Van der Merwe Naamkunde."""
