--- a/damaskpin/operator/feasibility.py
+++ b/damaskpin/operator/feasibility.py
@@ -20,13 +20,13 @@
     :param config: configuration to check.
     :returns: one text for each problem; empty when it may be proposed.
     """
-    problems = check_references(config)
-    if problems:
-        # Packing needs names that are unique and known.
-        return problems
-    problems.extend(_check_quotas(config))
-    problems.extend(_check_packing(config))
-    return problems
+    # Packing needs names that are unique and known, and repeats the check of
+    # the quotas.
+    return (
+        check_references(config)
+        or _check_quotas(config)
+        or _check_packing(config)
+    )
 
 
 def check_references(config: configs.Config) -> list[str]:
--- a/examples/shortlist/fleet.py
+++ b/examples/shortlist/fleet.py
@@ -28,7 +28,8 @@
     observatory = western_cape.add_data_centre('observatory')
     observatory.add_rack('observatory-1', WORKERS_PER_RACK, ACCELERATORS)
 
-    # Large: pitches of agencies need a whole screening model in one rack.
+    # Large: pitches of agencies need a whole screening model in one place. A
+    # shape of one rack would leave no room for the founders in Sandton.
     agencies = fleet.add_account(
         'agencies',
         token_sha256=(
@@ -39,13 +40,13 @@
         requests_per_second=200.0,
     )
     screening = agencies.add_shape(
-        'screening', 16, 'rack', gauteng, data_centre=sandton
+        'screening', 16, 'data_centre', gauteng, data_centre=sandton
     )
     agencies.add_job(
         'screen-registers',
         16,
         screening,
-        adjacency='rack',
+        adjacency='data_centre',
         priority=0,
         run_seconds=3600.0,
     )
