--- a/examples/__init__.py
+++ b/examples/__init__.py
@@ -1,1 +1,1 @@
-"""Example deployments."""
+"""Deployments of the users in section 1 of the design."""
