--- a/damaskpin/scheduler/bindings.py
+++ b/damaskpin/scheduler/bindings.py
@@ -177,19 +177,12 @@
         for other in self.instances.values():
             if other.job_id is None and any(n in used for n in other.parts):
                 self._apply(other, {}, None, {})
-        extra = instance.shape.accelerators - sum(used.values())
-        parts = dict(used)
-        if extra > 0:
-            cell = next(iter(used)).get_cell(instance.shape.adjacency)
-            nodes = list(used) if cell is None else cell.nodes
-            spare = filling.get_unbound(nodes)
-            for node in spare:
-                spare[node] -= used.get(node, 0)
-            for node, count in spare.items():
-                taken = max(0, min(extra, count))
-                if taken:
-                    parts[node] = parts.get(node, 0) + taken
-                    extra -= taken
+        cell = next(iter(used)).get_cell(instance.shape.adjacency)
+        parts = filling.extend_parts(
+            used,
+            instance.shape.accelerators,
+            list(used) if cell is None else cell.nodes,
+        )
         instance.job_id = job_id
         rack = self._packer.classify(parts, instance.shape.adjacency)
         self._apply(instance, parts, None, used, rack)
@@ -323,25 +316,12 @@
         Moving everything together leaves the failed worker untouched, so
         that it is a spare when it comes back.
         """
-        spans = any(i.rack is not None for i in affected)
         if any(i.rack_use is spares.RackUse.EXCLUSIVE for i in affected):
             return False
-        best = None
-        for other in node.data_centre.nodes:
-            if other.bound or not other.is_usable():
-                continue
-            if other.size < node.bound:
-                continue
-            use = self._packer.uses.get(other.rack, spares.RackUse.POOL)
-            same = other.rack is node.rack
-            if not same and (spans or use is not spares.RackUse.POOL):
-                continue
-            key = (not same, other.size, other.ordinal)
-            if best is None or key < best[0]:
-                best = (key, other)
-        if best is None:
+        spans = any(i.rack is not None for i in affected)
+        other = spares.find_substitute(node, spans, self._packer.uses)
+        if other is None:
             return False
-        other = best[1]
         for instance in affected:
             old = instance.parts
             if instance.backup is not None and node in instance.backup:
--- a/damaskpin/scheduler/filling.py
+++ b/damaskpin/scheduler/filling.py
@@ -22,6 +22,20 @@
     }
 
 
+def extend_parts(
+    parts: Parts, count: int, nodes: Iterable[topologies.Node]
+) -> Parts:
+    """Add accelerators that are not bound until there are enough, if any."""
+    missing = count - sum(parts.values())
+    extended = dict(parts)
+    for node, unbound in get_unbound(nodes).items():
+        taken = max(0, min(missing, unbound - parts.get(node, 0)))
+        if taken:
+            extended[node] = extended.get(node, 0) + taken
+            missing -= taken
+    return extended
+
+
 def weigh_parts(
     parts: Parts, weigh: Callable[[topologies.Node, int], int] | None
 ) -> int:
--- /dev/null
+++ b/damaskpin/scheduler/restoration.py
@@ -0,0 +1,47 @@
+"""Jobs that ran before the scheduler knew them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.scheduler import guaranteed
+
+if TYPE_CHECKING:
+    from damaskpin.scheduler import decisions
+    from damaskpin.scheduler import ledger as ledgers
+    from damaskpin.scheduler import queue as queues
+
+
+def check_members(
+    ledger: ledgers.Ledger, members: decisions.Members, job_id: str
+) -> None:
+    """Check that a running job can be recorded.
+
+    :raises ValueError: a worker is unknown, or an accelerator is not free.
+    """
+    for name, indexes in members:
+        node = ledger.topology.nodes.get(name)
+        if node is None:
+            message = f'job {job_id}: worker {name} is unknown'
+            raise ValueError(message)
+        for index in indexes:
+            if not 0 <= index < node.size or node.slots[index] is not None:
+                message = f'job {job_id}: {name}:{index} is not free'
+                raise ValueError(message)
+
+
+def restore_instance(ledger: ledgers.Ledger, entry: queues.Entry) -> bool:
+    """Let a running job draw on a guaranteed shape that fits its place.
+
+    :returns: whether there is one; otherwise the job counts as a borrower.
+    """
+    bindings = ledger.bindings
+    for instance in bindings.by_account.get(entry.job.account, ()):
+        if instance.job_id is not None:
+            continue
+        if not guaranteed.fits_place(instance, entry):
+            continue
+        if bindings.pin(instance, entry.job.id, entry.parts):
+            ledger.use_instance(entry, instance)
+            return True
+    return False
--- a/damaskpin/scheduler/scheduler.py
+++ b/damaskpin/scheduler/scheduler.py
@@ -12,6 +12,7 @@
 from damaskpin.scheduler import ledger as ledgers
 from damaskpin.scheduler import quarantine
 from damaskpin.scheduler import queue as queues
+from damaskpin.scheduler import restoration
 from damaskpin.scheduler import snapshot
 from damaskpin.scheduler import warnings
 
@@ -81,7 +82,7 @@
                 ledger.drop_claim(0.0, entry)
             else:
                 ledger.lose_instance(entry)
-                self._restore_instance(entry)
+                restoration.restore_instance(ledger, entry)
         self._dirty = True
 
     def set_worker(self, now: float, worker: hardware.Worker) -> None:
@@ -248,7 +249,7 @@
         entry = ledger.entries.get(job.id)
         if entry is not None and entry.members:
             return
-        self._check_members(members, job.id)
+        restoration.check_members(ledger, members, job.id)
         if entry is not None:
             ledger.forget(entry)
         started = now - started_seconds_ago
@@ -256,7 +257,7 @@
         ledger.adopt(entry, members, started)
         ledger.note(now, job.id, f'restored as attempt {attempt}')
         if guaranteed:
-            self._restore_instance(entry)
+            restoration.restore_instance(ledger, entry)
         self._dirty = True
 
     def decide(self, now: float) -> list[decisions.Decision]:
@@ -332,28 +333,6 @@
         ledger.note_worker_change(ledger.topology.nodes[name])
         self._dirty = True
 
-    def _check_members(self, members: decisions.Members, job_id: str) -> None:
-        for name, indexes in members:
-            node = self._ledger.topology.nodes.get(name)
-            if node is None:
-                message = f'job {job_id}: worker {name} is unknown'
-                raise ValueError(message)
-            for index in indexes:
-                if index >= node.size or node.slots[index] is not None:
-                    message = f'job {job_id}: {name}:{index} is not free'
-                    raise ValueError(message)
-
-    def _restore_instance(self, entry: queues.Entry) -> None:
-        bindings = self._ledger.bindings
-        for instance in bindings.by_account.get(entry.job.account, ()):
-            if instance.job_id is not None:
-                continue
-            if not guaranteed.fits_place(instance, entry):
-                continue
-            if bindings.pin(instance, entry.job.id, entry.parts):
-                self._ledger.use_instance(entry, instance)
-                return
-
     def _drop_broken_claims(self, now: float) -> None:
         for entry in list(self._ledger.claims.values()):
             if all(node.is_open() for node in entry.parts):
--- a/damaskpin/scheduler/spares.py
+++ b/damaskpin/scheduler/spares.py
@@ -124,3 +124,26 @@
         return False
     racks.remove(len(usable))
     return True
+
+
+def find_substitute(
+    node: topologies.Node,
+    same_rack: bool,
+    uses: dict[topologies.Cell, RackUse],
+) -> topologies.Node | None:
+    """Find an untouched worker that can hold what is bound to another one.
+
+    :param same_rack: whether a shape of the worker spans its rack.
+    """
+    best = None
+    for other in node.data_centre.nodes:
+        if other.bound or not other.is_usable() or other.size < node.bound:
+            continue
+        use = uses.get(other.rack, RackUse.POOL)
+        same = other.rack is node.rack
+        if not same and (same_rack or use is not RackUse.POOL):
+            continue
+        key = (not same, other.size, other.ordinal)
+        if best is None or key < best[0]:
+            best = (key, other)
+    return None if best is None else best[1]
