--- a/damaskpin/scheduler/bindings.py
+++ b/damaskpin/scheduler/bindings.py
@@ -12,6 +12,7 @@
 
 from damaskpin.scheduler import filling
 from damaskpin.scheduler import packing
+from damaskpin.scheduler import repacking
 from damaskpin.scheduler import shapes
 from damaskpin.scheduler import spares
 
@@ -24,13 +25,13 @@
     """Assignment of accelerators to all instances of all shapes."""
 
     __slots__ = (
-        '_degraded',
         '_dirty',
         '_packer',
         '_strict',
         '_topology',
         'by_account',
         'changes',
+        'degraded',
         'instances',
     )
 
@@ -48,7 +49,7 @@
         # Regions whose bindings may have to change, with whether an instance
         # was tried in vain; and those that don't keep the allowance.
         self._dirty: dict[str, bool] = {}
-        self._degraded: dict[str, bool] = {}
+        self.degraded: dict[str, bool] = {}
         # Counts what may change the guarantees that can be met.
         self.changes = 0
         self.instances: dict[shapes.InstanceKey, shapes.Instance] = {}
@@ -82,7 +83,7 @@
                 continue
             if instance.job_id is not None:
                 dropped.append(instance.job_id)
-            self._apply(instance, {}, None, {})
+            self.apply(instance, {}, None, {})
         self.instances = wanted
         for instance in wanted.values():
             self._touch(instance.shape.region)
@@ -98,7 +99,7 @@
                     instance.parts
                 ):
                     # The job goes on where it was.
-                    self._apply(instance, instance.parts, None, instance.used)
+                    self.apply(instance, instance.parts, None, instance.used)
             return
         affected = [
             instance
@@ -113,7 +114,7 @@
     ) -> None:
         """Let a job use an instance on part of its binding."""
         instance.job_id = job_id
-        self._apply(instance, instance.parts, instance.backup, used)
+        self.apply(instance, instance.parts, instance.backup, used)
 
     def release(self, instance: shapes.Instance) -> None:
         """End the use of an instance by a job."""
@@ -121,9 +122,9 @@
         parts = instance.parts if instance.backup is None else instance.backup
         if not instance.holds(parts):
             parts = {}
-        self._apply(instance, parts, None, {})
+        self.apply(instance, parts, None, {})
         region = instance.shape.region
-        if not parts or region in self._degraded:
+        if not parts or region in self.degraded:
             self._touch(region)
 
     def exchange(
@@ -132,10 +133,10 @@
         """Exchange the bindings of two unused instances of equal shape."""
         ours, theirs = first.parts, second.parts
         racks = (first.rack, first.rack_use, second.rack, second.rack_use)
-        self._apply(first, {}, None, {})
-        self._apply(second, {}, None, {})
-        self._apply(first, theirs, None, {}, (racks[2], racks[3]))
-        self._apply(second, ours, None, {}, (racks[0], racks[1]))
+        self.apply(first, {}, None, {})
+        self.apply(second, {}, None, {})
+        self.apply(first, theirs, None, {}, (racks[2], racks[3]))
+        self.apply(second, ours, None, {}, (racks[0], racks[1]))
 
     def move(self, instance: shapes.Instance, weigh) -> bool:
         """Bind an unused instance where less must be reclaimed.
@@ -146,14 +147,14 @@
         if not self._packer.has_all_spares(instance.shape):
             return False
         old = (instance.parts, (instance.rack, instance.rack_use))
-        self._apply(instance, {}, None, {})
+        self.apply(instance, {}, None, {})
         found = self._packer.find(instance.shape, True, False, weigh)
         if found is not None:
             cost = filling.weigh_parts(found[0], weigh)
             if cost < filling.weigh_parts(old[0], weigh):
-                self._apply(instance, found[0], None, {}, found[1:])
+                self.apply(instance, found[0], None, {}, found[1:])
                 return True
-        self._apply(instance, old[0], None, {}, old[1])
+        self.apply(instance, old[0], None, {}, old[1])
         return False
 
     def pin(
@@ -176,7 +177,7 @@
                 return False
         for other in self.instances.values():
             if other.job_id is None and any(n in used for n in other.parts):
-                self._apply(other, {}, None, {})
+                self.apply(other, {}, None, {})
         cell = next(iter(used)).get_cell(instance.shape.adjacency)
         parts = filling.extend_parts(
             used,
@@ -185,7 +186,7 @@
         )
         instance.job_id = job_id
         rack = self._packer.classify(parts, instance.shape.adjacency)
-        self._apply(instance, parts, None, used, rack)
+        self.apply(instance, parts, None, used, rack)
         self._touch(instance.shape.region)
         return True
 
@@ -206,15 +207,18 @@
             waiting = [i for i in unmet if not i.tried]
             waiting.sort(key=shapes.get_pack_order)
             for instance in waiting[:limit]:
-                instance.tried = not self._find_and_apply(instance, True)
+                instance.tried = not self.bind(instance, True)
                 if instance.tried:
                     self._dirty[region] = True
             if len(waiting) > limit:
                 return False
-            if region in self._degraded or any(i.tried for i in unmet):
+            if region in self.degraded or any(i.tried for i in unmet):
                 if waiting:
                     return False
-                self._repack(region)
+                kept = repacking.repack(self, region, self._strict)
+                self.degraded.pop(region, None)
+                if not kept:
+                    self.degraded[region] = True
                 for instance in unmet:
                     instance.tried = False
                 del self._dirty[region]
@@ -235,10 +239,6 @@
         """Return the shape of an account with a name."""
         return self.instances[(key[0], key[1], 0)].shape
 
-    def is_degraded(self) -> bool:
-        """Return whether the allowance for failures is not kept."""
-        return bool(self._degraded)
-
     def _touch(self, region: str) -> None:
         """Look at the bindings of a region again."""
         self.changes += 1
@@ -248,7 +248,7 @@
                     instance.tried = False
         self._dirty[region] = False
 
-    def _apply(
+    def apply(
         self,
         instance: shapes.Instance,
         parts: filling.Parts,
@@ -287,7 +287,7 @@
         if not any(i.rack is rack for i in self.instances.values()):
             self._packer.uses.pop(rack, None)
 
-    def _find_and_apply(
+    def bind(
         self,
         instance: shapes.Instance,
         keep_spares: bool,
@@ -296,16 +296,16 @@
         """Bind an instance; one in use keeps its place and gets a backup."""
         parts, used = instance.parts, instance.used
         old_rack = (instance.rack, instance.rack_use)
-        self._apply(instance, {}, None, {})
+        self.apply(instance, {}, None, {})
         found = self._packer.find(instance.shape, keep_spares, exclusive)
         if instance.job_id is None:
             if found is not None:
-                self._apply(instance, found[0], None, {}, found[1:])
+                self.apply(instance, found[0], None, {}, found[1:])
             return found is not None
         if found is None:
-            self._apply(instance, parts, None, used, old_rack)
+            self.apply(instance, parts, None, used, old_rack)
             return False
-        self._apply(instance, parts, found[0], used, found[1:])
+        self.apply(instance, parts, found[0], used, found[1:])
         return True
 
     def _substitute(
@@ -328,9 +328,9 @@
                 old = instance.backup
             new = {(other if n is node else n): c for n, c in old.items()}
             if instance.job_id is None:
-                self._apply(instance, new, None, {})
+                self.apply(instance, new, None, {})
             else:
-                self._apply(instance, instance.parts, new, instance.used)
+                self.apply(instance, instance.parts, new, instance.used)
         return True
 
     def _rebind(self, instances: list[shapes.Instance]) -> None:
@@ -338,45 +338,9 @@
         instances = sorted(instances, key=shapes.get_pack_order)
         for instance in instances:
             if instance.job_id is None:
-                self._apply(instance, {}, None, {})
+                self.apply(instance, {}, None, {})
         for instance in instances:
-            if self._find_and_apply(instance, True):
-                continue
-            if self._find_and_apply(instance, False):
-                self._degraded[instance.shape.region] = True
-
-    def _repack(self, region: str) -> None:
-        """Bind all unused instances of a region anew if that is better."""
-        local = [
-            i for i in self.instances.values() if i.shape.region == region
-        ]
-        unused = [i for i in local if i.job_id is None]
-        unused.sort(key=shapes.get_pack_order)
-        kept = [(i, i.parts, (i.rack, i.rack_use)) for i in unused]
-        missing = sum(1 for i in local if not i.is_met())
-        best = (missing, int(region in self._degraded))
-        for keep_spares, exclusive in (
-            (True, False),
-            (True, True),
-            (False, False),
-        ):
-            if self._strict and not keep_spares:
+            if self.bind(instance, True):
                 continue
-            for instance in unused:
-                self._apply(instance, {}, None, {})
-            for instance in unused:
-                self._find_and_apply(instance, keep_spares, exclusive)
-            missing = sum(1 for i in local if not i.is_met())
-            score = (missing, 0 if keep_spares else 1)
-            if score < best:
-                best = score
-                kept = [(i, i.parts, (i.rack, i.rack_use)) for i in unused]
-            if not best[0]:
-                break
-        for instance in unused:
-            self._apply(instance, {}, None, {})
-        for instance, parts, rack in kept:
-            self._apply(instance, parts, None, {}, rack)
-        self._degraded.pop(region, None)
-        if best[1]:
-            self._degraded[region] = True
+            if self.bind(instance, False):
+                self.degraded[instance.shape.region] = True
