--- a/tests/test_gang/simulation.py
+++ b/tests/test_gang/simulation.py
@@ -58,9 +58,7 @@
     def settle(self, now):
         """Return tasks that have ended since the last call."""
         ended = []
-        for task in self.tasks.values():
-            if task.ended is not None:
-                continue
+        for task in self.list_running():
             if min(task.done_at, task.lease_until) <= now:
                 exited = task.done_at <= task.lease_until
                 self.end(task, now, task.exit_code if exited else None)
@@ -98,7 +96,6 @@
         self.buffer = []
         self.run = 0
         self.offset = 0.0
-        self.down_since = 0.0
 
     def clock(self):
         return self.simulation.now + self.offset
@@ -114,7 +111,11 @@
     def is_frozen(self):
         return self.simulation.now < self.frozen_until
 
-    def local(self, delay, call):
+    def do(self, method, *arguments):
+        """Call a state machine and carry out its effects."""
+        self.carry_out(method(self.clock(), *arguments))
+
+    def later(self, delay, method, *arguments):
         """Call later, unless this run of the process has ended."""
         run = self.run
 
@@ -124,7 +125,7 @@
             if self.is_frozen():
                 self.buffer.append(fire)
             else:
-                self.carry_out(call())
+                self.do(method, *arguments)
 
         self.simulation.after(delay, fire)
 
@@ -150,11 +151,9 @@
         )
 
     def deliver(self, sender, message):
-        if not self.up:
-            return
-        if self.is_frozen():
+        if self.up and self.is_frozen():
             self.buffer.append(lambda: self.handle(sender, message))
-        else:
+        elif self.up:
             self.handle(sender, message)
 
 
@@ -168,32 +167,28 @@
 
     def boot(self, adopt=True):
         super().boot()
-        seed = self.simulation.rng.getrandbits(64)
-        self.member = members.Member(
-            self.name, self.accelerators, random.Random(seed)
-        )
+        rng = random.Random(self.simulation.rng.getrandbits(64))
+        self.member = members.Member(self.name, self.accelerators, rng)
         self.next_renewal = 0.0
-        now = self.clock()
         if adopt:
             self.worker.settle(self.simulation.now)
             for task in list(self.worker.tasks.values()):
                 # A successor reads tasks that ended within 300 s.
                 if task.ended and task.ended < self.simulation.now - 300:
                     continue
-                self.carry_out(
-                    self.member.adopt(
-                        now, task.attempt, task.labels, task.accelerators
-                    )
+                self.do(
+                    self.member.adopt,
+                    task.attempt,
+                    task.labels,
+                    task.accelerators,
                 )
                 if task.ended is not None:
-                    self.carry_out(
-                        self.member.task_ended(now, task.attempt, task.result)
-                    )
-            self.carry_out(self.member.adoption_done(now))
+                    self.do(self.member.task_ended, task.attempt, task.result)
+            self.do(self.member.adoption_done)
         self.tick_forever()
 
     def handle(self, sender, message):
-        self.carry_out(self.member.receive(self.clock(), sender, message))
+        self.do(self.member.receive, sender, message)
 
     def tick(self):
         now = self.clock()
@@ -205,7 +200,7 @@
                     task.lease_until = (
                         self.simulation.now + renewal.lease_seconds
                     )
-        self.carry_out(self.member.tick(now))
+        self.do(self.member.tick)
 
     def carry_out(self, effects_list):
         for effect in effects_list:
@@ -232,14 +227,10 @@
         self.simulation.after(delay, end)
 
     def tell_ended(self, task):
-        if not self.up:
-            return
-        self.local(
-            self.simulation.rng.uniform(0, 0.5),
-            lambda: self.member.task_ended(
-                self.clock(), task.attempt, task.result
-            ),
-        )
+        if self.up:
+            delay = self.simulation.rng.uniform(0, 0.5)
+            method = self.member.task_ended
+            self.later(delay, method, task.attempt, task.result)
 
     def start(self, effect):
         simulation = self.simulation
@@ -256,12 +247,7 @@
             f'{self.name} starts {effect.attempt} again'
         )
         if simulation.rng.random() < simulation.worker_refusals:
-            self.local(
-                delay,
-                lambda: self.member.task_refused(
-                    self.clock(), effect.attempt, 'worker refused'
-                ),
-            )
+            self.later(delay, self.member.task_refused, effect.attempt, 'x')
             return
         kind, seconds = effect.command
         self.worker.add(
@@ -278,10 +264,9 @@
             )
         )
         simulation.check_start(effect.labels['job'], effect.attempt)
-        self.local(
-            delay,
-            lambda: self.member.task_started(self.clock(), effect.attempt),
-        )
+        # Some answers of the worker are lost, although the tasks run.
+        if simulation.rng.random() >= simulation.worker_refusals / 2:
+            self.later(delay, self.member.task_started, effect.attempt)
 
 
 class Entry(Process):
@@ -296,31 +281,23 @@
 
     def boot(self):
         super().boot()
-        seed = self.simulation.rng.getrandbits(64)
+        rng = random.Random(self.simulation.rng.getrandbits(64))
         self.owner = owners.Owner(self.name)
-        self.coordinator = coordinators.Coordinator(
-            self.name, random.Random(seed)
-        )
+        self.coordinator = coordinators.Coordinator(self.name, rng)
         self.placing = {}
-        self.carry_out(
-            self.owner.set_coordinator(
-                self.clock(), self.simulation.coordinator
-            )
-        )
+        self.do(self.owner.set_coordinator, self.simulation.coordinator)
         self.tick_forever()
 
     def handle(self, sender, message):
-        now = self.clock()
         if isinstance(message, messages.SubmitJob):
             self.place(message)
             return
-        self.carry_out(self.owner.receive(now, sender, message))
-        self.carry_out(self.coordinator.receive(now, sender, message))
+        self.do(self.owner.receive, sender, message)
+        self.do(self.coordinator.receive, sender, message)
 
     def tick(self):
-        now = self.clock()
-        self.carry_out(self.owner.tick(now))
-        self.carry_out(self.coordinator.tick(now))
+        self.do(self.owner.tick)
+        self.do(self.coordinator.tick)
 
     def place(self, message):
         job = message.job
@@ -330,17 +307,10 @@
         attempt = f'{self.name}-{self.run}-{self.counter}'
         self.placing[job.id] = attempt
         self.simulation.count('placed')
-        self.carry_out(
-            self.coordinator.place(
-                self.clock(),
-                attempt,
-                job,
-                message.owner,
-                self.simulation.choose_members(job.spec.accelerators),
-                self.simulation.revision,
-                False,
-            )
-        )
+        chosen = self.simulation.choose_members(job.spec.accelerators)
+        revision = self.simulation.revision
+        place = self.coordinator.place
+        self.do(place, attempt, job, message.owner, chosen, revision, False)
 
     def carry_out(self, effects_list):
         simulation = self.simulation
@@ -353,20 +323,14 @@
                     state = simulation.jobs[effect.job]
                     if ok:
                         state.granted = effect.attempt
-                    self.local(
-                        simulation.rng.uniform(0, 1),
-                        lambda e=effect, ok=ok: self.owner.grant_recorded(
-                            self.clock(), e.job, e.attempt, ok
-                        ),
-                    )
+                    delay = simulation.rng.uniform(0, 1)
+                    method = self.owner.grant_recorded
+                    self.later(delay, method, effect.job, effect.attempt, ok)
                 case effects.Conclude():
                     simulation.check_conclusion(effect)
-                    self.local(
-                        simulation.rng.uniform(0, 1),
-                        lambda e=effect: self.owner.conclusion_recorded(
-                            self.clock(), e.work
-                        ),
-                    )
+                    delay = simulation.rng.uniform(0, 1)
+                    method = self.owner.conclusion_recorded
+                    self.later(delay, method, effect.work)
                 case effects.GangStarted():
                     simulation.count('started')
                 case effects.GangFailed():
@@ -442,9 +406,7 @@
             for agent in self.agents.values():
                 if agent.up and not self.is_cut(agent.name, entry.name):
                     for gang in agent.member.list_gangs():
-                        entry.carry_out(
-                            entry.owner.gang_seen(entry.clock(), gang)
-                        )
+                        entry.do(entry.owner.gang_seen, gang)
         self.check()
 
     # Network
@@ -511,7 +473,6 @@
             return
         self.last_fault = self.now
         process.up = False
-        process.down_since = self.now
         self.count('crashed')
         if name in self.entries:
             self.orphan_jobs(name)
@@ -519,13 +480,9 @@
             return
         self.after(back_after, lambda: process.boot(adopt))
         for entry in self.entries.values():
-            entry.local(
-                self.rng.uniform(0.1, 10),
-                lambda e=entry: (
-                    e.owner.agent_lost(e.clock(), name)
-                    + e.coordinator.agent_lost(e.clock(), name)
-                ),
-            )
+            delay = self.rng.uniform(0.1, 10)
+            entry.later(delay, entry.owner.agent_lost, name)
+            entry.later(delay, entry.coordinator.agent_lost, name)
 
     def orphan_jobs(self, name):
         """Lose attached jobs; another entry adopts detached ones."""
@@ -546,9 +503,7 @@
             self.after(5.0, lambda: self.adopt(state))
             return
         if state.conclusion is None:
-            entry.carry_out(
-                entry.owner.adopt(entry.clock(), state.job, state.granted)
-            )
+            entry.do(entry.owner.adopt, state.job, state.granted)
 
     def kill_worker(self, name):
         """End and forget all tasks, as when the machine dies."""
--- a/tests/test_gang/test_gang_coordinator.py
+++ b/tests/test_gang/test_gang_coordinator.py
@@ -9,6 +9,7 @@
 from damaskpin.gang import timing
 from damaskpin.model import job as jobs
 from damaskpin.peer import messages
+from tests.test_gang import sent
 
 GANG = (messages.Member('lead', (0,)), messages.Member('other', (0, 1)))
 TOKENS = {'lead': 't1', 'other': 't2'}
@@ -44,32 +45,17 @@
     return coordinator
 
 
-def _list_sent(out, kind):
-    return [
-        (e.to, e.message)
-        for e in out
-        if isinstance(e, effects.Send) and isinstance(e.message, kind)
-    ]
-
-
 def _list_failed(out):
-    return [e for e in out if isinstance(e, effects.GangFailed)]
-
-
-def _run(coordinator, start, end):
-    out = []
-    for step in range(int((end - start) * 10)):
-        out += coordinator.tick(start + step / 10)
-    return out
+    return sent.list_effects(out, effects.GangFailed)
 
 
 def test_commit_follows_all_reservations_and_the_grant():
     coordinator, out = _place()
-    sent = dict(_list_sent(out, messages.Reserve))
-    assert sent['lead'].members == GANG
-    assert sent['other'].members == ()
+    reserves = dict(sent.list_sent(out, messages.Reserve))
+    assert reserves['lead'].members == GANG
+    assert reserves['other'].members == ()
     out = coordinator.receive(0.1, 'lead', messages.Reserved('a1', 't1'))
-    assert not _list_sent(out, messages.RequestGrant)
+    assert not sent.list_sent(out, messages.RequestGrant)
     out = coordinator.receive(0.1, 'other', messages.Reserved('a1', 't2'))
     request = messages.RequestGrant('j', 'a1', 'lead', ('lead', 'other'), 't1')
     assert out == [effects.Send('owner', request)]
@@ -81,8 +67,8 @@
 def test_lost_messages_are_repeated_only_where_no_answer_came():
     coordinator, _ = _place()
     coordinator.receive(0.1, 'lead', messages.Reserved('a1', 't1'))
-    out = _run(coordinator, 0.2, 1.5)
-    assert {to for to, _ in _list_sent(out, messages.Reserve)} == {'other'}
+    out = sent.run(coordinator, 0.2, 1.5, 10)
+    assert {to for to, _ in sent.list_sent(out, messages.Reserve)} == {'other'}
 
 
 def test_refusals_are_named_and_the_others_released():
@@ -94,7 +80,7 @@
     assert _list_failed(out) == [
         effects.GangFailed('j', 'a1', 'taken', ('other',))
     ]
-    assert [to for to, _ in _list_sent(out, messages.StopGang)] == ['lead']
+    assert [to for to, _ in sent.list_sent(out, messages.StopGang)] == ['lead']
     coordinator.receive(0.2, 'lead', messages.MemberStopped('a1'))
     assert coordinator.list_attempts() == ()
 
@@ -102,15 +88,15 @@
 def test_silent_agents_are_named_after_the_deadline():
     coordinator, _ = _place()
     coordinator.receive(0.1, 'lead', messages.Reserved('a1', 't1'))
-    out = _run(coordinator, 0.2, 3.0)
+    out = sent.run(coordinator, 0.2, 3.0, 10)
     assert _list_failed(out) == [
         effects.GangFailed('j', 'a1', 'no answer', ('other',))
     ]
-    assert {to for to, _ in _list_sent(out, messages.StopGang)} == {
+    assert {to for to, _ in sent.list_sent(out, messages.StopGang)} == {
         'lead',
         'other',
     }
-    _run(coordinator, 3.0, 9.0)
+    sent.run(coordinator, 3.0, 9.0, 10)
     assert coordinator.list_attempts() == ()
 
 
@@ -123,11 +109,11 @@
     out = _reserve(coordinator)
     if answer is not None:
         out += coordinator.receive(0.2, 'owner', answer)
-    out += _run(coordinator, 0.3, 60.0)
-    assert not _list_sent(out, messages.Commit)
+    out += sent.run(coordinator, 0.3, 60.0, 10)
+    assert not sent.list_sent(out, messages.Commit)
     assert len(_list_failed(out)) == 1
     # The grant may be under way, so the owner learns that it is void.
-    told = _list_sent(out, messages.GangFinished)
+    told = sent.list_sent(out, messages.GangFinished)
     assert {to for to, _ in told} == {'owner'}
     assert not told[0][1].committed
 
@@ -137,7 +123,7 @@
     coordinator, _ = _place()
     _reserve(coordinator)
     out = coordinator.receive(20.0, 'owner', messages.Granted('j', 'a1'))
-    assert not _list_sent(out, messages.Commit)
+    assert not sent.list_sent(out, messages.Commit)
     assert _list_failed(out)
 
 
@@ -146,8 +132,8 @@
     coordinator, _ = _place()
     _reserve(coordinator)
     coordinator.receive(0.2, 'owner', messages.Granted('j', 'a1'))
-    out = _run(coordinator, 0.3, 300.0)
-    assert _list_sent(out, messages.Commit)
+    out = sent.run(coordinator, 0.3, 300.0, 10)
+    assert sent.list_sent(out, messages.Commit)
     assert {type(e) for e in out} == {effects.Send}
     refused = messages.CommitRefused('a1', 'expired')
     out = coordinator.receive(300.0, 'lead', refused)
@@ -163,9 +149,9 @@
         1.0, 'lead', messages.GangStatus('a1', 'unknown')
     )
     settle = timing.compute_settle_seconds(2)
-    out += _run(coordinator, 1.1, 0.9 + settle)
+    out += sent.run(coordinator, 1.1, 0.9 + settle, 10)
     assert {type(e) for e in out} == {effects.Send}
-    out = _run(coordinator, 0.9 + settle, 1.2 + settle)
+    out = sent.run(coordinator, 0.9 + settle, 1.2 + settle, 10)
     ended = effects.GangEnded('j', 'a1', None, 'lead is lost')
     assert [e for e in out if not isinstance(e, effects.Send)] == [ended]
 
@@ -173,9 +159,9 @@
 def test_lost_lead_that_answers_again_keeps_its_gang():
     coordinator = _start()
     out = coordinator.agent_lost(5.0, 'lead')
-    assert _list_sent(out, messages.QueryGang)
+    assert sent.list_sent(out, messages.QueryGang)
     coordinator.receive(9.0, 'lead', messages.GangStatus('a1', 'committed'))
-    out = _run(coordinator, 9.0, 200.0)
+    out = sent.run(coordinator, 9.0, 200.0, 10)
     assert {type(e) for e in out} == {effects.Send}
 
 
@@ -192,9 +178,9 @@
     """Guards against a lost stop, which would break a guarantee."""
     coordinator = _start()
     out = coordinator.stop(5.0, 'j', 'reclaimed', 2.0)
-    out += _run(coordinator, 5.1, 7.0)
+    out += sent.run(coordinator, 5.1, 7.0, 10)
     stop = messages.StopGang('a1', 'reclaimed', 2.0)
-    assert _list_sent(out, messages.StopGang)[:2] == [('lead', stop)] * 2
+    assert sent.list_sent(out, messages.StopGang)[:2] == [('lead', stop)] * 2
     finished = messages.GangFinished('a1', 'j', True, None, 'reclaimed')
     out = coordinator.receive(7.0, 'lead', finished)
     assert effects.GangEnded('j', 'a1', None, 'reclaimed') in out
@@ -208,10 +194,10 @@
     assert [e.job for e in _list_failed(out)] == ['j']
     taken = messages.ReserveRefused('a2', 'taken')
     out = coordinator.receive(0.2, 'lead', taken)
-    out += _run(coordinator, 0.2, 1.5)
+    out += sent.run(coordinator, 0.2, 1.5, 10)
     assert not _list_failed(out)
     assert ('lead', 'a2') in {
-        (to, m.attempt) for to, m in _list_sent(out, messages.Reserve)
+        (to, m.attempt) for to, m in sent.list_sent(out, messages.Reserve)
     }
     _, out = _place(0.4, 'a3', coordinator, _make_job('l'))
     assert _list_failed(out)[0].job == 'l'
--- a/tests/test_gang/test_gang_member.py
+++ b/tests/test_gang/test_gang_member.py
@@ -9,6 +9,7 @@
 from damaskpin.gang import records
 from damaskpin.gang import timing
 from damaskpin.peer import messages
+from tests.test_gang import sent
 
 GANG = (messages.Member('lead', (0,)), messages.Member('other', (0, 1)))
 
@@ -44,20 +45,8 @@
     return send.message.token
 
 
-def _list_messages(out, kind):
-    return [
-        e.message
-        for e in out
-        if isinstance(e, effects.Send) and isinstance(e.message, kind)
-    ]
-
-
-def _list_effects(out, kind):
-    return [e for e in out if isinstance(e, kind)]
-
-
 def _get_refusal(out):
-    (refusal,) = _list_messages(out, messages.ReserveRefused)
+    (refusal,) = sent.list_messages(out, messages.ReserveRefused)
     return refusal.reason
 
 
@@ -66,7 +55,7 @@
     member = _make()
     token = _reserve(member, now)
     out = member.receive(now, 'lead', messages.StartMember('a1', token))
-    (start,) = _list_effects(out, effects.StartTask)
+    (start,) = sent.list_effects(out, effects.StartTask)
     out = member.task_started(now, 'a1')
     return member, start.labels, out[0].message.uptime
 
@@ -77,7 +66,7 @@
     token = _reserve(lead, now, name='lead', gang=gang)
     tokens = (token, 'other-token')[: len(gang)]
     out = lead.receive(now, 'coordinator', messages.Commit('a1', tokens))
-    (start,) = _list_effects(out, effects.StartTask)
+    (start,) = sent.list_effects(out, effects.StartTask)
     lead.task_started(now, 'a1')
     if len(gang) > 1:
         lead.receive(now, 'other', messages.MemberStarted('a1', 7.0))
@@ -93,7 +82,7 @@
     # A repeat is answered with the same reservation, not refused.
     assert _reserve(member, 0.2) == token
     out = member.receive(1.0, 'coordinator', messages.StopGang('a1', 'x'))
-    assert _list_messages(out, messages.MemberStopped)
+    assert sent.list_messages(out, messages.MemberStopped)
     assert _reserve(member, 1.1, 'a2')
 
 
@@ -110,7 +99,7 @@
 
 def _reserve_with(member, revision):
     out = member.receive(0.0, 'c', _make_reserve(revision=revision))
-    return _list_messages(out, messages.Reserved)
+    return sent.list_messages(out, messages.Reserved)
 
 
 def test_draining_agent_refuses_and_keeps_what_runs():
@@ -135,8 +124,8 @@
     member = _make()
     token = _reserve(member, 0.0)
     out = member.receive(5.1, 'lead', messages.StartMember('a1', token))
-    assert not _list_effects(out, effects.StartTask)
-    assert _list_messages(out, messages.MemberRefused)
+    assert not sent.list_effects(out, effects.StartTask)
+    assert sent.list_messages(out, messages.MemberRefused)
 
 
 def test_late_start_of_another_incarnation_is_refused():
@@ -150,7 +139,7 @@
         messages.GangStatus('a1', 'committed', token),
     ):
         out = restarted.receive(1.1, 'lead', message)
-        assert not _list_effects(out, effects.StartTask)
+        assert not sent.list_effects(out, effects.StartTask)
 
 
 def test_late_commit_of_another_incarnation_is_not_refused_for_good():
@@ -161,9 +150,9 @@
     commit = messages.Commit('a1', (token, 't'))
     for now in (1.1, 7.0):
         out = restarted.receive(now, 'coordinator', commit)
-        assert _list_messages(out, messages.GangStatus)
-        assert not _list_messages(out, messages.CommitRefused)
-        assert not _list_effects(out, effects.StartTask)
+        assert sent.list_messages(out, messages.GangStatus)
+        assert not sent.list_messages(out, messages.CommitRefused)
+        assert not sent.list_effects(out, effects.StartTask)
 
 
 def test_restarted_agent_is_silent_about_the_past_until_leases_end():
@@ -175,7 +164,7 @@
         'unhealthy'
     )
     out = member.receive(30.0, 'lead', stop)
-    assert _list_messages(out, messages.MemberStopped)
+    assert sent.list_messages(out, messages.MemberStopped)
 
 
 def test_member_in_doubt_asks_the_lead_and_obeys():
@@ -189,7 +178,7 @@
     assert member.receive(2.6, 'lead', status) == []
     status = messages.GangStatus('a1', 'committed', token)
     out = member.receive(2.7, 'lead', status)
-    assert _list_effects(out, effects.StartTask)
+    assert sent.list_effects(out, effects.StartTask)
 
     member = _make()
     token = _reserve(member, 0.0)
@@ -201,7 +190,7 @@
     """Guards against a commit after a member released on 'unknown'."""
     lead = _make('lead')
     out = lead.receive(0.0, 'other', messages.QueryGang('a1', 't'))
-    assert _list_messages(out, messages.GangStatus)[0].state == 'unknown'
+    assert sent.list_messages(out, messages.GangStatus)[0].state == 'unknown'
     out = lead.receive(0.1, 'c', _make_reserve(name='lead'))
     assert _get_refusal(out) == 'closed'
 
@@ -212,7 +201,7 @@
     token = _reserve(lead, 0.0, name='lead')
     commit = messages.Commit('a1', (token, 'other-token'))
     out = lead.receive(1.0, 'coordinator', commit)
-    assert _list_messages(out, messages.Committed)
+    assert sent.list_messages(out, messages.Committed)
     start = messages.StartMember('a1', 'other-token', 5.0)
     assert effects.Send('other', start) in out
     assert effects.Send('other', start) in lead.tick(2.0)
@@ -220,8 +209,8 @@
     assert effects.Send('other', start) not in lead.tick(4.0)
     # A commit whose answer was lost is answered again, without a new start.
     out = lead.receive(4.1, 'coordinator', commit)
-    assert _list_messages(out, messages.Committed)
-    assert not _list_effects(out, effects.StartTask)
+    assert sent.list_messages(out, messages.Committed)
+    assert not sent.list_effects(out, effects.StartTask)
 
 
 def test_lead_does_not_commit_a_reservation_that_ends():
@@ -230,9 +219,9 @@
     token = _reserve(lead, 0.0, name='lead')
     commit = messages.Commit('a1', (token, 't'))
     out = lead.receive(4.5, 'coordinator', commit)
-    assert _list_messages(out, messages.CommitRefused)
+    assert sent.list_messages(out, messages.CommitRefused)
     query = messages.QueryGang('a1')
-    (report,) = _list_messages(
+    (report,) = sent.list_messages(
         lead.receive(9.0, 'owner', query), messages.GangFinished
     )
     assert not report.committed
@@ -251,9 +240,9 @@
     """Guards against a gang that goes on in part."""
     lead, _ = _run_lead()
     out = lead.receive(1.0, 'other', message)
-    assert _list_effects(out, effects.StopTask)
+    assert sent.list_effects(out, effects.StopTask)
     out = lead.task_ended(1.5, 'a1', None)
-    reports = _list_messages(out, messages.GangFinished)
+    reports = sent.list_messages(out, messages.GangFinished)
     assert len(reports) == 2
     assert reports[0].committed
     assert reports[0].stopped
@@ -283,9 +272,9 @@
     beat = messages.GangBeat('a1', 5.0, uptime=uptime)
     assert member.receive(5.0, 'lead', beat)[0].message.reply
     patience = timing.compute_member_patience(5.0)
-    assert not _list_effects(member.tick(patience), effects.StopTask)
+    assert not sent.list_effects(member.tick(patience), effects.StopTask)
     out = member.tick(patience + 0.1)
-    assert _list_effects(out, effects.StopTask)
+    assert sent.list_effects(out, effects.StopTask)
     assert member.list_leases(patience + 0.1) == ()
 
 
@@ -295,7 +284,7 @@
     late = messages.GangBeat('a1', 5.0, uptime=uptime)
     member.receive(20.0, 'lead', late)
     out = member.receive(22.5, 'lead', late)
-    assert _list_effects(out, effects.StopTask)
+    assert sent.list_effects(out, effects.StopTask)
 
 
 def test_frozen_lead_ends_the_gang_when_it_resumes():
@@ -304,8 +293,8 @@
     out = lead.receive(
         patience + 0.1, 'other', messages.GangBeat('a1', 0.0, True, 9.0)
     )
-    assert _list_effects(out, effects.StopTask)
-    assert _list_messages(out, messages.StopGang)
+    assert sent.list_effects(out, effects.StopTask)
+    assert sent.list_messages(out, messages.StopGang)
 
 
 def test_gang_of_an_unreachable_member_ends_after_its_leases():
@@ -315,8 +304,8 @@
     lead.task_ended(1.5, 'a1', None)
     settle = timing.compute_settle_seconds(2)
     out = lead.tick(settle - 0.1)
-    assert not _list_messages(out, messages.GangFinished)
-    reports = _list_messages(lead.tick(settle), messages.GangFinished)
+    assert not sent.list_messages(out, messages.GangFinished)
+    reports = sent.list_messages(lead.tick(settle), messages.GangFinished)
     assert reports
     assert not reports[0].stopped
 
@@ -324,10 +313,10 @@
 def test_member_stops_when_its_lead_does_not_know_the_gang():
     member, _, uptime = _run_member()
     out = member.receive(1.0, 'lead', messages.GangStatus('a1', 'unknown'))
-    assert _list_effects(out, effects.StopTask)
+    assert sent.list_effects(out, effects.StopTask)
     beat = messages.GangBeat('a1', 0.0, reply=True, uptime=uptime)
     out = _make('lead').receive(1.0, 'other', beat)
-    assert _list_messages(out, messages.GangStatus)[0].state == 'unknown'
+    assert sent.list_messages(out, messages.GangStatus)[0].state == 'unknown'
 
 
 def test_stop_gives_a_grace_and_then_revokes_the_lease():
@@ -352,7 +341,7 @@
     assert (gang.lead, gang.owner, gang.account) == ('lead', 'owner', 'c')
     assert gang.guaranteed
     out = successor.tick(100.1)
-    (answer,) = _list_messages(out, messages.GangBeat)
+    (answer,) = sent.list_messages(out, messages.GangBeat)
     assert successor.list_leases(100.2) == ()
     beat = messages.GangBeat('a1', 5.0, uptime=answer.uptime)
     successor.receive(100.2, 'lead', beat)
@@ -368,7 +357,7 @@
     start = messages.StartMember('a1', 'other-token', 5.0)
     assert effects.Send('other', start) in out
     out = successor.receive(101.0, 'owner', messages.QueryGang('a1'))
-    assert _list_messages(out, messages.GangStatus)[0].state == 'committed'
+    assert sent.list_messages(out, messages.GangStatus)[0].state == 'committed'
 
 
 @pytest.mark.parametrize('missing', ['lead', 'token', 'tokens', 'owner'])
@@ -377,7 +366,7 @@
     del labels[missing]
     successor = members.Member('lead', 2, random.Random(5))
     out = successor.adopt(100.0, 'a1', labels, (0,))
-    assert _list_effects(out, effects.StopTask)
+    assert sent.list_effects(out, effects.StopTask)
     assert len(successor.list_gangs()) == 1
 
 
--- a/tests/test_gang/test_gang_owner.py
+++ b/tests/test_gang/test_gang_owner.py
@@ -11,6 +11,7 @@
 from damaskpin.gang import timing
 from damaskpin.model import job as jobs
 from damaskpin.peer import messages
+from tests.test_gang import sent
 
 
 def _make_job(name='j', idempotent=False, deadline=None, age=0.0):
@@ -46,29 +47,14 @@
 
 
 def _get_verdicts(out):
-    return [e.verdict for e in out if isinstance(e, effects.Conclude)]
-
-
-def _list_sent(out, kind):
-    return [
-        e.message
-        for e in out
-        if isinstance(e, effects.Send) and isinstance(e.message, kind)
-    ]
-
-
-def _run(owner, start, end):
-    out = []
-    for step in range(int((end - start) * 4)):
-        out += owner.tick(start + step / 4)
-    return out
+    return [e.verdict for e in sent.list_effects(out, effects.Conclude)]
 
 
 def test_job_is_resubmitted_every_two_seconds_and_on_a_change():
     """Guards against a job that is lost with its coordinator."""
     owner = _make()
-    out = _run(owner, 0.25, 10.0)
-    submits = _list_sent(out, messages.SubmitJob)
+    out = sent.run(owner, 0.25, 10.0, 4)
+    submits = sent.list_messages(out, messages.SubmitJob)
     assert len(submits) == 4
     assert submits[-1].job.age_seconds == 8.0
     out = owner.set_coordinator(10.1, 'coordinator-2')
@@ -81,7 +67,7 @@
     owner = _make()
     _grant(owner)
     out = owner.receive(1.1, 'coordinator-2', _request('a2'))
-    assert _list_sent(out, messages.Denied)
+    assert sent.list_messages(out, messages.Denied)
     # A repeat of the granted attempt is answered the same way.
     _grant(owner, 1.2)
 
@@ -91,7 +77,7 @@
     void = messages.GangFinished('a1', 'j', False, None, 'x', True, 't')
     owner.receive(1.0, 'coordinator', void)
     out = owner.receive(1.1, 'coordinator', _request())
-    assert _list_sent(out, messages.Denied)
+    assert sent.list_messages(out, messages.Denied)
     _grant(owner, 1.2, 'a2')
 
 
@@ -100,18 +86,18 @@
     owner = _make(detached=True)
     out = owner.receive(1.0, 'coordinator', _request())
     assert effects.GrantJob('j', 'a1') in out
-    assert not _list_sent(out, messages.Granted)
+    assert not sent.list_messages(out, messages.Granted)
     # A repeat does not write again.
     assert owner.receive(1.1, 'coordinator', _request()) == []
     out = owner.grant_recorded(1.2, 'j', 'a1', True)
-    assert _list_sent(out, messages.Granted)
+    assert sent.list_messages(out, messages.Granted)
 
 
 def test_store_outage_leaves_the_job_waiting():
     owner = _make(detached=True)
     owner.receive(1.0, 'coordinator', _request())
     out = owner.grant_recorded(1.2, 'j', 'a1', False)
-    assert _list_sent(out, messages.Denied)
+    assert sent.list_messages(out, messages.Denied)
     assert not _get_verdicts(out)
     assert owner.get_phase('j') is gang_jobs.Phase.WAITING
 
@@ -123,10 +109,10 @@
         owner.receive(1.0, 'coordinator', _request())
     out = owner.cancel(2.0, 'j', 'cancelled')
     assert _get_verdicts(out) == [verdicts.NotRun('cancelled')]
-    assert _list_sent(out, messages.CancelJob)
+    assert sent.list_messages(out, messages.CancelJob)
     assert owner.grant_recorded(2.1, 'j', 'a1', True) == []
     out = owner.receive(2.2, 'coordinator', _request())
-    assert _list_sent(out, messages.Denied)
+    assert sent.list_messages(out, messages.Denied)
 
 
 @pytest.mark.parametrize(
@@ -144,8 +130,8 @@
     _grant(owner)
     out = owner.cancel(2.0, 'j', 'cancelled')
     assert not _get_verdicts(out)
-    assert _list_sent(out, messages.StopGang)
-    assert _list_sent(_run(owner, 2.1, 5.0), messages.StopGang)
+    assert sent.list_messages(out, messages.StopGang)
+    assert sent.list_messages(sent.run(owner, 2.1, 5.0, 4), messages.StopGang)
     finished = messages.GangFinished(
         'a1', 'j', committed, None, 'x', True, token
     )
@@ -159,7 +145,7 @@
     _grant(owner)
     other = messages.GangFinished('a1', 'j', False, None, 'x', True, 'u')
     out = owner.receive(2.0, 'lead', other)
-    out += _run(owner, 2.0, 100.0)
+    out += sent.run(owner, 2.0, 100.0, 4)
     (given,) = _get_verdicts(out)
     assert isinstance(given, verdicts.MayHaveRun)
 
@@ -168,25 +154,29 @@
     """Guards against a job that hangs when its coordinator dies."""
     owner = _make()
     _grant(owner)
-    assert not _list_sent(_run(owner, 1.25, 5.75), messages.QueryGang)
-    assert _list_sent(_run(owner, 5.75, 8.0), messages.QueryGang)
+    assert not sent.list_messages(
+        sent.run(owner, 1.25, 5.75, 4), messages.QueryGang
+    )
+    assert sent.list_messages(
+        sent.run(owner, 5.75, 8.0, 4), messages.QueryGang
+    )
     void = messages.GangFinished('a1', 'j', False, None, 'expired', True, 't')
     out = owner.receive(8.0, 'lead', void)
-    assert _list_sent(out, messages.SubmitJob)[0].attempt == ''
+    assert sent.list_messages(out, messages.SubmitJob)[0].attempt == ''
     _grant(owner, 8.1, 'a2')
 
 
 def test_deadline_ends_the_waiting_only():
     owner = _make(deadline=5.0, age=1.0)
     _grant(owner, 3.5)
-    assert not _get_verdicts(_run(owner, 3.75, 9.0))
+    assert not _get_verdicts(sent.run(owner, 3.75, 9.0, 4))
     owner = _make(deadline=5.0, age=1.0)
-    out = _run(owner, 0.25, 4.25)
+    out = sent.run(owner, 0.25, 4.25, 4)
     assert _get_verdicts(out) == [verdicts.NotRun('deadline passed')]
     # A paused entry finds the deadline passed before it grants.
     owner = _make(deadline=5.0)
     out = owner.receive(6.0, 'coordinator', _request())
-    assert _list_sent(out, messages.Denied)
+    assert sent.list_messages(out, messages.Denied)
 
 
 def test_exit_code_decides_the_verdict_of_a_job_that_ran():
@@ -194,7 +184,7 @@
         owner = _make()
         _grant(owner)
         out = _finish(owner, 9.0, code)
-        assert _list_sent(out, messages.GangFinishedAck)
+        assert sent.list_messages(out, messages.GangFinishedAck)
         (given,) = _get_verdicts(out)
         assert given.answer.body == b'{"exit_code":%d}' % code
 
@@ -206,9 +196,9 @@
     owner.grant_recorded(1.1, 'j', 'a1', True)
     out = _finish(owner, 2.0, 0)
     assert _get_verdicts(out)
-    assert not _list_sent(out, messages.GangFinishedAck)
+    assert not sent.list_messages(out, messages.GangFinishedAck)
     owner.conclusion_recorded(3.0, 'j')
-    assert _list_sent(_finish(owner, 4.0, 0), messages.GangFinishedAck)
+    assert sent.list_messages(_finish(owner, 4.0, 0), messages.GangFinishedAck)
 
 
 def test_idempotent_job_is_retried_three_times_with_back_off():
@@ -220,10 +210,10 @@
         out = _finish(owner, now, 1, attempt=attempt)
         assert not _get_verdicts(out)
         early = owner.receive(now + 0.9, 'coordinator', _request('early'))
-        assert _list_sent(early, messages.Denied)
+        assert sent.list_messages(early, messages.Denied)
         # The next attempt may run after 1, 2 and 4 s.
         now += 2.0**retry
-        assert _list_sent(owner.tick(now), messages.SubmitJob)
+        assert sent.list_messages(owner.tick(now), messages.SubmitJob)
     _grant(owner, now, 'last')
     (given,) = _get_verdicts(_finish(owner, now, 1, attempt='last'))
     assert isinstance(given, verdicts.Ran)
@@ -246,15 +236,17 @@
     _grant(owner)
     owner.agent_lost(10.0, 'lead')
     settle = timing.compute_settle_seconds(2)
-    out = _run(owner, 10.0, 9.75 + settle)
+    out = sent.run(owner, 10.0, 9.75 + settle, 4)
     assert not _get_verdicts(out)
     denied = owner.receive(9.8 + settle, 'coordinator', _request('a2'))
-    assert _list_sent(denied, messages.Denied)
-    out = _run(owner, 10.0 + settle, 20.0 + settle)
+    assert sent.list_messages(denied, messages.Denied)
+    out = sent.run(owner, 10.0 + settle, 20.0 + settle, 4)
     if idempotent:
-        assert _list_sent(out, messages.SubmitJob)
+        assert sent.list_messages(out, messages.SubmitJob)
         # The lead may still run it behind a partition.
-        assert _list_sent(_run(owner, 70.0, 90.0), messages.StopGang)
+        assert sent.list_messages(
+            sent.run(owner, 70.0, 90.0, 4), messages.StopGang
+        )
     else:
         assert isinstance(_get_verdicts(out)[0], verdicts.MayHaveRun)
 
@@ -264,7 +256,7 @@
     _grant(owner)
     owner.agent_lost(10.0, 'lead')
     owner.receive(12.0, 'lead', messages.GangStatus('a1', 'committed'))
-    assert not _get_verdicts(_run(owner, 12.0, 200.0))
+    assert not _get_verdicts(sent.run(owner, 12.0, 200.0, 4))
     (given,) = _get_verdicts(_finish(owner, 200.0, 0))
     assert isinstance(given, verdicts.Ran)
 
@@ -276,7 +268,7 @@
     out = owner.gang_seen(1.0, gang)
     assert out == [effects.Send('lead', messages.QueryGang('a1'))]
     owner.receive(1.1, 'lead', messages.GangStatus('a1', 'committed'))
-    assert not _get_verdicts(_run(owner, 1.2, 400.0))
+    assert not _get_verdicts(sent.run(owner, 1.2, 400.0, 4))
     assert isinstance(_get_verdicts(_finish(owner, 400.0, 0))[0], verdicts.Ran)
 
 
@@ -294,7 +286,7 @@
     """Guards against NotRun for grants that the store does not hold."""
     owner = owners.Owner('owner-2')
     owner.adopt(0.0, _make_job(idempotent=idempotent), granted)
-    out = owner.cancel(1.0, 'j', 'cancelled') + _run(owner, 1.0, 300.0)
+    out = owner.cancel(1.0, 'j', 'cancelled') + sent.run(owner, 1.0, 300.0, 4)
     (given,) = _get_verdicts(out)
     assert isinstance(given, verdict)
 
