--- a/tests/test_gang/test_gang_fuzz.py
+++ b/tests/test_gang/test_gang_fuzz.py
@@ -14,7 +14,8 @@
 ALL = AGENTS + ENTRIES
 CONCLUDE_SECONDS = 900.0
 COMMANDS = [('sleep', '1'), ('sleep', '60'), ('fail', '2'), ('stubborn', '40')]
-BURST_EVENTS = 8
+FIRST_EVENTS = 25
+BURST_EVENTS = 4
 BOTH = [True, False]
 # Weight in a burst, and the arguments, of each rule.
 RULES = {
@@ -86,6 +87,9 @@
     def begin(self, seed):
         self.simulation = simulations.Simulation(seed)
         self.counter = 0
+        # Hypothesis likes short and simple sequences, in which few gangs
+        # start; this makes each of them busy.
+        self.call_rules(seed, FIRST_EVENTS)
 
     @_rule
     def submit(self, size, idempotent, detached, entry, command, deadline):
@@ -111,9 +115,12 @@
     @stateful.rule(seed=strategies.integers(0, 2**32))
     def burst(self, seed):
         """Call several of the other rules."""
+        self.call_rules(seed, BURST_EVENTS)
+
+    def call_rules(self, seed, count):
         rng = random.Random(seed)
         weights = [weight for weight, _ in RULES.values()]
-        for name in rng.choices(list(RULES), weights, k=BURST_EVENTS):
+        for name in rng.choices(list(RULES), weights, k=count):
             choices = RULES[name][1]
             arguments = {k: rng.choice(v) for k, v in choices.items()}
             rule = getattr(type(self), name)
--- a/tests/test_gang/test_gang_member.py
+++ b/tests/test_gang/test_gang_member.py
@@ -186,6 +186,15 @@
     assert member.list_gangs() == ()
 
 
+def test_unacknowledged_gang_stays_closed_without_its_tombstone():
+    """Guards against an old 'committed' that answers a new reservation."""
+    lead, _ = _run_lead(gang=GANG[:1])
+    lead.task_ended(1.0, 'a1', 0)
+    lead.tick(300.0)
+    out = lead.receive(300.0, 'c', _make_reserve(name='lead'))
+    assert _get_refusal(out) == 'closed'
+
+
 def test_query_of_an_unknown_attempt_closes_it():
     """Guards against a commit after a member released on 'unknown'."""
     lead = _make('lead')
