Split the targets off the slots; log breakers and a full table

Change: the announced targets are a table of their own, attempts without a record are answered in one place, and breakers log when they open and close.

--- a/damaskpin/service/attempts.py
+++ b/damaskpin/service/attempts.py
@@ -6,6 +6,7 @@
 import enum
 import hashlib
 import heapq
+import logging
 from typing import TYPE_CHECKING
 
 from damaskpin import effects
@@ -14,6 +15,8 @@
 if TYPE_CHECKING:
     from damaskpin import verdict
 
+LOG = logging.getLogger(__name__)
+
 KEEP_S = 120.0
 # About 0.5 kB each, so that a full table stays under 20 MB of the 128 MB.
 MAX_RECORDS = 40_000
@@ -104,7 +107,15 @@
 
         This refuses an attempt for good without a record of its own.
         """
-        self._floor_uptime = max(self._floor_uptime, expires_uptime)
+        if expires_uptime <= self._floor_uptime:
+            return
+        LOG.warning(
+            'the attempt table is full with %d records: unseen attempts that '
+            'expire before uptime %.1f s are refused',
+            len(self._records),
+            expires_uptime,
+        )
+        self._floor_uptime = expires_uptime
 
     def add(
         self,
--- a/damaskpin/service/breaker.py
+++ b/damaskpin/service/breaker.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import enum
+import logging
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     import random
 
+LOG = logging.getLogger(__name__)
+
 FAILURES_TO_OPEN = 5
 MIN_OPEN_S = 1.0
 MAX_OPEN_S = 30.0
@@ -35,11 +38,13 @@
 class Breaker:
     """Opens after failures in a row or on silence.
 
+    :param name: instance id of the agent, for log lines.
     :param rng: source of the jitter.
     """
 
     __slots__ = (
         '_failures',
+        '_name',
         '_open_s',
         '_probe_started',
         '_rng',
@@ -47,7 +52,8 @@
         '_until',
     )
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, name: str, rng: random.Random) -> None:
+        self._name = name
         self._rng = rng
         self._state = _State.CLOSED
         self._failures = 0
@@ -101,9 +107,9 @@
                     self._state is _State.HALF_OPEN
                     or self._failures >= FAILURES_TO_OPEN
                 ):
-                    self._open(now)
+                    self._open(now, f'{self._failures} failures in a row')
             case Outcome.SILENT:
-                self._open(now)
+                self._open(now, 'silence')
             case _:
                 if self._state is _State.HALF_OPEN:
                     # The probe said nothing about the target's health.
@@ -117,15 +123,23 @@
         if self._state is _State.OPEN:
             return False
         returned = self._state is _State.HALF_OPEN
+        if returned:
+            LOG.info('agent %s: circuit breaker closed', self._name)
         self._state = _State.CLOSED
         self._failures = 0
         self._open_s = MIN_OPEN_S
         return returned
 
-    def _open(self, now: float) -> None:
+    def _open(self, now: float, reason: str) -> None:
         if self._state is _State.OPEN:
             return
         if self._state is _State.HALF_OPEN:
             self._open_s = min(self._open_s * 2, MAX_OPEN_S)
         self._state = _State.OPEN
         self._until = now + self._open_s * self._rng.uniform(0.75, 1.25)
+        LOG.warning(
+            'agent %s: circuit breaker opened for %.1f s after %s',
+            self._name,
+            self._until - now,
+            reason,
+        )
--- a/damaskpin/service/routing.py
+++ b/damaskpin/service/routing.py
@@ -212,7 +212,9 @@
             tier = 1
         else:
             tier = 2
-        agent = candidates.Agent(state, tier, breakers.Breaker(self._rng), now)
+        agent = candidates.Agent(
+            state, tier, breakers.Breaker(peer.instance, self._rng), now
+        )
         self._agents[peer.instance] = agent
         return agent
 
--- a/damaskpin/service/slots.py
+++ b/damaskpin/service/slots.py
@@ -19,14 +19,11 @@
 # While draining, an answer that was lost on the way is asked for again within
 # this time.
 LINGER_S = 3.0
-# After a longer time without a call, the process was paused and messages may
-# have waited that long in its sockets.
-STALL_S = 0.5
-# Messages that waited during a pause are handled within this time after it.
-STALL_SETTLE_S = 0.5
 # Expiry that a full table may close: that of ordinary requests.
 MAX_CLOSE_AHEAD_S = 65.0
 
+_REQUESTS = (messages.RunRequest, messages.CancelRequest, messages.QueryRun)
+
 
 class Slots:
     """Arbiter of the attempts bound to one agent incarnation.
@@ -45,8 +42,6 @@
         '_max_waiting',
         '_now',
         '_running',
-        '_stall_end',
-        '_stall_start',
         '_started',
         '_table',
         '_targets',
@@ -64,13 +59,11 @@
         self._started = started
         self._max_waiting = max_waiting
         self._table = attempts.AttemptTable() if table is None else table
-        self._targets: dict[str, targets.Target] = {}
+        self._targets = targets.TargetTable()
         self._running: set[str] = set()
         self._draining = False
-        self._now: float | None = None
+        self._now = started
         self._last_answer = float('-inf')
-        self._stall_start = started
-        self._stall_end = float('-inf')
 
     def announce(
         self,
@@ -88,16 +81,9 @@
         :param leaving: the target accepts nothing new.
         """
         self._advance(now)
-        target = self._targets.get(service)
-        if target is None:
-            target = self._targets[service] = targets.Target(
-                slots, now, leaving
-            )
-        target.slots = slots
-        target.expires = self._find_sent(now) + min(ttl, targets.MAX_TTL_S)
-        target.leaving = leaving
+        target = self._targets.announce(now, service, slots, ttl, leaving)
         if leaving:
-            return self._refuse_waiting(target, 'leaving')
+            return self._retire(service, target)
         return self._start_waiting(now, service)
 
     def withdraw(self, now: float, service: str) -> list[effects.Effect]:
@@ -107,9 +93,7 @@
         if target is None:
             return []
         target.leaving = True
-        result = self._refuse_waiting(target, 'leaving')
-        self._forget_target(service)
-        return result
+        return self._retire(service, target)
 
     def receive(
         self, now: float, sender: str, message: messages.Message
@@ -119,23 +103,29 @@
         :param sender: instance id of the entry.
         """
         self._advance(now)
+        if not isinstance(message, _REQUESTS):
+            return []
+        record = self._table.get(message.attempt)
+        if record is None:
+            reply = self._table.answer_unseen(
+                now - self._started, self._incarnation, message
+            )
+            if reply is not None:
+                return [effects.Send(sender, reply)]
         match message:
             case messages.RunRequest():
-                return self._run(now, sender, message)
+                return self._run(now, sender, message, record)
             case messages.CancelRequest():
-                return self._cancel(now, sender, message)
-            case messages.QueryRun():
-                return self._query(now, sender, message)
-        return []
+                return self._cancel(sender, message, record)
+        return self._query(sender, message, record)
 
     def tick(self, now: float) -> list[effects.Effect]:
         """Expire announcements, waiting requests, calls and old records."""
         self._advance(now)
         result: list[effects.Effect] = []
-        for service, target in list(self._targets.items()):
+        for service, target in self._targets.list_all():
             if not target.accepts(now):
-                result += self._refuse_waiting(target, 'leaving')
-                self._forget_target(service)
+                result += self._retire(service, target)
                 continue
             for attempt in list(target.waiting):
                 record = self._table.get(attempt)
@@ -154,18 +144,9 @@
         self, now: float, attempt: str, answer: verdict.Answer
     ) -> list[effects.Effect]:
         """Record the whole answer of a called target."""
-        self._advance(now)
-        record = self._stop_running(attempt)
-        if record is None:
-            return []
-        self._last_answer = now
-        result = self._table.end(
-            record,
-            now - self._started,
-            attempts.State.ANSWERED,
-            answer=answer,
+        return self._end_call(
+            now, attempt, attempts.State.ANSWERED, answer=answer
         )
-        return [*result, *self._start_waiting(now, record.service)]
 
     def target_failed(
         self, now: float, attempt: str, reason: str, reached: bool = True
@@ -174,24 +155,20 @@
 
         :param reached: whether the target may have received the request.
         """
-        self._advance(now)
-        record = self._stop_running(attempt)
-        if record is None:
-            return []
-        self._last_answer = now
         if reached:
-            state = attempts.State.UNCERTAIN
-        else:
-            state, reason = attempts.State.REFUSED, 'unreachable'
-        result = self._table.end(record, now - self._started, state, reason)
-        return [*result, *self._start_waiting(now, record.service)]
+            return self._end_call(
+                now, attempt, attempts.State.UNCERTAIN, reason
+            )
+        return self._end_call(
+            now, attempt, attempts.State.REFUSED, 'unreachable'
+        )
 
     def drain(self, now: float) -> list[effects.Effect]:
         """Refuse everything new; requests in progress are finished."""
         self._advance(now)
         self._draining = True
         result: list[effects.Effect] = []
-        for target in self._targets.values():
+        for _, target in self._targets.list_all():
             result += self._refuse_waiting(target, 'draining')
         return result
 
@@ -199,7 +176,7 @@
         """Return whether nothing runs and answers had time to arrive."""
         if self._running:
             return False
-        if any(target.waiting for target in self._targets.values()):
+        if any(target.waiting for _, target in self._targets.list_all()):
             return False
         if not self._draining:
             return True
@@ -207,58 +184,35 @@
 
     def list_targets(self) -> tuple[messages.TargetState, ...]:
         """Return the state of the targets for the agent's report."""
-        return tuple(
-            messages.TargetState(
-                service=service,
-                slots=target.limit(),
-                busy=target.running + len(target.waiting),
-                leaving=self._draining or not target.accepts(self._now),
-            )
-            for service, target in sorted(self._targets.items())
-        )
+        return self._targets.describe(self._now, self._draining)
 
     def _advance(self, now: float) -> None:
-        if self._now is not None and now - self._now > STALL_S:
-            self._stall_start = self._now
-            self._stall_end = now
+        self._targets.advance(now)
         self._now = now
 
-    def _find_sent(self, now: float) -> float:
-        """Return the earliest time at which a message may have been sent.
-
-        An announcement that was sent before a pause of this process must not
-        count from the end of the pause: the target may have left since.
-        """
-        if now < self._stall_end + STALL_SETTLE_S:
-            return self._stall_start
-        return now
-
     def _run(
-        self, now: float, sender: str, request: messages.RunRequest
+        self,
+        now: float,
+        sender: str,
+        request: messages.RunRequest,
+        record: attempts.Record | None,
     ) -> list[effects.Effect]:
         digest = attempts.compute_digest(
             request.service, request.content_type, request.body
         )
-        record = self._table.get(request.attempt)
         if record is not None:
-            if record.digest and record.digest != digest:
-                return [
-                    effects.Send(
-                        sender,
-                        messages.RunRefused(request.attempt, 'conflict'),
-                    )
-                ]
-            return self._table.join(sender, record)
-        uptime = now - self._started
-        reply = self._table.answer_unseen(uptime, self._incarnation, request)
-        if reply is None and self._table.is_full():
+            if record.digest in (b'', digest):
+                return self._table.join(sender, record)
+            reply = messages.RunRefused(request.attempt, 'conflict')
+            return [effects.Send(sender, reply)]
+        if self._table.is_full():
             # Silence is truthful; refusing everything up to a distant expiry
             # would stop the agent for minutes.
-            if request.expires_uptime > uptime + MAX_CLOSE_AHEAD_S:
+            ahead = request.expires_uptime - (now - self._started)
+            if ahead > MAX_CLOSE_AHEAD_S:
                 return []
             self._table.close_until(request.expires_uptime)
             reply = messages.RunRefused(request.attempt, 'busy')
-        if reply is not None:
             return [effects.Send(sender, reply)]
         record = self._table.add(sender, request, request.service, digest)
         record.deadline = now + request.timeout
@@ -277,21 +231,18 @@
         return []
 
     def _cancel(
-        self, now: float, sender: str, message: messages.CancelRequest
+        self,
+        sender: str,
+        message: messages.CancelRequest,
+        record: attempts.Record | None,
     ) -> list[effects.Effect]:
-        record = self._table.get(message.attempt)
         if record is None:
-            reply = self._table.answer_unseen(
-                now - self._started, self._incarnation, message
-            )
-            if reply is not None:
-                return [effects.Send(sender, reply)]
             if self._table.is_full():
                 return []
             record = self._table.add(sender, message)
             return self._refuse(record, 'cancelled')
         if record.state is attempts.State.WAITING:
-            self._targets[record.service].waiting.remove(record.attempt)
+            self._targets.get(record.service).waiting.remove(record.attempt)
             record.senders[sender] = None
             return self._refuse(record, 'cancelled')
         if record.state is attempts.State.RUNNING:
@@ -302,21 +253,19 @@
         return self._table.join(sender, record)
 
     def _query(
-        self, now: float, sender: str, message: messages.QueryRun
+        self,
+        sender: str,
+        message: messages.QueryRun,
+        record: attempts.Record | None,
     ) -> list[effects.Effect]:
-        record = self._table.get(message.attempt)
-        if record is None:
-            reply = self._table.answer_unseen(
-                now - self._started, self._incarnation, message
-            )
-            if reply is None:
-                reply = messages.RunState(message.attempt, 'unknown')
-            return [effects.Send(sender, reply)]
-        return self._table.join(sender, record) or [
-            effects.Send(
-                sender, messages.RunState(message.attempt, record.state.value)
-            )
-        ]
+        state = 'unknown'
+        if record is not None:
+            outcome = self._table.join(sender, record)
+            if outcome:
+                return outcome
+            state = record.state.value
+        reply = messages.RunState(message.attempt, state)
+        return [effects.Send(sender, reply)]
 
     def _start(
         self,
@@ -341,13 +290,7 @@
     def _start_waiting(self, now: float, service: str) -> list[effects.Effect]:
         result: list[effects.Effect] = []
         target = self._targets.get(service)
-        while (
-            target is not None
-            and target.waiting
-            and not self._draining
-            and target.accepts(now)
-            and target.has_free_slot()
-        ):
+        while target is not None and target.can_start_waiting(now):
             record = self._table.get(target.waiting.popleft())
             if (
                 now >= record.deadline
@@ -358,14 +301,26 @@
             result.append(self._start(now, target, record, record.request))
         return result
 
-    def _stop_running(self, attempt: str) -> attempts.Record | None:
+    def _end_call(
+        self,
+        now: float,
+        attempt: str,
+        state: attempts.State,
+        reason: str = '',
+        answer: verdict.Answer | None = None,
+    ) -> list[effects.Effect]:
+        self._advance(now)
         if attempt not in self._running:
-            return None
+            return []
         self._running.discard(attempt)
+        self._last_answer = now
         record = self._table.get(attempt)
-        self._targets[record.service].running -= 1
-        self._forget_target(record.service)
-        return record
+        self._targets.get(record.service).running -= 1
+        self._targets.forget_gone(now, record.service)
+        result = self._table.end(
+            record, now - self._started, state, reason, answer
+        )
+        return [*result, *self._start_waiting(now, record.service)]
 
     def _refuse_waiting(
         self, target: targets.Target, reason: str
@@ -383,7 +338,9 @@
             record, self._now - self._started, attempts.State.REFUSED, reason
         )
 
-    def _forget_target(self, service: str) -> None:
-        """Drop a target that left and runs nothing."""
-        if self._targets[service].is_gone(self._now):
-            del self._targets[service]
+    def _retire(
+        self, service: str, target: targets.Target
+    ) -> list[effects.Effect]:
+        result = self._refuse_waiting(target, 'leaving')
+        self._targets.forget_gone(self._now, service)
+        return result
--- a/damaskpin/service/targets.py
+++ b/damaskpin/service/targets.py
@@ -5,11 +5,18 @@
 import collections
 import dataclasses
 
+from damaskpin.peer import messages
+
 DEFAULT_SLOTS = 8
 MAX_CONNECTIONS = 64
 # A longer ttl would let a dead target receive work for more than the 3 s
 # that are allowed after it began to leave.
 MAX_TTL_S = 3.0
+# After a longer time without a call, the process was paused and messages may
+# have waited that long in its sockets.
+PAUSE_S = 0.5
+# Messages that waited during a pause are handled within this time after it.
+PAUSE_SETTLE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,11 +48,100 @@
         """Return whether one more request may be in progress."""
         return self.running < self.limit()
 
+    def can_start_waiting(self, now: float) -> bool:
+        """Return whether the oldest waiting attempt may start."""
+        return (
+            bool(self.waiting) and self.accepts(now) and self.has_free_slot()
+        )
+
     def is_gone(self, now: float) -> bool:
         """Return whether the target may be forgotten."""
         return not (self.accepts(now) or self.running or self.waiting)
 
 
+class PauseGuard:
+    """Tells how old a message that arrives now may be.
+
+    An announcement that was sent before a pause of this process must not
+    count from the end of the pause: the target may have left since.
+    """
+
+    __slots__ = ('_ended', '_last', '_started')
+
+    def __init__(self) -> None:
+        self._last: float | None = None
+        self._started = self._ended = float('-inf')
+
+    def advance(self, now: float) -> None:
+        """Record that the process runs."""
+        if self._last is not None and now - self._last > PAUSE_S:
+            self._started = self._last
+            self._ended = now
+        self._last = now
+
+    def find_sent(self, now: float) -> float:
+        """Return the earliest time at which a message may have been sent."""
+        if now < self._ended + PAUSE_SETTLE_S:
+            return self._started
+        return now
+
+
+class TargetTable:
+    """The announced targets of an agent, by service."""
+
+    __slots__ = ('_pauses', '_targets')
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+        self._pauses = PauseGuard()
+
+    def advance(self, now: float) -> None:
+        """Record that the process runs."""
+        self._pauses.advance(now)
+
+    def announce(
+        self, now: float, service: str, slots: int, ttl: float, leaving: bool
+    ) -> Target:
+        """Record an announcement.
+
+        :param ttl: seconds; at most ``MAX_TTL_S`` counts.
+        """
+        target = self._targets.get(service)
+        if target is None:
+            target = self._targets[service] = Target(slots, now, leaving)
+        target.slots = slots
+        target.expires = self._pauses.find_sent(now) + min(ttl, MAX_TTL_S)
+        target.leaving = leaving
+        return target
+
+    def get(self, service: str) -> Target | None:
+        """Return the target of a service."""
+        return self._targets.get(service)
+
+    def list_all(self) -> list[tuple[str, Target]]:
+        """Return the targets with their services."""
+        return sorted(self._targets.items(), key=lambda item: item[0])
+
+    def forget_gone(self, now: float, service: str) -> None:
+        """Drop a target that left and runs nothing."""
+        if self._targets[service].is_gone(now):
+            del self._targets[service]
+
+    def describe(
+        self, now: float, draining: bool
+    ) -> tuple[messages.TargetState, ...]:
+        """Return the state of the targets for the agent's report."""
+        return tuple(
+            messages.TargetState(
+                service=service,
+                slots=target.limit(),
+                busy=target.running + len(target.waiting),
+                leaving=draining or not target.accepts(now),
+            )
+            for service, target in self.list_all()
+        )
+
+
 def find_refusal(
     target: Target | None, now: float, timeout: float, max_waiting: int
 ) -> str:
