--- a/damaskpin/store/configuration.py
+++ b/damaskpin/store/configuration.py
@@ -11,6 +11,7 @@
 from damaskpin.model import config as configs
 from damaskpin.operator import feasibility
 from damaskpin.peer import messages
+from damaskpin.store import fetching
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -22,15 +23,11 @@
 # Subject of the entries in the explain history.
 HISTORY_SUBJECT = 'config'
 
-# A peer's call is repeated once after 1 s, so a later answer is unlikely.
-FETCH_TIMEOUT_S = 2.0
-# Fetches without new evidence that somebody has a newer revision. Each
-# heartbeat of a peer with a newer one is new evidence.
-MAX_FETCHES = 3
 # Seconds until a notice is repeated; the last interval goes on until the peer
 # confirms it or is dead. An agent may report as seldom as every 12 s, so its
-# reports are too late for the 9 s of a configuration change.
-NOTICE_REPEATS_S = (1.0, 2.0, 4.0)
+# reports are too late for the 9 s of a configuration change. Six notices go
+# out within 7 s: of 1,500 agents, 0.0015 on average lose all at 10% loss.
+NOTICE_REPEATS_S = (1.0, 1.0, 1.0, 2.0, 2.0, 4.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,15 +38,6 @@
     due: float
 
 
-@dataclasses.dataclass(slots=True)
-class _Fetch:
-    """Question for a newer body that is not answered yet."""
-
-    source: str
-    due: float
-    attempts: int
-
-
 class ConfigHolder:
     """Keeps the newest configuration that this process has seen.
 
@@ -69,11 +57,9 @@
 
     __slots__ = (
         '_agents',
-        '_fetch',
+        '_fetcher',
         '_instance',
-        '_neighbours',
         '_notices',
-        '_peer_revisions',
         '_refused_revision',
         '_role',
         'applied_at',
@@ -93,11 +79,9 @@
         self.refused = 0
         self._instance = instance
         self._role = role
-        self._neighbours: tuple[str, ...] = ()
         self._agents: tuple[str, ...] = ()
-        self._peer_revisions: dict[str, int] = {}
         self._notices: dict[str, _Notice] = {}
-        self._fetch: _Fetch | None = None
+        self._fetcher = fetching.Fetcher()
         self._refused_revision = 0
 
     def set_neighbours(
@@ -109,8 +93,9 @@
         :param names: live entries of the data centre; if there is no other,
             those of the region.
         """
-        self._neighbours = tuple(sorted(set(names) - {self._instance}))
-        return self._continue_fetch(now) or self._ask_anyone(now)
+        others = set(names) - {self._instance}
+        self._fetcher.neighbours = tuple(sorted(others))
+        return self._ask(now)
 
     def set_agents(self, names: Collection[str]) -> None:
         """Replace the agents that this entry is home of."""
@@ -121,11 +106,8 @@
 
     def forget_peer(self, instance: str) -> None:
         """Drop what is known of a process that is dead."""
-        self._peer_revisions.pop(instance, None)
+        self._fetcher.forget(instance)
         self._notices.pop(instance, None)
-        if self._fetch is not None and self._fetch.source == instance:
-            # The next tick asks another peer.
-            self._fetch.due = 0.0
 
     def store_answered(
         self, now: float, revision: int, body: bytes
@@ -147,16 +129,13 @@
         :param instance: instance id of the other process.
         :param revision: revision in its heartbeat or notice.
         """
-        self._peer_revisions[instance] = revision
         if revision >= self.revision:
             self._notices.pop(instance, None)
         if not self._is_entry():
             return self._apply_revision(now, instance, revision)
-        if self._fetch is not None and self._is_ahead(instance):
-            self._fetch.attempts = 0
-            if not self._is_ahead(self._fetch.source):
-                self._fetch = None
-        return self._continue_fetch(now)
+        if instance not in self._agents:
+            self._note_revision(instance, revision)
+        return self._ask(now)
 
     def receive(
         self, now: float, sender: str, message: messages.Message
@@ -170,7 +149,7 @@
             case messages.RevisionNotice(revision=revision):
                 if self._is_entry():
                     if 0 < self.revision >= revision:
-                        self._end_fetch(sender)
+                        self._fetcher.note_answer(sender)
                     return self.peer_revision(now, sender, revision)
                 # An entry repeats its notice until the agent confirms it.
                 return [
@@ -189,15 +168,7 @@
         :param now: monotonic time in seconds.
         """
         produced = self._repeat_notices(now)
-        fetch = self._fetch
-        if fetch is None:
-            return produced + self._ask_anyone(now)
-        if now < fetch.due:
-            return produced
-        self._fetch = None
-        if fetch.attempts < MAX_FETCHES:
-            produced += self._continue_fetch(now, fetch.source, fetch.attempts)
-        return produced + self._ask_anyone(now, fetch.source)
+        return produced + self._ask(now)
 
     def _is_entry(self) -> bool:
         return self._role == 'entry'
@@ -262,16 +233,16 @@
     def _receive_body(
         self, now: float, sender: str, revision: int, body: bytes
     ) -> list[effects.Effect]:
-        self._peer_revisions[sender] = revision
         if not self._is_entry():
             return self._apply_revision(now, sender, revision)
-        self._end_fetch(sender)
+        self._note_revision(sender, revision)
         before = self.revision
         produced = self._offer(now, revision, body, sender)
         if self.revision > before:
+            self._fetcher.note_answer(sender)
             # Confirms the sender's notice.
             produced.append(self._make_notice(sender))
-        return [*produced, *self._continue_fetch(now)]
+        return [*produced, *self._ask(now)]
 
     def _record(self, event: str, detail: str) -> effects.Record:
         return effects.Record(HISTORY_SUBJECT, event, detail)
@@ -279,8 +250,8 @@
     def _send_notices(self, now: float) -> list[effects.Effect]:
         self._notices.clear()
         produced: list[effects.Effect] = []
-        for name in (*self._neighbours, *self._agents):
-            if self._peer_revisions.get(name, 0) >= self.revision:
+        for name in (*self._fetcher.neighbours, *self._agents):
+            if self._fetcher.get_revision(name) >= self.revision:
                 continue
             self._notices[name] = _Notice(0, now + NOTICE_REPEATS_S[0])
             produced.append(self._make_notice(name))
@@ -302,7 +273,7 @@
         if not self._is_entry():
             # Tells the sender that agents have no documents.
             return [effects.Send(sender, messages.RevisionNotice(0))]
-        self._peer_revisions[sender] = revision
+        self._note_revision(sender, revision)
         if self.config is None or revision >= self.revision:
             # Ends the fetch at the sender without a body.
             return [self._make_notice(sender)]
@@ -312,42 +283,24 @@
     def _make_notice(self, name: str) -> effects.Send:
         return effects.Send(name, messages.RevisionNotice(self.revision))
 
-    def _is_ahead(self, name: str) -> bool:
-        floor = max(self.revision, self._refused_revision)
-        return (
-            self._peer_revisions.get(name, 0) > floor
-            and name not in self._agents
-        )
+    def _note_revision(self, name: str, revision: int) -> None:
+        self._fetcher.note_revision(name, revision, self._get_floor())
 
-    def _continue_fetch(
-        self, now: float, after: str = '', attempts: int = 0
-    ) -> list[effects.Effect]:
-        """Ask a peer that is ahead, unless an answer is outstanding."""
-        ahead = filter(self._is_ahead, self._peer_revisions)
-        return self._fetch_from(now, ahead, after, attempts)
-
-    def _ask_anyone(self, now: float, after: str = '') -> list[effects.Effect]:
-        # A process that starts in a store outage has no configuration and
-        # may ask before the first heartbeat tells it who has one.
-        if self.revision > 0:
-            return []
-        return self._fetch_from(now, self._neighbours, after, 0)
+    def _get_floor(self) -> int:
+        return max(self.revision, self._refused_revision)
 
-    def _fetch_from(
-        self, now: float, names: Iterable[str], after: str, attempts: int
-    ) -> list[effects.Effect]:
-        sources = sorted(names)
-        if self._fetch is not None or not self._is_entry() or not sources:
+    def _ask(self, now: float) -> list[effects.Effect]:
+        """Ask a peer for a newer document if it is time to."""
+        if not self._is_entry():
+            return []
+        # A process that starts in a store outage has no configuration and may
+        # ask before the first heartbeat tells it who has one.
+        blind = self.revision == 0
+        source = self._fetcher.choose(now, self._get_floor(), blind)
+        if source is None:
             return []
-        later = [name for name in sources if name > after]
-        source = (later or sources)[0]
-        self._fetch = _Fetch(source, now + FETCH_TIMEOUT_S, attempts + 1)
         return [effects.Send(source, messages.FetchConfig(self.revision))]
 
-    def _end_fetch(self, source: str) -> None:
-        if self._fetch is not None and self._fetch.source == source:
-            self._fetch = None
-
 
 def is_watcher(instance: str, live_entries: Iterable[str]) -> bool:
     """Return whether an entry watches the store for its data centre."""
