Let the fuzzer lose the notices of a change

Cause: on a trial copy, 200 examples did not notice notices that are never repeated: an agent must have reported lately, and then miss a change. Change: a rule that heals, changes the configuration and loses all messages. Figures: the trial copy fails now; 2 fuzzers pass in 7.9 s. Conclusion: the oracle covers repeated notices.

--- a/tests/test_store/test_store_configuration_fuzz.py
+++ b/tests/test_store/test_store_configuration_fuzz.py
@@ -158,6 +158,14 @@
     def all_messages_under_way_are_lost(self):
         self.fleet.queue.clear()
 
+    @stateful.rule(entry=ENTRIES)
+    def notices_of_a_change_are_lost(self, entry):
+        """Agents that have reported lately learn the change in time."""
+        self.heal()
+        self.propose(entry, 'store', 'answered')
+        self.entry_reads_the_store(entry, 0)
+        self.fleet.queue.clear()
+
     @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 2.5, 30.0]))
     def time_passes(self, seconds):
         self.fleet.advance(seconds)
@@ -272,6 +280,7 @@
     beat = None
     entry_reads_the_store = None
     network = None
+    notices_of_a_change_are_lost = None
     replace = None
     replace_in_store_outage = None
     report = None
