--- a/damaskpin/scheduler/ledger.py
+++ b/damaskpin/scheduler/ledger.py
@@ -5,7 +5,7 @@
 import collections
 from typing import TYPE_CHECKING
 
-from damaskpin.scheduler import cells
+from damaskpin.scheduler import bindings
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import queue as queues
 from damaskpin.scheduler import reclaim
@@ -14,7 +14,8 @@
 if TYPE_CHECKING:
     from damaskpin.model import config as configs
     from damaskpin.model import job as jobs
-    from damaskpin.scheduler import packing
+    from damaskpin.scheduler import filling
+    from damaskpin.scheduler import shapes
 
 HISTORY_JOBS = 5000
 HISTORY_LINES = 20
@@ -46,7 +47,7 @@
 
     def __init__(self) -> None:
         self.topology = topologies.Topology()
-        self.bindings = cells.Bindings(self.topology)
+        self.bindings = bindings.Bindings(self.topology)
         self.queue = queues.Queue()
         self.entries: dict[str, queues.Entry] = {}
         self.claims: dict[str, queues.Entry] = {}
@@ -74,7 +75,7 @@
     def claim(
         self,
         entry: queues.Entry,
-        parts: packing.Parts,
+        parts: filling.Parts,
         waiting_for: tuple[str, ...],
     ) -> None:
         """Hold accelerators for a waiting job until they are free."""
@@ -144,7 +145,7 @@
         self, entry: queues.Entry, members: decisions.Members, started: float
     ) -> None:
         """Record a job that runs already."""
-        parts: packing.Parts = {}
+        parts: filling.Parts = {}
         for name, indexes in members:
             node = self.topology.nodes[name]
             parts[node] = parts.get(node, 0) + len(indexes)
@@ -153,6 +154,7 @@
         entry.parts = parts
         entry.members = members
         entry.state = queues.State.RUNNING
+        entry.broken = not all(node.alive for node in parts)
         entry.started = started
         self._change(self.used, entry, 1)
         self._change(self.running, entry, 1)
@@ -170,6 +172,35 @@
         entry.parts = {}
         entry.members = ()
         entry.backfilled = False
+        entry.broken = False
+
+    def note_worker_change(self, node: topologies.Node) -> None:
+        """Adjust jobs and bindings after a worker left or came back."""
+        for job_id in node.slots:
+            if job_id is None:
+                continue
+            entry = self.entries[job_id]
+            entry.broken = not all(part.alive for part in entry.parts)
+        self.bindings.note_worker_change(node)
+
+    def forget_workers(self, removed_before: float) -> None:
+        """Drop workers that went out of service long ago and are unused."""
+        for node in list(self.topology.get_failed()):
+            if node.alive or node.removed > removed_before:
+                continue
+            if node.bound or node.held or node.unused < node.size:
+                continue
+            self.topology.forget_worker(node)
+            self.bindings.note_worker_change(node)
+
+    def drop_borrowed_claims(self, now: float, parts: filling.Parts) -> None:
+        """Drop claims of borrowers on workers that a guarantee needs."""
+        for entry in list(self.claims.values()):
+            if entry.instance is not None:
+                continue
+            if any(node in parts for node in entry.parts):
+                self.note(now, entry.job.id, 'claim dropped for a guarantee')
+                self.drop_claim(now, entry)
 
     def forget(self, entry: queues.Entry) -> None:
         """Drop a job in any state."""
@@ -187,7 +218,7 @@
         del self.entries[entry.job.id]
 
     def use_instance(
-        self, entry: queues.Entry, instance: cells.Instance
+        self, entry: queues.Entry, instance: shapes.Instance
     ) -> None:
         """Let a running borrower draw on an instance bound to its place."""
         entry.instance = instance
--- a/damaskpin/scheduler/preemption.py
+++ b/damaskpin/scheduler/preemption.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.model import hardware
-from damaskpin.scheduler import packing
+from damaskpin.scheduler import filling
 from damaskpin.scheduler import placement
 from damaskpin.scheduler import reclaim
 from damaskpin.scheduler import topology as topologies
@@ -17,7 +17,7 @@
     from damaskpin.scheduler import ledger as ledgers
     from damaskpin.scheduler import queue as queues
 
-Plan = tuple[packing.Parts, list['queues.Entry']]
+Plan = tuple[filling.Parts, list['queues.Entry']]
 Cells = list[list[topologies.Node]]
 
 # Cells that are examined in detail, those with the smallest deficit first.
@@ -75,7 +75,7 @@
     """Return whether stopped jobs could start again outside a cell."""
     topology = ledger.topology
     closed = {} if cell is None else {cell: 0}
-    held: list[packing.Parts] = []
+    held: list[filling.Parts] = []
     fit = True
     for victim in victims:
         spec = victim.job.spec
@@ -106,17 +106,16 @@
         if not node.total:
             continue
         for job_id in node.slots:
-            if job_id is None:
-                continue
-            if job_id in sums:
-                sums[job_id] += 1
-                continue
-            other = ledger.entries[job_id]
-            if reclaim.is_ending(other) or not other.is_borrowing():
-                continue
-            if may_stop(other):
-                sums[job_id] = 1
-    return sums
+            if job_id is not None:
+                sums[job_id] = sums.get(job_id, 0) + 1
+    entries = ledger.entries
+    return {
+        job_id: count
+        for job_id, count in sums.items()
+        if entries[job_id].is_borrowing()
+        and not entries[job_id].broken
+        and may_stop(entries[job_id])
+    }
 
 
 def _make_plan(
@@ -134,7 +133,7 @@
     if chosen is None:
         return None
     ids = {other.job.id for other in chosen}
-    avail: packing.Parts = {}
+    avail: filling.Parts = {}
     for node in nodes:
         if not node.total:
             continue
@@ -148,7 +147,7 @@
     if cell is None:
         parts = {nodes[0]: size}
     else:
-        parts = packing.fill_cell(cell, size, avail)
+        parts = filling.fill_cell(cell, size, avail)
     victims = reclaim.choose_victims(
         now,
         reclaim.count_deficits(parts, entries),
--- a/damaskpin/scheduler/scheduler.py
+++ b/damaskpin/scheduler/scheduler.py
@@ -9,8 +9,8 @@
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import estimates
 from damaskpin.scheduler import guaranteed
-from damaskpin.scheduler import health
 from damaskpin.scheduler import ledger as ledgers
+from damaskpin.scheduler import quarantine
 from damaskpin.scheduler import queue as queues
 from damaskpin.scheduler import snapshot
 from damaskpin.scheduler import warnings
@@ -26,13 +26,26 @@
 # 64 of them stay far below the limit of 250 ms for a call.
 MAX_STEPS = 64
 
+# Instances of guaranteed shapes that one call binds; one takes up to 1 ms.
+MAX_BINDINGS = 64
+
 # Delay after a placement that failed, doubled with each failure in a row and
 # spread by a random factor, so that two coordinators do not collide again.
 RETRY_SECONDS = 0.25
 MAX_RETRY_SECONDS = 30.0
 
-# Time for which a job keeps off workers where it failed.
-AVOID_SECONDS = 300.0
+# Time for which a job prefers other workers to those that refused it.
+REFUSED_SECONDS = 10.0
+
+# A run that is lost within this time counts towards the delay of the next.
+SHORT_RUN_SECONDS = 60.0
+
+# Waiting jobs are considered again without an event after this time, because
+# reservations, moves and avoided workers depend on time too.
+RECHECK_SECONDS = 60.0
+
+# A worker that has been gone for so long was taken away rather than failed.
+FORGET_SECONDS = 24 * 3600.0
 
 
 class Scheduler:
@@ -48,9 +61,11 @@
         self._admission = admission.Admission(config)
         self._warnings = warnings.Warnings(config)
         self._estimates = estimates.Estimates()
-        self._health = health.Health(self._ledger.topology)
+        self._care = quarantine.Quarantine(self._ledger)
         self._borrowing = borrowing.Borrowing(self._ledger, self._estimates)
         self._dirty = True
+        self._seen_changes = 0
+        self._next_check = 0.0
         self.set_config(config)
 
     def set_config(self, config: configs.Config) -> None:
@@ -66,23 +81,28 @@
                 ledger.drop_claim(0.0, entry)
             else:
                 ledger.lose_instance(entry)
+                self._restore_instance(entry)
         self._dirty = True
 
     def set_worker(self, now: float, worker: hardware.Worker) -> None:
         """Add a worker, update it, or take it back into service."""
         ledger = self._ledger
         self._warnings.note_worker(now)
+        known = ledger.topology.nodes.get(worker.name)
+        if known is not None and known.worker != worker:
+            # What was bound to the worker may not fit it any more.
+            self.remove_worker(now, worker.name)
         if not ledger.topology.set_worker(worker):
             return
-        self._note_worker_change(now, worker.name)
+        self._note_worker_change(worker.name)
 
     def remove_worker(self, now: float, name: str) -> None:
         """Take a failed worker out of service.
 
         Its jobs keep their accelerators until :meth:`finished` is called.
         """
-        if self._ledger.topology.remove_worker(name):
-            self._note_worker_change(now, name)
+        if self._ledger.topology.remove_worker(now, name):
+            self._note_worker_change(name)
 
     def submit(self, now: float, job: jobs.Job) -> decisions.Refusal | None:
         """Queue a job.
@@ -156,11 +176,9 @@
             return
         entry.failures += 1
         for name in workers:
-            entry.avoid[name] = now + AVOID_SECONDS
+            entry.avoid[name] = now + REFUSED_SECONDS
         self._ledger.note(now, job_id, f'placement failed: {reason}')
-        delay = RETRY_SECONDS * 2 ** min(entry.failures - 1, 16)
-        delay = min(delay, MAX_RETRY_SECONDS) * self._rng.uniform(0.5, 1.0)
-        entry.not_before = now + delay
+        self._delay(now, entry, entry.failures)
         self._ledger.unplace(entry)
         self._ledger.enqueue(now, entry)
         self._dirty = True
@@ -185,7 +203,13 @@
         self._dirty = True
         result = outcome.result
         ledger.note(now, job_id, f'ended: {result.value}')
-        self._note_outcome(now, entry, outcome)
+        self._care.note_outcome(now, entry, outcome)
+        if result is decisions.Result.SUCCEEDED:
+            self._estimates.observe(
+                entry.job.account,
+                entry.job.spec.run_seconds,
+                entry.run_before + now - entry.started,
+            )
         again = result is decisions.Result.CHECKPOINTED or (
             result is decisions.Result.LOST and entry.job.spec.idempotent
         )
@@ -194,6 +218,13 @@
             return
         if result is decisions.Result.CHECKPOINTED:
             entry.run_before += now - entry.started
+        elif now - entry.started > SHORT_RUN_SECONDS:
+            entry.losses = 0
+        else:
+            # The first loss costs no delay; a job that is lost again and
+            # again must not keep the scheduler busy.
+            self._delay(now, entry, entry.losses)
+            entry.losses += 1
         ledger.unplace(entry)
         ledger.enqueue(now, entry)
 
@@ -235,22 +266,32 @@
         when some is left.
         """
         ledger = self._ledger
-        if ledger.queue.release_delayed(now):
+        if ledger.queue.release_delayed(now) or now >= self._next_check:
             self._dirty = True
         found: list[decisions.Decision] = []
-        self._update_health(now)
-        ledger.bindings.settle()
-        self._lift_quarantines()
-        found.extend(self._warnings.update(now, ledger))
+        self._care.update(now)
+        settled = ledger.bindings.settle(MAX_BINDINGS)
+        if settled:
+            self._care.lift()
+            settled = ledger.bindings.settle(MAX_BINDINGS)
+        if settled:
+            found.extend(self._warnings.update(now, ledger))
+        else:
+            self._dirty = True
+        if ledger.bindings.changes != self._seen_changes:
+            self._seen_changes = ledger.bindings.changes
+            self._dirty = True
         if not self._dirty:
             return found
         self._dirty = False
+        self._next_check = now + RECHECK_SECONDS
+        ledger.forget_workers(now - FORGET_SECONDS)
         self._drop_broken_claims(now)
         self._finish_claims(now, found)
-        budget = self._start_guaranteed(now, found, MAX_STEPS)
+        budget = guaranteed.start(now, ledger, found, MAX_STEPS)
         if budget > 0:
             budget = self._borrowing.start(now, found, budget)
-        if budget <= 0:
+        if budget <= 0 or not settled:
             self._dirty = True
         return found
 
@@ -269,7 +310,8 @@
         times = [
             self._ledger.queue.get_next_release(),
             self._warnings.get_next_check(),
-            self._health.get_next_probe(),
+            self._care.get_next_probe(),
+            None if self._ledger.queue.is_empty() else self._next_check,
         ]
         known = [time for time in times if time is not None]
         return max(now, min(known)) if known else None
@@ -278,10 +320,16 @@
         """Return the current state for reports."""
         return snapshot.make_snapshot(now, self._ledger)
 
-    def _note_worker_change(self, now: float, name: str) -> None:
+    def _delay(self, now: float, entry: queues.Entry, failures: int) -> None:
+        if failures <= 0:
+            return
+        delay = RETRY_SECONDS * 2 ** min(failures - 1, 16)
+        delay = min(delay, MAX_RETRY_SECONDS) * self._rng.uniform(0.5, 1.0)
+        entry.not_before = now + delay
+
+    def _note_worker_change(self, name: str) -> None:
         ledger = self._ledger
-        ledger.bindings.note_worker_change(ledger.topology.nodes[name])
-        self._warnings.note_change()
+        ledger.note_worker_change(ledger.topology.nodes[name])
         self._dirty = True
 
     def _check_members(self, members: decisions.Members, job_id: str) -> None:
@@ -319,114 +367,3 @@
         for entry in list(self._ledger.claims.values()):
             if self._ledger.is_ready(entry):
                 found.append(self._ledger.place(now, entry))
-
-    def _start_guaranteed(
-        self, now: float, found: list[decisions.Decision], budget: int
-    ) -> int:
-        ledger = self._ledger
-        for account in list(ledger.queue.get_accounts()):
-            if account not in ledger.accounts:
-                continue
-            if not ledger.bindings.by_account.get(account):
-                continue
-            groups = ledger.queue.get_groups(account)
-            groups.sort(key=queues.Group.get_order)
-            for group in groups:
-                while budget > 0:
-                    entry = group.peek()
-                    if entry is None:
-                        break
-                    if not self._claim_guaranteed(now, entry, found):
-                        break
-                    budget -= 1
-        return budget
-
-    def _claim_guaranteed(
-        self, now: float, entry: queues.Entry, found: list[decisions.Decision]
-    ) -> bool:
-        ledger = self._ledger
-        instance = guaranteed.choose_instance(ledger, entry)
-        if instance is None:
-            return False
-        parts = guaranteed.choose_parts(instance, entry)
-        victims = guaranteed.find_victims(now, ledger, entry, parts)
-        if victims is None:
-            self._borrowing.drop_claims(now, parts)
-            victims = guaranteed.find_victims(now, ledger, entry, parts)
-        if victims is None:
-            return False
-        for victim in victims:
-            reason = f'guaranteed shape {instance.shape.name} of '
-            reason += f'{entry.job.account} is needed by {entry.job.id}'
-            found.append(ledger.stop(now, victim, reason))
-        ledger.claim(entry, parts, tuple(v.job.id for v in victims))
-        entry.instance = instance
-        ledger.bindings.acquire(instance, entry.job.id, parts)
-        ledger.note(
-            now,
-            entry.job.id,
-            f'draws on guaranteed shape {instance.shape.name}, '
-            f'reclaims {len(victims)} jobs',
-        )
-        if ledger.is_ready(entry):
-            found.append(ledger.place(now, entry))
-        return True
-
-    def _note_outcome(
-        self, now: float, entry: queues.Entry, outcome: decisions.Outcome
-    ) -> None:
-        """Learn run times and the health of workers from an outcome."""
-        names = [name for name, _ in entry.members]
-        if outcome.result is decisions.Result.SUCCEEDED:
-            self._estimates.observe(
-                entry.job.account,
-                entry.job.spec.run_seconds,
-                entry.run_before + now - entry.started,
-            )
-            for name in self._health.note_success(entry.job.id, names):
-                self._set_quarantined(now, name, False)
-            return
-        if outcome.result is not decisions.Result.FAILED:
-            names = []
-        elif len(names) > 1:
-            # It is not known which member of a gang is to blame.
-            names = []
-        blamed = outcome.failed_workers or names
-        for name in blamed:
-            entry.avoid[name] = now + AVOID_SECONDS
-        for name in self._health.note_failure(now, entry.job.id, blamed):
-            self._set_quarantined(now, name, True)
-
-    def _update_health(self, now: float) -> None:
-        topology = self._ledger.topology
-        for node in self._health.find_due_probes(now):
-            topology.start_probe(node)
-            self._dirty = True
-        for node in self._health.find_suspects():
-            unmet = sum(self._ledger.bindings.get_unmet().values())
-            self._set_quarantined(now, node.name, True)
-            self._health.quarantine(now, node.name)
-            self._ledger.bindings.settle()
-            if sum(self._ledger.bindings.get_unmet().values()) > unmet:
-                # A suspect worker is better than a guarantee without one.
-                self._health.forgive(node.name)
-                self._set_quarantined(now, node.name, False)
-
-    def _lift_quarantines(self) -> None:
-        """End all quarantines if a guarantee can't be met otherwise."""
-        names = self._health.get_quarantined()
-        if not names or not self._ledger.bindings.get_unmet():
-            return
-        for name in names:
-            self._health.forgive(name)
-            self._set_quarantined(0.0, name, False)
-        self._ledger.bindings.settle()
-
-    def _set_quarantined(
-        self, now: float, name: str, quarantined: bool
-    ) -> None:
-        node = self._ledger.topology.nodes.get(name)
-        if node is None:
-            return
-        self._ledger.topology.set_quarantined(node, quarantined)
-        self._note_worker_change(now, name)
