Apply the configuration revision that a home entry names

Cause: an agent passed the revision in an acknowledgement to its gang member only, and learnt the configuration's revision from notices alone; an agent that changed its home when the notice was sent stayed behind for ever. Ruled out: the acknowledgement (it carried the revision, shown by printing it) and the state machines (a driver of both gave the right events). Change: the revision goes through the agent's configuration holder.

--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -192,11 +192,18 @@
                     self._node.spawn(self._call_target(output))
                 case membership.AddressLearned(peer):
                     self._node.learn_address(peer)
-                case membership.RevisionSeen(_, revision):
-                    self._member.set_revision(self._node.get_time(), revision)
+                case membership.RevisionSeen(instance, revision):
+                    self._see_revision(instance, revision)
                 case effects.Record(work, event, detail):
                     LOG.info(event, extra={'attempt': work, 'detail': detail})
 
+    def _see_revision(self, instance: str, revision: int) -> None:
+        now = self._node.get_time()
+        self._apply(
+            self._configuration.peer_revision(now, instance, revision)
+        )
+        self._take_revision(now)
+
     def _take_revision(self, now: float) -> None:
         self._apply(
             self._member.set_revision(now, self._configuration.revision)
