Fuzz gangs with seeded sequences beside the Hypothesis machine

Cause: Hypothesis repeats few seeds: 21 different ones in 106 examples of a run, so the machine noticed few of the removed checks. Ruled out: more examples, which repeat the same seeds. Change: 150 seeded sequences of 40 weighted rules each (5,000 in the long profile) drive the same rules and the same oracle.

--- a/damaskpin/gang/owner.py
+++ b/damaskpin/gang/owner.py
@@ -112,7 +112,7 @@
         elif ok:
             self._grant(now, record)
         else:
-            self._deny(record.requester, job_id, attempt, 'store is down')
+            self._deny(record.requester, job_id, attempt, 'not recorded')
             self._record(record, 'waiting', 'the grant was not stored')
             self._reopen(now, record)
         self._advance(now, record)
--- a/tests/test_gang/test_gang_fuzz.py
+++ b/tests/test_gang/test_gang_fuzz.py
@@ -1,10 +1,12 @@
 """Stateful fuzzing of members, coordinators and owners."""
 
+import os
 import random
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
+import pytest
 
 from damaskpin.model import job as jobs
 from tests.test_gang import simulation as simulations
@@ -14,8 +16,9 @@
 ALL = AGENTS + ENTRIES
 CONCLUDE_SECONDS = 900.0
 COMMANDS = [('sleep', '1'), ('sleep', '60'), ('fail', '2'), ('stubborn', '40')]
-FIRST_EVENTS = 25
 BURST_EVENTS = 4
+SEQUENCE_EVENTS = 40
+SEQUENCES = 5000 if os.environ.get('DAMASKPIN_FUZZ') == 'long' else 150
 BOTH = [True, False]
 # Weight in a burst, and the arguments, of each rule.
 RULES = {
@@ -87,9 +90,6 @@
     def begin(self, seed):
         self.simulation = simulations.Simulation(seed)
         self.counter = 0
-        # Hypothesis likes short and simple sequences, in which few gangs
-        # start; this makes each of them busy.
-        self.call_rules(seed, FIRST_EVENTS)
 
     @_rule
     def submit(self, size, idempotent, detached, entry, command, deadline):
@@ -245,3 +245,16 @@
     suppress_health_check=list(hypothesis.HealthCheck)
 )
 TestGangFuzz = GangFuzz.TestCase
+
+
+@pytest.mark.parametrize('seed', range(SEQUENCES))
+def test_gang_fuzz_sequence(seed):
+    """Drive the same rules with weights.
+
+    Hypothesis repeats few seeds and draws short sequences, in which few gangs
+    start: 21 different seeds in 106 examples of a run.
+    """
+    machine = GangFuzz()
+    machine.begin.hypothesis_stateful_initialize_rule.function(machine, seed)
+    machine.call_rules(seed, SEQUENCE_EVENTS)
+    machine.teardown()
