Send Retry-After with requests that got no slot by their deadline

Cause: such a request ended as "not run" without a time after which a retry may succeed, although it ended for lack of slots.

--- a/damaskpin/service/dispatch.py
+++ b/damaskpin/service/dispatch.py
@@ -295,7 +295,9 @@
                 )
             return self._ledger.tracker.cancel(work)
         if now >= work.deadline:
-            return self._ledger.end(now, work, 'the deadline has passed')
+            return self._ledger.end(
+                now, work, 'the deadline has passed', RETRY_AFTER_S
+            )
         if work.phase is requests.Phase.CLAIMING:
             return self._placement.take_settlement(
                 now, work, work.settler.tick(now)
--- a/damaskpin/service/ledger.py
+++ b/damaskpin/service/ledger.py
@@ -85,11 +85,18 @@
         self._limits.start(work.request.account)
 
     def end(
-        self, now: float, work: requests.Work, reason: str
+        self,
+        now: float,
+        work: requests.Work,
+        reason: str,
+        retry_after: float | None = None,
     ) -> list[effects.Effect]:
-        """Stop a request; its verdict follows within the grace."""
+        """Stop a request; its verdict follows within the grace.
+
+        :param retry_after: for a request that got no slot, in seconds.
+        """
         if not work.has_open_attempt():
-            return self.conclude_unanswered(now, work, reason)
+            return self.conclude_unanswered(now, work, reason, retry_after)
         self._stop_waiting(work)
         work.phase = requests.Phase.ENDING
         work.end_reason = reason
--- a/tests/test_service/test_service_dispatch.py
+++ b/tests/test_service/test_service_dispatch.py
@@ -180,6 +180,7 @@
     site.submit('q1', deadline_seconds=2)
     site.wait(2.2)
     assert isinstance(site.verdicts['q1'], verdict.NotRun)
+    assert site.verdicts['q1'].retry_after is not None
 
 
 def get_kind(site, name):
