Reject decisions of unknown types in the replay

Ruled out: matching by name, which would hide a changed field.

Conclusion: versions can be compared in one run.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -131,7 +131,8 @@
 
     :param names: names of policies; empty for all of them.
     :param scheduler_ref: another module with a class ``Scheduler``, whose
-        policy is added under the name of the module.
+        policy is added under the name of the module. It must use the types
+        of ``damaskpin.scheduler.decisions``.
     :raises ImportError: a module is missing.
     :raises ValueError: a policy is unknown.
     """
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -30,8 +30,7 @@
 MAX_ATTEMPTS = 50
 
 _DAY_SECONDS = 24 * 3600.0
-# Wake-ups in a row, with no other event pending, after which the remaining
-# jobs count as unfinished.
+# Wake-ups in a row, with no other event pending, that end the replay.
 _MAX_IDLE_WAKEUPS = 2000
 
 _State = records.State
@@ -119,6 +118,8 @@
                     self._reclaim(decision)
                 case decisions.Warn():
                     self._result.warnings.append(str(decision))
+                case _:
+                    raise ReplayError(f'unknown decision {decision!r}')
         wakeup = self._scheduler.next_wakeup(at)
         if wakeup is None:
             return
@@ -167,8 +168,7 @@
         record = self._records.get(place.job_id)
         if record is None or record.state != _State.WAITING:
             raise ReplayError(f'{place.job_id} is not waiting')
-        problem = self._fleet.occupy(record.entry.job, place.members)
-        if problem:
+        if problem := self._fleet.occupy(record.entry.job, place.members):
             raise ReplayError(f'{place.job_id}: {problem}')
         record.state = _State.PLACED
         record.guaranteed = place.guaranteed
--- a/tests/test_bench/test_bench_replay.py
+++ b/tests/test_bench/test_bench_replay.py
@@ -165,3 +165,24 @@
     # A misspelt policy must not silently leave a column out.
     with pytest.raises(ValueError, match='unknown policies fifo'):
         command.load_policies(['fifo'])
+
+
+def test_command_loads_another_version(monkeypatch, tmp_path):
+    # Figures before a change come from a module outside the package.
+    source = 'from bench import baselines\nScheduler = baselines.FirstFit\n'
+    (tmp_path / 'earlier_version.py').write_text(source)
+    monkeypatch.syspath_prepend(tmp_path)
+    policies = command.load_policies(['first-fit'], 'earlier_version')
+    report = command.compare('repair', policies, [0], jobs_count=30)
+    assert report.runs['earlier_version'] == report.runs['first-fit']
+
+
+def test_unknown_decisions_are_rejected():
+    # An earlier version with its own types would seem to decide nothing.
+    class Foreign(baselines.FirstFit):
+        def decide(self, now):
+            return ['place']
+
+    trace = traces.make_trace('repair', 1, jobs_count=5)
+    with pytest.raises(replay.ReplayError, match='unknown decision'):
+        replay.run(trace, Foreign)
