--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -199,9 +199,7 @@
 
     def _see_revision(self, instance: str, revision: int) -> None:
         now = self._node.get_time()
-        self._apply(
-            self._configuration.peer_revision(now, instance, revision)
-        )
+        self._apply(self._configuration.peer_revision(now, instance, revision))
         self._take_revision(now)
 
     def _take_revision(self, now: float) -> None:
