Add tests of failures on real processes (in progress)

Cause: what the state machines prove has to hold in the processes too. Change: a fleet of real processes for tests, and nine failures.

--- /dev/null
+++ b/tests/test_daemon/test_daemon_failures.py
@@ -0,0 +1,247 @@
+"""Failures brought about on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+
+from damaskpin.model import hardware
+from damaskpin.model import job as jobs
+from tests.test_daemon import fleet as fleets
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    import pathlib
+
+    from damaskpin.caller import client as clients
+
+URGENT_START_S = 7.6
+CONFIG_IN_FORCE_S = 9.0
+
+
+@pytest.fixture
+def fleet(tmp_path: pathlib.Path) -> Iterator[fleets.Fleet]:
+    """A fleet of two entries and three workers."""
+    created = fleets.Fleet(tmp_path)
+    try:
+        created.start_all()
+        yield created
+    finally:
+        created.stop_all()
+
+
+def run(fleet: fleets.Fleet, scenario: Callable[[], Awaitable[None]]) -> None:
+    """Wait until the fleet is ready, then run a scenario."""
+
+    async def run_all() -> None:
+        await fleet.wait_ready()
+        await scenario()
+
+    asyncio.run(run_all())
+
+
+def make_body(seconds: float) -> bytes:
+    return json.dumps({'sleep': seconds}).encode()
+
+
+def make_spec(accelerators: int, seconds: float, **more: Any) -> jobs.JobSpec:
+    return jobs.JobSpec(
+        accelerators=accelerators,
+        adjacency=hardware.Adjacency.RACK,
+        run_seconds=seconds,
+        command=['sleep', f'{seconds:g}'],
+        **more,
+    )
+
+
+async def read_state(client: clients.Client, job_id: str) -> dict[str, Any]:
+    answer = await client.fetch('GET', f'/v1/jobs/{job_id}')
+    return answer.read_json()
+
+
+def is_in_state(
+    client: clients.Client, job_id: str, *states: str
+) -> Callable[[], Awaitable[bool]]:
+    async def check() -> bool:
+        return (await read_state(client, job_id))['state'] in states
+
+    return check
+
+
+def test_repeat_after_a_killed_entry_runs_once(fleet):
+    """Guards against a second run when the first entry dies in between."""
+
+    async def scenario() -> None:
+        first = fleet.make_client('borrower', 'entry-1')
+        second = fleet.make_client('borrower', 'entry-2')
+        call = asyncio.ensure_future(
+            first.run(
+                'shortlist', make_body(2.0), idempotent=False, key='key-1'
+            )
+        )
+        await asyncio.sleep(0.7)
+        fleet.kill('entry-1')
+        with pytest.raises(Exception, match='no answer'):
+            await call
+        answer = await second.run(
+            'shortlist', make_body(2.0), idempotent=False, key='key-1'
+        )
+        assert answer.verdict == 'ran'
+        assert answer.body == make_body(2.0)
+        assert list((await fleet.count_executions()).values()) == [1]
+
+    run(fleet, scenario)
+
+
+def test_planned_stop_of_an_entry_loses_no_request(fleet):
+    """Guards against requests that are cut off by a planned stop."""
+
+    async def scenario() -> None:
+        client = fleet.make_client('borrower', 'entry-1')
+        calls = [
+            asyncio.ensure_future(client.run('shortlist', make_body(0.3)))
+            for _ in range(200)
+        ]
+        await asyncio.sleep(0.5)
+        fleet.send_signal('entry-1', signal.SIGTERM)
+        answers = await asyncio.gather(*calls)
+        assert [answer.verdict for answer in answers] == ['ran'] * 200
+        code = await asyncio.to_thread(fleet.wait_exit, 'entry-1')
+        assert code == 0
+
+    run(fleet, scenario)
+
+
+def test_planned_stop_of_an_agent_loses_no_request(fleet):
+    """Guards against answers that are lost when their agent stops."""
+
+    async def scenario() -> None:
+        client = fleet.make_client('borrower')
+        calls = [
+            asyncio.ensure_future(client.run('shortlist', make_body(0.5)))
+            for _ in range(60)
+        ]
+        await asyncio.sleep(0.6)
+        fleet.send_signal('agent-1', signal.SIGTERM)
+        answers = await asyncio.gather(*calls)
+        assert [answer.verdict for answer in answers] == ['ran'] * 60
+        code = await asyncio.to_thread(fleet.wait_exit, 'agent-1')
+        assert code == 0
+
+    run(fleet, scenario)
+
+
+def test_replaced_agent_adopts_its_running_gang(fleet):
+    """Guards against a gang that ends because an agent was replaced."""
+
+    async def scenario() -> None:
+        client = fleet.make_client('holder')
+        answer = await client.submit(make_spec(16, 8.0, idempotent=False))
+        job_id = answer.attempt
+        await fleets.wait_for(
+            is_in_state(client, job_id, 'running'), URGENT_START_S
+        )
+        tasks = await fleet.list_tasks()
+        for agent in fleet.agents:
+            fleet.send_signal(agent, signal.SIGTERM)
+        for agent in fleet.agents:
+            await asyncio.to_thread(fleet.wait_exit, agent)
+            fleet.restart(agent)
+        await fleets.wait_for(is_in_state(client, job_id, 'ran'), 25.0)
+        assert len(tasks) == 2
+
+    run(fleet, scenario)
+
+
+def test_guarantee_starts_in_time_while_the_store_is_down(fleet):
+    """Guards against guarantees that need the store to be reclaimed."""
+
+    async def scenario() -> None:
+        borrower = fleet.make_client('borrower')
+        for _ in range(3):
+            await borrower.submit(make_spec(8, 60.0))
+
+        async def is_full() -> bool:
+            return len(await fleet.list_tasks()) == 3
+
+        await fleets.wait_for(is_full, URGENT_START_S)
+        await fleet.set_store_faults(down=True)
+        holder = fleet.make_client('holder')
+        refused = await holder.submit(make_spec(16, 1.0))
+        assert (refused.status, refused.verdict) == (503, 'not-run')
+        assert refused.retry_after
+        started = time.monotonic()
+        answer = await holder.submit(make_spec(16, 1.0), detached=False)
+        assert answer.verdict == 'ran'
+        assert time.monotonic() - started < URGENT_START_S + 1.0
+
+    run(fleet, scenario)
+
+
+def test_job_outlives_its_owner(fleet):
+    """Guards against acknowledged jobs that are lost with their entry."""
+
+    async def scenario() -> None:
+        first = fleet.make_client('holder', 'entry-1')
+        second = fleet.make_client('holder', 'entry-2')
+        answer = await first.submit(make_spec(8, 12.0))
+        fleet.kill('entry-1')
+        await fleets.wait_for(is_in_state(second, answer.attempt, 'ran'), 60.0)
+
+    run(fleet, scenario)
+
+
+def test_frozen_agent_is_avoided(fleet):
+    """Guards against requests that are sent to a process that hangs."""
+
+    async def scenario() -> None:
+        client = fleet.make_client('borrower')
+        fleet.send_signal('agent-2', signal.SIGSTOP)
+        answers = await asyncio.gather(
+            *(client.run('shortlist', make_body(0.1)) for _ in range(40))
+        )
+        assert [answer.verdict for answer in answers] == ['ran'] * 40
+        fleet.send_signal('agent-2', signal.SIGCONT)
+
+    run(fleet, scenario)
+
+
+def test_replaced_processes_learn_the_configuration_in_an_outage(fleet):
+    """Guards against a process that runs on nothing, or on an old state."""
+
+    async def scenario() -> None:
+        before = await fleet.read_revisions('entry-1')
+        await fleet.set_store_faults(down=True)
+        for name in ('entry-2', 'agent-3'):
+            fleet.kill(name)
+            fleet.restart(name)
+
+        async def is_replaced() -> bool:
+            revisions = await fleet.read_revisions('entry-2')
+            return revisions == before
+
+        await fleets.wait_for(is_replaced, CONFIG_IN_FORCE_S + 6.0)
+
+    run(fleet, scenario)
+
+
+def test_agent_learns_a_revision_without_a_notice(fleet):
+    """Guards against agents that depend on the one notice of a change."""
+
+    async def scenario() -> None:
+        fleet.send_signal('agent-1', signal.SIGSTOP)
+        outcome = await fleet.apply(fleets.make_config(2))
+        assert outcome['state'] == 'accepted'
+        await asyncio.sleep(1.0)
+        fleet.send_signal('agent-1', signal.SIGCONT)
+        await fleets.wait_for(fleet.is_in_force, CONFIG_IN_FORCE_S)
+
+    run(fleet, scenario)
