Test a proposal under a revision that the store does not have

Change: a focused test of this order of events. Conclusion: no fault is known in the order that the test guards.

--- a/tests/test_operator/test_operator_changes.py
+++ b/tests/test_operator/test_operator_changes.py
@@ -113,6 +113,19 @@
     run(scenario)
 
 
+def test_revision_that_the_store_does_not_have_yet_is_settled():
+    """Guards against 'superseded' for a change that can still be written."""
+
+    async def scenario(server, client, proposer):
+        outcome = await proposer.propose(FIRST, 3, 'token-one')
+        assert isinstance(outcome, changes.Rejected)
+        # The configuration reaches the revision; a delayed attempt arrives.
+        await client.put(configuration.CONFIG_KEY, SECOND)
+        assert await proposer.propose(FIRST, 3, 'token-one') == outcome
+
+    run(scenario)
+
+
 def test_unreadable_change_record_is_not_taken_for_an_outcome():
     async def scenario(server, client, proposer):
         await client.put(changes.CHANGES_PREFIX + 'token-one', b'\xff')
