--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -20,7 +20,7 @@
 
 # Jobs that are moved for a large gang are at most this share of its size, and
 # they have run for a while and will run for a while, so that moving them pays.
-MAX_MOVED_SHARE = 0.25
+MAX_MOVED_SHARE = 0.5
 MIN_RUN_SECONDS = 300.0
 MIN_REMAINING_SECONDS = 60.0
 
--- a/tests/test_scheduler/test_scheduler_fuzz.py
+++ b/tests/test_scheduler/test_scheduler_fuzz.py
@@ -27,9 +27,9 @@
 SHAPES = st.builds(
     configs.Guarantee,
     name=st.just('shape'),
-    accelerators=st.integers(1, 8),
+    accelerators=st.integers(1, 3) | st.integers(1, 8),
     adjacency=st.sampled_from(LEVELS),
-    count=st.integers(1, 2),
+    count=st.integers(1, 4),
     region=st.just('r'),
     data_centre=st.sampled_from([None, None, 'd0', 'd1']),
 )
@@ -47,7 +47,7 @@
                     data_centre=f'd{centre}',
                     region='r',
                     workers=draw(st.integers(1, 3)),
-                    accelerators=draw(st.integers(1, 4)),
+                    accelerators=draw(st.integers(1, 6)),
                 )
             )
     accounts = []
