--- a/damaskpin/daemon/coordination.py
+++ b/damaskpin/daemon/coordination.py
@@ -26,6 +26,7 @@
 SETTLE_S = 2.5
 REASON_RECLAIM = 'reclaimed'
 REASON_CANCEL = 'cancelled'
+REASON_GUARANTEED = 'guaranteed shape'
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +34,7 @@
     """A job that this coordinator has queued or found running.
 
     :ivar attempt: attempt that was placed last.
+    :ivar guaranteed: the attempt draws on a guaranteed shape.
     :ivar stop_reason: why its stop was asked for.
     :ivar restored: found running; its end is seen in the agents' states.
     """
@@ -40,6 +42,7 @@
     job: jobs.Job
     owner: str
     attempt: str = ''
+    guaranteed: bool = False
     stop_reason: str = ''
     restored: bool = False
 
@@ -266,6 +269,7 @@
         entry.attempt = (
             f'{place.job_id}.{self._peer.incarnation}.{self._attempts}'
         )
+        entry.guaranteed = place.guaranteed
         entry.stop_reason = ''
         entry.restored = False
         use = 'guaranteed shape' if place.guaranteed else 'borrowed capacity'
@@ -332,7 +336,12 @@
         self._scheduler.started(now, job_id, attempt)
         return [
             effects.Record(job_id, 'started', f'attempt {attempt}'),
-            _update(entry.owner, job_id, 'running'),
+            _update(
+                entry.owner,
+                job_id,
+                'running',
+                REASON_GUARANTEED if entry.guaranteed else '',
+            ),
         ]
 
     def _note_failed(
--- a/damaskpin/daemon/entry.py
+++ b/damaskpin/daemon/entry.py
@@ -21,6 +21,7 @@
 from damaskpin.daemon import coordination as coordinations
 from damaskpin.daemon import jobs as job_desks
 from damaskpin.daemon import node as nodes
+from damaskpin.daemon import objectives
 from damaskpin.model import config as configs
 from damaskpin.peer import membership as memberships
 from damaskpin.peer import messages
@@ -66,6 +67,7 @@
         '_coordinator_runs',
         '_next_membership_step',
         '_next_orphan_scan',
+        '_objectives',
         '_registry',
         '_rng',
         '_server',
@@ -130,6 +132,9 @@
         )
         self.explain = explains.History()
         self.burn = burns.Burn()
+        self._objectives = objectives.Objectives(self.burn)
+        self.desk.on_started = self._note_start
+        self.desk.on_concluded = self._note_end
         self.tokens = tokens.TokenIndex(configs.Config())
         self.draining = False
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
@@ -212,12 +217,7 @@
         attributes = {'account': account, 'verdict': name}
         self.node.telemetry.verdicts.add(1, attributes)
         self.node.telemetry.seconds.record(seconds, attributes)
-        self.burn.record(
-            self.node.get_time(),
-            burns.Objective.TRUTHFUL_VERDICT,
-            account,
-            not isinstance(verdict, verdicts.MayHaveRun),
-        )
+        self._objectives.note_request(self.node.get_time(), account, verdict)
 
     def apply(self, outputs: Iterable[memberships.Output]) -> None:
         """Carry out effects and events of the state machines."""
@@ -257,6 +257,16 @@
                         )
                     )
 
+    def _note_start(self, owned: job_desks.OwnedJob) -> None:
+        self._objectives.note_start(self.node.get_time(), owned)
+
+    def _note_end(self, owned: job_desks.OwnedJob) -> None:
+        now = self.node.get_time()
+        attributes = {'account': owned.job.account, 'verdict': owned.state}
+        self.node.telemetry.verdicts.add(1, attributes)
+        self.node.telemetry.seconds.record(now - owned.accepted, attributes)
+        self._objectives.note_end(now, owned)
+
     def record(
         self, work: str, event: str, detail: str, account: str = ''
     ) -> None:
@@ -374,6 +384,12 @@
         )
         self.configuration.set_agents(self.membership.list_home_agents())
         self._step_watch()
+        if active:
+            self._objectives.note_revisions(
+                now,
+                self.membership.revision,
+                self.membership.list_revisions(),
+            )
 
     def _step_watch(self) -> None:
         wanted = self.membership.is_watcher() and not self.draining
--- a/damaskpin/daemon/jobs.py
+++ b/damaskpin/daemon/jobs.py
@@ -43,6 +43,7 @@
     :ivar recorded: the store holds a record of it.
     :ivar state: last state that the coordinator or the owner reported.
     :ivar accepted: monotonic seconds of the acceptance.
+    :ivar started: monotonic seconds of the first start, or ``None``.
     """
 
     job: jobs.Job
@@ -50,6 +51,7 @@
     recorded: bool
     detached: bool
     accepted: float
+    started: float | None = None
     state: str = 'queued'
     reason: str = ''
     waiters: list[asyncio.Future[verdicts.Verdict]] = dataclasses.field(
@@ -81,6 +83,7 @@
         '_spawn',
         '_store',
         'on_concluded',
+        'on_started',
     )
 
     def __init__(
@@ -104,6 +107,7 @@
         )
         self._owners: dict[str, owners.Owner] = {}
         self._coordinators: dict[str, str] = {}
+        self.on_started: Callable[[OwnedJob], None] = _ignore
         self.on_concluded: Callable[[OwnedJob], None] = _ignore
 
     def __len__(self) -> int:
@@ -203,7 +207,7 @@
         job_id = getattr(message, 'job', '')
         owned = self._jobs.get(job_id)
         if isinstance(message, messages.JobUpdate) and owned is not None:
-            owned.state, owned.reason = message.state, message.reason
+            self._note_update(owned, message)
         if owned is not None:
             owner = self._owners[owned.region]
             self._apply(owner.receive(now, sender, message))
@@ -215,6 +219,14 @@
             if outputs:
                 return
 
+    def _note_update(
+        self, owned: OwnedJob, update: messages.JobUpdate
+    ) -> None:
+        owned.state, owned.reason = update.state, update.reason
+        if update.state == 'running' and owned.started is None:
+            owned.started = self._get_time()
+            self.on_started(owned)
+
     def tick(self) -> None:
         """Do what is due."""
         now = self._get_time()
--- a/tests/test_daemon/fleet.py
+++ b/tests/test_daemon/fleet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import json
 import os
 import pathlib
 import signal
@@ -217,6 +218,17 @@
         """Tell the store stand-in how to fail."""
         await self._fetch(self.store_url, '/standin/faults', faults)
 
+    async def read_metric(self, name: str, metric: str) -> float:
+        """Return the sum of a metric of a process over its attributes."""
+        answer = await httpclient.AsyncHTTPClient().fetch(
+            f'{self.get_url(name)}/metrics'
+        )
+        return sum(
+            float(line.rpartition(' ')[2])
+            for line in answer.body.decode().splitlines()
+            if line.startswith(metric + '{')
+        )
+
     async def count_executions(self) -> dict[str, int]:
         """Return how often each attempt ran, over all targets."""
         counts: dict[str, int] = {}
@@ -239,8 +251,6 @@
         return tasks
 
     async def _fetch(self, url: str, path: str, document: Any = None) -> Any:
-        import json
-
         http = httpclient.AsyncHTTPClient()
         answer = await http.fetch(
             url + path,
--- a/tests/test_daemon/test_daemon_failures.py
+++ b/tests/test_daemon/test_daemon_failures.py
@@ -107,10 +107,19 @@
     async def scenario() -> None:
         client = fleet.make_client('borrower', 'entry-1')
         calls = [
-            asyncio.ensure_future(client.run('shortlist', make_body(0.3)))
+            asyncio.ensure_future(client.run('shortlist', make_body(0.5)))
             for _ in range(200)
         ]
-        await asyncio.sleep(0.5)
+
+        async def is_accepted() -> bool:
+            return (
+                await fleet.read_metric('entry-1', 'damaskpin_requests_total')
+                == 200
+            )
+
+        # A request that arrives after the signal is refused, truthfully.
+        await fleets.wait_for(is_accepted, 20.0)
+        assert not all(call.done() for call in calls)
         fleet.send_signal('entry-1', signal.SIGTERM)
         answers = await asyncio.gather(*calls)
         assert [answer.verdict for answer in answers] == ['ran'] * 200
