Ask each entry once when a decision is explained

Cause: the handler of explain did not pass on that another entry asked, so entries asked each other in a loop until the 2 s timeout of each call. Ruled out: a slow loop (healthz answered in 2 ms) and the machine's load. Change: the flag is passed on; a listening address in use ends a daemon with a text that names the setting instead of a trace. Conclusion: a test counts the questions.

--- a/damaskpin/caller/server.py
+++ b/damaskpin/caller/server.py
@@ -119,6 +119,8 @@
 
     def check_operator(self, header: str) -> None: ...
 
+    def count_http(self) -> None: ...
+
     def check_peer(self, header: str) -> None: ...
 
 
@@ -129,6 +131,10 @@
         """Keep the entry that the handler works for."""
         self.api = api
 
+    def prepare(self) -> None:
+        """Count the request."""
+        self.api.count_http()
+
     def set_default_headers(self) -> None:
         """Remove the name of the server software."""
         self.clear_header('Server')
@@ -324,7 +330,11 @@
 
     async def get(self, work: str) -> None:
         """List what was decided, when, by which process and why."""
-        self.write_reply(await self.api.explain(self.get_account().name, work))
+        self.write_reply(
+            await self.api.explain(
+                self.get_account().name, work, bool(self.on_behalf)
+            )
+        )
 
 
 class MembersHandler(BaseHandler):
--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -114,7 +114,7 @@
     async def start(self) -> None:
         """Adopt the tasks of a former run, then report and serve."""
         await self._adopt_tasks()
-        self._server.listen(self._settings.http_port, self._settings.http_host)
+        nodes.listen_http(self._server, self._settings)
         self._node.start_ticks(self._tick)
         self._node.spawn(self._watch_tasks())
         self._node.spawn(self._find_entries())
--- a/damaskpin/daemon/api.py
+++ b/damaskpin/daemon/api.py
@@ -91,6 +91,10 @@
                 return account
         raise errors.RequestError(401, 'Account unknown', on_behalf)
 
+    def count_http(self) -> None:
+        """Count a received HTTP request."""
+        self._entry.node.telemetry.http.add(1)
+
     def check_peer(self, header: str) -> None:
         """Refuse processes that don't know the fleet key."""
         if not hmac.compare_digest(header, f'Bearer {self._peer_token}'):
--- a/damaskpin/daemon/entry.py
+++ b/damaskpin/daemon/entry.py
@@ -154,7 +154,7 @@
 
     async def start(self) -> None:
         """Serve, register, and look for the other entries."""
-        self._server.listen(self.settings.http_port, self.settings.http_host)
+        nodes.listen_http(self._server, self.settings)
         self.node.start_ticks(self._tick)
         self.node.spawn(self._registry.run())
         self.node.spawn(self._ask_seeds())
--- a/damaskpin/daemon/node.py
+++ b/damaskpin/daemon/node.py
@@ -24,6 +24,8 @@
     from collections.abc import Coroutine
     from collections.abc import Sequence
 
+    from tornado import httpserver
+
     from damaskpin import settings as settings_module
 
 LOG = logging.getLogger(__name__)
@@ -241,6 +243,22 @@
             self._outbox.send(address, message)
 
 
+def listen_http(
+    server: httpserver.HTTPServer, settings: settings_module.CommonSettings
+) -> None:
+    """Listen on the HTTP address of the settings.
+
+    :raises damaskpin.errors.SettingsError: the address can't be used.
+    """
+    try:
+        server.listen(settings.http_port, settings.http_host)
+    except OSError as error:
+        raise errors.SettingsError(
+            f'--http-port (DAMASKPIN_HTTP_PORT): cannot listen on '
+            f'{settings.http_host}:{settings.http_port}: {error.strerror}'
+        ) from error
+
+
 def run_until_stopped(
     start: Callable[[], Awaitable[None]],
     stop: Callable[[], Awaitable[None]],
--- a/damaskpin/peer/link.py
+++ b/damaskpin/peer/link.py
@@ -39,6 +39,7 @@
     :param address: pynng URL to listen on.
     :param codec: codec of the fleet.
     :param handler: called with each frame; returns the reply's frame.
+    :raises damaskpin.errors.SettingsError: the address can't be used.
     """
 
     __slots__ = ('_codec', '_contexts', '_handler', '_socket', '_tasks')
@@ -51,10 +52,14 @@
     ) -> None:
         self._codec = codec
         self._handler = handler
-        self._socket = pynng.Rep0(
-            listen=address,
-            recv_max_size=codecs.MAX_FRAME_BYTES,
-        )
+        self._socket = pynng.Rep0(recv_max_size=codecs.MAX_FRAME_BYTES)
+        try:
+            self._socket.listen(address)
+        except pynng.NNGException as error:
+            raise errors.SettingsError(
+                f'--listen (DAMASKPIN_LISTEN): cannot listen on {address}: '
+                f'{error}'
+            ) from error
         self._contexts = [
             self._socket.new_context() for _ in range(LISTENER_CONTEXTS)
         ]
--- a/damaskpin/telemetry.py
+++ b/damaskpin/telemetry.py
@@ -30,6 +30,7 @@
         '_registry',
         'config_revision',
         'decision_seconds',
+        'http',
         'messages',
         'peer_failures',
         'requests',
@@ -59,6 +60,9 @@
         self.requests = meter.create_counter(
             'damaskpin.requests', unit='1', description='requests accepted'
         )
+        self.http = meter.create_counter(
+            'damaskpin.http', unit='1', description='HTTP requests received'
+        )
         self.verdicts = meter.create_counter(
             'damaskpin.verdicts',
             unit='1',
--- a/tests/test_daemon/test_daemon_failures.py
+++ b/tests/test_daemon/test_daemon_failures.py
@@ -208,6 +208,24 @@
     run(fleet, scenario)
 
 
+def test_explain_asks_each_entry_once(fleet):
+    """Guards against entries that ask each other in a loop."""
+
+    async def scenario() -> None:
+        client = fleet.make_client('holder', 'entry-1')
+        answer = await client.submit(make_spec(8, 0.5))
+        await fleets.wait_for(is_in_state(client, answer.attempt, 'ran'), 20.0)
+        await client.fetch('GET', f'/v1/explain/{answer.attempt}')
+        before = await fleet.read_metric('entry-2', 'damaskpin_http_total')
+        explained = await client.fetch('GET', f'/v1/explain/{answer.attempt}')
+        after = await fleet.read_metric('entry-2', 'damaskpin_http_total')
+        assert explained.status == 200
+        # One question of the other entry, and the reading of the metric.
+        assert after - before == 2
+
+    run(fleet, scenario)
+
+
 def test_frozen_agent_is_avoided(fleet):
     """Guards against requests that are sent to a process that hangs."""
 
