Test membership and home; return to a failed home, keep agents of a restarted one

Cause of the faults that the new tests found: - An agent left its home after one failed call and never returned, because the entries did not declare the home dead and so sent no new list. It now asks failed entries every 5 s, and uses one again after an answer. An entry answers FindPeer about itself for this. - A list of entries from a seed kept the version of the home's list, so that the home never replaced it. The version is now cleared. - A full RegionUpdate of a restarted home declared its agents lost before they had reported to it.

Ruled out: returning to a failed home by time alone, since a home that is dead for a long time would be tried every 5 s and cost three intervals without a report each time.

--- a/damaskpin/peer/home.py
+++ b/damaskpin/peer/home.py
@@ -35,6 +35,7 @@
         '_home',
         '_interval',
         '_last_report',
+        '_next_probe',
         '_send_full',
         '_started',
         '_version',
@@ -50,6 +51,7 @@
         self._version = ''
         self._interval = FIRST_INTERVAL_S
         self._last_report = now - FIRST_INTERVAL_S
+        self._next_probe = now
         self._heard = now
         self._send_full = True
 
@@ -73,6 +75,9 @@
         self, now: float, peers: Iterable[messages.Peer]
     ) -> list[membership.Output]:
         """Replace the known entries and choose the home again."""
+        # The home sends its list only to an agent that holds another version;
+        # a list of a seed may differ from the one that was held.
+        self._version = ''
         self._entries = {
             peer.instance: peer
             for peer in peers
@@ -106,6 +111,8 @@
         """Handle an answer of the home entry."""
         match message:
             case messages.PeerFound(peer):
+                if self._failed.pop(sender, None) is not None:
+                    self._choose_home(now)
                 return [membership.AddressLearned(peer)]
             case messages.ReportAck() if sender == self._home:
                 pass
@@ -119,8 +126,8 @@
         if message.need_full:
             self._send_full = True
         if message.entries:
-            self._version = message.entries_version
             outputs += self.learn_entries(now, message.entries)
+            self._version = message.entries_version
         return outputs
 
     def call_failed(self, now: float, instance: str) -> None:
@@ -139,9 +146,10 @@
             self.call_failed(now, self._home)
         if not self._home:
             return []
+        outputs = self._probe_failed(now)
         due = MIN_REPORT_GAP_S if self._send_full else self._interval
         if now - self._last_report < due:
-            return []
+            return outputs
         self._last_report = now
         state = None
         if self._send_full:
@@ -159,7 +167,22 @@
             state,
             self._version,
         )
-        return [effects.Send(self._home, report)]
+        return [*outputs, effects.Send(self._home, report)]
+
+    def _probe_failed(self, now: float) -> list[membership.Output]:
+        """Ask failed entries for an answer, after which they are usable.
+
+        An entry that failed once may be live all the time for the others, so
+        that no new list of entries would bring the agent back to it.
+        """
+        if now < self._next_probe:
+            return []
+        self._next_probe = now + FAILED_ENTRY_S
+        return [
+            effects.Send(name, messages.FindPeer(name))
+            for name in self._failed
+            if name in self._entries
+        ]
 
     def _choose_home(self, now: float) -> None:
         for name, failed in list(self._failed.items()):
--- a/damaskpin/peer/membership.py
+++ b/damaskpin/peer/membership.py
@@ -150,7 +150,12 @@
         ]
 
     def find_peer(self, instance: str) -> messages.Peer | None:
-        """Return an entry or an agent of the region by its instance id."""
+        """Return an entry or an agent of the region by its instance id.
+
+        An agent asks an entry for itself to learn that it answers again.
+        """
+        if instance == self.peer.instance:
+            return self.peer
         if instance in self._entries:
             return self._entries[instance].peer
         if instance in self._agents:
@@ -290,11 +295,13 @@
         if name == self.peer.instance:
             return []
         entry = self._entries.get(name)
-        if entry and entry.peer.incarnation != beat.peer.incarnation:
+        same = entry and entry.peer.incarnation == beat.peer.incarnation
+        if beat.leaving:
+            # A late one of a former process says nothing about its successor.
+            return self._forget_entry(now, name) if same else []
+        if entry and not same:
             outputs += self._forget_entry(now, name)
             entry = None
-        if beat.leaving:
-            return outputs + (self._forget_entry(now, name) if entry else [])
         if entry is None:
             entry = _Entry(beat.peer, now, beat.interval, now)
             self._entries[name] = entry
@@ -351,7 +358,10 @@
         named = {state.peer.instance for state in update.agents}
         for name, agent in list(self._agents.items()):
             if agent.home == sender and name not in named:
-                outputs += self._forget_agent(name, forward=False)
+                # The sender may have restarted and not have heard the agent
+                # yet, or the agent may report to another home by now.
+                agent.home = ''
+                agent.heard = now
         return outputs
 
     def _merge_state(
--- /dev/null
+++ b/tests/test_peer/test_peer_home.py
@@ -0,0 +1,129 @@
+"""Tests of the home entry of an agent."""
+
+from damaskpin import effects
+from damaskpin.peer import home as homes
+from damaskpin.peer import messages
+
+
+def make_peer(name, data_centre='d1', region='r'):
+    return messages.Peer(
+        name, f'{name}-1', 'entry', f'tcp://{name}', region, data_centre
+    )
+
+
+NEAR = make_peer('near')
+FAR = make_peer('far', 'd2')
+
+
+def make_home(now=0.0, *entries):
+    peer = messages.Peer('a', 'a-1', 'agent', 'tcp://a', 'r', 'd1')
+    state = messages.AgentState(peer, 'k', 'w', 8, 0.0, 1, 0)
+    home = homes.AgentHome(state, now)
+    home.learn_entries(now, entries or [NEAR, FAR])
+    return home
+
+
+def list_sent(outputs, kind):
+    return [
+        (output.to, output.message)
+        for output in outputs
+        if isinstance(output, effects.Send)
+        and isinstance(output.message, kind)
+    ]
+
+
+def run(home, start, seconds):
+    outputs = []
+    for step in range(int(seconds * 10)):
+        outputs += home.tick(start + step / 10)
+    return outputs
+
+
+def test_home_is_in_the_data_centre_of_the_agent():
+    """Guards against reports that cross data centres for nothing."""
+    foreign = make_peer('foreign', 'd1', 'other')
+    assert make_home(0.0, FAR, foreign, NEAR).home == 'near'
+    assert make_home(0.0, FAR, foreign).home == 'far'
+    assert make_home(0.0, foreign).home == ''
+
+
+def test_silent_home_is_left():
+    """Guards against an agent that waits for a dead home."""
+    home = make_home()
+    run(home, 0.0, 3.0)
+    assert home.home == 'near'
+    run(home, 3.0, 0.3)
+    assert home.home == 'far'
+
+
+def test_failed_home_is_used_again_when_it_answers():
+    """Guards against an agent that stays away after one failed call.
+
+    The entries never declare the home dead then, and send no new list.
+    """
+    home = make_home()
+    home.call_failed(1.0, 'near')
+    assert home.home == 'far'
+    outputs = []
+    for step in range(60):
+        now = 1.0 + step / 10
+        home.receive(now, 'far', messages.ReportAck(1.0, 0, False))
+        outputs += home.tick(now)
+    assert ('near', messages.FindPeer('near')) in list_sent(
+        outputs, messages.FindPeer
+    )
+    home.receive(7.0, 'near', messages.PeerFound(NEAR))
+    assert home.home == 'near'
+    [(to, report)] = list_sent(home.tick(8.0), messages.AgentReport)
+    assert to == 'near'
+    assert report.state is not None
+
+
+def test_failed_home_is_not_used_before_it_answers():
+    """Guards against reports that are lost at a dead home every 5 s."""
+    home = make_home()
+    home.call_failed(1.0, 'near')
+    for step in range(200):
+        now = 1.0 + step / 10
+        home.receive(now, 'far', messages.ReportAck(1.0, 0, False))
+        home.tick(now)
+        assert home.home == 'far'
+
+
+def test_list_of_a_seed_has_no_version():
+    """Guards against a seed's list that the home never replaces.
+
+    The home sends its list only when the agent names another version.
+    """
+    home = make_home()
+    home.receive(
+        0.5,
+        'near',
+        messages.ReportAck(1.0, 0, False, 'v1', (NEAR, FAR)),
+    )
+    home.learn_entries(1.0, [FAR])
+    [(_, report)] = list_sent(home.tick(2.0), messages.AgentReport)
+    assert report.entries_version != 'v1'
+
+
+def test_late_answer_of_a_former_home_is_ignored():
+    """Guards against an interval or a list of an entry that was left."""
+    home = make_home()
+    home.call_failed(1.0, 'near')
+    late = messages.ReportAck(9.0, 5, True, 'v1', (NEAR,))
+    assert home.receive(1.1, 'near', late) == []
+    assert home.home == 'far'
+
+
+def test_state_is_sent_once_and_again_on_request():
+    """Guards against a change that is not reported, or with each beat."""
+    home = make_home()
+    [(_, first)] = list_sent(home.tick(0.0), messages.AgentReport)
+    assert first.state is not None
+    home.receive(0.1, 'near', messages.ReportAck(1.0, 0, False))
+    [(_, second)] = list_sent(home.tick(1.0), messages.AgentReport)
+    assert second.state is None
+    home.receive(1.1, 'near', messages.ReportAck(1.0, 0, True))
+    [(_, third)] = list_sent(home.tick(1.2), messages.AgentReport)
+    assert third.state is not None
+    assert third.state.sequence == first.sequence
--- /dev/null
+++ b/tests/test_peer/test_peer_membership.py
@@ -0,0 +1,186 @@
+"""Tests of the membership of entries, with agents that report to them."""
+
+import os
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from damaskpin.peer import home as homes
+from damaskpin.peer import membership as memberships
+from damaskpin.peer import messages
+from tests.test_peer import fleet as fleets
+
+# Intervals of four entries and five agents: two entries of the other region
+# are paced at 2 x 300 B / 400 B/s, everything else at the minimum.
+ENTRY_INTERVAL_S = 1.5
+AGENT_INTERVAL_S = 1.0
+SILENT_S = memberships.MISSED_HEARTBEATS * ENTRY_INTERVAL_S
+DIGEST_S = memberships.DIGEST_MISMATCHES * 1.5 * ENTRY_INTERVAL_S
+# The last delayed message arrives and may name a dead process, which is then
+# silent; entries are read again; each digest that differs is noticed; agents
+# of a dead home get their time; agents leave a silent home and retry another.
+HEAL_S = (
+    fleets.MAX_DELAY_S
+    + fleets.LEARN_S
+    + SILENT_S
+    + DIGEST_S
+    + memberships.MAX_AGENT_INTERVAL_S
+    + memberships.MISSED_HEARTBEATS * AGENT_INTERVAL_S
+    + homes.FAILED_ENTRY_S
+)
+SEQUENCES = 2000 if os.environ.get('DAMASKPIN_FUZZ') == 'long' else 60
+NAMES = [*fleets.ENTRIES, *fleets.AGENTS]
+
+
+class MembershipFuzz(stateful.RuleBasedStateMachine):
+    """Guards against views that stay wrong after the faults are over."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**32))
+    def begin(self, seed):
+        self.fleet = fleets.Fleet(seed)
+
+    @stateful.rule(seconds=strategies.sampled_from([0.1, 0.5, 2.0, 6.0, 20.0]))
+    def run_on(self, seconds):
+        self.fleet.run(seconds)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def crash(self, name):
+        self.fleet.crash(name)
+
+    @stateful.rule(name=strategies.sampled_from(NAMES))
+    def start(self, name):
+        self.fleet.start(name)
+
+    @stateful.rule(
+        name=strategies.sampled_from(NAMES),
+        seconds=strategies.sampled_from([2.0, 4.0, 15.0, 40.0]),
+    )
+    def freeze(self, name, seconds):
+        self.fleet.freeze(name, seconds)
+
+    @stateful.rule(on=strategies.booleans())
+    def partition(self, on):
+        self.fleet.partitioned = on
+
+    @stateful.rule(name=strategies.sampled_from(list(fleets.ENTRIES)))
+    def drain(self, name):
+        if name in self.fleet.live:
+            self.fleet.live[name].draining = True
+
+    @stateful.rule(name=strategies.sampled_from(list(fleets.ENTRIES)))
+    def leave(self, name):
+        self.fleet.leave(name)
+
+    @stateful.rule(name=strategies.sampled_from(list(fleets.AGENTS)))
+    def change(self, name):
+        self.fleet.change(name)
+
+    @stateful.rule(
+        loss=strategies.sampled_from([0.0, 0.1, 0.5]),
+        duplication=strategies.sampled_from([0.0, 0.3]),
+        delay=strategies.sampled_from([0.05, 1.0, fleets.MAX_DELAY_S]),
+    )
+    def set_network(self, loss, duplication, delay):
+        self.fleet.loss = loss
+        self.fleet.duplication = duplication
+        self.fleet.max_delay = delay
+
+    def teardown(self):
+        self.fleet.heal()
+        self.fleet.run(HEAL_S)
+        assert self.fleet.list_faults() == []
+
+
+TestMembershipFuzz = MembershipFuzz.TestCase
+TestMembershipFuzz.settings = hypothesis.settings(
+    suppress_health_check=list(hypothesis.HealthCheck), max_examples=30
+)
+
+
+def _draw(rng):
+    """Return a rule of the state machine with arguments, by weight."""
+    return rng.choice(
+        [
+            ('run_on', (rng.choice([0.1, 0.5, 2.0, 6.0, 20.0]),)),
+            ('run_on', (rng.choice([0.5, 2.0, 6.0]),)),
+            ('crash', (rng.choice(NAMES),)),
+            ('start', (rng.choice(NAMES),)),
+            ('start', (rng.choice(NAMES),)),
+            ('freeze', (rng.choice(NAMES), rng.choice([2, 4, 15, 40]))),
+            ('partition', (rng.random() < 0.5,)),
+            ('drain', (rng.choice(list(fleets.ENTRIES)),)),
+            ('leave', (rng.choice(list(fleets.ENTRIES)),)),
+            ('change', (rng.choice(list(fleets.AGENTS)),)),
+            (
+                'set_network',
+                (
+                    rng.choice([0.0, 0.1, 0.5]),
+                    rng.choice([0.0, 0.3]),
+                    rng.choice([0.05, 1.0, fleets.MAX_DELAY_S]),
+                ),
+            ),
+        ]
+    )
+
+
+@pytest.mark.parametrize('seed', range(SEQUENCES))
+def test_membership_fuzz_sequence(seed):
+    """Guards against faults that need longer sequences than hypothesis's."""
+    machine = MembershipFuzz()
+    machine.fleet = fleets.Fleet(seed)
+    rng = random.Random(seed)
+    for _ in range(40):
+        name, values = _draw(rng)
+        getattr(machine, name)(*values)
+    machine.teardown()
+
+
+def test_live_agents_survive_the_restart_of_their_home():
+    """Guards against gangs that are ended because an entry restarted.
+
+    The new process knows no agents yet when it is asked for all of them.
+    """
+    fleet = fleets.Fleet(1)
+    fleet.run(30.0)
+    fleet.events.clear()
+    fleet.start('e1')
+    fleet.run(HEAL_S)
+    lost = [
+        event
+        for _, _, event in fleet.events
+        if isinstance(event, memberships.AgentLost)
+    ]
+    assert lost == []
+    assert fleet.list_faults() == []
+
+
+def test_live_agents_survive_the_death_of_their_home():
+    """Guards against gangs that are ended because an entry died."""
+    fleet = fleets.Fleet(1)
+    fleet.run(30.0)
+    fleet.events.clear()
+    fleet.crash('e1')
+    fleet.run(HEAL_S)
+    lost = [
+        event
+        for _, _, event in fleet.events
+        if isinstance(event, memberships.AgentLost)
+    ]
+    assert lost == []
+    assert fleet.list_faults() == []
+
+
+def test_late_farewell_of_a_former_process_is_ignored():
+    """Guards against a live entry that a delayed message removes."""
+    fleet = fleets.Fleet(1)
+    fleet.run(10.0)
+    old = fleet.peers['e2']
+    fleet.start('e2')
+    fleet.run(10.0)
+    entry = fleet.live['e1']
+    late = messages.EntryBeat(old, 0, 1.0, True, True, True)
+    entry.receive(fleet.now, 'e2', late)
+    assert fleet.peers['e2'] in entry.list_entries()
