Test coordination; restore, stop and refuse what a takeover finds

Cause of the faults that the new tests found: - What was decided while the scheduler was built was dropped, so that owners were told neither "running" nor "refused" at the takeover. - A gang on a draining worker was not restored, because the worker was out of service by then; its job was queued and placed again. - A gang without a submitted job whose restoration failed was queued as a job made up from its accelerators, without a command, and placed. - The gang protocol does not know gangs of a former coordinator, so that stopping one (reclaim or cancellation) had no effect. The lead is now asked, every 2 s until the gang is gone. - A job cancelled before the coordinator had settled was placed when its granted attempt ran nowhere. - By reading, without a test that failed: a restored job whose end the gang protocol reports kept its mark, so that the requeued job could be finished.

Ruled out: a second placement that runs; the owner denies its grant. The placements above cost reservations, not safety.

--- a/damaskpin/daemon/coordination.py
+++ b/damaskpin/daemon/coordination.py
@@ -24,6 +24,8 @@
 # Owners submit their jobs again every 2 s; a new coordinator decides nothing
 # before it has heard them.
 SETTLE_S = 2.5
+# A request to stop a gang that another coordinator placed may be lost.
+STOP_REPEAT_S = 2.0
 REASON_RECLAIM = 'reclaimed'
 REASON_CANCEL = 'cancelled'
 
@@ -44,6 +46,15 @@
     restored: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Stop:
+    """A stop of a restored gang, repeated until the gang is gone."""
+
+    lead: str
+    message: messages.StopGang
+    next_send: float
+
+
 class Coordination:
     """Decides for a region; free of I/O.
 
@@ -64,6 +75,7 @@
         '_revision',
         '_rng',
         '_scheduler',
+        '_stops',
     )
 
     def __init__(
@@ -78,6 +90,7 @@
         self._active_since: float | None = None
         self._agents: dict[str, messages.AgentState] = {}
         self._entries: dict[str, _Entry] = {}
+        self._stops: dict[str, _Stop] = {}
         self._attempts = 0
         self._next_decision = 0.0
 
@@ -104,6 +117,7 @@
         self._active_since = now if active else None
         self._scheduler = None
         self._entries.clear()
+        self._stops.clear()
 
     def set_config(
         self, now: float, config: configs.Config, revision: int
@@ -155,7 +169,8 @@
         if self._scheduler is None:
             if now - self._active_since < SETTLE_S or not self._revision:
                 return outputs
-            self._build_scheduler(now)
+            outputs += self._build_scheduler(now)
+        outputs += self._repeat_stops(now)
         if now >= self._next_decision:
             outputs += self._decide(now)
         return outputs
@@ -213,11 +228,15 @@
         entry = self._entries.get(job_id)
         if entry is None:
             return []
+        if self._scheduler is None:
+            # If its gang runs, the owner stops it, and it is restored as one
+            # that no owner submitted.
+            del self._entries[job_id]
+            return []
         if entry.attempt:
             entry.stop_reason = REASON_CANCEL
-            return self._handle(now, self._gang.stop(now, job_id, reason, 0.0))
-        if self._scheduler is not None:
-            self._scheduler.cancel(now, job_id)
+            return self._stop(now, entry, reason, 0.0)
+        self._scheduler.cancel(now, job_id)
         del self._entries[job_id]
         return []
 
@@ -301,11 +320,40 @@
         return [
             effects.Record(job_id, 'reclaimed', reason),
             _update(entry.owner, job_id, 'reclaimed', reason),
-            *self._handle(
-                now, self._gang.stop(now, job_id, REASON_RECLAIM, grace)
-            ),
+            *self._stop(now, entry, REASON_RECLAIM, grace),
         ]
 
+    def _stop(
+        self, now: float, entry: _Entry, reason: str, grace: float
+    ) -> list[effects.Effect]:
+        job_id = entry.job.id
+        if entry.restored:
+            lead = next(
+                (
+                    gang.lead
+                    for state in self._agents.values()
+                    for gang in state.gangs
+                    if gang.attempt == entry.attempt
+                ),
+                '',
+            )
+            message = messages.StopGang(entry.attempt, reason, grace)
+            self._stops[job_id] = _Stop(lead, message, now)
+        return self._handle(
+            now, self._gang.stop(now, job_id, reason, grace)
+        ) + self._repeat_stops(now)
+
+    def _repeat_stops(self, now: float) -> list[effects.Effect]:
+        outputs: list[effects.Effect] = []
+        for job_id, stop in list(self._stops.items()):
+            entry = self._get_entry(job_id, stop.message.attempt)
+            if entry is None:
+                del self._stops[job_id]
+            elif now >= stop.next_send:
+                stop.next_send = now + STOP_REPEAT_S
+                outputs.append(effects.Send(stop.lead, stop.message))
+        return outputs
+
     def _handle(
         self, now: float, outputs: Iterable[effects.Effect]
     ) -> list[effects.Effect]:
@@ -347,6 +395,7 @@
             if name in self._agents
         )
         entry.attempt = ''
+        entry.restored = False
         if entry.stop_reason == REASON_CANCEL:
             self._finish(now, failed.job, decisions.Result.CANCELLED)
         else:
@@ -381,6 +430,7 @@
             case _:
                 result = decisions.Result.LOST
         entry.attempt = ''
+        entry.restored = False
         self._finish(now, ended.job, result)
         return [
             effects.Record(
@@ -418,11 +468,12 @@
             self._scheduler.set_worker(now, _make_worker(state))
         self._next_decision = now
 
-    def _build_scheduler(self, now: float) -> None:
+    def _build_scheduler(self, now: float) -> list[effects.Effect]:
         """Rebuild queue and use from what agents and owners reported."""
         self._scheduler = schedulers.Scheduler(self._config, self._rng)
+        # Gangs run on draining workers too; these leave after the restoration.
         for state in self._agents.values():
-            self._update_worker(now, state)
+            self._scheduler.set_worker(now, _make_worker(state))
         waiting = list(self._entries.values())
         LOG.info(
             'coordination settled',
@@ -434,15 +485,21 @@
             for gang in state.gangs
             if gang.running
         }
+        outputs: list[effects.Effect] = []
         for gang in running.values():
             if gang.job not in self._entries:
-                self._entries[gang.job] = _make_orphan(gang, self._agents)
-                waiting.append(self._entries[gang.job])
+                # Its job is not known well enough to be queued.
+                entry = _make_orphan(gang, self._agents)
+                if self._restore(now, entry):
+                    self._entries[gang.job] = entry
         for entry in waiting:
             found = running.get(entry.job.id)
             if found is not None:
                 entry.attempt = found.attempt
-            self._queue(now, entry)
+            outputs += self._queue(now, entry)
+        for state in self._agents.values():
+            self._update_worker(now, state)
+        return outputs
 
     def _restore(self, now: float, entry: _Entry) -> bool:
         assert self._scheduler is not None
