--- a/damaskpin/peer/membership.py
+++ b/damaskpin/peer/membership.py
@@ -102,11 +102,11 @@
     __slots__ = (
         '_agents',
         '_changed',
+        '_draining',
         '_entries',
         '_lost',
         '_next_forward',
         '_version',
-        'draining',
         'peer',
         'revision',
     )
@@ -114,7 +114,7 @@
     def __init__(self, peer: messages.Peer, now: float) -> None:
         self.peer = peer
         self.revision = 0
-        self.draining = False
+        self._draining = False
         self._entries: dict[str, _Entry] = {}
         self._agents: dict[str, _Agent] = {}
         self._changed: dict[str, messages.AgentState] = {}
@@ -123,6 +123,17 @@
         self._version = ''
         self._update_version()
 
+    @property
+    def draining(self) -> bool:
+        """Whether this entry is about to leave, so that agents leave it."""
+        return self._draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        self._draining = draining
+        # Agents get the list without this entry only under another version.
+        self._update_version()
+
     def list_entries(self) -> list[messages.Peer]:
         """Return the live entries of all regions, with this one, by name."""
         peers = [entry.peer for entry in self._entries.values()]
--- a/tests/test_peer/test_peer_membership.py
+++ b/tests/test_peer/test_peer_membership.py
@@ -184,3 +184,37 @@
     late = messages.EntryBeat(old, 0, 1.0, True, True, True)
     entry.receive(fleet.now, 'e2', late)
     assert fleet.peers['e2'] in entry.list_entries()
+
+
+def test_agents_leave_a_draining_home():
+    """Guards against agents that report to an entry until it is gone."""
+    fleet = fleets.Fleet(1)
+    fleet.run(30.0)
+    fleet.events.clear()
+    fleet.live['e1'].draining = True
+    fleet.run(HEAL_S)
+    assert fleet.list_faults() == []
+    fleet.leave('e1')
+    fleet.run(HEAL_S)
+    assert fleet.list_faults() == []
+    assert not [
+        event
+        for _, _, event in fleet.events
+        if isinstance(event, memberships.AgentLost)
+    ]
+
+
+def test_dead_agent_is_forgotten_when_the_update_is_lost():
+    """Guards against an agent that stays listed with no home.
+
+    A full update without the agent gives it time, in which it must not stay.
+    """
+    fleet = fleets.Fleet(1)
+    fleet.run(30.0)
+    fleet.crash('a1')
+    fleet.run(2.0)
+    fleet.loss = 1.0
+    fleet.run(1.5)
+    fleet.heal()
+    fleet.run(HEAL_S)
+    assert fleet.list_faults() == []
