--- a/damaskpin/peer/membership.py
+++ b/damaskpin/peer/membership.py
@@ -102,11 +102,11 @@
     __slots__ = (
         '_agents',
         '_changed',
+        '_draining',
         '_entries',
         '_lost',
         '_next_forward',
         '_version',
-        'draining',
         'peer',
         'revision',
     )
@@ -114,7 +114,7 @@
     def __init__(self, peer: messages.Peer, now: float) -> None:
         self.peer = peer
         self.revision = 0
-        self.draining = False
+        self._draining = False
         self._entries: dict[str, _Entry] = {}
         self._agents: dict[str, _Agent] = {}
         self._changed: dict[str, messages.AgentState] = {}
@@ -123,6 +123,17 @@
         self._version = ''
         self._update_version()
 
+    @property
+    def draining(self) -> bool:
+        """Whether this entry is about to leave, so that agents leave it."""
+        return self._draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        self._draining = draining
+        # Agents get the list without this entry only under another version.
+        self._update_version()
+
     def list_entries(self) -> list[messages.Peer]:
         """Return the live entries of all regions, with this one, by name."""
         peers = [entry.peer for entry in self._entries.values()]
@@ -150,7 +161,12 @@
         ]
 
     def find_peer(self, instance: str) -> messages.Peer | None:
-        """Return an entry or an agent of the region by its instance id."""
+        """Return an entry or an agent of the region by its instance id.
+
+        An agent asks an entry for itself to learn that it answers again.
+        """
+        if instance == self.peer.instance:
+            return self.peer
         if instance in self._entries:
             return self._entries[instance].peer
         if instance in self._agents:
@@ -290,11 +306,13 @@
         if name == self.peer.instance:
             return []
         entry = self._entries.get(name)
-        if entry and entry.peer.incarnation != beat.peer.incarnation:
+        same = entry and entry.peer.incarnation == beat.peer.incarnation
+        if beat.leaving:
+            # A late one of a former process says nothing about its successor.
+            return self._forget_entry(now, name) if same else []
+        if entry and not same:
             outputs += self._forget_entry(now, name)
             entry = None
-        if beat.leaving:
-            return outputs + (self._forget_entry(now, name) if entry else [])
         if entry is None:
             entry = _Entry(beat.peer, now, beat.interval, now)
             self._entries[name] = entry
@@ -351,7 +369,10 @@
         named = {state.peer.instance for state in update.agents}
         for name, agent in list(self._agents.items()):
             if agent.home == sender and name not in named:
-                outputs += self._forget_agent(name, forward=False)
+                # The sender may have restarted and not have heard the agent
+                # yet, or the agent may report to another home by now.
+                agent.home = ''
+                agent.heard = now
         return outputs
 
     def _merge_state(
