Split the agent's tasks; report tasks that ended without an agent

Cause: reading the agent, three faults were found: a task that started during a poll of the worker was missing in the answer and reported as ended; a task that ended while its agent was replaced was never reported, so its gang was lost; a worker without tasks was never found unhealthy. Ruled out: locking the start against the poll (one slow call would hold up all starts).

--- a/damaskpin/caller/tokens.py
+++ b/damaskpin/caller/tokens.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import hmac
 from typing import TYPE_CHECKING
 
 from damaskpin import errors
@@ -46,3 +47,14 @@
                 401, 'Token unknown', 'no client account has this token'
             )
         return account
+
+
+def is_operator(header: str, digest: str) -> bool:
+    """Return whether a header proves an operator.
+
+    :param header: value of the ``Authorization`` header.
+    :param digest: SHA-256 of the operators' token; empty refuses all.
+    """
+    token = header.removeprefix('Bearer ')
+    found = hashlib.sha256(token.encode()).hexdigest()
+    return bool(digest) and hmac.compare_digest(found, digest)
--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -3,23 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import hmac
-import json
 import logging
 import random
 from typing import TYPE_CHECKING
 
 import msgspec
 from tornado import httpclient
-from tornado import httpserver
-from tornado import web
 
 from damaskpin import effects
-from damaskpin import errors
 from damaskpin import logs
-from damaskpin.caller import server as caller_server
+from damaskpin.caller import tokens
+from damaskpin.daemon import local
 from damaskpin.daemon import node as nodes
+from damaskpin.daemon import seeds
+from damaskpin.daemon import tasks
 from damaskpin.gang import member as members
 from damaskpin.peer import home as homes
 from damaskpin.peer import membership
@@ -28,7 +25,6 @@
 from damaskpin.store import configuration as configurations
 from damaskpin.target import announcements
 from damaskpin.target import client as target_client
-from damaskpin.worker import client as worker_client
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,13 +33,7 @@
 
 LOG = logging.getLogger(__name__)
 
-POLL_S = 0.25
-RENEW_S = 4.0
 SEED_RETRY_S = 1.0
-WORKER_RETRY_S = 0.5
-SEED_TIMEOUT_S = 2.0
-# Time for the successor of a stopped agent to adopt its tasks.
-HANDOVER_LEASE_S = 30.0
 
 
 class Agent:
@@ -56,17 +46,14 @@
         '_client',
         '_configuration',
         '_home',
-        '_http',
-        '_leases',
         '_member',
         '_node',
         '_server',
         '_settings',
         '_slots',
         '_targets',
+        '_tasks',
         '_urls',
-        '_worker',
-        '_worker_healthy',
         'draining',
     )
 
@@ -102,21 +89,24 @@
         self._configuration = configurations.ConfigHolder(
             peer.instance, 'agent'
         )
-        self._worker = worker_client.WorkerClient(settings.worker_url)
+        self._tasks = tasks.TaskRunner(
+            settings.worker_url,
+            self._member,
+            self._apply,
+            self._node.get_time,
+        )
         self._targets = target_client.Client()
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
         self._urls: dict[str, str] = {}
-        self._leases: dict[str, float] = {}
-        self._worker_healthy = True
         self.draining = False
-        self._server = self._make_server()
+        self._server = local.make_server(self)
 
     async def start(self) -> None:
         """Adopt the tasks of a former run, then report and serve."""
-        await self._adopt_tasks()
+        await self._tasks.adopt()
         nodes.listen_http(self._server, self._settings)
         self._node.start_ticks(self._tick)
-        self._node.spawn(self._watch_tasks())
+        self._node.spawn(self._tasks.watch())
         self._node.spawn(self._find_entries())
 
     async def stop(self) -> None:
@@ -128,10 +118,7 @@
                 LOG.warning('requests are still running at the drain timeout')
                 break
             await asyncio.sleep(nodes.TICK_S)
-        now = self._node.get_time()
-        for renewal in self._member.list_leases(now):
-            seconds = min(HANDOVER_LEASE_S, renewal.max_lease_seconds)
-            await self._renew_task(renewal.attempt, seconds)
+        await self._tasks.hand_over()
         self._server.stop()
         await self._node.close()
 
@@ -174,7 +161,7 @@
             targets=self._slots.list_targets(),
             gangs=self._member.list_gangs(),
             draining=self.draining,
-            healthy=self._worker_healthy,
+            healthy=self._tasks.healthy,
         )
 
     def _apply(self, outputs: Iterable[membership.Output]) -> None:
@@ -183,11 +170,11 @@
                 case effects.Send(to, message):
                     self._node.send(to, message)
                 case effects.StartTask():
-                    self._node.spawn(self._start_task(output))
+                    self._node.spawn(self._tasks.start(output))
                 case effects.StopTask(attempt, grace):
-                    self._node.spawn(self._stop_task(attempt, grace))
+                    self._node.spawn(self._tasks.stop(attempt, grace))
                 case effects.RevokeTask(attempt):
-                    self._node.spawn(self._revoke_lease(attempt))
+                    self._node.spawn(self._tasks.revoke(attempt))
                 case effects.CallTarget():
                     self._node.spawn(self._call_target(output))
                 case membership.AddressLearned(peer):
@@ -221,7 +208,7 @@
             await asyncio.sleep(SEED_RETRY_S)
 
     async def _ask_seeds(self) -> None:
-        peers = await fetch_members(
+        peers = await seeds.fetch_members(
             self._client,
             self._settings.seeds,
             self._settings.fleet_key.get_secret_value().encode(),
@@ -229,86 +216,6 @@
         if peers:
             self._apply(self._home.learn_entries(self._node.get_time(), peers))
 
-    async def _adopt_tasks(self) -> None:
-        tasks = await self._list_tasks()
-        now = self._node.get_time()
-        for task in tasks:
-            if task.state != 'running':
-                continue
-            LOG.info('adopting a task', extra={'attempt': task.id})
-            self._leases[task.id] = now
-            self._apply(
-                self._member.adopt(
-                    now, task.id, task.labels, tuple(task.accelerators)
-                )
-            )
-        self._apply(self._member.adoption_done(now))
-
-    async def _list_tasks(self) -> list[worker_client.Task]:
-        # Nothing may be reserved before the worker has named what runs.
-        while True:
-            try:
-                return await self._worker.list_tasks()
-            except errors.WorkerError as error:
-                LOG.warning('the worker did not list its tasks: %s', error)
-            await asyncio.sleep(WORKER_RETRY_S)
-
-    async def _start_task(self, effect: effects.StartTask) -> None:
-        try:
-            await self._worker.start_task(
-                effect.attempt,
-                effect.command,
-                effect.accelerators,
-                effect.lease_seconds,
-                effect.labels,
-            )
-        except errors.WorkerError as error:
-            LOG.warning(
-                'the worker refused a task',
-                extra={'attempt': effect.attempt, 'reason': str(error)},
-            )
-            await self._revoke_task(effect)
-            self._apply(
-                self._member.task_refused(
-                    self._node.get_time(), effect.attempt, str(error)
-                )
-            )
-            return
-        now = self._node.get_time()
-        self._leases[effect.attempt] = now
-        self._apply(self._member.task_started(now, effect.attempt))
-
-    async def _revoke_task(self, effect: effects.StartTask) -> None:
-        """End a task whose start has an unknown outcome."""
-        try:
-            await self._worker.revoke_task(effect.attempt)
-        except errors.WorkerUnavailableError:
-            # Without renewals its lease ends it.
-            await asyncio.sleep(effect.lease_seconds)
-        except errors.WorkerError as error:
-            LOG.debug('the worker has no such task: %s', error)
-
-    async def _stop_task(self, attempt: str, grace: float) -> None:
-        try:
-            if grace > 0:
-                await self._worker.checkpoint_task(attempt, grace)
-                await asyncio.sleep(grace)
-            await self._worker.stop_task(attempt)
-        except errors.WorkerError as error:
-            LOG.info(
-                'stopping a task failed',
-                extra={'attempt': attempt, 'reason': str(error)},
-            )
-
-    async def _revoke_lease(self, attempt: str) -> None:
-        try:
-            await self._worker.revoke_task(attempt)
-        except errors.WorkerError as error:
-            LOG.info(
-                'revoking a lease failed',
-                extra={'attempt': attempt, 'reason': str(error)},
-            )
-
     async def _call_target(self, effect: effects.CallTarget) -> None:
         url = self._urls.get(effect.service, '')
         try:
@@ -336,49 +243,10 @@
             )
         )
 
-    async def _watch_tasks(self) -> None:
-        while True:
-            await asyncio.sleep(POLL_S)
-            if self._leases:
-                await self._check_tasks()
-
-    async def _check_tasks(self) -> None:
-        try:
-            tasks = {task.id: task for task in await self._worker.list_tasks()}
-        except errors.WorkerError as error:
-            if self._worker_healthy:
-                LOG.warning('the worker does not answer: %s', error)
-            self._worker_healthy = False
-            return
-        self._worker_healthy = True
-        now = self._node.get_time()
-        for attempt in list(self._leases):
-            task = tasks.get(attempt)
-            if task is None or task.state != 'running':
-                del self._leases[attempt]
-                code = task.exit_code if task else None
-                self._apply(self._member.task_ended(now, attempt, code))
-                continue
-        for renewal in self._member.list_leases(now):
-            renewed = self._leases.get(renewal.attempt, now)
-            if now - renewed >= RENEW_S:
-                await self._renew_task(renewal.attempt, renewal.lease_seconds)
-
-    async def _renew_task(self, attempt: str, seconds: float) -> None:
-        try:
-            await self._worker.renew_task(attempt, seconds)
-        except errors.WorkerError as error:
-            LOG.warning(
-                'renewing a lease failed',
-                extra={'attempt': attempt, 'reason': str(error)},
-            )
-            return
-        if attempt in self._leases:
-            self._leases[attempt] = self._node.get_time()
-
-    def _announce(
+    def announce(
         self, service: str, announcement: announcements.Announcement
     ) -> None:
+        """Take over what a target says about itself."""
         self._urls[service] = announcement.url
         self._apply(
             self._slots.announce(
@@ -391,26 +259,11 @@
         )
         self._tick()
 
-    def _withdraw(self, service: str) -> None:
+    def withdraw(self, service: str) -> None:
+        """Hand nothing new to a target that withdrew."""
         self._apply(self._slots.withdraw(self._node.get_time(), service))
         self._tick()
 
-    def _make_server(self) -> httpserver.HTTPServer:
-        routes = announcements.make_handlers(self._announce, self._withdraw)
-        context = {'agent': self}
-        application = web.Application(
-            [
-                *routes,
-                (r'/healthz', _HealthHandler, context),
-                (r'/readyz', _HealthHandler, context),
-                (r'/metrics', _MetricsHandler, context),
-                (r'/v1/drain', _DrainHandler, context),
-            ]
-        )
-        return httpserver.HTTPServer(
-            application, max_body_size=caller_server.MAX_BODY_BYTES
-        )
-
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return self._node.telemetry.render_metrics()
@@ -421,88 +274,14 @@
         :param header: value of the ``Authorization`` header.
         :returns: whether the token is the operators'.
         """
-        if not is_operator(header, self._settings.operator_token_sha256):
+        if not tokens.is_operator(
+            header, self._settings.operator_token_sha256
+        ):
             return False
         self._start_draining()
         return True
 
 
-class _HealthHandler(web.RequestHandler):
-    def initialize(self, agent: Agent) -> None:
-        self._agent = agent
-
-    def get(self) -> None:
-        ready = not self._agent.draining
-        if self.request.path == '/readyz' and not ready:
-            self.set_status(503)
-        self.finish({'status': 'alive', 'ready': ready})
-
-
-class _MetricsHandler(web.RequestHandler):
-    def initialize(self, agent: Agent) -> None:
-        self._agent = agent
-
-    def get(self) -> None:
-        self.set_header('Content-Type', 'text/plain; version=0.0.4')
-        self.finish(self._agent.render_metrics())
-
-
-class _DrainHandler(web.RequestHandler):
-    def initialize(self, agent: Agent) -> None:
-        self._agent = agent
-
-    def post(self) -> None:
-        header = self.request.headers.get('Authorization', '')
-        if not self._agent.drain(header):
-            self.set_status(401)
-            self.finish({'title': 'Token unknown', 'status': 401})
-            return
-        self.set_status(202)
-        self.finish({'state': 'draining'})
-
-
-def is_operator(header: str, digest: str) -> bool:
-    """Return whether a header proves an operator.
-
-    :param header: value of the ``Authorization`` header.
-    :param digest: SHA-256 of the operators' token; empty refuses all.
-    """
-    token = header.removeprefix('Bearer ')
-    found = hashlib.sha256(token.encode()).hexdigest()
-    return bool(digest) and hmac.compare_digest(found, digest)
-
-
-async def fetch_members(
-    client: httpclient.AsyncHTTPClient, seeds: Iterable[str], fleet_key: bytes
-) -> list[messages.Peer]:
-    """Ask the seeds for the live entries.
-
-    :param client: HTTP client to use.
-    :param seeds: URLs of the balancer in front of the entries.
-    :param fleet_key: secret shared by all damaskpin processes.
-    :returns: entries that the answering seeds know; empty without an answer.
-    """
-    token = caller_server.make_peer_token(fleet_key)
-    found: dict[str, messages.Peer] = {}
-    for seed in seeds:
-        request = httpclient.HTTPRequest(
-            f'{seed}/v1/members',
-            headers={'Authorization': f'Bearer {token}'},
-            connect_timeout=SEED_TIMEOUT_S,
-            request_timeout=SEED_TIMEOUT_S,
-        )
-        try:
-            answer = await client.fetch(request)
-            entries = json.loads(answer.body)['entries']
-        except (OSError, ValueError, KeyError, httpclient.HTTPError) as error:
-            LOG.debug('seed %s did not answer: %s', seed, error)
-            continue
-        for fields in entries:
-            peer = msgspec.convert(list(fields.values()), messages.Peer)
-            found[peer.instance] = peer
-    return list(found.values())
-
-
 def run(settings: settings_module.AgentSettings) -> None:
     """Run an agent until it is stopped.
 
--- a/damaskpin/daemon/api.py
+++ b/damaskpin/daemon/api.py
@@ -17,7 +17,7 @@
 from damaskpin import errors
 from damaskpin import verdict as verdicts
 from damaskpin.caller import server as caller_server
-from damaskpin.daemon import agent as agents
+from damaskpin.caller import tokens
 from damaskpin.daemon import jobs as job_desks
 from damaskpin.model import config as configs
 from damaskpin.operator import changes
@@ -103,7 +103,7 @@
     def check_operator(self, header: str) -> None:
         """Refuse callers without the operators' token."""
         digest = self._entry.settings.operator_token_sha256
-        if not agents.is_operator(header, digest):
+        if not tokens.is_operator(header, digest):
             raise errors.RequestError(
                 401, 'Token unknown', "this needs the operators' token"
             )
--- a/damaskpin/daemon/entry.py
+++ b/damaskpin/daemon/entry.py
@@ -16,12 +16,12 @@
 from damaskpin import verdict as verdicts
 from damaskpin.caller import server as caller_server
 from damaskpin.caller import tokens
-from damaskpin.daemon import agent as agents
 from damaskpin.daemon import api as apis
 from damaskpin.daemon import coordination as coordinations
 from damaskpin.daemon import jobs as job_desks
 from damaskpin.daemon import node as nodes
 from damaskpin.daemon import objectives
+from damaskpin.daemon import seeds
 from damaskpin.model import config as configs
 from damaskpin.peer import membership as memberships
 from damaskpin.peer import messages
@@ -447,7 +447,7 @@
     async def _ask_seeds(self) -> None:
         secret = self.settings.fleet_key.get_secret_value().encode()
         while True:
-            peers = await agents.fetch_members(
+            peers = await seeds.fetch_members(
                 self._client, self.settings.seeds, secret
             )
             self._learn_entries(peers)
--- /dev/null
+++ b/damaskpin/daemon/tasks.py
@@ -0,0 +1,199 @@
+"""Tasks of an agent on its worker."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpin import effects
+from damaskpin import errors
+from damaskpin.worker import client as worker_client
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from damaskpin.gang import member as members
+
+LOG = logging.getLogger(__name__)
+
+POLL_S = 0.25
+# Without tasks the worker is asked only whether it is healthy.
+IDLE_POLL_S = 1.0
+RENEW_S = 4.0
+WORKER_RETRY_S = 0.5
+# Time for the successor of a stopped agent to adopt its tasks.
+HANDOVER_LEASE_S = 30.0
+
+
+class TaskRunner:
+    """Carries out what a gang member decides, on the worker.
+
+    :param url: URL of the worker's task interface.
+    :param member: gang members on the worker.
+    :param apply: carries out effects.
+    :param get_time: returns monotonic seconds.
+    :ivar healthy: whether the worker answers.
+    """
+
+    __slots__ = (
+        '_apply',
+        '_get_time',
+        '_leases',
+        '_member',
+        '_worker',
+        'healthy',
+    )
+
+    def __init__(
+        self,
+        url: str,
+        member: members.Member,
+        apply: Callable[[Iterable[effects.Effect]], None],
+        get_time: Callable[[], float],
+    ) -> None:
+        self._worker = worker_client.WorkerClient(url)
+        self._member = member
+        self._apply = apply
+        self._get_time = get_time
+        # Attempts on the worker and when their leases were renewed.
+        self._leases: dict[str, float] = {}
+        self.healthy = True
+
+    async def adopt(self) -> None:
+        """Adopt the tasks that a former run of the agent left."""
+        tasks = await self._list_tasks()
+        now = self._get_time()
+        for task in tasks:
+            LOG.info('adopting a task', extra={'attempt': task.id})
+            self._apply(
+                self._member.adopt(
+                    now, task.id, task.labels, tuple(task.accelerators)
+                )
+            )
+            if task.state == 'running':
+                self._leases[task.id] = now
+                continue
+            # It ended while no agent was there to tell its gang.
+            self._apply(self._member.task_ended(now, task.id, task.exit_code))
+        self._apply(self._member.adoption_done(now))
+
+    async def _list_tasks(self) -> list[worker_client.Task]:
+        # Nothing may be reserved before the worker has named what runs.
+        while True:
+            try:
+                return await self._worker.list_tasks()
+            except errors.WorkerError as error:
+                LOG.warning('the worker did not list its tasks: %s', error)
+            await asyncio.sleep(WORKER_RETRY_S)
+
+    async def start(self, effect: effects.StartTask) -> None:
+        """Start the tasks of a gang member and tell the outcome."""
+        try:
+            await self._worker.start_task(
+                effect.attempt,
+                effect.command,
+                effect.accelerators,
+                effect.lease_seconds,
+                effect.labels,
+            )
+        except errors.WorkerError as error:
+            LOG.warning(
+                'the worker refused a task',
+                extra={'attempt': effect.attempt, 'reason': str(error)},
+            )
+            await self._revoke_task(effect)
+            self._apply(
+                self._member.task_refused(
+                    self._get_time(), effect.attempt, str(error)
+                )
+            )
+            return
+        now = self._get_time()
+        self._leases[effect.attempt] = now
+        self._apply(self._member.task_started(now, effect.attempt))
+
+    async def _revoke_task(self, effect: effects.StartTask) -> None:
+        """End a task whose start has an unknown outcome."""
+        try:
+            await self._worker.revoke_task(effect.attempt)
+        except errors.WorkerUnavailableError:
+            # Without renewals its lease ends it.
+            await asyncio.sleep(effect.lease_seconds)
+        except errors.WorkerError as error:
+            LOG.debug('the worker has no such task: %s', error)
+
+    async def stop(self, attempt: str, grace: float) -> None:
+        """Ask tasks to stop, after a checkpoint if there is time for one.
+
+        :param grace: seconds for the checkpoint; 0 for none.
+        """
+        try:
+            if grace > 0:
+                await self._worker.checkpoint_task(attempt, grace)
+                await asyncio.sleep(grace)
+            await self._worker.stop_task(attempt)
+        except errors.WorkerError as error:
+            LOG.info(
+                'stopping a task failed',
+                extra={'attempt': attempt, 'reason': str(error)},
+            )
+
+    async def revoke(self, attempt: str) -> None:
+        """Revoke the lease of tasks that did not stop."""
+        try:
+            await self._worker.revoke_task(attempt)
+        except errors.WorkerError as error:
+            LOG.info(
+                'revoking a lease failed',
+                extra={'attempt': attempt, 'reason': str(error)},
+            )
+
+    async def watch(self) -> None:
+        """Report ended tasks and renew leases until it is cancelled."""
+        while True:
+            await asyncio.sleep(POLL_S if self._leases else IDLE_POLL_S)
+            await self._check_tasks()
+
+    async def _check_tasks(self) -> None:
+        # A task that starts during the call may be missing in its answer.
+        attempts = list(self._leases)
+        try:
+            tasks = {task.id: task for task in await self._worker.list_tasks()}
+        except errors.WorkerError as error:
+            if self.healthy:
+                LOG.warning('the worker does not answer: %s', error)
+            self.healthy = False
+            return
+        self.healthy = True
+        now = self._get_time()
+        for attempt in attempts:
+            task = tasks.get(attempt)
+            if task is not None and task.state == 'running':
+                continue
+            self._leases.pop(attempt, None)
+            code = task.exit_code if task else None
+            self._apply(self._member.task_ended(now, attempt, code))
+        for renewal in self._member.list_leases(now):
+            renewed = self._leases.get(renewal.attempt, now)
+            if now - renewed >= RENEW_S:
+                await self._renew_task(renewal.attempt, renewal.lease_seconds)
+
+    async def _renew_task(self, attempt: str, seconds: float) -> None:
+        try:
+            await self._worker.renew_task(attempt, seconds)
+        except errors.WorkerError as error:
+            LOG.warning(
+                'renewing a lease failed',
+                extra={'attempt': attempt, 'reason': str(error)},
+            )
+            return
+        if attempt in self._leases:
+            self._leases[attempt] = self._get_time()
+
+    async def hand_over(self) -> None:
+        """Leave the tasks to a successor of this agent."""
+        for renewal in self._member.list_leases(self._get_time()):
+            seconds = min(HANDOVER_LEASE_S, renewal.max_lease_seconds)
+            await self._renew_task(renewal.attempt, seconds)
--- /dev/null
+++ b/tests/test_daemon/test_daemon_tasks.py
@@ -0,0 +1,92 @@
+"""Tests of the tasks of an agent, with a fake worker."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from damaskpin import effects
+from damaskpin.daemon import tasks
+from damaskpin.gang import member as members
+from damaskpin.worker import client as worker_client
+
+
+class FakeWorker:
+    """Lists given tasks and starts what it is asked to."""
+
+    def __init__(self, listed: list[worker_client.Task]) -> None:
+        self.listed = listed
+        self.release = asyncio.Event()
+
+    async def list_tasks(self) -> list[worker_client.Task]:
+        answer = list(self.listed)
+        await self.release.wait()
+        return answer
+
+    async def start_task(self, *arguments: object) -> None:
+        return None
+
+
+class RecordingMember(members.Member):
+    """Keeps the ends that it was told."""
+
+    def __init__(self) -> None:
+        super().__init__('agent-1', 8, random.Random(0))
+        self.ended: list[tuple[str, int | None]] = []
+
+    def task_ended(
+        self, now: float, attempt: str, exit_code: int | None
+    ) -> list[effects.Effect]:
+        self.ended.append((attempt, exit_code))
+        return super().task_ended(now, attempt, exit_code)
+
+
+def make_runner(
+    member: members.Member, worker: FakeWorker
+) -> tasks.TaskRunner:
+    runner = tasks.TaskRunner(
+        'http://127.0.0.1:1', member, lambda outputs: None, lambda: 1.0
+    )
+    runner._worker = worker
+    return runner
+
+
+def test_task_that_starts_during_a_poll_is_not_reported_as_ended():
+    """Guards against an answer of the worker that is older than the start."""
+
+    async def run() -> list[tuple[str, int | None]]:
+        member = RecordingMember()
+        worker = FakeWorker([])
+        runner = make_runner(member, worker)
+        poll = asyncio.ensure_future(runner._check_tasks())
+        await asyncio.sleep(0)
+        await runner.start(
+            effects.StartTask('a.1', (0,), ('sleep', '9'), 15.0, {})
+        )
+        worker.release.set()
+        await poll
+        return member.ended
+
+    assert asyncio.run(run()) == []
+
+
+def test_task_that_ended_without_an_agent_is_reported():
+    """Guards against results that are lost while an agent is replaced."""
+
+    async def run() -> list[tuple[str, int | None]]:
+        member = RecordingMember()
+        ended = worker_client.Task(
+            id='a.1',
+            command=['sleep', '1'],
+            accelerators=[0],
+            labels={},
+            state='ended',
+            end='exited',
+            exit_code=0,
+        )
+        worker = FakeWorker([ended])
+        worker.release.set()
+        await make_runner(member, worker).adopt()
+        return member.ended
+
+    assert asyncio.run(run()) == [('a.1', 0)]
