Add a capacity measurement

The budgets of the design page were checked only by constants in the code. bench.capacity measures daemons on loopback, the membership, owner and gang state machines, and the state of agents, jobs and accounts.

Ruled out: reading socket counters of calls to the store, because an entry opens a connection for each call; a relay counts them instead.

--- /dev/null
+++ b/bench/capacity_sockets.py
@@ -0,0 +1,123 @@
+"""Counters of TCP sockets, and a relay that counts what it forwards."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import threading
+
+import msgspec
+
+LOCAL = '127.0.0.1'
+# IPv4 header, TCP header and the time stamp option that Linux sends.
+SEGMENT_HEADER_BYTES = 52
+# Both handshakes of a connection: 3 segments to open it, 4 to close it.
+CONNECTION_SEGMENTS = 7
+START_SECONDS = 10.0
+STOP_SECONDS = 10.0
+_NUMBER = re.compile(
+    r'\b(bytes_sent|bytes_received|segs_out|segs_in|data_segs_out):(\d+)'
+)
+_PROCESS = re.compile(r'pid=(\d+)')
+
+
+class Sockets(msgspec.Struct):
+    """Counters of the sockets of one process and one kind of peer."""
+
+    payload: int = 0
+    segments: int = 0
+    frames: int = 0
+
+    @property
+    def wire(self) -> int:
+        """Bytes with headers; acknowledgements are segments too."""
+        return self.payload + self.segments * SEGMENT_HEADER_BYTES
+
+
+def parse_sockets(text: str, peer_ports: set[int]) -> dict[int, Sockets]:
+    """Add up the counters of ``ss -tinpHO`` between daemons.
+
+    :param text: output, one line for each socket.
+    :param peer_ports: ports on which daemons listen for each other.
+    :returns: counters by process id.
+    """
+    found: dict[int, Sockets] = {}
+    for line in text.splitlines():
+        process = _PROCESS.search(line)
+        if process is None:
+            continue
+        fields = line.split()
+        ports = {int(field.rpartition(':')[2]) for field in fields[3:5]}
+        if not ports & peer_ports:
+            continue
+        numbers = {key: int(value) for key, value in _NUMBER.findall(line)}
+        sockets = found.setdefault(int(process[1]), Sockets())
+        sockets.payload += numbers.get('bytes_sent', 0)
+        sockets.payload += numbers.get('bytes_received', 0)
+        sockets.segments += numbers.get('segs_out', 0)
+        sockets.segments += numbers.get('segs_in', 0)
+        sockets.frames += numbers.get('data_segs_out', 0)
+    return found
+
+
+class Relay:
+    """Counts what an entry exchanges with the store.
+
+    An entry opens a connection for each call, so the counters of its sockets
+    are gone when they could be read. Each chunk counts as one segment with
+    one acknowledgement.
+
+    :param store: port of the store.
+    """
+
+    def __init__(self, store: int) -> None:
+        self._store = store
+        self.port = 0
+        self.connections = 0
+        self.chunks = 0
+        self.payload = 0
+        self._loop = asyncio.new_event_loop()
+        self._listening = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+        self._listening.wait(START_SECONDS)
+
+    @property
+    def wire(self) -> int:
+        """Bytes with headers."""
+        segments = 2 * self.chunks + CONNECTION_SEGMENTS * self.connections
+        return self.payload + segments * SEGMENT_HEADER_BYTES
+
+    def close(self) -> None:
+        """Stop relaying."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(STOP_SECONDS)
+
+    def _run(self) -> None:
+        server = self._loop.run_until_complete(
+            asyncio.start_server(self._accept, LOCAL, 0)
+        )
+        self.port = server.sockets[0].getsockname()[1]
+        self._listening.set()
+        self._loop.run_forever()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        back, forth = await asyncio.open_connection(LOCAL, self._store)
+        await asyncio.gather(
+            self._copy(reader, forth), self._copy(back, writer)
+        )
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                self.chunks += 1
+                self.payload += len(data)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- /dev/null
+++ b/tests/test_bench/test_bench_capacity.py
@@ -0,0 +1,75 @@
+"""Tests of the arithmetic of the capacity measurement."""
+
+import pytest
+
+from bench import capacity
+from bench import capacity_machines
+from bench import capacity_sockets
+from damaskpin.peer import membership
+
+
+def test_line_gives_base_and_slope():
+    # A base taken for a slope would be multiplied by the design size.
+    line = capacity.fit_line([(10, 130.0), (60, 180.0), (500, 620.0)])
+    assert line.base == pytest.approx(120.0)
+    assert line.slope == pytest.approx(1.0)
+    assert line.at(1500) == pytest.approx(1620.0)
+
+
+def test_line_needs_two_sizes():
+    # One size measured twice says nothing about another size.
+    with pytest.raises(ValueError, match='two different sizes'):
+        capacity.fit_line([(10, 1.0), (10, 2.0)])
+
+
+def test_headers_of_small_exchanges_are_counted():
+    # Without headers, heartbeats look as if they fitted their budget.
+    assert capacity_machines.count_wire(200) == 200 + 24 + 3 * 52
+
+
+def test_sockets_of_peers_are_added_for_each_process():
+    # The store, HTTP and other programs are not traffic between daemons.
+    text = (
+        'ESTAB 0 0 127.0.0.1:7001 127.0.0.1:50001 '
+        'users:(("python",pid=11,fd=9)) bytes_sent:100 bytes_acked:100 '
+        'bytes_received:50 segs_out:3 segs_in:4 data_segs_out:2\n'
+        'ESTAB 0 0 127.0.0.1:50002 127.0.0.1:7002 '
+        'users:(("python",pid=11,fd=8)) bytes_received:7 segs_out:1 '
+        'segs_in:1\n'
+        'ESTAB 0 0 127.0.0.1:50003 127.0.0.1:2379 '
+        'users:(("python",pid=11,fd=7)) bytes_sent:999 segs_out:9\n'
+        'ESTAB 0 0 127.0.0.1:7001 127.0.0.1:50004 bytes_sent:999\n'
+    )
+    found = capacity_sockets.parse_sockets(text, {7001, 7002})
+    assert set(found) == {11}
+    assert found[11].payload == 157
+    assert found[11].segments == 9
+    assert found[11].frames == 2
+    assert found[11].wire == 157 + 9 * 52
+
+
+def test_configuration_is_charged_to_link_and_entries():
+    # One copy crosses a link for each data centre outside the store's region.
+    rates = capacity.compute_config_rates(90_000)
+    assert rates['other entry'] == pytest.approx(90_000 * 560 / 86_400)
+    assert rates['between regions'] == pytest.approx(
+        8 * 120_000 * 560 / 86_400
+    )
+    assert rates['seconds of the link'] == pytest.approx(0.512)
+
+
+@pytest.mark.parametrize('agents', [5, 60])
+def test_membership_is_paced_at_every_size(agents):
+    # Reports that go to another entry, or are not paced, would make every
+    # figure of the page wrong. The budgets of agents, of the region and of
+    # other regions allow 9 exchanges a second, 5 of them with agents.
+    seconds = 24.0
+    rates = capacity_machines.measure_membership(agents, 4, seconds)
+    budget = (
+        membership.AGENT_BYTES_PER_S
+        + membership.REGION_BYTES_PER_S
+        + membership.REMOTE_BYTES_PER_S
+    )
+    assert 5 * seconds <= rates.exchanges
+    assert rates.exchanges <= budget / membership.HEARTBEAT_BYTES * seconds
+    assert rates.wire > rates.encoded > 0
