--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -138,13 +138,20 @@
             f'  {size:3} members: encoded {found["lead_bytes_per_second"]}, '
             f'wire {wire:.0f}, exchanges {exchanges:.2f}'
         )
-    rates = measure_busy_agent(10.0)
-    print(f'agent whose busy slots change: {format_rates(rates, 10.0)}')
+    print('one agent whose busy slots change all the time')
+    for entries in (1, 4, 12, 24):
+        rates = measure_busy_agent(entries, 10.0)
+        print(
+            f'  its home of {entries:2} entries: {format_rates(rates, 10.0)}'
+        )
 
 
-def measure_busy_agent(seconds: float) -> machines.Rates:
-    """Return the traffic of an agent with a change in every tick."""
-    fleet = machines.Fleet(1, {0: 1})
+def measure_busy_agent(entries: int, seconds: float) -> machines.Rates:
+    """Return the traffic of a home with one agent that changes in every tick.
+
+    :param entries: number of entries; with one, the agent causes it all.
+    """
+    fleet = machines.Fleet(entries, {0: 1}, alone=True)
     fleet.run(10.0)
     name, agent = next(iter(fleet.agents.items()))
     fleet.reset()
@@ -157,7 +164,9 @@
             fleet.now,
             msgspec.structs.replace(agent.state, targets=(target,)),
         )
-        fleet._apply(name, agent.tick(fleet.now))
+        fleet.apply(name, agent.tick(fleet.now))
+        entry = fleet.entries[fleet.observed]
+        fleet.apply(fleet.observed, entry.tick(fleet.now))
     return fleet.one
 
 
@@ -222,9 +231,10 @@
     for _ in range(TICK_CALLS):
         observed.tick(fleet.now)
     cost = (time.process_time() - started) / TICK_CALLS
+    rate = 1 / machines.DAEMON_TICK_S
     print(
-        f'  tick {cost * 1e6:.0f} us, core {cost / machines.DAEMON_TICK_S:.4f} at '
-        f'{1 / machines.DAEMON_TICK_S:.0f} ticks/s'
+        f'  tick {cost * 1e6:.0f} us, core {cost * rate:.4f} at '
+        f'{rate:.0f} ticks/s'
     )
 
 
--- a/bench/capacity_machines.py
+++ b/bench/capacity_machines.py
@@ -84,7 +84,7 @@
                 self.agents[name] = homes.AgentHome(state, 0.0)
         peers = [entry.peer for entry in self.entries.values()]
         for name, entry in self.entries.items():
-            self._apply(name, entry.learn_entries(0.0, peers))
+            self.apply(name, entry.learn_entries(0.0, peers))
         for agent in self.agents.values():
             agent.learn_entries(0.0, peers)
 
@@ -98,9 +98,9 @@
                 outputs = self.entries[name].tick(self.now)
                 if name == self.observed:
                     self.one.processor += time.process_time() - started
-                self._apply(name, outputs)
+                self.apply(name, outputs)
             for name in list(self.agents):
-                self._apply(name, self.agents[name].tick(self.now))
+                self.apply(name, self.agents[name].tick(self.now))
 
     def reset(self) -> None:
         """Count from here."""
@@ -118,9 +118,10 @@
         """Give every entry the list of the store."""
         peers = [entry.peer for entry in self.entries.values()]
         for name, entry in self.entries.items():
-            self._apply(name, entry.learn_entries(self.now, peers))
+            self.apply(name, entry.learn_entries(self.now, peers))
 
-    def _apply(self, name: str, outputs: list[membership.Output]) -> None:
+    def apply(self, name: str, outputs: list[membership.Output]) -> None:
+        """Deliver what a machine asked for."""
         calls: dict[str, list[messages.Message]] = {}
         for output in outputs:
             if isinstance(output, effects.Send):
@@ -154,8 +155,8 @@
             for output in produced
             if not (isinstance(output, effects.Send) and output.to == sender)
         ]
-        self._apply(to, rest)
-        self._apply(sender, answers)
+        self.apply(to, rest)
+        self.apply(sender, answers)
 
     def _receive(
         self, name: str, sender: str, batch: list[messages.Message]
