--- a/damaskpin/caller/server.py
+++ b/damaskpin/caller/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import hmac
+import http
 import logging
 import re
 from typing import Any
@@ -16,13 +17,13 @@
 
 from damaskpin import errors
 from damaskpin import verdict as verdicts
+from damaskpin.caller import body_limit
 from damaskpin.caller import problems
 from damaskpin.model import config as configs
 from damaskpin.model import job as jobs
 
 LOG = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 1_000_000
 MAX_HEADER_BYTES = 32 * 1024
 MAX_KEY_CHARS = 256
 MAX_DEADLINE_S = 24 * 3600.0
@@ -30,6 +31,9 @@
 
 _TRACE_PATTERN = re.compile(r'^00-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$')
 
+# Revisions of the store are 64-bit integers.
+_REVISION_PATTERN = re.compile(r'^[0-9]{1,18}$')
+
 
 class Call(msgspec.Struct, frozen=True, kw_only=True):
     """A service request as a caller sent it.
@@ -138,24 +142,27 @@
         error = kwargs.get('exc_info', (None, None, None))[1]
         match error:
             case errors.RequestError():
-                verdict = 'not-run' if error.status < 500 else ''
-                if error.retry_after is not None:
-                    verdict = 'not-run'
-                if verdict:
-                    self.set_header('Damaskpin-Verdict', verdict)
-                problems.write_problem(self, error, verdict)
+                self._refuse(error)
             case web.HTTPError():
-                problems.write_problem(
-                    self,
-                    errors.RequestError(
-                        status_code, error.reason or 'Request refused'
-                    ),
+                phrase = http.HTTPStatus(status_code).phrase
+                self._refuse(
+                    errors.RequestError(status_code, error.reason or phrase)
                 )
             case _:
                 problems.write_problem(
                     self, errors.RequestError(500, 'Internal error')
                 )
 
+    def _refuse(self, error: errors.RequestError) -> None:
+        # Only POST starts work. A refused question about a job says nothing
+        # about whether the job has run.
+        starts_work = self.request.method == 'POST'
+        refused = error.status < 500 or error.retry_after is not None
+        verdict = 'not-run' if starts_work and refused else ''
+        if verdict:
+            self.set_header('Damaskpin-Verdict', verdict)
+        problems.write_problem(self, error, verdict)
+
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log refused requests shortly and faults with their trace."""
         if isinstance(value, errors.RequestError | web.HTTPError):
@@ -324,7 +331,11 @@
 
     async def get(self, work: str) -> None:
         """List what was decided, when, by which process and why."""
-        self.write_reply(await self.api.explain(self.get_account().name, work))
+        self.write_reply(
+            await self.api.explain(
+                self.get_account().name, work, bool(self.on_behalf)
+            )
+        )
 
 
 class MembersHandler(BaseHandler):
@@ -348,7 +359,7 @@
         """Propose a configuration by compare-and-swap."""
         self.check_operator()
         condition = self.request.headers.get('If-Match', '').strip('"')
-        if not condition.isdigit():
+        if not _REVISION_PATTERN.match(condition):
             raise errors.RequestError(
                 428,
                 'Condition missing',
@@ -474,8 +485,8 @@
         default_handler_args=context,
     )
     return httpserver.HTTPServer(
-        application,
-        max_body_size=MAX_BODY_BYTES,
+        body_limit.BodyLimit(application),
+        max_body_size=body_limit.MAX_DISCARDED_BYTES,
         max_header_size=MAX_HEADER_BYTES,
         idle_connection_timeout=300,
     )
--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -18,6 +18,7 @@
 from damaskpin import effects
 from damaskpin import errors
 from damaskpin import logs
+from damaskpin.caller import body_limit
 from damaskpin.caller import server as caller_server
 from damaskpin.daemon import node as nodes
 from damaskpin.gang import member as members
@@ -408,7 +409,7 @@
             ]
         )
         return httpserver.HTTPServer(
-            application, max_body_size=caller_server.MAX_BODY_BYTES
+            application, max_body_size=body_limit.MAX_BODY_BYTES
         )
 
     def render_metrics(self) -> bytes:
--- a/damaskpin/daemon/api.py
+++ b/damaskpin/daemon/api.py
@@ -93,7 +93,10 @@
 
     def check_peer(self, header: str) -> None:
         """Refuse processes that don't know the fleet key."""
-        if not hmac.compare_digest(header, f'Bearer {self._peer_token}'):
+        # Text that is not ASCII cannot be compared, bytes can.
+        if not hmac.compare_digest(
+            header.encode(), f'Bearer {self._peer_token}'.encode()
+        ):
             raise errors.RequestError(401, 'Token unknown')
 
     def check_operator(self, header: str) -> None:
