Read flags of the command line as they are written, and test settings

Cause: fire hands "--idempotent false" on as the text "false", which counts as true, so a request that may run only once was sent as idempotent. DAMASKPIN_SEEDS and DAMASKPIN_ENTRIES had to be JSON, while the flags take commas, and the refusal of a malformed list named neither flag nor value.

Change: flags, deadlines and priorities are checked before anything is sent (exit code 2). Lists are separated by commas in variables too, which needs NoDecode of pydantic-settings 2.7. A list as JSON is no longer read; nothing in the repository used it.

--- a/damaskpin/cli.py
+++ b/damaskpin/cli.py
@@ -23,6 +23,9 @@
     from collections.abc import Coroutine
     from collections.abc import Mapping
 
+# As in ``damaskpin.caller.server``, whose imports a command does without.
+MAX_DEADLINE_S = 24 * 3600.0
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -177,14 +180,17 @@
         :param deadline: seconds to wait.
         :param priority: urgent, high, normal or low.
         """
+        _parse_priority(priority)
+        repeatable = _parse_flag('idempotent', idempotent)
+        seconds = _parse_deadline(deadline)
 
         async def call(client: clients.Client) -> clients.Response:
             return await client.run(
-                service,
+                str(service),
                 str(body).encode(),
-                idempotent=idempotent,
-                key=key,
-                deadline=deadline,
+                idempotent=repeatable,
+                key=str(key),
+                deadline=seconds,
                 priority=priority,
             )
 
@@ -226,14 +232,17 @@
                 'run_seconds': run_seconds,
                 'priority': _parse_priority(priority),
                 'deadline_seconds': deadline,
-                'idempotent': idempotent,
+                'idempotent': _parse_flag('idempotent', idempotent),
                 'shape': shape,
                 'command': [str(part) for part in command],
             }
         )
+        attached = _parse_flag('wait', wait)
 
         async def call(client: clients.Client) -> clients.Response:
-            return await client.submit(spec, detached=not wait, key=key)
+            return await client.submit(
+                spec, detached=not attached, key=str(key)
+            )
 
         response = _call(flags, call)
         _exit_on_verdict(response)
@@ -402,7 +411,9 @@
         raise errors.SettingsError(str(error)) from error
 
 
-def _parse_priority(text: str) -> int:
+def _parse_priority(value: Any) -> int:
+    # fire turns values that look like numbers into numbers.
+    text = str(value)
     try:
         return jobs.Priority[text.upper()].value
     except KeyError:
@@ -412,5 +423,31 @@
         ) from None
 
 
+def _parse_flag(name: str, value: Any) -> bool:
+    # fire leaves "false" as text, which would count as true.
+    match str(value).lower():
+        case 'true':
+            return True
+        case 'false':
+            return False
+    raise errors.SettingsError(
+        f'--{name} (no variable): {value!r} is not one of true, false'
+    )
+
+
+def _parse_deadline(value: Any) -> float:
+    try:
+        seconds = float(value)
+    except (TypeError, ValueError):
+        seconds = -1.0
+    # The comparison is also false for not-a-number.
+    if 0 < seconds <= MAX_DEADLINE_S:
+        return seconds
+    raise errors.SettingsError(
+        f'--deadline (no variable): {value!r} is not above 0 and at most '
+        f'{MAX_DEADLINE_S:g} s'
+    )
+
+
 def _print(document: Any) -> None:
     print(json.dumps(document, sort_keys=True))
--- a/damaskpin/settings.py
+++ b/damaskpin/settings.py
@@ -28,6 +28,8 @@
     str, pydantic.Field(pattern=r'^tcp://[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$')
 ]
 HttpUrl = Annotated[str, pydantic.Field(pattern=r'^https?://[^\s/]+$')]
+# Lists are separated by commas, in variables as in flags.
+UrlList = Annotated[list[HttpUrl], pydantic_settings.NoDecode]
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 
 
@@ -38,11 +40,18 @@
         env_prefix=ENV_PREFIX, extra='forbid', frozen=True
     )
 
+    @pydantic.field_validator(
+        *LIST_SETTINGS, mode='before', check_fields=False
+    )
+    @classmethod
+    def _split(cls, value: Any) -> Any:
+        return _split_list(value)
+
 
 class ClientSettings(BaseSettings):
     """Settings of the commands that call an entry."""
 
-    entries: list[HttpUrl] = pydantic.Field(
+    entries: UrlList = pydantic.Field(
         ['http://127.0.0.1:8080'],
         min_length=1,
         description='URLs of the entries or of their balancer',
@@ -71,7 +80,7 @@
         '127.0.0.1', description='IP address of the HTTP server'
     )
     http_port: Port = pydantic.Field(description='port of the HTTP server')
-    seeds: list[HttpUrl] = pydantic.Field(
+    seeds: UrlList = pydantic.Field(
         [], description='URLs of the balancer in front of the entries'
     )
     fleet_key: pydantic.SecretStr = pydantic.Field(
@@ -158,12 +167,8 @@
             problems.append(f'unknown variable {variable}')
     if problems:
         raise errors.SettingsError('; '.join(problems))
-    values = {
-        name: _split_list(value) if name in LIST_SETTINGS else value
-        for name, value in flags.items()
-    }
     try:
-        return declaration(**values)
+        return declaration(**flags)
     except pydantic.ValidationError as error:
         raise errors.SettingsError(
             '; '.join(
@@ -196,6 +201,8 @@
 def _split_list(value: Any) -> Any:
     # fire turns "a,b" into a tuple and leaves a single value as text.
     match value:
+        case '':
+            return []
         case str():
             return value.split(',')
         case tuple():
--- /dev/null
+++ b/tests/test_cli/test_cli_settings.py
@@ -0,0 +1,255 @@
+"""Tests of settings and exit codes of the command line."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from damaskpin import cli
+from damaskpin import errors
+from damaskpin import settings
+from damaskpin.caller import client as clients
+from damaskpin.model import config as configs
+from tests.test_daemon import fleet as fleets
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+TIMEOUT_S = 30.0
+SECRET = 'a-secret-that-no-text-shows'
+VALID = {
+    'instance': 'entry-1',
+    'region': 'gauteng',
+    'data_centre': 'sandton',
+    'listen': 'tcp://127.0.0.1:9000',
+    'http_port': 8080,
+    'fleet_key': SECRET,
+    'store': 'http://127.0.0.1:2379',
+}
+
+
+@pytest.fixture(autouse=True)
+def clean_environment(monkeypatch):
+    """Remove the variables of the machine that runs the tests."""
+    for name in list(os.environ):
+        if name.startswith(settings.ENV_PREFIX):
+            monkeypatch.delenv(name)
+
+
+def run_command(
+    *arguments: str, **variables: str
+) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, '-m', 'damaskpin', *arguments],
+        cwd=ROOT,
+        env={**os.environ, **variables},
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+
+
+def load_entry(**changes):
+    return settings.load_settings(settings.EntrySettings, {**VALID, **changes})
+
+
+def test_valid_settings_are_taken():
+    """Guards against a test that refuses everything."""
+    assert load_entry().http_port == 8080
+    assert load_entry(seeds='http://a:1,http://b:2').seeds == [
+        'http://a:1',
+        'http://b:2',
+    ]
+
+
+@pytest.mark.parametrize(
+    ('name', 'value', 'allowed'),
+    [
+        ('http_port', 70000, '0 to 65535'),
+        ('http_port', -1, '0 to 65535'),
+        ('http_port', 'eighty', '0 to 65535'),
+        ('drain_timeout', -0.5, '0 to 3600'),
+        ('drain_timeout', float('nan'), '0 to 3600'),
+        ('drain_timeout', float('inf'), '0 to 3600'),
+        ('max_requests', 0, '1 to 100000'),
+        ('max_jobs', 10**30, '1 to 1000000'),
+        ('instance', 'a b', 'text matching'),
+        ('instance', '', 'text matching'),
+        ('listen', 'tcp://host.example:1', 'text matching'),
+        ('store', 'ftp://127.0.0.1', 'text matching'),
+        ('seeds', 'http://a:1,b', 'text matching'),
+        ('log_level', 'LOUD', 'text matching'),
+        ('operator_token_sha256', 'abc', 'text matching'),
+    ],
+)
+@pytest.mark.parametrize('source', ['flag', 'variable'])
+def test_refusal_names_all_of_a_setting(
+    monkeypatch, source, name, value, allowed
+):
+    """Guards against a refusal that does not tell what to change."""
+    variable = settings.ENV_PREFIX + name.upper()
+    if source == 'variable':
+        monkeypatch.setenv(variable, str(value))
+    values = {**VALID, name: value}
+    if source == 'variable':
+        del values[name]
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.load_settings(settings.EntrySettings, values)
+    text = str(caught.value)
+    assert '--' + name.replace('_', '-') in text
+    assert variable in text
+    assert str(value).rpartition(',')[2] in text
+    assert allowed in text
+
+
+def test_list_variable_is_split_like_its_flag(monkeypatch):
+    """Guards against lists that need another form in the environment."""
+    monkeypatch.setenv('DAMASKPIN_SEEDS', 'http://a:1,http://b:2')
+    assert load_entry().seeds == ['http://a:1', 'http://b:2']
+
+
+def test_missing_setting_is_named():
+    """Guards against a daemon that starts without a required setting."""
+    values = {**VALID}
+    del values['store']
+    with pytest.raises(
+        errors.SettingsError, match=r'--store \(DAMASKPIN_STORE\)'
+    ):
+        settings.load_settings(settings.EntrySettings, values)
+
+
+def test_refusal_shows_no_secret():
+    """Guards against secrets in error messages."""
+    with pytest.raises(errors.SettingsError) as caught:
+        load_entry(fleet_key='short-secret')
+    assert 'short-secret' not in str(caught.value)
+    assert '--fleet-key (DAMASKPIN_FLEET_KEY)' in str(caught.value)
+    assert 'at least 16 characters' in str(caught.value)
+
+
+def test_unknown_flag_and_variable_are_refused(monkeypatch):
+    """Guards against a misspelt setting that is silently left out."""
+    monkeypatch.setenv('DAMASKPIN_HTTP_PROT', '1')
+    with pytest.raises(errors.SettingsError) as caught:
+        load_entry(http_prot=1)
+    assert 'unknown flag --http-prot' in str(caught.value)
+    assert 'unknown variable DAMASKPIN_HTTP_PROT' in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'words'),
+    [
+        (['entry', '--http-port', '70000'], 'DAMASKPIN_HTTP_PORT'),
+        (['entry', '--colour', 'red'], 'unknown flag --colour'),
+        (['status', '--colour', 'red'], 'unknown flag --colour'),
+        (['submit', '0'], 'accelerators'),
+        (['submit', 'many'], 'accelerators'),
+        (['submit', '1', '--priority', 'royal'], 'urgent, high'),
+        (['submit', '1', '--priority', '1'], 'urgent, high'),
+        (['submit', '1', '--idempotent', 'maybe'], '--idempotent'),
+        (['submit', '1', '--wait', 'maybe'], '--wait'),
+        (['request', 'a', '--priority', '1'], 'urgent, high'),
+        (['request', 'a', '--deadline', 'soon'], '--deadline'),
+        (['request', 'a', '--deadline', '-1'], '--deadline'),
+        (['request', 'a', '--idempotent', 'maybe'], '--idempotent'),
+        (['settings', 'cook'], 'entry, agent, client'),
+        (['config', 'check', 'no-such-file.json'], 'no-such-file.json'),
+        (['request'], 'service'),
+        (['fly'], 'fly'),
+    ],
+)
+def test_wrong_usage_exits_with_2(arguments, words):
+    """Guards against usage errors with a trace or another exit code."""
+    done = run_command(*arguments)
+    assert done.returncode == cli.EXIT_USAGE, done.stderr
+    assert words in done.stderr
+    assert 'Traceback' not in done.stderr
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'), [('false', False), ('False', False), ('true', True)]
+)
+def test_idempotent_flag_is_read_as_written(monkeypatch, text, expected):
+    """Guards against "--idempotent false" that allows a second run."""
+    sent = {}
+
+    async def run(self, service, body, **options):
+        sent.update(options)
+        return clients.Response(200, b'', 'ran', 'r-1')
+
+    monkeypatch.setattr(clients.Client, 'run', run)
+    monkeypatch.setattr(
+        sys,
+        'argv',
+        ['damaskpin', 'request', 'a', '--idempotent', text, '--key', '12'],
+    )
+    cli.main()
+    assert sent['idempotent'] is expected
+    assert sent['key'] == '12'
+
+
+def test_unreachable_entry_exits_with_6():
+    """Guards against an outage that looks like a refusal."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        url = f'http://127.0.0.1:{probe.getsockname()[1]}'
+        done = run_command('status', '--entries', url)
+    assert done.returncode == cli.EXIT_UNREACHABLE, done.stderr
+    assert url in done.stderr
+
+
+def test_rejected_configuration_exits_with_7(tmp_path):
+    """Guards against an invalid configuration that looks accepted."""
+    file = tmp_path / 'config.json'
+    for text in (b'{', b'{"colour": 1}', b'\xff', _make_infeasible()):
+        file.write_bytes(text)
+        done = run_command('config', 'check', str(file))
+        assert done.returncode == cli.EXIT_REJECTED, done.stderr
+        assert done.stderr.startswith('damaskpin: ')
+        assert 'Traceback' not in done.stderr
+
+
+def test_valid_configuration_exits_with_0(tmp_path):
+    """Guards against a check that rejects everything."""
+    file = tmp_path / 'config.json'
+    file.write_bytes(configs.format_config(fleets.make_config(2)))
+    done = run_command('config', 'check', str(file))
+    assert done.returncode == cli.EXIT_OK, done.stderr
+
+
+def test_refused_token_exits_with_3(tmp_path):
+    """Guards against a refusal that looks like success."""
+    fleet = fleets.Fleet(tmp_path, 1, 0)
+    try:
+        fleet.start_all()
+        _wait_open(fleet.urls[0])
+        done = run_command(
+            'status',
+            '--entries',
+            fleet.urls[0],
+            DAMASKPIN_TOKEN=SECRET,
+        )
+    finally:
+        fleet.stop_all()
+    assert done.returncode == cli.EXIT_REFUSED, done.stderr
+    assert 'Token unknown' in done.stderr
+    assert SECRET not in done.stderr
+
+
+def _make_infeasible() -> bytes:
+    return configs.format_config(fleets.make_config(0))
+
+
+def _wait_open(url: str) -> None:
+    address = url.removeprefix('http://').split(':')
+
+    async def is_open() -> bool:
+        with socket.create_connection((address[0], int(address[1])), 1.0):
+            return True
+
+    asyncio.run(fleets.wait_for(is_open, fleets.START_TIMEOUT_S))
