Split the HTTP server of an entry

Change: handlers (callers), operations (operators, balancer, peers), headers (values and their ranges), interface (what handlers need of an entry) and server (routes). No behaviour changes. Ruled out: keeping the names in server as aliases; only daemon/api.py used them.

--- /dev/null
+++ b/damaskpin/caller/interface.py
@@ -0,0 +1,106 @@
+"""What the handlers need of an entry, and the values they exchange."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin.model import config as configs
+from damaskpin.model import job as jobs
+
+if TYPE_CHECKING:
+    from damaskpin import verdict as verdicts
+
+
+class Call(msgspec.Struct, frozen=True, kw_only=True):
+    """A service request as a caller sent it.
+
+    :ivar key: value of ``Idempotency-Key``; empty for none.
+    :ivar deadline_seconds: seconds after which the caller stops waiting.
+    :ivar trace: W3C trace context; empty for none.
+    """
+
+    account: configs.Account
+    service: str
+    body: bytes
+    content_type: str
+    idempotent: bool
+    key: str
+    priority: jobs.Priority
+    deadline_seconds: float
+    trace: str
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A document for a caller or an operator.
+
+    :ivar headers: further headers of the answer.
+    """
+
+    status: int
+    document: Any
+    headers: dict[str, str] = {}
+    content_type: str = 'application/json'
+
+
+class Api(Protocol):
+    """What the handlers need of an entry."""
+
+    def authenticate(
+        self, header: str, on_behalf: str = ''
+    ) -> configs.Account: ...
+
+    async def run_call(self, call: Call) -> tuple[str, verdicts.Verdict]: ...
+
+    def cancel_call(self, call: Call) -> None: ...
+
+    def issue_key(self, account: configs.Account, service: str) -> Reply: ...
+
+    async def submit_job(
+        self, account: configs.Account, spec: jobs.JobSpec, key: str
+    ) -> Reply: ...
+
+    async def attach_job(
+        self, account: configs.Account, spec: jobs.JobSpec, key: str
+    ) -> tuple[str, verdicts.Verdict]: ...
+
+    async def read_job(
+        self, account: str, job_id: str, forwarded: bool = False
+    ) -> Reply: ...
+
+    async def cancel_job(
+        self, account: str, job_id: str, forwarded: bool = False
+    ) -> Reply: ...
+
+    def list_jobs(self, account: str) -> Reply: ...
+
+    async def explain(
+        self, account: str, work: str, forwarded: bool = False
+    ) -> Reply: ...
+
+    def list_members(self) -> Reply: ...
+
+    def read_config(self) -> Reply: ...
+
+    async def change_config(
+        self, body: bytes, revision: int, token: str
+    ) -> Reply: ...
+
+    async def settle_change(self, token: str) -> Reply: ...
+
+    def list_revisions(self) -> Reply: ...
+
+    def render_report(self, form: str) -> Reply: ...
+
+    def render_metrics(self) -> bytes: ...
+
+    def is_ready(self) -> tuple[bool, str]: ...
+
+    def drain(self) -> None: ...
+
+    def check_operator(self, header: str) -> None: ...
+
+    def check_peer(self, header: str) -> None: ...
--- a/damaskpin/cli.py
+++ b/damaskpin/cli.py
@@ -23,7 +23,7 @@
     from collections.abc import Coroutine
     from collections.abc import Mapping
 
-# As in ``damaskpin.caller.server``, whose imports a command does without.
+# As in ``damaskpin.caller.headers``, whose imports a command does without.
 MAX_DEADLINE_S = 24 * 3600.0
 
 EXIT_OK = 0
--- a/damaskpin/daemon/api.py
+++ b/damaskpin/daemon/api.py
@@ -16,6 +16,7 @@
 
 from damaskpin import errors
 from damaskpin import verdict as verdicts
+from damaskpin.caller import interface
 from damaskpin.caller import server as caller_server
 from damaskpin.daemon import agent as agents
 from damaskpin.daemon import jobs as job_desks
@@ -35,7 +36,7 @@
 
 LOG = logging.getLogger(__name__)
 
-Reply = caller_server.Reply
+Reply = interface.Reply
 
 FORWARD_TIMEOUT_S = 2.0
 ACCOUNT_HEADER = 'Damaskpin-Account'
@@ -110,7 +111,7 @@
     # Requests to services
 
     async def run_call(
-        self, call: caller_server.Call
+        self, call: interface.Call
     ) -> tuple[str, verdicts.Verdict]:
         """Run a service request and wait for its verdict."""
         entry = self._entry
@@ -141,7 +142,7 @@
         finally:
             del self._calls[id(call)]
 
-    def cancel_call(self, call: caller_server.Call) -> None:
+    def cancel_call(self, call: interface.Call) -> None:
         """End the request of a caller that hung up."""
         request_id = self._calls.get(id(call))
         if request_id is not None:
