--- a/damaskpin/daemon/api.py
+++ b/damaskpin/daemon/api.py
@@ -16,6 +16,7 @@
 
 from damaskpin import errors
 from damaskpin import verdict as verdicts
+from damaskpin.caller import interface
 from damaskpin.caller import server as caller_server
 from damaskpin.caller import tokens
 from damaskpin.daemon import jobs as job_desks
@@ -35,7 +36,7 @@
 
 LOG = logging.getLogger(__name__)
 
-Reply = caller_server.Reply
+Reply = interface.Reply
 
 FORWARD_TIMEOUT_S = 2.0
 ACCOUNT_HEADER = 'Damaskpin-Account'
@@ -97,7 +98,10 @@
 
     def check_peer(self, header: str) -> None:
         """Refuse processes that don't know the fleet key."""
-        if not hmac.compare_digest(header, f'Bearer {self._peer_token}'):
+        # Text that is not ASCII cannot be compared, bytes can.
+        if not hmac.compare_digest(
+            header.encode(), f'Bearer {self._peer_token}'.encode()
+        ):
             raise errors.RequestError(401, 'Token unknown')
 
     def check_operator(self, header: str) -> None:
@@ -111,7 +115,7 @@
     # Requests to services
 
     async def run_call(
-        self, call: caller_server.Call
+        self, call: interface.Call
     ) -> tuple[str, verdicts.Verdict]:
         """Run a service request and wait for its verdict."""
         entry = self._entry
@@ -142,7 +146,7 @@
         finally:
             del self._calls[id(call)]
 
-    def cancel_call(self, call: caller_server.Call) -> None:
+    def cancel_call(self, call: interface.Call) -> None:
         """End the request of a caller that hung up."""
         request_id = self._calls.get(id(call))
         if request_id is not None:
--- a/damaskpin/daemon/local.py
+++ b/damaskpin/daemon/local.py
@@ -7,7 +7,7 @@
 from tornado import httpserver
 from tornado import web
 
-from damaskpin.caller import server as caller_server
+from damaskpin.caller import body_limit
 from damaskpin.target import announcements
 
 if TYPE_CHECKING:
@@ -77,5 +77,5 @@
         ]
     )
     return httpserver.HTTPServer(
-        application, max_body_size=caller_server.MAX_BODY_BYTES
+        application, max_body_size=body_limit.MAX_BODY_BYTES
     )
