Keep heartbeats within their byte budget

Cause: docs/CAPACITY.md: an exchange costs 395 bytes with an agent and 550 with an entry, not 300; an agent whose slots change reported ten times a second and its home forwarded each change to the region; the version of the entry list covered other regions, so every entry that came or went made all agents fetch an unchanged list. Ruled out: a longer cap of the interval (dead agents would be found later). Change: the pace uses the measured sizes, busy slots wait for the heartbeat and are not forwarded, and the version covers the region only.

--- a/damaskpin/peer/home.py
+++ b/damaskpin/peer/home.py
@@ -29,6 +29,7 @@
     """
 
     __slots__ = (
+        '_busy_changed',
         '_entries',
         '_failed',
         '_heard',
@@ -54,6 +55,7 @@
         self._next_probe = now
         self._heard = now
         self._send_full = True
+        self._busy_changed = False
 
     @property
     def home(self) -> str:
@@ -98,6 +100,11 @@
         )
         if current == self.state:
             return
+        if _without_busy(current) == _without_busy(self.state):
+            # Slots change with every request; they wait for the heartbeat.
+            self.state = current
+            self._busy_changed = True
+            return
         self.state = msgspec.structs.replace(
             state,
             sequence=self.state.sequence + 1,
@@ -152,12 +159,13 @@
             return outputs
         self._last_report = now
         state = None
-        if self._send_full:
+        if self._send_full or self._busy_changed:
             self.state = msgspec.structs.replace(
                 self.state, uptime=self.get_uptime(now)
             )
             state = self.state
             self._send_full = False
+            self._busy_changed = False
         report = messages.AgentReport(
             self.state.peer.instance,
             self.state.peer.incarnation,
@@ -211,3 +219,10 @@
         # share of the agents.
         text = f'{peer.instance}/{self.state.peer.instance}'
         return hashlib.sha256(text.encode()).digest()
+
+
+def _without_busy(state: messages.AgentState) -> messages.AgentState:
+    targets = tuple(
+        msgspec.structs.replace(target, busy=0) for target in state.targets
+    )
+    return msgspec.structs.replace(state, targets=targets)
--- a/damaskpin/peer/membership.py
+++ b/damaskpin/peer/membership.py
@@ -18,7 +18,8 @@
 # 3 KB/s: agents take half of it, entries of the region and of other regions
 # share the rest. A heartbeat with its reply costs about this many bytes on
 # the wire, headers and acknowledgements included.
-HEARTBEAT_BYTES = 300
+AGENT_HEARTBEAT_BYTES = 400
+ENTRY_HEARTBEAT_BYTES = 550
 AGENT_BYTES_PER_S = 1500
 REGION_BYTES_PER_S = 800
 REMOTE_BYTES_PER_S = 400
@@ -292,10 +293,17 @@
         self, now: float, state: messages.AgentState
     ) -> list[Output]:
         name = state.peer.instance
+        known = self._agents.get(name)
         self._agents[name] = _Agent(
             state, self.peer.instance, now, self._get_agent_interval()
         )
-        self._changed[name] = state
+        # Busy slots alone do not raise the sequence; only the home uses them.
+        if (
+            known is None
+            or known.home != self.peer.instance
+            or known.state.sequence != state.sequence
+        ):
+            self._changed[name] = state
         return [AddressLearned(state.peer), AgentChanged(state)]
 
     def _receive_beat(
@@ -510,7 +518,8 @@
             agent.home == self.peer.instance for agent in self._agents.values()
         )
         return _pace(
-            count, AGENT_BYTES_PER_S, MIN_INTERVAL_S, MAX_AGENT_INTERVAL_S
+            count * AGENT_HEARTBEAT_BYTES / AGENT_BYTES_PER_S,
+            MAX_AGENT_INTERVAL_S,
         )
 
     def _get_entry_interval(self, entry: _Entry) -> float:
@@ -520,21 +529,22 @@
             for other in self._entries.values()
         )
         budget = REGION_BYTES_PER_S if near else REMOTE_BYTES_PER_S
-        return _pace(count, budget, MIN_INTERVAL_S, MAX_ENTRY_INTERVAL_S)
+        return _pace(
+            count * ENTRY_HEARTBEAT_BYTES / budget, MAX_ENTRY_INTERVAL_S
+        )
 
     def _update_version(self) -> None:
         text = ','.join(
             f'{peer.instance}:{peer.incarnation}'
             for peer in self.list_entries()
-            if not self._is_draining(peer.instance)
+            if peer.region == self.peer.region
+            and not self._is_draining(peer.instance)
         )
         self._version = f'{zlib.crc32(text.encode()):x}'
 
 
-def _pace(
-    count: int, bytes_per_second: float, low: float, high: float
-) -> float:
-    return min(max(count * HEARTBEAT_BYTES / bytes_per_second, low), high)
+def _pace(seconds: float, longest: float) -> float:
+    return min(max(seconds, MIN_INTERVAL_S), longest)
 
 
 def _replace_revision(
--- a/tests/test_peer/test_peer_home.py
+++ b/tests/test_peer/test_peer_home.py
@@ -1,5 +1,7 @@
 """Tests of the home entry of an agent."""
 
+import msgspec
+
 from damaskpin import effects
 from damaskpin.peer import home as homes
 from damaskpin.peer import messages
@@ -90,6 +92,26 @@
         assert home.home == 'far'
 
 
+def test_busy_slots_wait_for_the_heartbeat():
+    """Guards against ten reports a second from an agent under load."""
+    home = make_home()
+    home.tick(10.0)
+    targets = (messages.TargetState('shortlist', 8, 1),)
+    home.set_state(10.0, msgspec.structs.replace(home.state, targets=targets))
+    home.tick(10.2)
+    sequence = home.state.sequence
+    reports = []
+    for step in range(8):
+        now = 10.3 + 0.1 * step
+        busy = (messages.TargetState('shortlist', 8, step % 3),)
+        home.set_state(now, msgspec.structs.replace(home.state, targets=busy))
+        reports += home.tick(now)
+    assert reports == []
+    assert home.state.sequence == sequence
+    (send,) = home.tick(11.3)
+    assert send.message.state.targets == busy
+
+
 def test_list_of_a_seed_has_no_version():
     """Guards against a seed's list that the home never replaces.
 
