Say "may have run" when the outcome of a submission is unknown

Cause: a POST that ended with 504 "Outcome unknown" or with an internal error carried no verdict, so the command line took it for a refusal (exit code 3) although the job may have been recorded.

--- a/damaskpin/caller/handlers.py
+++ b/damaskpin/caller/handlers.py
@@ -46,17 +46,15 @@
                     errors.RequestError(status_code, error.reason or phrase)
                 )
             case _:
-                problems.write_problem(
-                    self, errors.RequestError(500, 'Internal error')
-                )
+                self._refuse(errors.RequestError(500, 'Internal error'))
 
     def _refuse(self, error: errors.RequestError) -> None:
         # Only POST starts work. A refused question about a job says nothing
         # about whether the job has run.
-        starts_work = self.request.method == 'POST'
-        refused = error.status < 500 or error.retry_after is not None
-        verdict = 'not-run' if starts_work and refused else ''
-        if verdict:
+        verdict = ''
+        if self.request.method == 'POST':
+            refused = error.status < 500 or error.retry_after is not None
+            verdict = 'not-run' if refused else 'may-have-run'
             self.set_header('Damaskpin-Verdict', verdict)
         problems.write_problem(self, error, verdict)
 
--- /dev/null
+++ b/tests/test_caller/test_caller_handlers.py
@@ -0,0 +1,69 @@
+"""Tests of the handlers over an entry that fails."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from typing import TYPE_CHECKING
+
+import pytest
+from tornado import httpclient
+from tornado import testing
+
+from damaskpin import errors
+from damaskpin.caller import interface
+from damaskpin.caller import problems
+from damaskpin.caller import server
+from tests.test_daemon import fleet as fleets
+
+if TYPE_CHECKING:
+    from damaskpin.model import config as configs
+
+
+class FailingApi:
+    """Fails each submission with a given error."""
+
+    def __init__(self, error: Exception) -> None:
+        self._error = error
+
+    def authenticate(self, header: str, on_behalf: str) -> configs.Account:
+        return fleets.make_config(2).accounts[0]
+
+    async def submit_job(self, *arguments: Any) -> interface.Reply:
+        raise self._error
+
+
+@pytest.mark.parametrize(
+    ('error', 'status', 'verdict'),
+    [
+        (errors.RequestError(504, 'Outcome unknown'), 504, 'may-have-run'),
+        (RuntimeError('a fault'), 500, 'may-have-run'),
+        (errors.RequestError(503, 'Busy', 'full', 2.0), 503, 'not-run'),
+        (errors.RequestError(422, 'Key reused'), 422, 'not-run'),
+    ],
+)
+def test_failed_submission_has_a_true_verdict(error, status, verdict):
+    """Guards against an unknown outcome that carries no verdict."""
+
+    async def submit() -> httpclient.HTTPResponse:
+        socket, port = testing.bind_unused_port(address='127.0.0.1')
+        listening = server.make_server(FailingApi(error))
+        listening.add_socket(socket)
+        client = httpclient.AsyncHTTPClient(force_instance=True)
+        try:
+            return await client.fetch(
+                f'http://127.0.0.1:{port}/v1/jobs',
+                method='POST',
+                body=b'{"accelerators": 1}',
+                headers={'Prefer': 'respond-async'},
+                raise_error=False,
+            )
+        finally:
+            client.close()
+            listening.stop()
+
+    answer = asyncio.run(submit())
+    assert answer.code == status
+    assert answer.headers['Damaskpin-Verdict'] == verdict
+    assert answer.headers['Content-Type'] == problems.CONTENT_TYPE
+    assert b'a fault' not in answer.body
