--- a/tests/test_bench/test_bench_capacity.py
+++ b/tests/test_bench/test_bench_capacity.py
@@ -5,7 +5,7 @@
 from bench import capacity
 from bench import capacity_machines
 from bench import capacity_sockets
-from damaskpin.peer import membership
+from damaskpin.peer import timing
 
 
 def test_line_gives_base_and_slope():
@@ -66,10 +66,10 @@
     seconds = 24.0
     rates = capacity_machines.measure_membership(agents, 4, seconds)
     budget = (
-        membership.AGENT_BYTES_PER_S
-        + membership.REGION_BYTES_PER_S
-        + membership.REMOTE_BYTES_PER_S
+        timing.AGENT_BYTES_PER_S
+        + timing.REGION_BYTES_PER_S
+        + timing.REMOTE_BYTES_PER_S
     )
     assert 5 * seconds <= rates.exchanges
-    assert rates.exchanges <= budget / membership.HEARTBEAT_BYTES * seconds
+    assert rates.exchanges <= budget / timing.AGENT_HEARTBEAT_BYTES * seconds
     assert rates.wire > rates.encoded > 0
