Let large gangs that wait long stop small borrowers

Cause: a gang of 16 and more finds room only when a whole rack is free, and reservations slip while small borrowers fit nowhere else and are not moved. Ruled out: bounds of 900 s and 3,600 s, and shares of 0.25 and 0.75. Change: after 1,800 s, borrowers of up to half the size may be stopped, each after at most 2 earlier reclaims.

--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -24,6 +24,13 @@
 MIN_RUN_SECONDS = 300.0
 MIN_REMAINING_SECONDS = 60.0
 
+# A large gang that has waited for longer may stop borrowers of up to this
+# share of its size that fit nowhere else. A job that was reclaimed so often
+# is not stopped in this way again, so that it makes progress.
+MAX_WAIT_SECONDS = 1800.0
+LATE_MOVED_SHARE = 0.5
+MAX_RECLAIMS = 3
+
 # Searches of one call for borrowers to stop; each looks at all accelerators.
 MAX_SEARCHES = 6
 
@@ -177,20 +184,26 @@
     def _move_small(
         self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
-        """Stop small jobs that fit elsewhere, to make room for a gang."""
+        """Stop small jobs to make room for a gang.
+
+        They must fit elsewhere, unless the gang has waited for too long.
+        """
         ledger = self._ledger
         spec = entry.job.spec
-        if ledger.topology.count_free() < spec.accelerators:
+        late = now - entry.submitted > MAX_WAIT_SECONDS
+        if not late and ledger.topology.count_free() < spec.accelerators:
             return False
         if self._searches <= 0:
             return False
         self._searches -= 1
-        limit = spec.accelerators * MAX_MOVED_SHARE
+        share = LATE_MOVED_SHARE if late else MAX_MOVED_SHARE
+        limit = spec.accelerators * share
 
         def may_move(other: queues.Entry) -> bool:
             return (
                 other.job.spec.accelerators <= limit
                 and other.job.spec.priority >= spec.priority
+                and (not late or other.reclaims < MAX_RECLAIMS)
                 and now - other.started >= MIN_RUN_SECONDS
                 and self._estimates.get_remaining(now, other)
                 >= MIN_REMAINING_SECONDS
@@ -204,7 +217,9 @@
             may_move,
         ):
             cell = next(iter(plan[0])).get_cell(spec.adjacency)
-            if not preemption.fit_elsewhere(ledger, plan[1], cell):
+            if not late and not preemption.fit_elsewhere(
+                ledger, plan[1], cell
+            ):
                 continue
             reason = f'moved to make room for the gang {entry.job.id}'
             self._claim(now, entry, plan, reason, found)
--- a/damaskpin/scheduler/ledger.py
+++ b/damaskpin/scheduler/ledger.py
@@ -138,6 +138,7 @@
     ) -> decisions.Reclaim:
         """Decide that a borrower is stopped."""
         victim.state = queues.State.STOPPING
+        victim.reclaims += 1
         self.note(now, victim.job.id, f'reclaimed: {reason}')
         return decisions.Reclaim(victim.job.id, reclaim.GRACE_SECONDS, reason)
 
--- a/damaskpin/scheduler/queue.py
+++ b/damaskpin/scheduler/queue.py
@@ -46,6 +46,7 @@
     :ivar losses: runs in a row that were lost soon after the start.
     :ivar avoid: workers where the job failed, with the end of the avoidance.
     :ivar backfilled: whether the job runs in cells reserved for another.
+    :ivar reclaims: times that the job was stopped for another.
     :ivar cancelled: whether the job must not be queued again.
     :ivar broken: whether a worker of the placed job has failed, so that the
         job is about to end.
@@ -66,6 +67,7 @@
     losses: int = 0
     avoid: dict[str, float] = dataclasses.field(default_factory=dict)
     backfilled: bool = False
+    reclaims: int = 0
     cancelled: bool = False
     broken: bool = False
 
--- a/tests/test_scheduler/test_scheduler_rules.py
+++ b/tests/test_scheduler/test_scheduler_rules.py
@@ -329,6 +329,33 @@
     assert set(placed) == {'gang', *moved}
 
 
+def test_large_gang_that_waits_long_stops_small_borrowers():
+    """Guards against a gang that starves, and a victim without progress."""
+    scheduler = make_scheduler(make_config(make_account('a'), racks=1))
+    names = {f's{index}' for index in range(4)}
+    for name in names:
+        submit(scheduler, name, 'a', 4, run_seconds=1e6)
+    decide(scheduler, 1.0)
+    now = 1000.0
+    for number in range(4):
+        gang = f'gang{number}'
+        submit(scheduler, gang, 'a', 16, now=now, adjacency=RACK)
+        assert not decide(scheduler, now + 1700.0)['reclaim']
+        now += 1900.0
+        reclaims = decide(scheduler, now)['reclaim']
+        if number == 3:
+            assert not reclaims
+            break
+        assert set(reclaims) == names
+        for name in names:
+            end(scheduler, name, now + 1, decisions.Result.CHECKPOINTED)
+        assert set(decide(scheduler, now + 1)['place']) == {gang}
+        end(scheduler, gang, now + 2)
+        placed = set(decide(scheduler, now + 2)['place'])
+        assert placed | set(decide(scheduler, now + 63)['place']) == names
+        now += 400.0
+
+
 def fail_on(scheduler, name, count, now, succeed):
     """Let jobs fail on one worker, and then succeed elsewhere."""
     for index in range(count):
