Order the jobs of an account by corrected estimate, with aging

Ruled out: a weight of 10, with which large gangs wait longer on repair. Change: a job counts as submitted later by twice its corrected estimate, among the jobs of its account and priority class.

--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -31,6 +31,11 @@
 LATE_MOVED_SHARE = 0.5
 MAX_RECLAIMS = 3
 
+# Among the jobs of an account and a priority class, a job counts as submitted
+# later by this multiple of its expected run time. Short jobs go first, and a
+# long one is overtaken only by jobs submitted within that time.
+RUN_TIME_WEIGHT = 2.0
+
 # Searches of one call for borrowers to stop; each looks at all accelerators.
 MAX_SEARCHES = 6
 
@@ -67,7 +72,7 @@
         self._reservations.refresh(now)
         self._too_large = {}
         self._searches = MAX_SEARCHES
-        heaps = self._make_heaps()
+        heaps = self._make_heaps(now)
         while heaps and budget > 0:
             account = min(heaps, key=lambda name: self._get_order(heaps, name))
             heap = heaps[account]
@@ -76,7 +81,7 @@
             if entry is not None and self._start_job(now, entry, found):
                 budget -= 1
                 if group.peek() is not None:
-                    heapq.heapreplace(heap, _make_item(group))
+                    heapq.heapreplace(heap, self._make_item(now, group))
                     continue
             heapq.heappop(heap)
             if not heap:
@@ -243,24 +248,31 @@
         if ledger.is_ready(entry):
             found.append(ledger.place(now, entry))
 
-    def _make_heaps(self) -> dict[str, list]:
+    def _make_heaps(self, now: float) -> dict[str, list]:
         ledger = self._ledger
         heaps: dict[str, list] = {}
         for name in list(ledger.queue.get_accounts()):
             if name not in ledger.accounts:
                 continue
-            items = [_make_item(g) for g in ledger.queue.get_groups(name)]
+            items = [
+                self._make_item(now, group)
+                for group in ledger.queue.get_groups(name)
+            ]
             if items:
                 heapq.heapify(items)
                 heaps[name] = items
         return heaps
 
     def _get_order(self, heaps: dict[str, list], name: str) -> tuple:
-        priority, submitted, sequence, _ = heaps[name][0]
+        priority, due, sequence, _ = heaps[name][0]
         used = self._ledger.used.get(name, 0)
         share = used / self._ledger.accounts[name].weight
-        return (priority, share, submitted, sequence)
-
+        return (priority, share, due, sequence)
 
-def _make_item(group: queues.Group) -> tuple:
-    return (*group.get_order(), group)
+    def _make_item(self, now: float, group: queues.Group) -> tuple:
+        priority, submitted, sequence = group.get_order()
+        entry = group.peek()
+        assert entry is not None
+        expected = self._estimates.get_remaining(now, entry)
+        due = submitted + RUN_TIME_WEIGHT * expected
+        return (priority, due, sequence, group)
--- a/tests/test_scheduler/test_scheduler_rules.py
+++ b/tests/test_scheduler/test_scheduler_rules.py
@@ -356,6 +356,25 @@
         now += 400.0
 
 
+def test_short_jobs_go_first_but_do_not_starve_a_long_one():
+    """Guards against a strict order by run time, and against none."""
+    scheduler = make_scheduler(
+        make_config(make_account('a'), racks=1, workers=1)
+    )
+    submit(scheduler, 'first', 'a', 4, run_seconds=200.0)
+    decide(scheduler, 1.0)
+    submit(scheduler, 'long', 'a', 4, now=2.0, run_seconds=5000.0)
+    submit(scheduler, 'short', 'a', 4, now=100.0, run_seconds=200.0)
+    end(scheduler, 'first', 201.0)
+    assert set(decide(scheduler, 201.0)['place']) == {'short'}
+    spec = jobs.JobSpec(accelerators=4, adjacency=WORKER, run_seconds=5000.0)
+    job = jobs.Job('old', 'a', spec, age_seconds=20000.0)
+    scheduler.submit(202.0, job)
+    submit(scheduler, 'late', 'a', 4, now=202.0, run_seconds=200.0)
+    end(scheduler, 'short', 401.0)
+    assert set(decide(scheduler, 401.0)['place']) == {'old'}
+
+
 def fail_on(scheduler, name, count, now, succeed):
     """Let jobs fail on one worker, and then succeed elsewhere."""
     for index in range(count):
