Admit no large gang into a reservation by its estimate

Unmarked gangs are not stopped in this way. Ruled out: reservations that _move_small respects, marks per reservation, protected victims, fewer reservations, a wider margin of the estimate. Change: gangs of 16 and more need surplus accelerators or a start outside the reservation rules.

--- a/damaskpin/scheduler/backfill.py
+++ b/damaskpin/scheduler/backfill.py
@@ -108,8 +108,10 @@
     ) -> dict[topologies.Cell, int]:
         """Return the cells that a job must not fill up.
 
-        A job may run in a reserved cell if it is expected to end before the
-        reservation starts, or if the gang does not need the accelerators.
+        A job may run in a reserved cell if it is smaller than a large gang
+        and expected to end before the reservation starts, or if the gang
+        does not need the accelerators. Large gangs that outran a reservation
+        were stopped again and again.
         Work of a higher priority class does not wait for reservations.
 
         :returns: accelerators that the job may use in each such cell.
@@ -124,7 +126,7 @@
                 continue
             if spec.priority < reservation.entry.job.spec.priority:
                 continue
-            if end <= reservation.start:
+            if spec.accelerators < LARGE_GANG and end <= reservation.start:
                 continue
             closed[reservation.cell] = max(0, reservation.surplus)
         return closed
--- a/tests/test_scheduler/test_scheduler_rules.py
+++ b/tests/test_scheduler/test_scheduler_rules.py
@@ -375,6 +375,21 @@
     assert set(decide(scheduler, 401.0)['place']) == {'old'}
 
 
+def test_large_gang_is_not_stopped_for_a_reservation():
+    """Guards against large gangs that are stopped soon after their start."""
+    scheduler = make_scheduler(
+        make_config(make_account('a'), racks=1, workers=8)
+    )
+    submit(scheduler, 'base', 'a', 16, adjacency=RACK, run_seconds=10000.0)
+    decide(scheduler, 1.0)
+    submit(scheduler, 'holder', 'a', 24, 2.0, adjacency=RACK, run_seconds=1.0)
+    decide(scheduler, 2.0)
+    submit(scheduler, 'large', 'a', 16, 3.0, adjacency=RACK, run_seconds=9.0)
+    assert set(decide(scheduler, 3.0)['place']) == {'large'}
+    end(scheduler, 'base', 4.0)
+    assert not decide(scheduler, 4.0)['reclaim']
+
+
 def fail_on(scheduler, name, count, now, succeed):
     """Let jobs fail on one worker, and then succeed elsewhere."""
     for index in range(count):
