Do not stop large gangs for a reservation

Ruled out: marks per reservation, see docs/decisions-scheduler.md. Change: gangs of 16 and more are not marked when they start in a reserved cell.

--- a/damaskpin/scheduler/backfill.py
+++ b/damaskpin/scheduler/backfill.py
@@ -132,11 +132,14 @@
         return closed
 
     def note_placed(self, entry: queues.Entry) -> None:
-        """Mark a job that was placed in a reserved cell."""
+        """Mark a job that was placed in a reserved cell.
+
+        Large gangs are not marked, so a reservation does not stop them.
+        """
         size = entry.job.spec.accelerators
         for reservation in self.by_job.values():
             if any(reservation.cell in node.cells for node in entry.parts):
-                entry.backfilled = True
+                entry.backfilled = size < LARGE_GANG
                 reservation.surplus -= size
 
     def _find_best(
