--- a/damaskpin/scheduler/borrowing.py
+++ b/damaskpin/scheduler/borrowing.py
@@ -24,6 +24,18 @@
 MIN_RUN_SECONDS = 300.0
 MIN_REMAINING_SECONDS = 60.0
 
+# A large gang that has waited for longer may stop borrowers of up to this
+# share of its size that fit nowhere else. A job that was reclaimed so often
+# is not stopped in this way again, so that it makes progress.
+MAX_WAIT_SECONDS = 1800.0
+LATE_MOVED_SHARE = 0.5
+MAX_RECLAIMS = 3
+
+# Among the jobs of an account and a priority class, a job counts as submitted
+# later by this multiple of its expected run time. Short jobs go first, and a
+# long one is overtaken only by jobs submitted within that time.
+RUN_TIME_WEIGHT = 2.0
+
 # Searches of one call for borrowers to stop; each looks at all accelerators.
 MAX_SEARCHES = 6
 
@@ -60,7 +72,7 @@
         self._reservations.refresh(now)
         self._too_large = {}
         self._searches = MAX_SEARCHES
-        heaps = self._make_heaps()
+        heaps = self._make_heaps(now)
         while heaps and budget > 0:
             account = min(heaps, key=lambda name: self._get_order(heaps, name))
             heap = heaps[account]
@@ -69,7 +81,7 @@
             if entry is not None and self._start_job(now, entry, found):
                 budget -= 1
                 if group.peek() is not None:
-                    heapq.heapreplace(heap, _make_item(group))
+                    heapq.heapreplace(heap, self._make_item(now, group))
                     continue
             heapq.heappop(heap)
             if not heap:
@@ -177,20 +189,26 @@
     def _move_small(
         self, now: float, entry: queues.Entry, found: list[decisions.Decision]
     ) -> bool:
-        """Stop small jobs that fit elsewhere, to make room for a gang."""
+        """Stop small jobs to make room for a gang.
+
+        They must fit elsewhere, unless the gang has waited for too long.
+        """
         ledger = self._ledger
         spec = entry.job.spec
-        if ledger.topology.count_free() < spec.accelerators:
+        late = now - entry.submitted > MAX_WAIT_SECONDS
+        if not late and ledger.topology.count_free() < spec.accelerators:
             return False
         if self._searches <= 0:
             return False
         self._searches -= 1
-        limit = spec.accelerators * MAX_MOVED_SHARE
+        share = LATE_MOVED_SHARE if late else MAX_MOVED_SHARE
+        limit = spec.accelerators * share
 
         def may_move(other: queues.Entry) -> bool:
             return (
                 other.job.spec.accelerators <= limit
                 and other.job.spec.priority >= spec.priority
+                and (not late or other.reclaims < MAX_RECLAIMS)
                 and now - other.started >= MIN_RUN_SECONDS
                 and self._estimates.get_remaining(now, other)
                 >= MIN_REMAINING_SECONDS
@@ -204,7 +222,9 @@
             may_move,
         ):
             cell = next(iter(plan[0])).get_cell(spec.adjacency)
-            if not preemption.fit_elsewhere(ledger, plan[1], cell):
+            if not late and not preemption.fit_elsewhere(
+                ledger, plan[1], cell
+            ):
                 continue
             reason = f'moved to make room for the gang {entry.job.id}'
             self._claim(now, entry, plan, reason, found)
@@ -228,24 +248,31 @@
         if ledger.is_ready(entry):
             found.append(ledger.place(now, entry))
 
-    def _make_heaps(self) -> dict[str, list]:
+    def _make_heaps(self, now: float) -> dict[str, list]:
         ledger = self._ledger
         heaps: dict[str, list] = {}
         for name in list(ledger.queue.get_accounts()):
             if name not in ledger.accounts:
                 continue
-            items = [_make_item(g) for g in ledger.queue.get_groups(name)]
+            items = [
+                self._make_item(now, group)
+                for group in ledger.queue.get_groups(name)
+            ]
             if items:
                 heapq.heapify(items)
                 heaps[name] = items
         return heaps
 
     def _get_order(self, heaps: dict[str, list], name: str) -> tuple:
-        priority, submitted, sequence, _ = heaps[name][0]
+        priority, due, sequence, _ = heaps[name][0]
         used = self._ledger.used.get(name, 0)
         share = used / self._ledger.accounts[name].weight
-        return (priority, share, submitted, sequence)
-
+        return (priority, share, due, sequence)
 
-def _make_item(group: queues.Group) -> tuple:
-    return (*group.get_order(), group)
+    def _make_item(self, now: float, group: queues.Group) -> tuple:
+        priority, submitted, sequence = group.get_order()
+        entry = group.peek()
+        assert entry is not None
+        expected = self._estimates.get_remaining(now, entry)
+        due = submitted + RUN_TIME_WEIGHT * expected
+        return (priority, due, sequence, group)
--- a/tests/test_scheduler/test_scheduler_rules.py
+++ b/tests/test_scheduler/test_scheduler_rules.py
@@ -329,6 +329,67 @@
     assert set(placed) == {'gang', *moved}
 
 
+def test_large_gang_that_waits_long_stops_small_borrowers():
+    """Guards against a gang that starves, and a victim without progress."""
+    scheduler = make_scheduler(make_config(make_account('a'), racks=1))
+    names = {f's{index}' for index in range(4)}
+    for name in names:
+        submit(scheduler, name, 'a', 4, run_seconds=1e6)
+    decide(scheduler, 1.0)
+    now = 1000.0
+    for number in range(4):
+        gang = f'gang{number}'
+        submit(scheduler, gang, 'a', 16, now=now, adjacency=RACK)
+        assert not decide(scheduler, now + 1700.0)['reclaim']
+        now += 1900.0
+        reclaims = decide(scheduler, now)['reclaim']
+        if number == 3:
+            assert not reclaims
+            break
+        assert set(reclaims) == names
+        for name in names:
+            end(scheduler, name, now + 1, decisions.Result.CHECKPOINTED)
+        assert set(decide(scheduler, now + 1)['place']) == {gang}
+        end(scheduler, gang, now + 2)
+        placed = set(decide(scheduler, now + 2)['place'])
+        assert placed | set(decide(scheduler, now + 63)['place']) == names
+        now += 400.0
+
+
+def test_short_jobs_go_first_but_do_not_starve_a_long_one():
+    """Guards against a strict order by run time, and against none."""
+    scheduler = make_scheduler(
+        make_config(make_account('a'), racks=1, workers=1)
+    )
+    submit(scheduler, 'first', 'a', 4, run_seconds=200.0)
+    decide(scheduler, 1.0)
+    submit(scheduler, 'long', 'a', 4, now=2.0, run_seconds=5000.0)
+    submit(scheduler, 'short', 'a', 4, now=100.0, run_seconds=200.0)
+    end(scheduler, 'first', 201.0)
+    assert set(decide(scheduler, 201.0)['place']) == {'short'}
+    spec = jobs.JobSpec(accelerators=4, adjacency=WORKER, run_seconds=5000.0)
+    job = jobs.Job('old', 'a', spec, age_seconds=20000.0)
+    scheduler.submit(202.0, job)
+    submit(scheduler, 'late', 'a', 4, now=202.0, run_seconds=200.0)
+    end(scheduler, 'short', 401.0)
+    assert set(decide(scheduler, 401.0)['place']) == {'old'}
+
+
+def test_large_gang_is_not_stopped_for_a_reservation():
+    """Guards against large gangs that are stopped soon after their start."""
+    scheduler = make_scheduler(
+        make_config(make_account('a'), racks=1, workers=8)
+    )
+    submit(scheduler, 'base', 'a', 16, adjacency=RACK, run_seconds=10000.0)
+    decide(scheduler, 1.0)
+    submit(scheduler, 'holder', 'a', 24, 2.0, adjacency=RACK, run_seconds=1.0)
+    decide(scheduler, 2.0)
+    submit(scheduler, 'large', 'a', 16, 3.0, adjacency=RACK, run_seconds=9.0)
+    assert set(decide(scheduler, 3.0)['place']) == {'large'}
+    end(scheduler, 'base', 4.0)
+    assert not decide(scheduler, 4.0)['reclaim']
+
+
 def fail_on(scheduler, name, count, now, succeed):
     """Let jobs fail on one worker, and then succeed elsewhere."""
     for index in range(count):
