--- /dev/null
+++ b/damaskpin/cli_calls.py
@@ -0,0 +1,106 @@
+"""Calls of the command line and its exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from typing import Any
+from typing import TYPE_CHECKING
+
+from damaskpin import settings
+from damaskpin.caller import client as clients
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from collections.abc import Mapping
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_REFUSED = 3
+EXIT_NOT_RUN = 4
+EXIT_MAY_HAVE_RUN = 5
+EXIT_UNREACHABLE = 6
+EXIT_REJECTED = 7
+EXIT_SUPERSEDED = 8
+EXIT_UNKNOWN = 9
+
+
+def fail(text: str, code: int) -> None:
+    """Print an error and exit."""
+    print(f'damaskpin: {text}', file=sys.stderr)
+    sys.exit(code)
+
+
+def call(flags: Mapping[str, Any], work: Any) -> clients.Response:
+    """Run one call with a client of the given settings."""
+    loaded = settings.load_settings(settings.ClientSettings, flags)
+
+    async def run() -> clients.Response:
+        client = clients.Client(
+            loaded.entries, loaded.token.get_secret_value()
+        )
+        try:
+            return await work(client)
+        finally:
+            client.close()
+
+    return _run(run())
+
+
+def _run(work: Coroutine[Any, Any, clients.Response]) -> clients.Response:
+    return asyncio.run(work)
+
+
+def fetch(
+    method: str,
+    path: str,
+    flags: Mapping[str, Any],
+    body: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
+) -> clients.Response:
+    """Send one request and exit unless it succeeded."""
+
+    async def send(client: clients.Client) -> clients.Response:
+        return await client.fetch(method, path, body, headers)
+
+    response = call(flags, send)
+    exit_on_verdict(response)
+    return response
+
+
+def exit_on_verdict(response: clients.Response) -> None:
+    """Exit with the code of an answer that is not a success."""
+    if response.verdict == 'may-have-run':
+        fail(_read_detail(response), EXIT_MAY_HAVE_RUN)
+    if response.verdict == 'not-run' and response.status in (409, 503):
+        fail(_read_detail(response), EXIT_NOT_RUN)
+    if response.status < 400 or response.verdict == 'ran':
+        return
+    if 'state' in _read_document(response):
+        return
+    fail(_read_detail(response), EXIT_REFUSED)
+
+
+def _read_document(response: clients.Response) -> dict[str, Any]:
+    try:
+        document = response.read_json()
+    except ValueError:
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _read_detail(response: clients.Response) -> str:
+    document = _read_document(response)
+    text = f'{document.get("title", response.status)}'
+    if document.get('detail'):
+        text += f': {document["detail"]}'
+    if response.retry_after is not None:
+        text += f' (retry after {response.retry_after:g} s)'
+    return text
+
+
+def print_document(document: Any) -> None:
+    """Print a document as one line of JSON."""
+    print(json.dumps(document, sort_keys=True))
--- a/tests/test_cli/test_cli_settings.py
+++ b/tests/test_cli/test_cli_settings.py
@@ -12,6 +12,7 @@
 import pytest
 
 from damaskpin import cli
+from damaskpin import cli_calls
 from damaskpin import errors
 from damaskpin import settings
 from damaskpin.caller import client as clients
@@ -166,7 +167,7 @@
 def test_wrong_usage_exits_with_2(arguments, words):
     """Guards against usage errors with a trace or another exit code."""
     done = run_command(*arguments)
-    assert done.returncode == cli.EXIT_USAGE, done.stderr
+    assert done.returncode == cli_calls.EXIT_USAGE, done.stderr
     assert words in done.stderr
     assert 'Traceback' not in done.stderr
 
@@ -199,7 +200,7 @@
         probe.bind(('127.0.0.1', 0))
         url = f'http://127.0.0.1:{probe.getsockname()[1]}'
         done = run_command('status', '--entries', url)
-    assert done.returncode == cli.EXIT_UNREACHABLE, done.stderr
+    assert done.returncode == cli_calls.EXIT_UNREACHABLE, done.stderr
     assert url in done.stderr
 
 
@@ -209,7 +210,7 @@
     for text in (b'{', b'{"colour": 1}', b'\xff', _make_infeasible()):
         file.write_bytes(text)
         done = run_command('config', 'check', str(file))
-        assert done.returncode == cli.EXIT_REJECTED, done.stderr
+        assert done.returncode == cli_calls.EXIT_REJECTED, done.stderr
         assert done.stderr.startswith('damaskpin: ')
         assert 'Traceback' not in done.stderr
 
@@ -219,7 +220,7 @@
     file = tmp_path / 'config.json'
     file.write_bytes(configs.format_config(fleets.make_config(2)))
     done = run_command('config', 'check', str(file))
-    assert done.returncode == cli.EXIT_OK, done.stderr
+    assert done.returncode == cli_calls.EXIT_OK, done.stderr
 
 
 def test_refused_token_exits_with_3(tmp_path):
@@ -236,7 +237,7 @@
         )
     finally:
         fleet.stop_all()
-    assert done.returncode == cli.EXIT_REFUSED, done.stderr
+    assert done.returncode == cli_calls.EXIT_REFUSED, done.stderr
     assert 'Token unknown' in done.stderr
     assert SECRET not in done.stderr
 
