Test the exit codes of proposed configurations

Cause: only "config check" was tested for exit code 7. Change: an entry rejects, accepts, and finds a stale revision.

--- a/tests/test_cli/test_cli_settings.py
+++ b/tests/test_cli/test_cli_settings.py
@@ -254,3 +254,34 @@
             return True
 
     asyncio.run(fleets.wait_for(is_open, fleets.START_TIMEOUT_S))
+
+
+def test_proposals_exit_with_their_outcome(tmp_path):
+    """Guards against a change that failed but looks accepted."""
+    fleet = fleets.Fleet(tmp_path, 1, 0)
+    good = tmp_path / 'good.json'
+    good.write_bytes(configs.format_config(fleets.make_config(2)))
+    bad = tmp_path / 'bad.json'
+    bad.write_bytes(_make_infeasible())
+
+    def apply(*arguments: str) -> int:
+        done = run_command(
+            'config',
+            'apply',
+            *arguments,
+            '--entries',
+            fleet.urls[0],
+            DAMASKPIN_TOKEN=fleets.OPERATOR_TOKEN,
+        )
+        assert 'Traceback' not in done.stderr, done.stderr
+        return done.returncode
+
+    try:
+        fleet.start_all()
+        _wait_open(fleet.urls[0])
+        assert apply(str(bad)) == cli_calls.EXIT_REJECTED
+        assert apply(str(good)) == cli_calls.EXIT_OK
+        assert apply(str(good), '--revision', '0') == cli_calls.EXIT_SUPERSEDED
+        assert apply(str(good), '--revision', 'x') == cli_calls.EXIT_REFUSED
+    finally:
+        fleet.stop_all()
