Split membership: agents of the region, events and intervals

Liveness and states of agents are now in peer/agents.py, what membership tells its daemon in peer/events.py, and intervals with their pacing in peer/timing.py. Home no longer imports the membership of entries for a constant and two events.

--- a/damaskpin/daemon/agent.py
+++ b/damaskpin/daemon/agent.py
@@ -21,8 +21,8 @@
 from damaskpin.caller import server as caller_server
 from damaskpin.daemon import node as nodes
 from damaskpin.gang import member as members
+from damaskpin.peer import events
 from damaskpin.peer import home as homes
-from damaskpin.peer import membership
 from damaskpin.peer import messages
 from damaskpin.service import slots as slots_module
 from damaskpin.store import configuration as configurations
@@ -177,7 +177,7 @@
             healthy=self._worker_healthy,
         )
 
-    def _apply(self, outputs: Iterable[membership.Output]) -> None:
+    def _apply(self, outputs: Iterable[events.Output]) -> None:
         for output in outputs:
             match output:
                 case effects.Send(to, message):
@@ -190,9 +190,9 @@
                     self._node.spawn(self._revoke_lease(attempt))
                 case effects.CallTarget():
                     self._node.spawn(self._call_target(output))
-                case membership.AddressLearned(peer):
+                case events.AddressLearned(peer):
                     self._node.learn_address(peer)
-                case membership.RevisionSeen(instance, revision):
+                case events.RevisionSeen(instance, revision):
                     self._see_revision(instance, revision)
                 case effects.Record(work, event, detail):
                     LOG.info(event, extra={'attempt': work, 'detail': detail})
--- a/damaskpin/daemon/entry.py
+++ b/damaskpin/daemon/entry.py
@@ -22,6 +22,7 @@
 from damaskpin.daemon import jobs as job_desks
 from damaskpin.daemon import node as nodes
 from damaskpin.model import config as configs
+from damaskpin.peer import events
 from damaskpin.peer import membership as memberships
 from damaskpin.peer import messages
 from damaskpin.report import burn as burns
@@ -219,7 +220,7 @@
             not isinstance(verdict, verdicts.MayHaveRun),
         )
 
-    def apply(self, outputs: Iterable[memberships.Output]) -> None:
+    def apply(self, outputs: Iterable[events.Output]) -> None:
         """Carry out effects and events of the state machines."""
         now = self.node.get_time()
         for output in outputs:
@@ -238,19 +239,19 @@
                     | claims.MoveClaim()
                 ):
                     self.node.spawn(self._call_claims(output))
-                case memberships.AddressLearned(peer):
+                case events.AddressLearned(peer):
                     self.node.learn_address(peer)
-                case memberships.AgentChanged(state):
+                case events.AgentChanged(state):
                     self.router.set_agent(now, state)
                     self.coordination.set_agent(now, state)
                     self.desk.gangs_seen(state.gangs)
-                case memberships.AgentLost(instance, incarnation):
+                case events.AgentLost(instance, incarnation):
                     self._lose_agent(now, instance, incarnation)
-                case memberships.EntryLost(instance, _):
+                case events.EntryLost(instance, _):
                     LOG.info('entry lost', extra={'entry': instance})
                     self.configuration.forget_peer(instance)
                     self._next_orphan_scan = now + job_desks.ADOPT_AFTER_S
-                case memberships.RevisionSeen(instance, revision):
+                case events.RevisionSeen(instance, revision):
                     self.apply(
                         self.configuration.peer_revision(
                             now, instance, revision
--- a/damaskpin/peer/home.py
+++ b/damaskpin/peer/home.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from damaskpin import effects
-from damaskpin.peer import membership
+from damaskpin.peer import events
 from damaskpin.peer import messages
+from damaskpin.peer import timing
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -66,14 +67,14 @@
 
     def needs_entries(self, now: float) -> bool:
         """Return whether the seeds have to be asked for entries."""
-        silent = now - self._heard > membership.MISSED_HEARTBEATS * (
+        silent = now - self._heard > timing.MISSED_HEARTBEATS * (
             self._interval
         )
         return not self._entries or silent
 
     def learn_entries(
         self, now: float, peers: Iterable[messages.Peer]
-    ) -> list[membership.Output]:
+    ) -> list[events.Output]:
         """Replace the known entries and choose the home again."""
         # The home sends its list only to an agent that holds another version;
         # a list of a seed may differ from the one that was held.
@@ -84,9 +85,7 @@
             if peer.region == self.state.peer.region
         }
         self._choose_home(now)
-        return [
-            membership.AddressLearned(peer) for peer in self._entries.values()
-        ]
+        return [events.AddressLearned(peer) for peer in self._entries.values()]
 
     def set_state(self, now: float, state: messages.AgentState) -> None:
         """Note a changed state; the next report carries it.
@@ -107,21 +106,21 @@
 
     def receive(
         self, now: float, sender: str, message: messages.Message
-    ) -> list[membership.Output]:
+    ) -> list[events.Output]:
         """Handle an answer of the home entry."""
         match message:
             case messages.PeerFound(peer):
                 if self._failed.pop(sender, None) is not None:
                     self._choose_home(now)
-                return [membership.AddressLearned(peer)]
+                return [events.AddressLearned(peer)]
             case messages.ReportAck() if sender == self._home:
                 pass
             case _:
                 return []
         self._heard = now
         self._interval = message.interval
-        outputs: list[membership.Output] = [
-            membership.RevisionSeen(sender, message.revision)
+        outputs: list[events.Output] = [
+            events.RevisionSeen(sender, message.revision)
         ]
         if message.need_full:
             self._send_full = True
@@ -136,12 +135,11 @@
         if instance == self._home:
             self._choose_home(now)
 
-    def tick(self, now: float) -> list[membership.Output]:
+    def tick(self, now: float) -> list[events.Output]:
         """Report when a change or the interval asks for it."""
         if (
             self._home
-            and now - self._heard
-            > membership.MISSED_HEARTBEATS * self._interval
+            and now - self._heard > timing.MISSED_HEARTBEATS * self._interval
         ):
             self.call_failed(now, self._home)
         if not self._home:
@@ -169,7 +167,7 @@
         )
         return [*outputs, effects.Send(self._home, report)]
 
-    def _probe_failed(self, now: float) -> list[membership.Output]:
+    def _probe_failed(self, now: float) -> list[events.Output]:
         """Ask failed entries for an answer, after which they are usable.
 
         An entry that failed once may be live all the time for the others, so
--- a/tests/test_peer/test_peer_membership.py
+++ b/tests/test_peer/test_peer_membership.py
@@ -8,17 +8,18 @@
 from hypothesis import strategies
 import pytest
 
+from damaskpin.peer import events
 from damaskpin.peer import home as homes
-from damaskpin.peer import membership as memberships
 from damaskpin.peer import messages
+from damaskpin.peer import timing
 from tests.test_peer import fleet as fleets
 
 # Intervals of four entries and five agents: two entries of the other region
 # are paced at 2 x 300 B / 400 B/s, everything else at the minimum.
 ENTRY_INTERVAL_S = 1.5
 AGENT_INTERVAL_S = 1.0
-SILENT_S = memberships.MISSED_HEARTBEATS * ENTRY_INTERVAL_S
-DIGEST_S = memberships.DIGEST_MISMATCHES * 1.5 * ENTRY_INTERVAL_S
+SILENT_S = timing.MISSED_HEARTBEATS * ENTRY_INTERVAL_S
+DIGEST_S = timing.DIGEST_MISMATCHES * 1.5 * ENTRY_INTERVAL_S
 # The last delayed message arrives and may name a dead process, which is then
 # silent; entries are read again; each digest that differs is noticed; agents
 # of a dead home get their time; agents leave a silent home and retry another.
@@ -27,8 +28,8 @@
     + fleets.LEARN_S
     + SILENT_S
     + DIGEST_S
-    + memberships.MAX_AGENT_INTERVAL_S
-    + memberships.MISSED_HEARTBEATS * AGENT_INTERVAL_S
+    + timing.MAX_AGENT_INTERVAL_S
+    + timing.MISSED_HEARTBEATS * AGENT_INTERVAL_S
     + homes.FAILED_ENTRY_S
 )
 SEQUENCES = 2000 if os.environ.get('DAMASKPIN_FUZZ') == 'long' else 60
@@ -151,7 +152,7 @@
     lost = [
         event
         for _, _, event in fleet.events
-        if isinstance(event, memberships.AgentLost)
+        if isinstance(event, events.AgentLost)
     ]
     assert lost == []
     assert fleet.list_faults() == []
@@ -167,7 +168,7 @@
     lost = [
         event
         for _, _, event in fleet.events
-        if isinstance(event, memberships.AgentLost)
+        if isinstance(event, events.AgentLost)
     ]
     assert lost == []
     assert fleet.list_faults() == []
@@ -200,7 +201,7 @@
     assert not [
         event
         for _, _, event in fleet.events
-        if isinstance(event, memberships.AgentLost)
+        if isinstance(event, events.AgentLost)
     ]
 
 
