--- a/damaskpin/daemon/api.py
+++ b/damaskpin/daemon/api.py
@@ -9,16 +9,16 @@
 import time
 from typing import Any
 from typing import TYPE_CHECKING
-import urllib.parse
 
 import msgspec
-from tornado import httpclient
 
 from damaskpin import errors
 from damaskpin import verdict as verdicts
 from damaskpin.caller import interface
 from damaskpin.caller import server as caller_server
 from damaskpin.caller import tokens
+from damaskpin.daemon import documents
+from damaskpin.daemon import forwarding
 from damaskpin.daemon import jobs as job_desks
 from damaskpin.model import config as configs
 from damaskpin.operator import changes
@@ -28,19 +28,16 @@
 from damaskpin.store import records
 
 if TYPE_CHECKING:
+    from tornado import httpclient
+
     from damaskpin.daemon import entry as entries
     from damaskpin.model import job as jobs
-    from damaskpin.peer import messages
-    from damaskpin.report import explain as explains
     from damaskpin.store import client as store_clients
 
 LOG = logging.getLogger(__name__)
 
 Reply = interface.Reply
 
-FORWARD_TIMEOUT_S = 2.0
-ACCOUNT_HEADER = 'Damaskpin-Account'
-
 
 class EntryApi:
     """Implements the handlers' interface on an entry.
@@ -54,7 +51,7 @@
         '_calls',
         '_changes',
         '_entry',
-        '_http',
+        '_others',
         '_peer_token',
         '_records',
     )
@@ -68,11 +65,13 @@
         self._entry = entry
         self._changes = changes.ChangeProposer(store)
         self._records = records.JobRecords(store)
-        self._http = http
         self._calls: dict[int, str] = {}
         self._peer_token = caller_server.make_peer_token(
             entry.settings.fleet_key.get_secret_value().encode()
         )
+        self._others = forwarding.Forwarder(
+            entry.membership, http, self._peer_token
+        )
 
     def authenticate(
         self, header: str, on_behalf: str = ''
@@ -175,10 +174,10 @@
         try:
             owned = await self._accept(account, spec, key, True)
         except job_desks.AlreadyRecordedError as error:
-            return _describe_submission(
-                error.record.job.id, _get_record_state(error.record)
+            return documents.describe_submission(
+                error.record.job.id, documents.get_record_state(error.record)
             )
-        return _describe_submission(owned.job.id, owned.state)
+        return documents.describe_submission(owned.job.id, owned.state)
 
     async def attach_job(
         self, account: configs.Account, spec: jobs.JobSpec, key: str
@@ -207,15 +206,15 @@
         if owned is not None and owned.job.account == account:
             return Reply(200, self._describe_job(owned))
         if not forwarded:
-            document = await self._ask_others(
+            document = await self._others.ask_first(
                 'GET', f'/v1/jobs/{job_id}', account
             )
             if document is not None:
                 return Reply(200, document)
             record = await self._read_record(account, job_id)
             if record is not None:
-                return Reply(200, _describe_record(record))
-        raise _make_unknown(job_id)
+                return Reply(200, documents.describe_record(record))
+        raise documents.make_unknown(job_id)
 
     async def cancel_job(
         self, account: str, job_id: str, forwarded: bool = False
@@ -226,14 +225,14 @@
             self._entry.desk.cancel(job_id, 'cancelled by its account')
             return Reply(202, self._describe_job(owned))
         if not forwarded:
-            document = await self._ask_others(
+            document = await self._others.ask_first(
                 'DELETE', f'/v1/jobs/{job_id}', account
             )
             if document is not None:
                 return Reply(202, document)
             record = await self._read_record(account, job_id)
             if record is not None and record.verdict is not None:
-                return Reply(200, _describe_record(record))
+                return Reply(200, documents.describe_record(record))
             if record is not None:
                 raise errors.RequestError(
                     503,
@@ -242,7 +241,7 @@
                     'soon',
                     5.0,
                 )
-        raise _make_unknown(job_id)
+        raise documents.make_unknown(job_id)
 
     def list_jobs(self, account: str) -> Reply:
         """List the account's jobs that this entry owns."""
@@ -261,7 +260,7 @@
     ) -> Reply:
         """Collect what the entries decided about a request or job."""
         trail = self._entry.explain.get(work)
-        history = _describe_trail(trail, account)
+        history = documents.describe_trail(trail, account)
         now = [
             {'process': self._entry.node.peer.instance, 'detail': text}
             for text in self._entry.coordination.explain(work)
@@ -270,9 +269,9 @@
             return Reply(200, {'work': work, 'history': history, 'now': now})
         known = trail is not None and trail.account == account
         if not known and not await self._is_account_of(account, work):
-            raise _make_unknown(work)
+            raise documents.make_unknown(work)
         path = f'/v1/explain/{work}'
-        for document in await self._ask_all(path, account):
+        for document in await self._others.ask_all(path, account):
             history += document['history']
             now += document['now']
         history.sort(key=lambda line: line['time'])
@@ -315,12 +314,12 @@
                 self._entry.offer_config(
                     accepted, changes.check_document(body)
                 )
-        return _describe_change(outcome, token)
+        return documents.describe_change(outcome, token)
 
     async def settle_change(self, token: str) -> Reply:
         """Learn the outcome of a change whose answer was lost."""
         outcome = await self._changes.settle(token)
-        return _describe_change(outcome, token)
+        return documents.describe_change(outcome, token)
 
     def list_revisions(self) -> Reply:
         """List the revision that each known process applied."""
@@ -414,7 +413,7 @@
             'reason': owned.reason,
             'region': owned.region,
             'owner': self._entry.node.peer.instance,
-            'verdict': _name(owned.verdict),
+            'verdict': documents.get_verdict_name(owned.verdict),
             'spec': owned.job.spec,
         }
 
@@ -441,118 +440,3 @@
         except errors.RequestError:
             return False
         return True
-
-    async def _ask_others(
-        self, method: str, path: str, account: str
-    ) -> Any | None:
-        """Return the first answer of another entry that knows the work."""
-        calls = [
-            self._ask(peer, method, path, account)
-            for peer in self._list_others()
-        ]
-        for document in await asyncio.gather(*calls):
-            if document is not None:
-                return document
-        return None
-
-    async def _ask_all(self, path: str, account: str) -> list[Any]:
-        calls = [
-            self._ask(peer, 'GET', path, account)
-            for peer in self._list_others()
-        ]
-        answers = await asyncio.gather(*calls)
-        return [answer for answer in answers if answer is not None]
-
-    def _list_others(self) -> list[messages.Peer]:
-        mine = self._entry.node.peer.instance
-        return [
-            peer
-            for peer in self._entry.membership.list_entries()
-            if peer.instance != mine
-        ]
-
-    async def _ask(
-        self, peer: messages.Peer, method: str, path: str, account: str
-    ) -> Any | None:
-        request = httpclient.HTTPRequest(
-            peer.http + urllib.parse.quote(path),
-            method=method,
-            headers={
-                'Authorization': f'Bearer {self._peer_token}',
-                ACCOUNT_HEADER: account,
-            },
-            connect_timeout=FORWARD_TIMEOUT_S,
-            request_timeout=FORWARD_TIMEOUT_S,
-        )
-        try:
-            answer = await self._http.fetch(request)
-            return msgspec.json.decode(answer.body)
-        except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
-            LOG.debug('%s did not answer: %s', peer.instance, error)
-            return None
-
-
-def _describe_submission(job_id: str, state: str) -> Reply:
-    location = f'/v1/jobs/{job_id}'
-    return Reply(
-        202,
-        {'id': job_id, 'state': state},
-        {'Location': location, 'Damaskpin-Attempt': job_id},
-    )
-
-
-def _describe_record(record: records.JobRecord) -> dict[str, Any]:
-    return {
-        'id': record.job.id,
-        'account': record.job.account,
-        'state': _get_record_state(record),
-        'reason': getattr(record.verdict, 'reason', ''),
-        'region': record.region,
-        'owner': record.owner,
-        'verdict': _name(record.verdict),
-        'spec': record.job.spec,
-    }
-
-
-def _get_record_state(record: records.JobRecord) -> str:
-    return _name(record.verdict) or 'recorded'
-
-
-def _describe_trail(
-    trail: explains.Trail | None, account: str
-) -> list[dict[str, Any]]:
-    # Coordinators record jobs without their account; the caller checks it.
-    if trail is None or trail.account not in ('', account):
-        return []
-    return [
-        {
-            'time': line.wall,
-            'process': line.process,
-            'event': line.event,
-            'detail': line.detail,
-            'repeats': line.repeats,
-        }
-        for line in trail.entries
-    ]
-
-
-def _name(verdict: verdicts.Verdict | None) -> str | None:
-    return None if verdict is None else verdicts.name_verdict(verdict)
-
-
-def _describe_change(outcome: changes.Outcome, token: str) -> Reply:
-    match outcome:
-        case changes.Accepted(revision):
-            return Reply(200, {'state': 'accepted', 'revision': revision})
-        case changes.Rejected(reasons):
-            return Reply(422, {'state': 'rejected', 'reasons': list(reasons)})
-        case changes.Superseded(revision):
-            return Reply(409, {'state': 'superseded', 'revision': revision})
-        case changes.Unknown():
-            return Reply(504, {'state': 'unknown', 'token': token})
-
-
-def _make_unknown(work: str) -> errors.RequestError:
-    return errors.RequestError(
-        404, 'Not found', f'{work} is not known, or of another account'
-    )
--- /dev/null
+++ b/damaskpin/daemon/documents.py
@@ -0,0 +1,90 @@
+"""Documents for callers and operators."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from damaskpin import errors
+from damaskpin import verdict as verdicts
+from damaskpin.caller import interface
+from damaskpin.operator import changes
+
+if TYPE_CHECKING:
+    from damaskpin.report import explain as explains
+    from damaskpin.store import records
+
+Reply = interface.Reply
+
+
+def describe_submission(job_id: str, state: str) -> Reply:
+    """Return the answer to an accepted detached job."""
+    location = f'/v1/jobs/{job_id}'
+    return Reply(
+        202,
+        {'id': job_id, 'state': state},
+        {'Location': location, 'Damaskpin-Attempt': job_id},
+    )
+
+
+def describe_record(record: records.JobRecord) -> dict[str, Any]:
+    """Return the document of a recorded job."""
+    return {
+        'id': record.job.id,
+        'account': record.job.account,
+        'state': get_record_state(record),
+        'reason': getattr(record.verdict, 'reason', ''),
+        'region': record.region,
+        'owner': record.owner,
+        'verdict': get_verdict_name(record.verdict),
+        'spec': record.job.spec,
+    }
+
+
+def get_record_state(record: records.JobRecord) -> str:
+    """Return the state of a recorded job."""
+    return get_verdict_name(record.verdict) or 'recorded'
+
+
+def describe_trail(
+    trail: explains.Trail | None, account: str
+) -> list[dict[str, Any]]:
+    """Return the history of a request or job that an account may see."""
+    # Coordinators record jobs without their account; the caller checks it.
+    if trail is None or trail.account not in ('', account):
+        return []
+    return [
+        {
+            'time': line.wall,
+            'process': line.process,
+            'event': line.event,
+            'detail': line.detail,
+            'repeats': line.repeats,
+        }
+        for line in trail.entries
+    ]
+
+
+def get_verdict_name(verdict: verdicts.Verdict | None) -> str | None:
+    """Return the name of a verdict, or ``None`` without one."""
+    return None if verdict is None else verdicts.name_verdict(verdict)
+
+
+def describe_change(outcome: changes.Outcome, token: str) -> Reply:
+    """Return the answer to a proposed configuration."""
+    match outcome:
+        case changes.Accepted(revision):
+            return Reply(200, {'state': 'accepted', 'revision': revision})
+        case changes.Rejected(reasons):
+            return Reply(422, {'state': 'rejected', 'reasons': list(reasons)})
+        case changes.Superseded(revision):
+            return Reply(409, {'state': 'superseded', 'revision': revision})
+        case changes.Unknown():
+            return Reply(504, {'state': 'unknown', 'token': token})
+
+
+def make_unknown(work: str) -> errors.RequestError:
+    """Return the error for work that is not known to the account."""
+    return errors.RequestError(
+        404, 'Not found', f'{work} is not known, or of another account'
+    )
--- /dev/null
+++ b/damaskpin/daemon/forwarding.py
@@ -0,0 +1,93 @@
+"""Questions to the other entries about work that they may know."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+from typing import TYPE_CHECKING
+import urllib.parse
+
+import msgspec
+from tornado import httpclient
+
+if TYPE_CHECKING:
+    from damaskpin.peer import membership as memberships
+    from damaskpin.peer import messages
+
+LOG = logging.getLogger(__name__)
+
+FORWARD_TIMEOUT_S = 2.0
+ACCOUNT_HEADER = 'Damaskpin-Account'
+
+
+class Forwarder:
+    """Asks the live entries on behalf of a client account.
+
+    :param membership: knows the live entries.
+    :param http: client for the calls.
+    :param peer_token: proves a process of ours.
+    """
+
+    __slots__ = ('_http', '_instance', '_membership', '_peer_token')
+
+    def __init__(
+        self,
+        membership: memberships.EntryMembership,
+        http: httpclient.AsyncHTTPClient,
+        peer_token: str,
+    ) -> None:
+        self._membership = membership
+        self._instance = membership.peer.instance
+        self._http = http
+        self._peer_token = peer_token
+
+    async def ask_first(
+        self, method: str, path: str, account: str
+    ) -> Any | None:
+        """Return the first answer of another entry that knows the work."""
+        calls = [
+            self._ask(peer, method, path, account)
+            for peer in self._list_others()
+        ]
+        for document in await asyncio.gather(*calls):
+            if document is not None:
+                return document
+        return None
+
+    async def ask_all(self, path: str, account: str) -> list[Any]:
+        """Return the answers of all other entries that know the work."""
+        calls = [
+            self._ask(peer, 'GET', path, account)
+            for peer in self._list_others()
+        ]
+        answers = await asyncio.gather(*calls)
+        return [answer for answer in answers if answer is not None]
+
+    def _list_others(self) -> list[messages.Peer]:
+        mine = self._instance
+        return [
+            peer
+            for peer in self._membership.list_entries()
+            if peer.instance != mine
+        ]
+
+    async def _ask(
+        self, peer: messages.Peer, method: str, path: str, account: str
+    ) -> Any | None:
+        request = httpclient.HTTPRequest(
+            peer.http + urllib.parse.quote(path),
+            method=method,
+            headers={
+                'Authorization': f'Bearer {self._peer_token}',
+                ACCOUNT_HEADER: account,
+            },
+            connect_timeout=FORWARD_TIMEOUT_S,
+            request_timeout=FORWARD_TIMEOUT_S,
+        )
+        try:
+            answer = await self._http.fetch(request)
+            return msgspec.json.decode(answer.body)
+        except (OSError, httpclient.HTTPError, msgspec.DecodeError) as error:
+            LOG.debug('%s did not answer: %s', peer.instance, error)
+            return None
