--- a/damaskpin/cli.py
+++ b/damaskpin/cli.py
@@ -208,7 +208,11 @@
 def main() -> None:
     """Run the command line and exit with a stable code."""
     try:
-        fire.Fire(Commands, name='damaskpin')
+        fire.Fire(
+            Commands(),
+            command=_separate_help(sys.argv[1:]),
+            name='damaskpin',
+        )
     except errors.ConfigError as error:
         for problem in error.problems:
             print(f'damaskpin: {problem}', file=sys.stderr)
@@ -270,3 +274,11 @@
         f'--deadline (no variable): {value!r} is not above 0 and at most '
         f'{MAX_DEADLINE_S:g} s'
     )
+
+
+def _separate_help(arguments: list[str]) -> list[str]:
+    # Commands accept any flag as a setting, so fire would hand "--help" to
+    # them; after the separator it is fire's own.
+    if '--help' not in arguments:
+        return arguments
+    return [item for item in arguments if item != '--help'] + ['--', '--help']
--- /dev/null
+++ b/tests/test_cli/test_cli_help.py
@@ -0,0 +1,49 @@
+"""Tests of the help of the command line."""
+
+from __future__ import annotations
+
+import pytest
+
+from damaskpin import cli
+
+COMMANDS = [
+    ['agent'],
+    ['cancel'],
+    ['config', 'apply'],
+    ['config', 'check'],
+    ['config', 'diff'],
+    ['config', 'settle'],
+    ['config', 'show'],
+    ['config', 'status'],
+    ['drain'],
+    ['entry'],
+    ['explain'],
+    ['report'],
+    ['request'],
+    ['settings'],
+    ['status'],
+    ['submit'],
+]
+
+
+def read_help(monkeypatch, capsys, *arguments):
+    monkeypatch.setattr('sys.argv', ['damaskpin', *arguments, '--help'])
+    with pytest.raises(SystemExit) as stopped:
+        cli.main()
+    assert stopped.value.code == 0
+    shown = capsys.readouterr()
+    return shown.out + shown.err
+
+
+def test_help_lists_all_commands(monkeypatch, capsys):
+    """Guards against a first page that names no command."""
+    text = read_help(monkeypatch, capsys)
+    for command in COMMANDS:
+        assert command[0] in text
+
+
+@pytest.mark.parametrize('command', COMMANDS, ids=' '.join)
+def test_command_has_help(command, monkeypatch, capsys):
+    """Guards against a command without a description."""
+    text = read_help(monkeypatch, capsys, *command)
+    assert f'damaskpin {" ".join(command)} - ' in text
