End a planned stop although the library swallows a cancellation

The stack of the process waited without a timer, after the background work was cancelled: a cancelled receive of pynng can end with an error of the library's own, which the receiving task took for a failed receive and went on. Ruled out: open HTTP connections and the drain timeout (the log shows the registry left and the membership told). Change: the listener closes its contexts first, receives end for good while it closes, and the wait for its tasks is bounded by 1 s.

--- a/damaskpin/peer/link.py
+++ b/damaskpin/peer/link.py
@@ -27,6 +27,7 @@
 # and a few of them serve all peers.
 LISTENER_CONTEXTS = 16
 CALL_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 1.0
 IDLE_LINK_S = 60.0
 # Bounds the memory that a peer with a full connection can cost.
 MAX_QUEUED_MESSAGES = 10_000
@@ -42,7 +43,14 @@
     :raises damaskpin.errors.SettingsError: the address can't be used.
     """
 
-    __slots__ = ('_codec', '_contexts', '_handler', '_socket', '_tasks')
+    __slots__ = (
+        '_closing',
+        '_codec',
+        '_contexts',
+        '_handler',
+        '_socket',
+        '_tasks',
+    )
 
     def __init__(
         self,
@@ -50,6 +58,7 @@
         codec: codecs.Codec,
         handler: Callable[[messages.Frame], messages.Frame],
     ) -> None:
+        self._closing = False
         self._codec = codec
         self._handler = handler
         self._socket = pynng.Rep0(recv_max_size=codecs.MAX_FRAME_BYTES)
@@ -70,15 +79,18 @@
 
     async def close(self) -> None:
         """Stop accepting calls."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._closing = True
+        # Pending receives end with an error, whatever the library makes of a
+        # cancellation.
         for context in self._contexts:
             context.close()
         self._socket.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT_S)
 
     async def _serve(self, context: pynng.Context) -> None:
-        while True:
+        while not self._closing:
             try:
                 data = await context.arecv()
             except pynng.Closed:
@@ -86,6 +98,8 @@
             except pynng.NNGException as error:
                 LOG.warning('receive failed: %s', error)
                 continue
+            if self._closing:
+                return
             try:
                 reply = self._handler(self._codec.decode_frame(data))
             except errors.FrameError as error:
--- /dev/null
+++ b/tests/test_peer/test_peer_link.py
@@ -0,0 +1,86 @@
+"""Tests of calls between processes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.peer import codec as codecs
+from damaskpin.peer import link
+from damaskpin.peer import messages
+
+CODEC = codecs.Codec(b'key')
+CLOSE_LIMIT_S = 2.0
+
+
+def make_frame(*contents: messages.Message) -> messages.Frame:
+    return messages.Frame('a', 'a-1', 'tcp://127.0.0.1:1', contents)
+
+
+def echo(frame: messages.Frame) -> messages.Frame:
+    return frame
+
+
+async def open_listener(first: int) -> tuple[link.Listener, str]:
+    for port in range(first, first + 100):
+        address = f'tcp://127.0.0.1:{port}'
+        try:
+            return link.Listener(address, CODEC, echo), address
+        except errors.SettingsError:
+            continue
+    raise AssertionError('no free port')
+
+
+def test_call_returns_the_reply():
+    """Guards against replies of another call."""
+
+    async def run() -> messages.Frame:
+        listener, address = await open_listener(30_100)
+        connection = link.Link(address, CODEC)
+        try:
+            await connection.call(make_frame(messages.Commit('a.1')))
+            return await connection.call(make_frame(messages.Commit('a.2')))
+        finally:
+            connection.close()
+            await listener.close()
+
+    assert asyncio.run(run()).messages == (messages.Commit('a.2'),)
+
+
+def test_call_of_a_dead_peer_is_reported_as_not_delivered():
+    """Guards against a verdict that is less certain than it could be."""
+
+    async def run() -> None:
+        connection = link.Link('tcp://127.0.0.1:1', CODEC)
+        try:
+            await connection.call(make_frame(), timeout=0.3)
+        finally:
+            connection.close()
+
+    with pytest.raises(errors.PeerUnreachableError):
+        asyncio.run(run())
+
+
+def test_listener_in_use_closes_at_once():
+    """Guards against a daemon that never ends its planned stop.
+
+    The library may report a cancelled receive as an error of its own, after
+    which the task went on to receive.
+    """
+
+    async def run() -> None:
+        for _ in range(30):
+            listener, address = await open_listener(30_200)
+            connection = link.Link(address, CODEC)
+            await connection.call(make_frame())
+            call = asyncio.ensure_future(
+                connection.call(make_frame(), timeout=0.2)
+            )
+            await asyncio.sleep(0)
+            await asyncio.wait_for(listener.close(), CLOSE_LIMIT_S)
+            await asyncio.gather(call, return_exceptions=True)
+            connection.close()
+
+    asyncio.run(run())
