Run both example deployments in the demo

Cause: the demo ran only the shortlist example. Ruled out: one fleet for both (their regions and racks differ). Change: the session takes the largest guaranteed shape, and all other accounts fill the fleet before it is reclaimed; make demo runs it for both examples.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,8 @@
 	touch $@
 
 demo: $(VENV)/.installed
-	bash demo/run.sh $(BIN)
+	bash demo/run.sh shortlist $(BIN)
+	bash demo/run.sh repair $(BIN)
 
 test: $(VENV)/.installed
 	$(BIN)/python -m pytest
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -3,8 +3,9 @@
 # and agents as plain processes on loopback, then runs the demo session.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-BIN=${1:-.venv/bin}
-LOGS=${DEMO_LOGS:-build/demo}
+DEPLOYMENT=${1:-shortlist}
+BIN=${2:-.venv/bin}
+LOGS=${DEMO_LOGS:-build/demo}/$DEPLOYMENT
 BASE=${DEMO_BASE_PORT:-21000}
 mkdir -p "$LOGS"
 
@@ -48,10 +49,6 @@
         --listen "tcp://127.0.0.1:$((BASE + 20 + $1))" \
         --http-port "$((BASE + 10 + $1))" --seeds "$SEEDS" --store "$STORE"
 }
-start_entry 1 gauteng sandton
-start_entry 2 gauteng midrand
-start_entry 3 western-cape observatory
-
 # start_worker NUMBER REGION DATA_CENTRE RACK
 start_worker() {
     local port=$((BASE + 100 + $1 * 10))
@@ -65,18 +62,38 @@
         --worker-url "http://127.0.0.1:$port"
     start "target-$1" "$BIN/python" -m standins.target \
         --port "$((port + 3))" --agent "http://127.0.0.1:$((port + 2))" \
-        --service shortlist --slots 8
+        --service "$DEPLOYMENT" --slots 8
+}
+
+# start_fleet: ten workers, three a rack at most, in three data centres.
+# start_fleet REGION FIRST_DC SECOND_DC RACK RACK RACK REGION DC RACK
+start_fleet() {
+    start_entry 1 "$1" "$2"
+    start_entry 2 "$1" "$3"
+    start_entry 3 "$7" "$8"
+    for number in 1 2 3; do start_worker $number "$1" "$2" "$4"; done
+    start_worker 4 "$1" "$2" "$5"
+    for number in 5 6 7; do start_worker $number "$1" "$3" "$6"; done
+    for number in 8 9 10; do start_worker $number "$7" "$8" "$9"; done
 }
-for number in 1 2 3; do start_worker $number gauteng sandton sandton-1; done
-start_worker 4 gauteng sandton sandton-2
-for number in 5 6 7; do start_worker $number gauteng midrand midrand-1; done
-for number in 8 9 10; do
-    start_worker $number western-cape observatory observatory-1
-done
+case $DEPLOYMENT in
+shortlist)
+    start_fleet gauteng sandton midrand sandton-1 sandton-2 midrand-1 \
+        western-cape observatory observatory-1
+    ;;
+repair)
+    start_fleet almaty almaty-medeu almaty-bostandyk medeu-1 medeu-2 \
+        bostandyk-1 astana astana-yesil yesil-1
+    ;;
+*)
+    echo "unknown deployment $DEPLOYMENT" >&2
+    exit 2
+    ;;
+esac
 
 status=0
 "$BIN/python" -m demo.session --entries "$SEEDS" \
-    --operator-token "$OPERATOR_TOKEN" --config examples/shortlist || status=$?
+    --operator-token "$OPERATOR_TOKEN" --deployment "$DEPLOYMENT" || status=$?
 if [ "$status" -ne 0 ]; then
     echo "demo failed; logs are in $LOGS" >&2
 fi
--- a/demo/session.py
+++ b/demo/session.py
@@ -42,18 +42,25 @@
 
     :param urls: URLs of the entries.
     :param operator_token: the operators' token.
+    :param service: service that requests are sent to.
     """
 
     __slots__ = (
         '_operator',
         '_operators',
+        '_service',
         '_started',
         '_urls',
+        'entries',
         'failed',
     )
 
-    def __init__(self, urls: Sequence[str], operator_token: str) -> None:
+    def __init__(
+        self, urls: Sequence[str], operator_token: str, service: str
+    ) -> None:
         self._urls = list(urls)
+        self._service = service
+        self.entries = len(self._urls)
         self._operator = clients.Client(self._urls, operator_token)
         self._operators = [
             clients.Client([url], operator_token) for url in self._urls
@@ -158,7 +165,9 @@
         for first in range(2):
             client = self.make_client(account, first)
             answers.append(
-                await client.run('shortlist', body, idempotent=False, key=key)
+                await client.run(
+                    self._service, body, idempotent=False, key=key
+                )
             )
             client.close()
         first_answer, second_answer = answers
@@ -201,17 +210,17 @@
 
     async def reclaim(
         self,
-        borrower: configs.Account,
+        borrowers: list[configs.Account],
         owner: str,
         shape: configs.Guarantee,
     ) -> None:
-        """Let one account fill the fleet and another reclaim its shape."""
-        lender = self.make_client(borrower.name)
+        """Let other accounts fill the fleet, and one reclaim its shape."""
         spec = _make_spec(8, hardware.Adjacency.WORKER, 6.0)
-        ids = [
-            (await lender.submit(spec)).attempt
-            for _ in range(borrower.quota // spec.accelerators)
-        ]
+        lent: list[tuple[clients.Client, str]] = []
+        for borrower in borrowers:
+            lender = self.make_client(borrower.name)
+            for _ in range(borrower.quota // spec.accelerators):
+                lent.append((lender, (await lender.submit(spec)).attempt))
         await asyncio.sleep(3.0)
         client = self.make_client(owner)
         started = time.monotonic()
@@ -235,20 +244,19 @@
             job=answer.attempt,
             started_after=seconds,
         )
-        states = [await self.wait_job(lender, job_id) for job_id in ids]
+        states = [await self.wait_job(lender, job) for lender, job in lent]
         ended = [state['verdict'] for state in states]
         reclaimed = 0
-        for job_id in ids:
+        for lender, job_id in lent:
             text = await self._explain(lender, job_id)
             reclaimed += 'reclaimed' in text
         self.report(
             'borrowers continue after the reclaim',
-            ended == ['ran'] * len(ids) and reclaimed > 0,
+            ended == ['ran'] * len(lent) and reclaimed > 0,
             'ran',
-            jobs=len(ids),
+            jobs=len(lent),
             reclaimed=reclaimed,
         )
-        lender.close()
         client.close()
 
     async def cancel(self, account: str) -> None:
@@ -322,7 +330,7 @@
 
     async def _run_request(self, client: clients.Client, number: int) -> bool:
         body = json.dumps({'number': number, 'sleep': 0.2}).encode()
-        answer = await client.run('shortlist', body)
+        answer = await client.run(self._service, body)
         client.close()
         return answer.verdict == 'ran' and answer.body == body
 
@@ -332,40 +340,41 @@
 
 
 def run(
-    entries: str, operator_token: str, config: str = 'examples/shortlist'
+    entries: str, operator_token: str, deployment: str = 'shortlist'
 ) -> None:
     """Run the session.
 
     :param entries: URLs of the entries, separated by commas.
     :param operator_token: the operators' token.
-    :param config: folder of the example deployment.
+    :param deployment: example deployment, ``shortlist`` or ``repair``.
     """
     urls = entries.split(',') if isinstance(entries, str) else list(entries)
-    body = (pathlib.Path(config) / 'config.json').read_bytes()
+    body = (pathlib.Path('examples') / deployment / 'config.json').read_bytes()
     failed = asyncio.run(
-        _run_session(urls, operator_token, configs.parse_config(body))
+        _run_session(
+            Session(urls, operator_token, deployment),
+            configs.parse_config(body),
+        )
     )
     if failed:
         raise SystemExit(1)
 
 
-async def _run_session(
-    urls: list[str], operator_token: str, config: configs.Config
-) -> list[str]:
-    session = Session(urls, operator_token)
+async def _run_session(session: Session, config: configs.Config) -> list[str]:
     workers = sum(rack.workers for rack in config.racks)
-    await session.wait_ready(processes=workers + len(urls))
+    await session.wait_ready(processes=workers + session.entries)
     await session.apply_config(config)
     owner, shape = _find_large_shape(config)
     borrower = max(
         (account for account in config.accounts if account.name != owner),
         key=lambda account: account.quota,
     )
+    lenders = [item for item in config.accounts if item.name != owner]
     await session.run_requests(borrower.name)
     await session.repeat_request(borrower.name)
     await session.run_burst(borrower.name)
     await session.run_gang(owner)
-    await session.reclaim(borrower, owner, shape)
+    await session.reclaim(lenders, owner, shape)
     await session.cancel(borrower.name)
     await session.refuse(borrower.name)
     return session.failed
@@ -378,7 +387,6 @@
         (account.name, shape)
         for account in config.accounts
         for shape in account.guarantees
-        if shape.adjacency is hardware.Adjacency.RACK
     ]
     return max(found, key=lambda item: item[1].accelerators)
 
