--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Fixed seed for hash ordering, so that every run takes the same path.
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format fuzz bench
+.PHONY: demo test lint format fuzz
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
