Run the watcher rule that the fuzzer proves; remove dead code

Cause: read again, the rule that chooses the watching entry stood twice; the fuzzer drove the one in store/configuration, the entry shipped the one in peer/membership. The key of the configuration stood twice as well. A setting of Node and a method of Coordination had no reader. Ruled out: a call from membership into the store package (a peer's state would depend on another peer's package). Change: the entry calls configuration.is_watcher with its neighbours of the data centre and uses its key; the copies are gone. Behaviour is the same.

--- a/damaskpin/daemon/coordination.py
+++ b/damaskpin/daemon/coordination.py
@@ -101,10 +101,6 @@
         """Return whether this entry coordinates its region."""
         return self._active_since is not None
 
-    def is_settled(self) -> bool:
-        """Return whether this entry places jobs."""
-        return self._scheduler is not None
-
     def set_active(self, now: float, active: bool) -> None:
         """Take over the region, or leave it to another entry.
 
--- a/damaskpin/daemon/entry.py
+++ b/damaskpin/daemon/entry.py
@@ -46,7 +46,6 @@
 
 LOG = logging.getLogger(__name__)
 
-CONFIG_KEY = '/damaskpin/config'
 SEED_RETRY_S = 1.0
 # Other entries are sought through the seeds again, in case that two groups
 # of entries started without hearing each other.
@@ -384,7 +383,7 @@
             )
         )
         self.configuration.set_agents(self.membership.list_home_agents())
-        self._step_watch()
+        self._step_watch(near)
         if active:
             self._objectives.note_revisions(
                 now,
@@ -392,11 +391,16 @@
                 self.membership.list_revisions(),
             )
 
-    def _step_watch(self) -> None:
-        wanted = self.membership.is_watcher() and not self.draining
+    def _step_watch(self, neighbours: list[str]) -> None:
+        wanted = not self.draining and configurations.is_watcher(
+            self.node.peer.instance, neighbours
+        )
         if wanted and self._watch is None:
             self._watch = watches.Watch(
-                self._store, CONFIG_KEY, self._config_changed, self._rng
+                self._store,
+                configurations.CONFIG_KEY,
+                self._config_changed,
+                self._rng,
             )
             self._watch.start()
         elif not wanted and self._watch is not None:
@@ -434,7 +438,7 @@
         """Read the configuration once; the watch may be another entry's."""
         while not self.configuration.revision:
             try:
-                item = await self._store.get(CONFIG_KEY)
+                item = await self._store.get(configurations.CONFIG_KEY)
                 if item is not None:
                     self.offer_config(item.mod_revision, item.value)
                     return
--- a/damaskpin/daemon/node.py
+++ b/damaskpin/daemon/node.py
@@ -63,7 +63,6 @@
         '_outbox',
         '_receive',
         '_replies',
-        '_settings',
         'peer',
         'telemetry',
     )
@@ -76,7 +75,6 @@
         call_failed: Callable[[str], None],
         find_peer: Callable[[str], None],
     ) -> None:
-        self._settings = settings
         self._find_peer = find_peer
         self._held: dict[str, list[messages.Message]] = {}
         self._asked: dict[str, float] = {}
--- a/damaskpin/peer/membership.py
+++ b/damaskpin/peer/membership.py
@@ -114,14 +114,6 @@
             names.append(self.peer.instance)
         return min(names, default=None)
 
-    def is_watcher(self) -> bool:
-        """Return whether this entry watches the store for its data centre."""
-        return not any(
-            entry.peer.data_centre == self.peer.data_centre
-            and name < self.peer.instance
-            for name, entry in self._entries.items()
-        )
-
     def learn_entries(
         self, now: float, peers: Iterable[messages.Peer]
     ) -> list[events.Output]:
