--- /dev/null
+++ b/damaskpin/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Control of one worker, decided without I/O."""
--- /dev/null
+++ b/damaskpin/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""Placement and life of jobs, decided without I/O."""
--- /dev/null
+++ b/damaskpin/coordinator/job.py
@@ -0,0 +1,297 @@
+"""Life of one job: what is ready, what runs and what has ended."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import records
+from damaskpin.model import work
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@dataclasses.dataclass(slots=True)
+class Unit:
+    """Work items that start together: one item or a whole gang.
+
+    :ivar indexes: indexes of the work items within the step.
+    :ivar slot: slot of the unit within the step's progress.
+    :ivar ready_since: time at which the unit became ready, in seconds.
+    """
+
+    job: Job
+    occurrence: int
+    step_index: int
+    step: work.Step
+    indexes: tuple[int, ...]
+    slot: int
+    ready_since: float
+
+    def get_progress(self) -> records.StepProgress:
+        """Return the progress of the unit's step."""
+        return self.job.get_step(self.occurrence, self.step_index)
+
+    def get_key(self) -> tuple[str, int, int, int]:
+        """Return the identity of the unit."""
+        return (self.job.id, self.occurrence, self.step_index, self.slot)
+
+    def get_item(self, index: int) -> work.Item:
+        """Return a work item of the unit."""
+        return work.Item(self.job.id, self.occurrence, self.step_index, index)
+
+    def get_checkpoint(self) -> str:
+        """Return the checkpoint that the next run resumes from."""
+        return self.get_progress().checkpoints.get(self.slot, '')
+
+
+class Job:
+    """A job and its progress.
+
+    :param submission: job as it was accepted.
+    :param progress: progress as it is known; changed in place.
+    """
+
+    __slots__ = (
+        '_ready_since',
+        'avoided',
+        'cancelled',
+        'progress',
+        'revision',
+        'stored_version',
+        'submission',
+    )
+
+    def __init__(
+        self, submission: work.Submission, progress: records.Progress
+    ) -> None:
+        self.submission = submission
+        self.progress = progress
+        self.stored_version = progress.version
+        self.revision = 0
+        self.cancelled = False
+        self.avoided: dict[tuple[int, int, int], set[str]] = {}
+        self._ready_since: dict[tuple[int, int, int], float] = {}
+
+    @property
+    def id(self) -> str:
+        """Return the job's id."""
+        return self.submission.id
+
+    def is_final(self) -> bool:
+        """Return whether the job's state never changes again."""
+        return self.progress.state.is_final()
+
+    def touch(self) -> None:
+        """Note a change that the store must keep."""
+        self.progress.version += 1
+
+    def is_dirty(self) -> bool:
+        """Return whether the store lacks a change."""
+        return self.progress.version > self.stored_version
+
+    def get_step(self, occurrence: int, step: int) -> records.StepProgress:
+        """Return the progress of a step; creates it when it is absent."""
+        steps = self.progress.occurrences.get(occurrence)
+        if steps is None:
+            steps = [records.StepProgress() for _ in self.submission.steps]
+            self.progress.occurrences[occurrence] = steps
+        return steps[step]
+
+    def iterate_active(
+        self,
+    ) -> Iterator[tuple[work.Run, records.ActiveRun]]:
+        """Return the runs that may exist."""
+        for occurrence, steps in self.progress.occurrences.items():
+            for index, progress in enumerate(steps):
+                for active in progress.active:
+                    item = work.Item(self.id, occurrence, index, active.index)
+                    yield work.Run(item, active.number), active
+
+    def iterate_ready(self, now: float, wall: float) -> Iterator[Unit]:
+        """Return the units that may start now.
+
+        :param now: steady time in seconds.
+        :param wall: Unix time in seconds.
+        """
+        if self.is_final() or self.cancelled:
+            return
+        for occurrence in self._list_due(wall):
+            for index, step in enumerate(self.submission.steps):
+                if not self._is_step_ready(occurrence, step):
+                    continue
+                yield from self._iterate_step(now, occurrence, index, step)
+
+    def get_next_due(self, wall: float) -> float | None:
+        """Return the Unix time of the next occurrence after ``wall``."""
+        schedule = self.submission.schedule
+        if schedule is None or self.is_final():
+            return None
+        for occurrence in range(schedule.count):
+            due = schedule.get_due(occurrence)
+            if due > wall:
+                return due
+        return None
+
+    def assign(
+        self, unit: Unit, holders: list[tuple[work.Lifetime, str]]
+    ) -> list[work.Run]:
+        """Record new runs of a unit.
+
+        :param holders: worker lifetime and agent for each index of the unit.
+        :returns: the runs, in the order of the unit's indexes.
+        """
+        progress = unit.get_progress()
+        number = progress.numbers.get(unit.slot, 0) + 1
+        progress.numbers[unit.slot] = number
+        runs = []
+        for index, holder in zip(unit.indexes, holders, strict=True):
+            progress.active.append(
+                records.ActiveRun(index, number, holder[0], holder[1])
+            )
+            runs.append(work.Run(unit.get_item(index), number))
+        self._ready_since.pop(unit.get_key()[1:], None)
+        self.progress.begun = True
+        self.progress.state = work.JobState.RUNNING
+        self.touch()
+        return runs
+
+    def end_run(
+        self, run: work.Run, ending: work.Ending, checkpoint: str, wall: float
+    ) -> bool:
+        """Record an end that a worker listed.
+
+        :returns: whether the run was known; an unknown end is ignored.
+        """
+        item = run.item
+        if item.step >= len(self.submission.steps):
+            return False
+        step = self.submission.steps[item.step]
+        if not self.remove_run(run):
+            return False
+        progress = self.get_step(item.occurrence, item.step)
+        slot = 0 if step.gang else item.index
+        if checkpoint:
+            progress.checkpoints[slot] = checkpoint
+        if self.is_final():
+            return True
+        match ending:
+            case work.Ending.DONE:
+                self._note_done(item, step, progress, wall)
+            case work.Ending.FAILED:
+                self._note_failed(slot, step, progress, wall)
+        return True
+
+    def remove_run(self, run: work.Run) -> bool:
+        """Record that a run does not exist any more.
+
+        :returns: whether it was known.
+        """
+        item = run.item
+        steps = self.progress.occurrences.get(item.occurrence)
+        if steps is None or item.step >= len(steps):
+            return False
+        progress = steps[item.step]
+        for position, active in enumerate(progress.active):
+            if active.index == item.index and active.number == run.number:
+                del progress.active[position]
+                self.touch()
+                return True
+        return False
+
+    def finish(
+        self, state: work.JobState, wall: float, reason: str = ''
+    ) -> None:
+        """Give the job its final state."""
+        self.progress.state = state
+        self.progress.ended = wall
+        self.progress.reason = reason
+        self.touch()
+
+    def _list_due(self, wall: float) -> Iterator[int]:
+        schedule = self.submission.schedule
+        finished = self.progress.finished
+        if schedule is None:
+            if 0 not in finished:
+                yield 0
+            return
+        for occurrence in range(schedule.count):
+            if occurrence in finished:
+                continue
+            if schedule.get_due(occurrence) > wall:
+                return
+            yield occurrence
+
+    def _is_step_ready(self, occurrence: int, step: work.Step) -> bool:
+        for before in step.after:
+            progress = self.get_step(occurrence, before)
+            if len(progress.done) < self.submission.steps[before].count:
+                return False
+        return True
+
+    def _iterate_step(
+        self, now: float, occurrence: int, index: int, step: work.Step
+    ) -> Iterator[Unit]:
+        progress = self.get_step(occurrence, index)
+        if len(progress.done) >= step.count:
+            return
+        if step.gang:
+            if not progress.active:
+                indexes = tuple(range(step.count))
+                yield self._make_unit(now, occurrence, index, indexes, 0)
+            return
+        active = {run.index for run in progress.active}
+        for number in range(step.count):
+            if number in progress.done or number in active:
+                continue
+            yield self._make_unit(now, occurrence, index, (number,), number)
+
+    def _make_unit(
+        self,
+        now: float,
+        occurrence: int,
+        index: int,
+        indexes: tuple[int, ...],
+        slot: int,
+    ) -> Unit:
+        since = self._ready_since.setdefault((occurrence, index, slot), now)
+        step = self.submission.steps[index]
+        return Unit(self, occurrence, index, step, indexes, slot, since)
+
+    def _note_done(
+        self,
+        item: work.Item,
+        step: work.Step,
+        progress: records.StepProgress,
+        wall: float,
+    ) -> None:
+        if step.lasting:
+            return
+        if step.gang:
+            progress.done.update(range(step.count))
+        else:
+            progress.done.add(item.index)
+        steps = self.progress.occurrences[item.occurrence]
+        for known, other in zip(self.submission.steps, steps, strict=True):
+            if len(other.done) < known.count:
+                return
+        self.progress.finished.add(item.occurrence)
+        if len(self.progress.finished) >= self.submission.get_occurrences():
+            self.finish(work.JobState.COMPLETED, wall)
+
+    def _note_failed(
+        self,
+        slot: int,
+        step: work.Step,
+        progress: records.StepProgress,
+        wall: float,
+    ) -> None:
+        if step.lasting:
+            return
+        failures = progress.failures.get(slot, 0) + 1
+        progress.failures[slot] = failures
+        attempts = self.submission.terms.attempts
+        if failures >= attempts:
+            reason = f'a work item failed {failures} times'
+            self.finish(work.JobState.FAILED, wall, reason)
--- /dev/null
+++ b/damaskpin/coordinator/records.py
@@ -0,0 +1,94 @@
+"""Progress of a job as the store keeps it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from damaskpin.model import work
+
+
+class ActiveRun(msgspec.Struct, array_like=True, frozen=True):
+    """A run that may exist on a worker.
+
+    :ivar index: index of the work item within its step.
+    :ivar number: run number.
+    :ivar agent: instance id of the agent beside the worker.
+    """
+
+    index: int
+    number: int
+    lifetime: work.Lifetime
+    agent: str
+
+
+class StepProgress(msgspec.Struct, omit_defaults=True):
+    """Progress of one step of one occurrence.
+
+    A gang shares one slot, 0; other work items use their index as slot.
+
+    :ivar done: indexes of the work items that ended done.
+    :ivar failures: failed runs by slot.
+    :ivar numbers: latest run number by slot.
+    :ivar checkpoints: latest checkpoint by slot.
+    :ivar active: runs that may exist.
+    """
+
+    done: set[int] = msgspec.field(default_factory=set)
+    failures: dict[int, int] = msgspec.field(default_factory=dict)
+    numbers: dict[int, int] = msgspec.field(default_factory=dict)
+    checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
+    active: list[ActiveRun] = msgspec.field(default_factory=list)
+
+
+class Progress(msgspec.Struct, omit_defaults=True):
+    """Progress of a job.
+
+    :ivar version: grows with each change.
+    :ivar begun: whether any work item was ever started.
+    :ivar occurrences: progress of the steps by occurrence, for those that
+        have begun and are not finished.
+    :ivar finished: occurrences whose work items are all done.
+    :ivar ended: Unix time of the final state in seconds; 0 before.
+    :ivar reason: why the job failed; empty otherwise.
+    """
+
+    state: work.JobState = work.JobState.QUEUED
+    version: int = 0
+    begun: bool = False
+    occurrences: dict[int, list[StepProgress]] = msgspec.field(
+        default_factory=dict
+    )
+    finished: set[int] = msgspec.field(default_factory=set)
+    ended: float = 0.0
+    reason: str = ''
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(Progress)
+_SUBMISSIONS = msgspec.json.Decoder(work.Submission)
+
+
+def encode_progress(progress: Progress) -> bytes:
+    """Return the stored form."""
+    return _ENCODER.encode(progress)
+
+
+def decode_progress(data: bytes) -> Progress:
+    """Return the progress of its stored form.
+
+    :raises msgspec.DecodeError: malformed.
+    """
+    return _DECODER.decode(data)
+
+
+def encode_submission(submission: work.Submission) -> bytes:
+    """Return the stored form."""
+    return _ENCODER.encode(submission)
+
+
+def decode_submission(data: bytes) -> work.Submission:
+    """Return the submission of its stored form.
+
+    :raises msgspec.DecodeError: malformed.
+    """
+    return _SUBMISSIONS.decode(data)
--- /dev/null
+++ b/damaskpin/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Admission and answers for callers, decided without I/O."""
--- /dev/null
+++ b/damaskpin/entry/view.py
@@ -0,0 +1,129 @@
+"""Jobs as the store has them, for answers to callers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin.coordinator import records
+from damaskpin.store import layout
+from damaskpin.store import transactions
+
+if TYPE_CHECKING:
+    from damaskpin.model import work
+
+LOG = logging.getLogger(__name__)
+
+
+class KnownJob:
+    """A job with its stored progress.
+
+    :ivar revision: revision of the progress; 0 before the first one.
+    """
+
+    __slots__ = ('cancelled', 'progress', 'revision', 'submission')
+
+    def __init__(self) -> None:
+        self.submission: work.Submission | None = None
+        self.progress = records.Progress()
+        self.revision = 0
+        self.cancelled = False
+
+
+class View:
+    """All jobs of the store, fed by its changes."""
+
+    __slots__ = ('_jobs', 'entries', 'leader')
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, KnownJob] = {}
+        self.entries: dict[str, str] = {}
+        self.leader: transactions.StoredItem | None = None
+
+    def get(self, job_id: str) -> KnownJob | None:
+        """Return a job that is known to be accepted."""
+        job = self._jobs.get(job_id)
+        if job is None or job.submission is None:
+            return None
+        return job
+
+    def list_jobs(self) -> list[KnownJob]:
+        """Return all jobs that are known to be accepted."""
+        return [j for j in self._jobs.values() if j.submission is not None]
+
+    def count_pending(self, queue: str) -> int:
+        """Return the accepted jobs of a queue that have not begun."""
+        count = 0
+        for job in self._jobs.values():
+            if job.submission is None or job.submission.terms.queue != queue:
+                continue
+            if job.cancelled or job.progress.begun:
+                continue
+            if not job.progress.state.is_final():
+                count += 1
+        return count
+
+    def apply(self, change: transactions.Change) -> str:
+        """Take over a change.
+
+        :returns: id of the job concerned; empty for other keys.
+        """
+        key = change.key
+        if key == layout.LEADER:
+            self._apply_leader(change)
+            return ''
+        if key.startswith(layout.ENTRIES):
+            self._apply_entry(change)
+            return ''
+        for prefix in (layout.JOBS, layout.PROGRESS, layout.CANCELS):
+            if key.startswith(prefix):
+                job_id = key[len(prefix) :]
+                self._apply_job(prefix, job_id, change)
+                return job_id
+        return ''
+
+    def _apply_leader(self, change: transactions.Change) -> None:
+        match change:
+            case transactions.StoredItem():
+                self.leader = change
+            case transactions.Removal():
+                self.leader = None
+
+    def _apply_entry(self, change: transactions.Change) -> None:
+        name = change.key[len(layout.ENTRIES) :]
+        match change:
+            case transactions.StoredItem():
+                self.entries[name] = change.value.decode('utf-8', 'replace')
+            case transactions.Removal():
+                self.entries.pop(name, None)
+
+    def _apply_job(
+        self, prefix: str, job_id: str, change: transactions.Change
+    ) -> None:
+        match change:
+            case transactions.Removal():
+                if prefix == layout.JOBS:
+                    self._jobs.pop(job_id, None)
+                return
+        job = self._jobs.setdefault(job_id, KnownJob())
+        try:
+            match prefix:
+                case layout.JOBS:
+                    job.submission = records.decode_submission(change.value)
+                case layout.PROGRESS:
+                    job.progress = records.decode_progress(change.value)
+                    job.revision = change.revision
+                case _:
+                    job.cancelled = True
+        except msgspec.DecodeError as error:
+            LOG.error(
+                'record not readable',
+                extra={'key': change.key, 'error': str(error)},
+            )
+
+
+def copy_progress(progress: records.Progress) -> records.Progress:
+    """Return a copy that can be changed."""
+    return records.decode_progress(records.encode_progress(progress))
--- a/damaskpin/errors.py
+++ b/damaskpin/errors.py
@@ -85,3 +85,26 @@
 
 class TargetError(DamaskpinError):
     """A target did not answer as its protocol requires."""
+
+
+class StoreHistoryError(StoreError):
+    """The store no longer has the history that a watch asked for."""
+
+
+class StoreRefusedError(StoreUnavailableError):
+    """The store found the call itself wrong; nothing was written."""
+
+
+class CallError(DamaskpinError):
+    """An HTTP call got no answer.
+
+    :param sent: whether the other side may have received the call.
+    """
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+class MalformedError(DamaskpinError):
+    """A document or message from outside can't be read."""
--- a/damaskpin/logs.py
+++ b/damaskpin/logs.py
@@ -3,18 +3,57 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
+from typing import TextIO
+from typing import TYPE_CHECKING
 
 from pythonjsonlogger import json as json_formatter
 
+if TYPE_CHECKING:
+    from typing import Any
 
-def configure_logging(level: str, instance: str) -> None:
-    """Write all log records to standard error, one JSON object a line.
+
+class BoundedHandler(logging.StreamHandler):
+    """Writes lines without ever waiting for the reader.
+
+    Lines that the reader's pipe has no room for are dropped and counted; the
+    next line that fits tells how many.
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__(stream)
+        self.dropped = 0
+        self._descriptor = stream.fileno()
+        os.set_blocking(self._descriptor, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record or drop it."""
+        try:
+            if self.dropped:
+                record.dropped_lines = self.dropped
+            line = self.format(record) + self.terminator
+            os.write(self._descriptor, line.encode())
+            self.dropped = 0
+        except BlockingIOError:
+            self.dropped += 1
+        except Exception:
+            self.handleError(record)
+
+
+def configure_logging(
+    level: str, instance: str, stream: TextIO | None = None
+) -> None:
+    """Write all log records to a stream, one JSON object a line.
 
     :param level: least severe level that is written.
     :param instance: name of this process, added to each record.
+    :param stream: stream that is written without waiting; ``None`` writes to
+        standard error.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler: Any = logging.StreamHandler(sys.stderr)
+    if stream is not None:
+        handler = BoundedHandler(stream)
     handler.setFormatter(
         json_formatter.JsonFormatter(
             '%(asctime)s %(levelname)s %(name)s %(message)s',
--- a/damaskpin/peer/codec.py
+++ b/damaskpin/peer/codec.py
@@ -4,35 +4,42 @@
 
 import hashlib
 import hmac
+from typing import Generic
+from typing import TypeVar
 
 import msgspec
 
 from damaskpin import errors
 from damaskpin.peer import messages
 
+FrameT = TypeVar('FrameT', bound=msgspec.Struct)
+
 MAC_BYTES = 12
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 
-class Codec:
+class Codec(Generic[FrameT]):
     """Encodes and decodes frames under the fleet key.
 
     :param key: secret shared by all damaskpin processes of the fleet.
+    :param frame: type of the frames.
     """
 
     __slots__ = ('_decoder', '_encoder', '_key')
 
-    def __init__(self, key: bytes) -> None:
+    def __init__(
+        self, key: bytes, frame: type[FrameT] = messages.Frame
+    ) -> None:
         self._key = key
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(messages.Frame)
+        self._decoder = msgspec.msgpack.Decoder(frame)
 
-    def encode_frame(self, frame: messages.Frame) -> bytes:
+    def encode_frame(self, frame: FrameT) -> bytes:
         """Return the bytes of a frame, headed by its authentication code."""
         payload = self._encoder.encode(frame)
         return self._compute_mac(payload) + payload
 
-    def decode_frame(self, data: bytes) -> messages.Frame:
+    def decode_frame(self, data: bytes) -> FrameT:
         """Check and decode a frame.
 
         :raises damaskpin.errors.FrameError: too large, forged or malformed.
--- /dev/null
+++ b/damaskpin/peer/exchange.py
@@ -0,0 +1,151 @@
+"""Delivery of the newest state to each peer, one call at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpin import errors
+from damaskpin.peer import codec as codecs
+from damaskpin.peer import link
+from damaskpin.peer import orders
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Build = Callable[[], orders.Message | None]
+    Receive = Callable[[orders.Frame, orders.Message], 'orders.Message | None']
+
+LOG = logging.getLogger(__name__)
+
+# A peer answers within milliseconds; a longer silence means a connection that
+# lost its other end.
+CALL_TIMEOUT_S = 0.6
+
+
+class Exchange:
+    """Sends messages to peers and receives theirs.
+
+    A message is built just before it is sent, so what waits behind a slow
+    call is never outdated, and a later message replaces a waiting one of the
+    same kind.
+
+    :param instance: instance id of this process.
+    :param incarnation: random token of this run of the process.
+    :param address: pynng URL to listen on.
+    :param key: secret shared by all damaskpin processes.
+    :param receive: called with each message and its frame; returns the reply
+        to the sender or ``None``.
+    :param on_failure: called with the address of a peer that did not answer.
+    """
+
+    __slots__ = (
+        '_address',
+        '_codec',
+        '_incarnation',
+        '_instance',
+        '_links',
+        '_listener',
+        '_on_failure',
+        '_receive',
+        '_senders',
+        '_waiting',
+    )
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        address: str,
+        key: bytes,
+        receive: Receive,
+        on_failure: Callable[[str], None],
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._address = address
+        self._codec = codecs.Codec(key, orders.Frame)
+        self._receive = receive
+        self._on_failure = on_failure
+        self._links: dict[str, link.Link] = {}
+        self._waiting: dict[str, dict[object, Build]] = {}
+        self._senders: dict[str, asyncio.Task[None]] = {}
+        self._listener = link.Listener(address, self._codec, self._answer)
+
+    @property
+    def address(self) -> str:
+        """Return the URL on which this process listens."""
+        return self._address
+
+    def is_busy(self, address: str) -> bool:
+        """Return whether a call to a peer is under way."""
+        return address in self._senders
+
+    def post(self, address: str, kind: object, build: Build) -> None:
+        """Send a message to a peer as soon as its link is free.
+
+        :param kind: a waiting message of the same kind is replaced.
+        :param build: makes the message; ``None`` sends nothing.
+        """
+        self._waiting.setdefault(address, {})[kind] = build
+        if address in self._senders:
+            return
+        self._senders[address] = asyncio.ensure_future(self._send_all(address))
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in self._senders.values():
+            task.cancel()
+        for connection in self._links.values():
+            connection.close()
+        await self._listener.close()
+
+    async def _send_all(self, address: str) -> None:
+        waiting = self._waiting[address]
+        try:
+            while waiting:
+                builds = list(waiting.values())
+                waiting.clear()
+                messages = [build() for build in builds]
+                found = tuple(m for m in messages if m is not None)
+                if found:
+                    await self._call(address, found)
+        except Exception:
+            LOG.exception('sending failed', extra={'peer': address})
+        finally:
+            del self._senders[address]
+
+    async def _call(
+        self, address: str, messages: tuple[orders.Message, ...]
+    ) -> None:
+        connection = self._links.get(address)
+        if connection is None:
+            connection = link.Link(address, self._codec)
+            self._links[address] = connection
+        frame = self._make_frame(messages)
+        try:
+            reply = await connection.call(frame, CALL_TIMEOUT_S)
+        except errors.PeerError as error:
+            LOG.info('peer did not answer', extra={'error': str(error)})
+            self._links.pop(address, None)
+            connection.close()
+            self._on_failure(address)
+            return
+        for message in reply.messages:
+            self._receive(reply, message)
+
+    def _answer(self, frame: orders.Frame) -> orders.Frame:
+        replies = []
+        for message in frame.messages:
+            reply = self._receive(frame, message)
+            if reply is not None:
+                replies.append(reply)
+        return self._make_frame(tuple(replies))
+
+    def _make_frame(
+        self, messages: tuple[orders.Message, ...]
+    ) -> orders.Frame:
+        return orders.Frame(
+            self._instance, self._incarnation, self._address, messages
+        )
--- /dev/null
+++ b/damaskpin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers for the users' platform; only translates."""
--- /dev/null
+++ b/damaskpin/platform/__main__.py
@@ -0,0 +1,115 @@
+"""Starts the role that the settings file names."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from tornado import httpserver
+
+from damaskpin import errors
+from damaskpin import logs
+from damaskpin import transport
+from damaskpin.platform import control
+from damaskpin.platform import front
+from damaskpin.platform import operator
+from damaskpin.platform import settings as settings_module
+from damaskpin.platform import store
+from damaskpin.platform import worker
+from damaskpin.runtime import agent as agents
+from damaskpin.runtime import entry as entries
+
+if TYPE_CHECKING:
+    from tornado import web
+
+LOG = logging.getLogger(__name__)
+
+CONFIG_KEY = 'op/config'
+
+# Bytes of a request at most; the configuration's own limit is lower.
+MAX_BODY_BYTES = 1 << 20
+
+# The platform kills a process after its grace time; an entry ends before it,
+# but answers its open connections as long as clients may still use them.
+EXIT_MARGIN_S = 1.5
+
+
+async def run_entry(settings: settings_module.Settings) -> None:
+    """Run an entry until SIGTERM."""
+    entry = entries.Entry(
+        settings.make_options(),
+        transport.HttpCaller(settings.platform.addr),
+        store.StoreClient,
+        operator.decode_installation,
+        CONFIG_KEY,
+    )
+    listen(front.make_front(entry), settings.listen.front)
+    listen(front.make_readiness(entry), settings.listen.ready)
+    entry.start()
+    await wait_for_stop()
+    await entry.resign()
+    await asyncio.sleep(settings.bounds.graceS - EXIT_MARGIN_S)
+    await entry.close()
+
+
+async def run_agent(settings: settings_module.Settings) -> None:
+    """Run an agent until SIGTERM."""
+    runtime = agents.AgentRuntime(
+        settings.make_options(),
+        worker.WorkerClient(transport.HttpCaller(settings.app)),
+        store.StoreClient(transport.HttpCaller(settings.platform.addr)),
+    )
+    listen(control.make_control(runtime), settings.listen.control)
+    runtime.start()
+    await wait_for_stop()
+    await runtime.close()
+
+
+def listen(application: web.Application, address: str) -> None:
+    """Serve an application at an address.
+
+    :raises damaskpin.errors.SettingsError: the address can't be used.
+    """
+    server = httpserver.HTTPServer(
+        application, max_body_size=MAX_BODY_BYTES, no_keep_alive=False
+    )
+    host, _, port = address.rpartition(':')
+    try:
+        server.listen(int(port), host)
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(f'{address}: {error}') from error
+
+
+async def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    # A changed settings file takes effect at the next start; nothing that it
+    # may change is read while the process runs.
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: LOG.info('settings file has changed')
+    )
+    LOG.info('started')
+    await stopping.wait()
+    LOG.info('stopping')
+
+
+def main() -> None:
+    """Run the role of this process."""
+    try:
+        settings = settings_module.load_settings()
+        logs.configure_logging('INFO', settings.node, sys.stdout)
+        role = run_agent if settings.app else run_entry
+        asyncio.run(role(settings))
+        LOG.info('stopped')
+    except errors.SettingsError as error:
+        sys.exit(f'damaskpin: {error}')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/damaskpin/platform/front.py
@@ -0,0 +1,218 @@
+"""The interface to clients, translated to requests about jobs."""
+
+from __future__ import annotations
+
+import logging
+import re
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado import web
+
+from damaskpin import errors
+from damaskpin.entry import outcomes
+from damaskpin.platform import operator
+from damaskpin.runtime import clocks
+
+if TYPE_CHECKING:
+    from damaskpin.model import installation as installations
+    from damaskpin.runtime import entry as entries
+
+LOG = logging.getLogger(__name__)
+
+JOB_ID = re.compile('[0-9a-f]{16}')
+
+# Kept back from the client's time limit for the way of the answer, seconds.
+ANSWER_MARGIN_S = 0.25
+DEFAULT_TIMEOUT_S = 3.0
+
+# Clients of an entry that can't serve now find another one after this time.
+RETRY_AFTER_S = 1
+
+
+class JobsHandler(web.RequestHandler):
+    """Answers all requests of clients."""
+
+    def initialize(self, entry: entries.Entry) -> None:
+        """Take over what the application knows."""
+        self._entry = entry
+        self._arrived = clocks.get_steady()
+
+    def set_default_headers(self) -> None:
+        """Drop the headers that tell nothing."""
+        self.clear_header('Server')
+
+    async def post(self) -> None:
+        """Submit a job."""
+        found = self._find_queue()
+        if found is None:
+            return
+        queue, account = found
+        job_id = self._get_job_id(queue)
+        if job_id is None:
+            return
+        if self._entry.stopping:
+            self._refuse(job_id, 'the entry is stopping')
+            return
+        try:
+            submission = operator.decode_job(
+                self.request.body,
+                job_id,
+                account,
+                queue.get_terms(),
+                clocks.get_wall(),
+            )
+        except errors.MalformedError as error:
+            LOG.info(
+                'job malformed', extra={'job': job_id, 'error': str(error)}
+            )
+            self._answer(400, {'error': str(error)})
+            return
+        outcome = await self._entry.requests.submit(
+            submission, self._get_deadline(queue)
+        )
+        self._answer_outcome('submit', job_id, outcome)
+
+    async def get(self) -> None:
+        """Tell a job's state or a queue's length."""
+        found = self._find_queue()
+        if found is None:
+            return
+        queue, account = found
+        if self.request.path == queue.prefix:
+            pending = self._entry.view.count_pending(queue.name)
+            self._answer(200, {'pending': pending})
+            return
+        job_id = self._get_job_id(queue)
+        if job_id is None:
+            return
+        outcome = await self._entry.requests.show(job_id, account)
+        self._answer_outcome('show', job_id, outcome)
+
+    async def delete(self) -> None:
+        """Cancel a job."""
+        found = self._find_queue()
+        if found is None:
+            return
+        queue, account = found
+        job_id = self._get_job_id(queue)
+        if job_id is None:
+            return
+        outcome = await self._entry.requests.cancel(
+            job_id, account, self._get_deadline(queue)
+        )
+        self._answer_outcome('cancel', job_id, outcome)
+
+    def _find_queue(self) -> tuple[installations.Queue, str] | None:
+        """Return the queue and the client account, or answer."""
+        installation = self._entry.installation
+        if installation is None:
+            self._refuse('', 'no configuration yet')
+            return None
+        host = self.request.host.partition(':')[0]
+        queue = installation.find_queue(host, self.request.path)
+        if queue is None:
+            self._answer(404, {'error': 'no such queue'})
+            return None
+        scheme, _, key = self.request.headers.get(
+            'Authorization', ''
+        ).partition(' ')
+        account = None
+        if scheme == 'Bearer':
+            account = installation.find_account(key)
+        if account is not None:
+            return queue, account.name
+        if queue.anonymous:
+            return queue, ''
+        LOG.info(
+            'unknown key',
+            extra={
+                'path': self.request.path,
+                'version': installation.version,
+            },
+        )
+        self._answer(401, {'error': 'unknown key'})
+        return None
+
+    def _get_job_id(self, queue: installations.Queue) -> str | None:
+        job_id = self.request.path[len(queue.prefix) :]
+        if JOB_ID.fullmatch(job_id):
+            return job_id
+        self._answer(400, {'error': 'the id is not 16 hexadecimal digits'})
+        return None
+
+    def _get_deadline(self, queue: installations.Queue) -> float:
+        timeout = queue.timeout or DEFAULT_TIMEOUT_S
+        told = self.request.headers.get('X-Timeout-Ms', '')
+        if told.isdigit():
+            timeout = min(timeout, int(told) / 1000)
+        return self._arrived + timeout - ANSWER_MARGIN_S
+
+    def _refuse(self, job_id: str, reason: str) -> None:
+        self._answer_outcome(
+            self.request.method or '',
+            job_id,
+            outcomes.Unavailable(reason, RETRY_AFTER_S),
+        )
+
+    def _answer_outcome(
+        self, action: str, job_id: str, outcome: outcomes.Outcome
+    ) -> None:
+        body: dict[str, str] = {}
+        match outcome:
+            case outcomes.Accepted():
+                status = 200
+            case outcomes.Shown(state=state):
+                status = 200
+                body = {'state': str(state)}
+            case outcomes.Unknown():
+                status = 410
+            case outcomes.Unavailable(reason=reason, retry_after=seconds):
+                status = 503
+                body = {'error': reason}
+                self.set_header('Retry-After', str(seconds))
+            case outcomes.Undecided(reason=reason):
+                status = 504
+                body = {'error': reason}
+        if action != 'show' or status != 200:
+            LOG.info(
+                'request answered',
+                extra={
+                    'job': job_id,
+                    'action': action,
+                    'status': status,
+                    'reason': body.get('error', ''),
+                    'seconds': round(clocks.get_steady() - self._arrived, 4),
+                },
+            )
+        self._answer(status, body)
+
+    def _answer(self, status: int, body: dict[str, object]) -> None:
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        self.finish(msgspec.json.encode(body))
+
+
+class ReadyHandler(web.RequestHandler):
+    """Tells the platform whether the entry takes new connections."""
+
+    def initialize(self, entry: entries.Entry) -> None:
+        """Take over what the application knows."""
+        self._entry = entry
+
+    def get(self) -> None:
+        """Answer 200 while the entry can take jobs."""
+        self.set_status(200 if self._entry.is_ready() else 503)
+        self.finish(b'{}')
+
+
+def make_front(entry: entries.Entry) -> web.Application:
+    """Return the application for clients."""
+    return web.Application([('/.*', JobsHandler, {'entry': entry})])
+
+
+def make_readiness(entry: entries.Entry) -> web.Application:
+    """Return the application for readiness checks."""
+    return web.Application(
+        [('/damaskpin/readiness', ReadyHandler, {'entry': entry})]
+    )
--- /dev/null
+++ b/damaskpin/platform/operator.py
@@ -0,0 +1,98 @@
+"""The operator's configuration and the jobs of clients, translated."""
+
+from __future__ import annotations
+
+from damaskpin import errors
+from damaskpin.model import installation
+from damaskpin.model import work
+from damaskpin.platform import wire
+
+# A larger job would not fit the store's transactions.
+MAX_ITEMS = 5000
+
+
+def decode_installation(data: bytes) -> installation.Installation:
+    """Decode a configuration.
+
+    :raises damaskpin.errors.MalformedError: malformed.
+    """
+    body = wire.decode(data, wire.Configuration)
+    queues = [
+        installation.Queue(
+            name=route.name,
+            host=route.host,
+            prefix=route.prefix,
+            service=route.service,
+            priority=route.priority,
+            attempts=route.attempts,
+            stretch=route.stretch,
+            allowance=route.target_latency_ms / 1000,
+            anonymous=route.anonymous,
+            timeout=route.timeout_ms / 1000,
+            advised=bool(route.advice),
+        )
+        for route in body.routes
+    ]
+    services = [
+        installation.Service(s.name, s.rejects_overload) for s in body.services
+    ]
+    accounts = [
+        installation.Account(t.name, tuple(t.api_keys), t.guaranteed.gpu)
+        for t in body.tenants
+    ]
+    return installation.Installation(
+        body.version,
+        tuple(queues),
+        tuple(services),
+        tuple(accounts),
+        body.limits.max_body_bytes,
+    )
+
+
+def decode_job(
+    data: bytes, job_id: str, account: str, terms: work.Terms, now: float
+) -> work.Submission:
+    """Decode a job that a client sent.
+
+    :param now: Unix time of the acceptance in seconds.
+    :raises damaskpin.errors.MalformedError: malformed.
+    """
+    body = wire.decode(data, wire.JobBody)
+    steps = tuple(decode_step(step) for step in body.steps)
+    if not steps or sum(step.count for step in steps) > MAX_ITEMS:
+        raise errors.MalformedError('no work items, or too many')
+    for index, step in enumerate(steps):
+        if step.count < 1:
+            raise errors.MalformedError('a step has no work items')
+        if any(not 0 <= before < index for before in step.after):
+            raise errors.MalformedError('a step waits for no earlier step')
+    schedule = None
+    if body.repeats > 0:
+        schedule = work.Schedule(
+            body.first_ms / 1000, body.period_ms / 1000, body.repeats
+        )
+    return work.Submission(
+        job_id, account, body.spec, steps, terms, now, schedule
+    )
+
+
+def decode_step(step: wire.JobStep) -> work.Step:
+    """Return a step in the product's terms."""
+    return work.Step(
+        count=step.count,
+        demand=work.Resources(step.cpu, step.mem_mb, step.gpu),
+        estimate=step.estimate_ms / 1000,
+        after=tuple(step.after),
+        checkpoints=step.checkpoint,
+        gang=step.gang,
+        same_rack=step.rack_local,
+        label=step.constraints,
+        data_rack=step.affinity,
+        per_worker=step.anti_affinity,
+        copies=step.speculative,
+        lasting=step.long_running,
+        image=step.image,
+        latency_target=step.target_ms,
+        fills=step.fills,
+        tolerated_absences=step.may_miss,
+    )
--- /dev/null
+++ b/damaskpin/platform/settings.py
@@ -0,0 +1,99 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+import msgspec
+
+from damaskpin import errors
+from damaskpin.platform import wire
+from damaskpin.runtime import options
+
+VARIABLE = 'DAMASKPIN_BOOT'
+
+# A worker's lease is renewed well before the longest time that it may have,
+# in seconds.
+LEASE_MARGIN_S = 1.0
+
+# Time for which the machines between two processes may hold an answer back
+# while a worker stops a run; see the worker's bound ``stopMs``.
+KEY_VARIABLE = 'DAMASKPIN_FLEET_KEY'
+
+
+class Listen(msgspec.Struct):
+    """Addresses to listen on."""
+
+    front: str = ''
+    ready: str = ''
+    control: str = ''
+
+
+class Bounds(msgspec.Struct):
+    """Bounds that the users' rules state, in their units."""
+
+    holdMaxMs: float = 10000.0
+    stopMs: float = 1000.0
+    graceS: float = 6.0
+
+
+class StorePlace(msgspec.Struct):
+    """Where the store is."""
+
+    addr: str
+
+
+class Settings(msgspec.Struct, rename='camel'):
+    """Fields of the settings file that the product uses."""
+
+    node: str
+    role: str
+    ip: str
+    zone: str
+    region: str
+    listen: Listen
+    port_range: list[int]
+    platform: StorePlace
+    seeds: list[str] = []
+    bounds: Bounds = msgspec.field(default_factory=Bounds)
+    app: str = ''
+    service: str = ''
+
+    def get_metrics_port(self) -> int:
+        """Return the port on which metrics are served."""
+        return self.port_range[0] + 1
+
+    def make_options(self) -> options.Options:
+        """Return the settings in the product's terms."""
+        port = self.port_range[0]
+        seeds = []
+        for seed in self.seeds:
+            seeds.append(f'tcp://{seed.rpartition(":")[0]}:{port}')
+        return options.Options(
+            instance=self.node,
+            listen=f'tcp://{self.ip}:{port}',
+            fleet_key=os.environ.get(KEY_VARIABLE, '').encode(),
+            seeds=tuple(seeds),
+            grant=self.bounds.holdMaxMs / 1000 - LEASE_MARGIN_S,
+            stop_time=self.bounds.stopMs / 1000,
+        )
+
+
+def load_settings() -> Settings:
+    """Read the settings file.
+
+    :raises damaskpin.errors.SettingsError: missing or malformed; the text
+        names the field.
+    """
+    path = os.environ.get(VARIABLE)
+    if not path:
+        raise errors.SettingsError(f'{VARIABLE} is not set')
+    try:
+        data = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        raise errors.SettingsError(f'{path}: {error.strerror}') from error
+    try:
+        return wire.decode(data, Settings)
+    except errors.MalformedError as error:
+        raise errors.SettingsError(f'{path}: {error}') from error
--- /dev/null
+++ b/damaskpin/platform/store.py
@@ -0,0 +1,217 @@
+"""Client of the platform's metadata store."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from urllib import parse
+
+import msgspec
+
+from damaskpin import errors
+from damaskpin import transport
+from damaskpin.platform import wire
+from damaskpin.store import transactions
+
+if TYPE_CHECKING:
+    from damaskpin.transport import Caller
+
+LOG = logging.getLogger(__name__)
+
+# The store answers in milliseconds; a longer silence means a lost connection
+# or an outage.
+TIMEOUT_S = 0.8
+
+# Added to the time that a watch waits.
+WATCH_MARGIN_S = 0.7
+
+PREFIX = '/damaskpin'
+BUSY = (429, 503)
+
+
+class StoreClient:
+    """Typed calls to the store.
+
+    :param caller: makes the HTTP calls.
+    """
+
+    __slots__ = ('_caller',)
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+
+    async def get(self, key: str) -> transactions.StoredItem | None:
+        """Return a key as it is now, or ``None``.
+
+        :raises damaskpin.errors.StoreError: no answer.
+        """
+        query = parse.urlencode({'key': key})
+        answer = await self._call('GET', f'/kv-key?{query}', None)
+        if answer.status == 404:
+            return None
+        self._check(answer)
+        return decode_item(self._decode(answer, wire.Item))
+
+    async def list_page(
+        self, prefix: str, after: str = '', stale: bool = False
+    ) -> transactions.Page:
+        """Return a page of the keys below a prefix.
+
+        :param after: key after which the page begins.
+        :param stale: whether the answer may be seconds old.
+        :raises damaskpin.errors.StoreError: no answer.
+        """
+        fields = {'prefix': prefix}
+        if after:
+            fields['after'] = after
+        if stale:
+            fields['staleOk'] = '1'
+        query = parse.urlencode(fields)
+        answer = await self._call('GET', f'/kv-range?{query}', None)
+        self._check(answer)
+        page = self._decode(answer, wire.Items)
+        items = [decode_item(item) for item in page.items]
+        return transactions.Page(
+            tuple(items), page.has_more, page.store_revision
+        )
+
+    async def watch(
+        self, prefix: str, after: int, wait: float
+    ) -> transactions.Changes:
+        """Wait for changes below a prefix.
+
+        :param after: revision after which changes count.
+        :param wait: seconds to wait for the first change.
+        :raises damaskpin.errors.StoreHistoryError: the history is gone.
+        :raises damaskpin.errors.StoreError: no answer.
+        """
+        query = parse.urlencode(
+            {'prefix': prefix, 'after': after, 'waitMs': int(wait * 1000)}
+        )
+        answer = await self._call(
+            'GET', f'/kv-watch?{query}', None, wait + WATCH_MARGIN_S
+        )
+        if answer.status == 410:
+            raise errors.StoreHistoryError('the history is gone')
+        self._check(answer)
+        events = self._decode(answer, wire.Events)
+        changes = [decode_change(event) for event in events.events]
+        return transactions.Changes(tuple(changes), events.store_revision)
+
+    async def commit(
+        self, transaction: transactions.Transaction
+    ) -> transactions.Committed | transactions.Conflict:
+        """Write if the expected revisions hold.
+
+        :raises damaskpin.errors.StoreLeaseError: a lease has ended.
+        :raises damaskpin.errors.StoreUnavailableError: nothing was written.
+        :raises damaskpin.errors.StoreUnknownError: no answer; the write may
+            take effect, also later while its conditions hold.
+        """
+        body = wire.Txn(
+            [
+                wire.Expectation(key, revision)
+                for key, revision in transaction.expected.items()
+            ],
+            [
+                wire.Write(put.key, wire.encode_value(put.value), put.lease)
+                for put in transaction.puts
+            ],
+            list(transaction.removals),
+        )
+        answer = await self._call('POST', '/kv-txn', body)
+        if answer.status == 412:
+            conflict = self._decode(answer, wire.TxnConflict)
+            items = [decode_item(i) for i in conflict.items if i.revision]
+            return transactions.Conflict({item.key: item for item in items})
+        if answer.status == 404:
+            raise errors.StoreLeaseError('the lease has ended')
+        self._check(answer)
+        return transactions.Committed(
+            self._decode(answer, wire.TxnDone).revision
+        )
+
+    async def open_lease(self, ttl: float) -> transactions.Lease:
+        """Ask for a lease.
+
+        :param ttl: seconds without renewal after which it ends.
+        :raises damaskpin.errors.StoreError: no answer.
+        """
+        body = wire.LeaseBody(int(ttl * 1000))
+        answer = await self._call('POST', '/kv-lease', body)
+        self._check(answer)
+        granted = self._decode(answer, wire.LeaseBody)
+        return transactions.Lease(granted.lease, granted.ttl_ms / 1000)
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renew a lease.
+
+        :raises damaskpin.errors.StoreLeaseError: it has ended.
+        :raises damaskpin.errors.StoreError: no answer.
+        """
+        answer = await self._call('POST', f'/kv-keep/{lease}', None)
+        if answer.status == 404:
+            raise errors.StoreLeaseError('the lease has ended')
+        self._check(answer)
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease; its keys are removed.
+
+        :raises damaskpin.errors.StoreError: no answer.
+        """
+        await self._call('DELETE', f'/kv-lease-end/{lease}', None)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: msgspec.Struct | None,
+        timeout: float = TIMEOUT_S,
+    ) -> transport.HttpAnswer:
+        data = msgspec.json.encode(body) if body is not None else None
+        request = transport.HttpRequest(method, PREFIX + path, data, timeout)
+        try:
+            return await self._caller.call(request)
+        except errors.CallError as error:
+            if error.sent:
+                raise errors.StoreUnknownError(str(error)) from error
+            raise errors.StoreUnavailableError(str(error)) from error
+
+    def _check(self, answer: transport.HttpAnswer) -> None:
+        if answer.status in BUSY:
+            raise errors.StoreUnavailableError(
+                f'the store refused the call: {answer.status}'
+            )
+        if answer.status != 200:
+            raise errors.StoreRefusedError(
+                f'the store answered {answer.status}'
+            )
+
+    def _decode(
+        self, answer: transport.HttpAnswer, kind: type[wire.T]
+    ) -> wire.T:
+        try:
+            return wire.decode(answer.body, kind)
+        except errors.MalformedError as error:
+            raise errors.StoreUnknownError(str(error)) from error
+
+
+def decode_item(item: wire.Item) -> transactions.StoredItem:
+    """Return a key of the store; unreadable values become empty."""
+    try:
+        value = wire.decode_value(item.value)
+    except errors.MalformedError as error:
+        LOG.warning(
+            'value is not base64', extra={'key': item.key, 'error': str(error)}
+        )
+        value = b''
+    return transactions.StoredItem(
+        item.key, value, item.revision, item.created
+    )
+
+
+def decode_change(event: wire.Item) -> transactions.Change:
+    """Return a change of a watch."""
+    if event.removed:
+        return transactions.Removal(event.key, event.revision)
+    return decode_item(event)
--- /dev/null
+++ b/damaskpin/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Loops that connect the decisions to the network."""
--- /dev/null
+++ b/damaskpin/runtime/options.py
@@ -0,0 +1,24 @@
+"""What a process of the fleet is told at its start."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """Addresses, secrets and bounds of a process.
+
+    :ivar instance: name that a restarted process keeps.
+    :ivar listen: pynng URL for peers.
+    :ivar seeds: pynng URLs of entries to ask first.
+    :ivar grant: seconds for which an agent keeps its worker's lease without
+        hearing from the coordinator.
+    :ivar stop_time: seconds that a worker takes to stop a run.
+    """
+
+    instance: str
+    listen: str
+    fleet_key: bytes
+    seeds: tuple[str, ...]
+    grant: float
+    stop_time: float
--- /dev/null
+++ b/damaskpin/transport.py
@@ -0,0 +1,106 @@
+"""HTTP calls that keep their connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from damaskpin import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from typing import Protocol
+
+    class Caller(Protocol):
+        """Makes HTTP calls to one server."""
+
+        def call(self, request: HttpRequest) -> Awaitable[HttpAnswer]:
+            """Return the answer.
+
+            :raises damaskpin.errors.CallError: there was none.
+            """
+
+
+# Waiting watches and looks at workers keep a connection each.
+MAX_CONNECTIONS = 64
+
+# Errors of libcurl before anything of the call was sent.
+UNSENT_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+
+
+class HttpRequest(msgspec.Struct, frozen=True, array_like=True):
+    """A call to make.
+
+    :ivar path: path and query.
+    :ivar body: JSON body; ``None`` for none.
+    :ivar timeout: seconds to wait for the answer.
+    """
+
+    method: str
+    path: str
+    body: bytes | None
+    timeout: float
+    headers: dict[str, str] = {}
+
+
+class HttpAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """An answer of any status."""
+
+    status: int
+    body: bytes
+
+
+class HttpCaller:
+    """Calls one server.
+
+    :param address: IP address and port.
+    """
+
+    __slots__ = ('_base', '_client', 'calls')
+
+    def __init__(self, address: str) -> None:
+        self._base = f'http://{address}'
+        self._client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CONNECTIONS
+        )
+        self.calls = 0
+
+    async def call(self, request: HttpRequest) -> HttpAnswer:
+        """Make a call.
+
+        :returns: the answer, whatever its status.
+        :raises damaskpin.errors.CallError: no whole answer arrived in time.
+        """
+        self.calls += 1
+        headers = dict(request.headers)
+        if request.body is not None:
+            headers['Content-Type'] = 'application/json'
+        prepared = httpclient.HTTPRequest(
+            self._base + request.path,
+            method=request.method,
+            headers=headers,
+            body=request.body,
+            connect_timeout=request.timeout,
+            request_timeout=request.timeout,
+            allow_nonstandard_methods=True,
+            decompress_response=False,
+            follow_redirects=False,
+        )
+        try:
+            answer = await self._client.fetch(prepared, raise_error=False)
+        except OSError as error:
+            raise errors.CallError(str(error), True) from error
+        if answer.error is not None and answer.code == 599:
+            number = getattr(answer.error, 'errno', None)
+            raise errors.CallError(
+                str(answer.error), number not in UNSENT_ERRORS
+            )
+        return HttpAnswer(answer.code, answer.body or b'')
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
