--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -435,6 +435,9 @@
             case work.Ending.FAILED:
                 worker.note_result(now, job.id, failed=True)
                 self._avoid(placed, worker)
+        if job.progress.state is work.JobState.COMPLETED:
+            # The other members of a gang end by themselves.
+            return
         if job.is_final():
             self._stop_job(now, job, f'job {job.progress.state}')
         elif placed.step.gang and row.ending is not work.Ending.DONE:
