--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -76,6 +76,7 @@
     :param instance: instance id of this agent.
     :param grant: seconds for which the lease is kept after the report that
         the coordinator answered last.
+    :param lease: seconds for which one renewal keeps the worker's lease.
     """
 
     __slots__ = (
@@ -85,6 +86,7 @@
         '_deadline',
         '_grant',
         '_instance',
+        '_lease',
         '_left',
         '_lists',
         '_lists_sent',
@@ -100,7 +102,8 @@
         'urgent',
     )
 
-    def __init__(self, instance: str, grant: float) -> None:
+    def __init__(self, instance: str, grant: float, lease: float) -> None:
+        self._lease = lease
         self._instance = instance
         self._grant = grant
         self.profile: orders.WorkerProfile | None = None
@@ -232,6 +235,9 @@
         if self.profile is None or not self.fence:
             return None
         wait = HOLD_WAIT_S
+        if self._has_unobserved():
+            # The worker answers at once as long as it lists these.
+            wait = 0.0
         if self.list_fence != self.fence or self._has_voided():
             wait = 0.0
         return calls.HoldCall(
@@ -422,8 +428,13 @@
         """Return the end of the grant on the worker's clock."""
         if self._clock is None or self._deadline <= now:
             return None
-        passed = self._deadline - self._clock_read
-        return self._clock + int(passed * 1000)
+        ends = min(self._deadline, now + self._lease)
+        return self._clock + int((ends - self._clock_read) * 1000)
+
+    def _has_unobserved(self) -> bool:
+        if self._lists is None or not self._lists.ended:
+            return False
+        return self._lists.ended[-1].serial > self._observed
 
     def _has_voided(self) -> bool:
         for attempt in self._attempts.values():
--- /dev/null
+++ b/damaskpin/coordinator/book.py
@@ -0,0 +1,282 @@
+"""Book of all jobs, workers and runs, and of what ends them."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import fleet
+from damaskpin.model import work
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import job as jobs
+    from damaskpin.peer import orders
+
+LOG = logging.getLogger(__name__)
+
+# Added to the time after which a lost worker's runs are gone, in seconds: the
+# worker needs a moment to notice the end of its lease.
+LAPSE_MARGIN_S = 0.5
+
+# A worker's steady clock may be this much slow.
+CLOCK_SLOWNESS = 0.02
+
+
+class Book:
+    """Jobs, workers and the runs that may exist.
+
+    :param started: time at which this coordinator began, in seconds.
+    :param grant: seconds for which an agent keeps its worker's lease after
+        the report that was answered last.
+    :param stop_time: seconds that a worker takes to stop a run.
+    """
+
+    __slots__ = (
+        '_grant',
+        '_started',
+        '_stop_time',
+        'changed',
+        'jobs',
+        'workers',
+    )
+
+    def __init__(self, started: float, grant: float, stop_time: float) -> None:
+        self._started = started
+        self._grant = grant
+        self._stop_time = stop_time
+        self.changed = True
+        self.jobs: dict[str, jobs.Job] = {}
+        self.workers: dict[work.Lifetime, fleet.Worker] = {}
+
+    def get_lapse(self, heard: float) -> float:
+        """Return the time at which a worker's runs are gone.
+
+        :param heard: time of the report that a grant was counted from.
+        """
+        lapse = heard + self._grant * (1 + CLOCK_SLOWNESS)
+        return lapse + LAPSE_MARGIN_S + self._stop_time
+
+    def add_job(self, now: float, job: jobs.Job) -> None:
+        """Take over a job and the runs that its record names."""
+        self.jobs[job.id] = job
+        self.changed = True
+        for run, active in list(job.iterate_active()):
+            worker = self.workers.get(active.lifetime)
+            if worker is None:
+                worker = self._add_worker(now, active.lifetime, active.agent)
+            step = job.submission.steps[run.item.step]
+            reserved = step.get_reserved()
+            version = job.stored_version
+            worker.add_run(
+                fleet.PlacedRun(run, job, step, reserved, version, False, -1.0)
+            )
+
+    def find_worker(
+        self, now: float, agent: str, lifetime: work.Lifetime
+    ) -> fleet.Worker | None:
+        """Return the worker of a report, or ``None`` if it is outdated."""
+        for other in list(self.workers.values()):
+            if other.agent != agent or other.lifetime == lifetime:
+                continue
+            if other.lifetime.born > lifetime.born:
+                return None
+            self.lose_worker(now, other.lifetime, 'a new worker has started')
+        worker = self.workers.get(lifetime)
+        if worker is None:
+            worker = self._add_worker(now, lifetime, agent)
+            LOG.info(
+                'worker known',
+                extra={'worker': lifetime.worker, 'agent': agent},
+            )
+        return worker
+
+    def lose_worker(
+        self, now: float, lifetime: work.Lifetime, reason: str
+    ) -> None:
+        """Drop a worker and all that ran on it."""
+        worker = self.workers.pop(lifetime, None)
+        if worker is None:
+            return
+        LOG.info(
+            'worker lost',
+            extra={
+                'worker': lifetime.worker,
+                'reason': reason,
+                'heard_ago': round(now - worker.heard, 3),
+                'runs': len(worker.runs),
+            },
+        )
+        for run in list(worker.runs):
+            self.drop_run(worker, run, reason)
+
+    def drop_lapsed(self, now: float) -> None:
+        """Drop the workers whose lease has certainly ended."""
+        for worker in list(self.workers.values()):
+            if now > worker.gone_after:
+                reason = 'the worker is silent and its lease has ended'
+                self.lose_worker(now, worker.lifetime, reason)
+
+    def drop_run(
+        self, worker: fleet.Worker, run: work.Run, reason: str
+    ) -> None:
+        """Record that a run does not exist, without an end of its own."""
+        placed = worker.remove_run(run)
+        if placed is None:
+            return
+        self.changed = True
+        job = placed.job
+        if placed.checkpoint and not job.is_final():
+            step = job.get_step(run.item.occurrence, run.item.step)
+            slot = 0 if placed.step.gang else run.item.index
+            step.checkpoints[slot] = placed.checkpoint
+        job.remove_run(run)
+        log_run('run gone', run, worker, reason)
+        if placed.step.gang:
+            self.stop_gang(placed, reason)
+
+    def end_run(
+        self, now: float, wall: float, worker: fleet.Worker, row: work.EndedRun
+    ) -> None:
+        """Record an end that a worker listed."""
+        placed = worker.remove_run(row.run)
+        if placed is None:
+            worker.pending_ends.append(fleet.PendingEnd(row.serial, None, 0))
+            return
+        job = placed.job
+        self.changed = True
+        worker.orders_due = True
+        job.end_run(row.run, row.ending, row.checkpoint, wall)
+        worker.pending_ends.append(
+            fleet.PendingEnd(row.serial, job, job.progress.version)
+        )
+        log_run(
+            'run ended',
+            row.run,
+            worker,
+            str(row.ending),
+            state=str(job.progress.state),
+            seconds=round(now - placed.placed, 3),
+        )
+        match row.ending:
+            case work.Ending.DONE:
+                worker.note_done()
+            case work.Ending.FAILED:
+                worker.note_failed(now, job.id)
+                self.avoid(placed, worker)
+        if job.progress.state is work.JobState.COMPLETED:
+            # The other members of a gang end by themselves.
+            return
+        if job.is_final():
+            self.stop_job(job, f'job {job.progress.state}')
+        elif placed.step.gang and row.ending is not work.Ending.DONE:
+            self.stop_gang(placed, f'a member {row.ending}')
+
+    def refuse_run(
+        self, worker: fleet.Worker, refused: orders.RefusedRun
+    ) -> None:
+        """Record that a run did not start and never will."""
+        placed = worker.runs.get(refused.run)
+        if placed is None:
+            return
+        if not placed.stop_reason:
+            self.avoid(placed, worker)
+        self.drop_run(worker, refused.run, f'refused: {refused.reason}')
+
+    def stop_unknown(self, worker: fleet.Worker, run: work.Run) -> None:
+        """Stop a run that no record knows; it holds capacity meanwhile."""
+        job = self.jobs.get(run.item.job)
+        if job is None or run.item.step >= len(job.submission.steps):
+            return
+        step = job.submission.steps[run.item.step]
+        reserved = step.get_reserved()
+        placed = fleet.PlacedRun(run, job, step, reserved, 0, True, 0.0)
+        worker.add_run(placed)
+        self.stop_run(worker, placed, 'no record of the run')
+
+    def stop_run(
+        self, worker: fleet.Worker, placed: fleet.PlacedRun, reason: str
+    ) -> None:
+        """Have a run stopped, with the rest of its gang."""
+        if placed.stop_reason:
+            return
+        placed.stop_reason = reason
+        worker.orders_due = True
+        log_run('run to be stopped', placed.run, worker, reason)
+        if placed.step.gang:
+            self.stop_gang(placed, reason)
+
+    def stop_job(self, job: jobs.Job, reason: str) -> None:
+        """Have all runs of a job stopped."""
+        for worker in self.workers.values():
+            for placed in list(worker.runs.values()):
+                if placed.job is job:
+                    self.stop_run(worker, placed, reason)
+
+    def stop_gang(self, member: fleet.PlacedRun, reason: str) -> None:
+        """Have the other members of a gang stopped."""
+        for worker in self.workers.values():
+            for placed in list(worker.runs.values()):
+                if is_same_gang(placed, member):
+                    self.stop_run(worker, placed, reason)
+
+    def evacuate(self, now: float, worker: fleet.Worker) -> None:
+        """Move work off a draining worker that would not end in time."""
+        if worker.profile is None:
+            return
+        self.changed = True
+        for placed in list(worker.runs.values()):
+            movable = placed.step.checkpoints or placed.step.lasting
+            late = placed.get_remaining(now) > worker.profile.remaining
+            if movable or late:
+                self.stop_run(worker, placed, 'the worker is draining')
+
+    def avoid(self, placed: fleet.PlacedRun, worker: fleet.Worker) -> None:
+        """Prefer other workers for the next run of a work item."""
+        item = placed.run.item
+        slot = 0 if placed.step.gang else item.index
+        key = (item.occurrence, item.step, slot)
+        avoided = placed.job.avoided.setdefault(key, set())
+        avoided.add(worker.lifetime.worker)
+
+    def _add_worker(
+        self, now: float, lifetime: work.Lifetime, agent: str
+    ) -> fleet.Worker:
+        # A former coordinator may have granted time until this one began.
+        lapse = self.get_lapse(max(now, self._started))
+        worker = fleet.Worker(lifetime, agent, lapse)
+        self.workers[lifetime] = worker
+        return worker
+
+
+def is_same_gang(one: fleet.PlacedRun, other: fleet.PlacedRun) -> bool:
+    """Return whether two runs belong to the same run of a gang."""
+    return (
+        one.step.gang
+        and one.job is other.job
+        and one.run.number == other.run.number
+        and one.run.item.step == other.run.item.step
+        and one.run.item.occurrence == other.run.item.occurrence
+    )
+
+
+def log_run(
+    message: str,
+    run: work.Run,
+    worker: fleet.Worker,
+    reason: str,
+    **more: object,
+) -> None:
+    """Log what happens to a run, with the job's id."""
+    LOG.info(
+        message,
+        extra={
+            'job': run.item.job,
+            'occurrence': run.item.occurrence,
+            'step': run.item.step,
+            'index': run.item.index,
+            'number': run.number,
+            'worker': worker.lifetime.worker,
+            'reason': reason,
+            **more,
+        },
+    )
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -16,9 +16,19 @@
 # reports may be late.
 QUIET_S = 1.5
 
-# Time for which a worker that failed different jobs gets work last, seconds.
+# Time for which a worker that failed different jobs, or on which work stands
+# still, gets nothing new, in seconds.
 SUSPECT_S = 6.0
-SUSPECT_FAILURES = 2
+SUSPECT_JOBS = 2
+
+# Cores that an accelerator counts as, as the installation's prices have it.
+CORES_PER_ACCELERATOR = 8
+
+# Listed progress is a rough figure; a rate needs this much of it, in percent.
+MIN_PROGRESS = 4.0
+
+# A run beyond its estimate is expected to end after this time, in seconds.
+OVERDUE_S = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,11 +39,14 @@
     :ivar version: version of the job that the store must have before the
         run is ordered.
     :ivar confirmed: whether the worker has listed or accepted the run.
-    :ivar placed: time of the assignment in seconds.
-    :ivar began: time at which it was seen first; 0 before.
+    :ivar placed: time of the assignment in seconds; negative for a run of a
+        former coordinator.
+    :ivar began: time at which it was listed first; 0 before.
     :ivar stop_reason: why it is to be stopped; empty if it is not.
     :ivar checkpoint: latest checkpoint that its worker listed.
-    :ivar percent: latest figure that its worker listed.
+    :ivar percent: progress that its worker listed.
+    :ivar first_percent: progress when it was listed first.
+    :ivar moved: time at which the progress changed last; 0 before.
     """
 
     run: work.Run
@@ -45,20 +58,46 @@
     placed: float
     began: float = 0.0
     stop_reason: str = ''
-    stopped: float = 0.0
     checkpoint: str = ''
-    saved: float = 0.0
     percent: float = 0.0
+    first_percent: float = 0.0
     moved: float = 0.0
 
+    def note_listed(self, row: work.RunningRun, now: float) -> None:
+        """Take over what the worker lists."""
+        self.confirmed = True
+        if not self.began:
+            self.began = now
+            self.first_percent = row.percent
+            self.moved = now
+        if row.checkpoint:
+            self.checkpoint = row.checkpoint
+        if row.percent != self.percent:
+            self.percent = row.percent
+            self.moved = now
+
+    def get_cores(self) -> float:
+        """Return the cores in use, accelerators included."""
+        demand = self.step.demand
+        cores = demand.cpu / 1000
+        return cores + CORES_PER_ACCELERATOR * demand.accelerators
+
     def get_unsaved(self, now: float) -> float:
         """Return the seconds of work that a stop would lose."""
-        if not self.began:
-            return 0.0
-        if self.step.checkpoints:
+        if not self.began or self.step.checkpoints:
             return 0.0
         return now - self.began
 
+    def get_remaining(self, now: float) -> float:
+        """Return the expected seconds to the end."""
+        begun = self.began or max(self.placed, 0.0) or now
+        gained = self.percent - self.first_percent
+        if gained >= MIN_PROGRESS and now > begun:
+            rate = gained / (self.moved - begun + OVERDUE_S / 10)
+            left = (100.0 - self.percent) / rate - (now - self.moved)
+            return max(left, 0.1)
+        return max(self.step.estimate - (now - begun), OVERDUE_S)
+
 
 @dataclasses.dataclass(slots=True)
 class PendingEnd:
@@ -85,7 +124,7 @@
     __slots__ = (
         'address',
         'agent',
-        'failures',
+        'failed_jobs',
         'gone_after',
         'heard',
         'lifetime',
@@ -97,7 +136,6 @@
         'room',
         'runs',
         'seen_serial',
-        'sequence',
         'suspect_until',
     )
 
@@ -113,11 +151,10 @@
         self.listed = False
         self.heard = 0.0
         self.report_time = 0.0
-        self.sequence = 0
         self.gone_after = gone_after
         self.seen_serial = 0
         self.pending_ends: collections.deque[PendingEnd] = collections.deque()
-        self.failures: list[str] = []
+        self.failed_jobs: set[str] = set()
         self.suspect_until = 0.0
         self.orders_due = False
 
@@ -169,17 +206,21 @@
                 count += 1
         return count
 
-    def note_result(self, now: float, job_id: str, failed: bool) -> None:
-        """Suspect a worker that fails one job after the other."""
-        if not failed:
-            self.failures.clear()
-            self.suspect_until = 0.0
-            return
-        self.failures.append(job_id)
-        if len(self.failures) >= SUSPECT_FAILURES:
-            self.suspect_until = now + SUSPECT_S
+    def note_done(self) -> None:
+        """Trust a worker that has done its work."""
+        self.failed_jobs.clear()
+        self.suspect_until = 0.0
+
+    def note_failed(self, now: float, job_id: str) -> None:
+        """Suspect a worker that fails different jobs one after the other."""
+        self.failed_jobs.add(job_id)
+        if len(self.failed_jobs) >= SUSPECT_JOBS:
+            self.suspect(now)
 
+    def suspect(self, now: float) -> None:
+        """Give the worker nothing new for a while."""
+        self.suspect_until = now + SUSPECT_S
 
-def is_newer(one: work.Lifetime, other: work.Lifetime) -> bool:
-    """Return whether a lifetime at the same place began later."""
-    return one.born > other.born
+    def is_doubtful(self) -> bool:
+        """Return whether the last run here failed."""
+        return bool(self.failed_jobs)
--- /dev/null
+++ b/damaskpin/coordinator/placing.py
@@ -0,0 +1,166 @@
+"""One pass over all waiting units: where each starts, what makes room."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import fleet
+from damaskpin.coordinator import planning
+from damaskpin.coordinator import ranking
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpin.coordinator import book as books
+    from damaskpin.coordinator import job as jobs
+
+LOG = logging.getLogger(__name__)
+
+# Waiting units of one rank for which room is kept free. More would leave too
+# much idle while they wait.
+MAX_KEPT = 2
+
+
+class Pass:
+    """State of one pass.
+
+    :param guaranteed: jobs that draw on their account's guarantee.
+    """
+
+    __slots__ = (
+        '_book',
+        '_guaranteed',
+        '_kept',
+        '_now',
+        '_planner',
+        '_wall',
+    )
+
+    def __init__(
+        self,
+        now: float,
+        wall: float,
+        book: books.Book,
+        guaranteed: set[str],
+    ) -> None:
+        self._now = now
+        self._wall = wall
+        self._book = book
+        self._guaranteed = guaranteed
+        self._kept: dict[int, int] = {}
+        usable = [
+            worker
+            for worker in book.workers.values()
+            if worker.is_usable(now) and worker.suspect_until <= now
+        ]
+        self._planner = planning.Planner(now, usable)
+
+    def place(self, unit: jobs.Unit) -> bool:
+        """Start a unit, make room for it or keep room for it.
+
+        :returns: whether equal units are worth a try in this pass.
+        """
+        now = self._now
+        anywhere = ranking.may_go_far(unit, now)
+        plan = self._planner.find_free(unit, anywhere)
+        if plan is not None:
+            self._start(unit, plan)
+            return True
+        budget = ranking.get_stop_budget(
+            unit, now, self._wall, self._guaranteed
+        )
+        if budget > 0:
+            plan = self._planner.find_stops(unit, anywhere, self._may_stop)
+            if plan is not None and plan.cost <= budget:
+                self._make_room(unit, plan)
+                return True
+        return self._keep_room(unit, anywhere)
+
+    def _start(self, unit: jobs.Unit, plan: planning.Plan) -> None:
+        holders = [(w.lifetime, w.agent) for w in plan.workers]
+        runs = unit.job.assign(unit, holders)
+        for run, worker in zip(runs, plan.workers, strict=True):
+            worker.add_run(
+                fleet.PlacedRun(
+                    run,
+                    unit.job,
+                    unit.step,
+                    unit.step.get_reserved(),
+                    unit.job.progress.version,
+                    False,
+                    self._now,
+                )
+            )
+        LOG.info(
+            'placed',
+            extra={
+                'job': unit.job.id,
+                'occurrence': unit.occurrence,
+                'step': unit.step_index,
+                'indexes': list(unit.indexes),
+                'number': runs[0].number,
+                'workers': [w.lifetime.worker for w in plan.workers],
+                'waited': round(self._now - unit.ready_since, 3),
+            },
+        )
+
+    def _make_room(self, unit: jobs.Unit, plan: planning.Plan) -> None:
+        self._planner.claim(unit, plan, self._now)
+        if not plan.victims:
+            return
+        LOG.info(
+            'room is made',
+            extra={
+                'job': unit.job.id,
+                'step': unit.step_index,
+                'guaranteed': unit.job.id in self._guaranteed,
+                'priority': unit.job.submission.terms.priority,
+                'items': len(unit.indexes),
+                'victims': len(plan.victims),
+                'lost_core_seconds': round(plan.cost, 1),
+                'waited': round(self._now - unit.ready_since, 3),
+            },
+        )
+        for worker, victim in plan.victims:
+            self._book.stop_run(worker, victim, f'room for {unit.job.id}')
+
+    def _keep_room(self, unit: jobs.Unit, anywhere: bool) -> bool:
+        """Keep small work from filling what a waiting unit needs."""
+        rank = ranking.get_rank(unit.job, self._guaranteed)
+        kept = self._kept.get(rank, 0)
+        if kept >= MAX_KEPT:
+            return False
+        plan = self._planner.find_wait(unit, anywhere)
+        if plan is None:
+            return False
+        self._kept[rank] = kept + 1
+        self._planner.claim(unit, plan, self._now + plan.cost)
+        return True
+
+    def _may_stop(self, unit: jobs.Unit, placed: fleet.PlacedRun) -> bool:
+        return ranking.may_stop(unit, placed, self._guaranteed)
+
+
+def place_all(
+    now: float,
+    wall: float,
+    book: books.Book,
+    get_guarantee: Callable[[str], int],
+) -> None:
+    """Go over all units that are ready, in the order of their rank."""
+    guaranteed = ranking.find_guaranteed(book.jobs.values(), get_guarantee)
+    units: list[jobs.Unit] = []
+    for job in book.jobs.values():
+        units.extend(job.iterate_ready(now, wall))
+    if not units:
+        return
+    units.sort(key=lambda unit: ranking.get_order(unit, wall, guaranteed))
+    current = Pass(now, wall, book, guaranteed)
+    failed: set[tuple[str, int, int]] = set()
+    for unit in units:
+        key = unit.get_key()[:3]
+        if key in failed:
+            continue
+        if not current.place(unit):
+            failed.add(key)
--- /dev/null
+++ b/damaskpin/coordinator/planning.py
@@ -0,0 +1,250 @@
+"""Search for workers that a unit can start on, now or after stops or ends."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import drafts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpin.coordinator import fleet
+    from damaskpin.coordinator import job as jobs
+    from damaskpin.model import work
+
+    MayStop = Callable[[jobs.Unit, fleet.PlacedRun], bool]
+
+# A unit may use room that is kept for another one if it ends, with this
+# allowance for a wrong estimate, before the other one can start.
+BACKFILL_FACTOR = 1.2
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Workers for a unit.
+
+    :ivar workers: a worker for each index of the unit.
+    :ivar victims: runs to stop first, or to wait for, with their workers.
+    :ivar cost: core-seconds that the stops lose, or seconds to wait.
+    :ivar leftover: fit; smaller leaves less room broken up.
+    """
+
+    workers: list[fleet.Worker]
+    victims: list[tuple[fleet.Worker, fleet.PlacedRun]]
+    cost: float
+    leftover: float
+
+    def get_order(self) -> tuple[float, float]:
+        """Return the sort key; smaller is better."""
+        return (self.cost, self.leftover)
+
+
+class Planner:
+    """Plans units one after the other, in the order of their rank.
+
+    :param workers: workers that may take new work.
+    """
+
+    __slots__ = ('_claims', '_now', '_workers')
+
+    def __init__(self, now: float, workers: list[fleet.Worker]) -> None:
+        self._now = now
+        self._workers = workers
+        self._claims: dict[work.Lifetime, list[drafts.Claim]] = {}
+
+    def claim(self, unit: jobs.Unit, plan: Plan, ready: float) -> None:
+        """Hold the room of a plan that waits.
+
+        :param ready: time at which the room is expected, in seconds.
+        """
+        claim = drafts.Claim(unit.step.get_reserved(), ready)
+        for worker in plan.workers:
+            self._claims.setdefault(worker.lifetime, []).append(claim)
+
+    def find_free(self, unit: jobs.Unit, anywhere: bool) -> Plan | None:
+        """Return the best plan that starts at once.
+
+        :param anywhere: whether workers far from the data, or several racks
+            for a gang that wants one, are accepted.
+        """
+        return self._find(unit, anywhere, drafts.NOTHING)
+
+    def find_stops(
+        self, unit: jobs.Unit, anywhere: bool, may_stop: MayStop
+    ) -> Plan | None:
+        """Return the plan whose stops lose least.
+
+        :param may_stop: whether a run may be stopped for the unit.
+        """
+        policy = drafts.StopPolicy(lambda placed: may_stop(unit, placed))
+        return self._find(unit, anywhere, policy)
+
+    def find_wait(self, unit: jobs.Unit, anywhere: bool) -> Plan | None:
+        """Return the plan that is ready first without stops."""
+        return self._find(unit, anywhere, drafts.WAIT)
+
+    def _find(
+        self, unit: jobs.Unit, anywhere: bool, policy: drafts.Policy
+    ) -> Plan | None:
+        eligible = self._list_eligible(unit)
+        near = list_near(unit, eligible)
+        plan = self._choose(unit, near, policy)
+        if plan is not None or (near and not anywhere):
+            return plan
+        return self._choose(unit, [eligible], policy)
+
+    def _list_eligible(self, unit: jobs.Unit) -> list[fleet.Worker]:
+        terms = unit.job.submission.terms
+        reserved = unit.step.get_reserved()
+        eligible = []
+        for worker in self._workers:
+            profile = worker.profile
+            if profile is None or profile.service != terms.service:
+                continue
+            if unit.step.label and unit.step.label not in profile.labels:
+                continue
+            if profile.capacity.holds(reserved):
+                eligible.append(worker)
+        return eligible
+
+    def _choose(
+        self,
+        unit: jobs.Unit,
+        groups: list[list[fleet.Worker]],
+        policy: drafts.Policy,
+    ) -> Plan | None:
+        best = None
+        for group in groups:
+            plan = self._fill(unit, group, policy)
+            if plan is None:
+                continue
+            if best is None or plan.get_order() < best.get_order():
+                best = plan
+        return best
+
+    def _fill(
+        self,
+        unit: jobs.Unit,
+        group: list[fleet.Worker],
+        policy: drafts.Policy,
+    ) -> Plan | None:
+        ends = self._now + unit.step.estimate * BACKFILL_FACTOR
+        draft = drafts.Draft(self._now, ends, self._claims, policy)
+        demand = unit.step.get_reserved()
+        counts: dict[work.Lifetime, int] = {}
+        chosen: list[fleet.Worker] = []
+        leftover = 0.0
+        for _ in unit.indexes:
+            found = self._find_member(unit, group, draft, counts)
+            if found is None:
+                return None
+            free = draft.get_free(found)
+            leftover += measure_leftover(found, free, demand)
+            draft.take(found, demand)
+            counts[found.lifetime] = counts.get(found.lifetime, 0) + 1
+            chosen.append(found)
+        return Plan(chosen, draft.get_victims(), draft.cost, leftover)
+
+    def _find_member(
+        self,
+        unit: jobs.Unit,
+        group: list[fleet.Worker],
+        draft: drafts.Draft,
+        counts: dict[work.Lifetime, int],
+    ) -> fleet.Worker | None:
+        demand = unit.step.get_reserved()
+        best = None
+        for worker in group:
+            if not is_allowed(unit, worker, counts):
+                continue
+            room = draft.find_room(worker, demand)
+            if room is None:
+                continue
+            leftover = measure_leftover(worker, draft.get_free(worker), demand)
+            key = (is_avoided(unit, worker), room.cost, leftover)
+            if best is None or key < best[0]:
+                best = (key, worker, room)
+        if best is None:
+            return None
+        draft.add(best[1], best[2])
+        return best[1]
+
+
+def list_near(
+    unit: jobs.Unit, eligible: list[fleet.Worker]
+) -> list[list[fleet.Worker]]:
+    """Return the groups of workers that could hold the unit at full speed."""
+    step = unit.step
+    if not step.data_rack and not (step.gang and step.same_rack):
+        return [eligible]
+    racks: dict[str, list[fleet.Worker]] = {}
+    for worker in eligible:
+        if worker.profile is None:
+            continue
+        rack = worker.profile.rack
+        if step.data_rack and rack != step.data_rack:
+            continue
+        racks.setdefault(rack, []).append(worker)
+    reserved = step.get_reserved()
+    count = len(unit.indexes)
+    return [
+        rack
+        for rack in racks.values()
+        if count_places(rack, reserved) >= count
+    ]
+
+
+def is_allowed(
+    unit: jobs.Unit, worker: fleet.Worker, counts: dict[work.Lifetime, int]
+) -> bool:
+    """Return whether one more work item of the step may run on a worker."""
+    limit = unit.step.per_worker
+    if not limit:
+        return True
+    used = worker.count_step(unit.job.id, unit.occurrence, unit.step_index)
+    return used + counts.get(worker.lifetime, 0) < limit
+
+
+def is_avoided(unit: jobs.Unit, worker: fleet.Worker) -> bool:
+    """Return whether the unit, or the last run, has failed on a worker."""
+    if worker.is_doubtful():
+        return True
+    avoided = unit.job.avoided.get(unit.get_key()[1:], ())
+    return worker.lifetime.worker in avoided
+
+
+def count_places(workers: list[fleet.Worker], demand: work.Resources) -> int:
+    """Return how many work items the workers hold when they are empty."""
+    total = 0
+    for worker in workers:
+        if worker.profile is not None:
+            total += count_fits(worker.profile.capacity, demand)
+    return total
+
+
+def count_fits(room: work.Resources, demand: work.Resources) -> int:
+    """Return how many times a demand fits into some room."""
+    fits = []
+    if demand.cpu:
+        fits.append(room.cpu // demand.cpu)
+    if demand.memory:
+        fits.append(room.memory // demand.memory)
+    if demand.accelerators:
+        fits.append(room.accelerators // demand.accelerators)
+    return min(fits, default=1_000_000)
+
+
+def measure_leftover(
+    worker: fleet.Worker, free: work.Resources, demand: work.Resources
+) -> float:
+    """Return the share of a worker that stays free; smaller fits better."""
+    if worker.profile is None:
+        return 1.0
+    capacity = worker.profile.capacity
+    left = free.minus(demand)
+    share = left.cpu / max(capacity.cpu, 1)
+    share += left.memory / max(capacity.memory, 1)
+    share += left.accelerators / max(capacity.accelerators, 1)
+    return share
--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import fleet
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from damaskpin.coordinator import fleet
     from damaskpin.coordinator import job as jobs
+    from damaskpin.model import work
 
 # A job that ends after this multiple of its objective earns nothing more.
 LATE_FACTOR = 3.0
@@ -18,8 +21,10 @@
 # seconds; room often becomes free by itself.
 PATIENCE_S = 0.5
 
-# Unsaved work that is stopped for a unit is at most this share of its own.
-STOP_SHARE = 0.5
+# Work that is lost for a unit is at most this share of its own: what is
+# stopped must be done again and comes later itself.
+URGENT_STOP_SHARE = 0.5
+STOP_SHARE = 0.1
 
 # Wait near the data as a multiple of the estimate, before a place far away is
 # taken; work far away takes several times as long.
@@ -82,21 +87,25 @@
     """
     job = unit.job
     rank = get_rank(job, guaranteed)
-    objective = get_objective(job)
-    submitted = job.submission.accepted
-    if job.submission.schedule is not None:
-        submitted = job.submission.schedule.get_due(unit.occurrence)
-    latest = submitted + LATE_FACTOR * objective
-    hopeless = wall + unit.step.estimate > latest
+    hopeless = wall + unit.step.estimate > get_target(unit, LATE_FACTOR)
     return (
         rank,
         not unit.step.lasting,
         hopeless,
-        submitted + objective,
+        get_target(unit),
         job.id,
     )
 
 
+def get_target(unit: jobs.Unit, factor: float = 1.0) -> float:
+    """Return the Unix time at which a multiple of the objective ends."""
+    submission = unit.job.submission
+    submitted = submission.accepted
+    if submission.schedule is not None:
+        submitted = submission.schedule.get_due(unit.occurrence)
+    return submitted + factor * get_objective(unit.job)
+
+
 def may_go_far(unit: jobs.Unit, now: float) -> bool:
     """Return whether a unit has waited long enough for a place near."""
     waited = now - unit.ready_since
@@ -105,20 +114,33 @@
     return waited >= NEAR_PATIENCE * unit.step.estimate
 
 
+def get_stop_budget(
+    unit: jobs.Unit, now: float, wall: float, guaranteed: set[str]
+) -> float:
+    """Return the core-seconds of others that may be lost for a unit."""
+    job = unit.job
+    if job.id in guaranteed:
+        return math.inf
+    own = len(unit.indexes) * unit.step.estimate * get_cores(unit.step)
+    if job.submission.terms.priority == 0:
+        in_time = wall + unit.step.estimate <= get_target(unit)
+        return own * (URGENT_STOP_SHARE if in_time else STOP_SHARE)
+    if now - unit.ready_since < PATIENCE_S:
+        return 0.0
+    return own * STOP_SHARE
+
+
 def may_stop(
-    unit: jobs.Unit,
-    placed: fleet.PlacedRun,
-    now: float,
-    guaranteed: set[str],
+    unit: jobs.Unit, placed: fleet.PlacedRun, guaranteed: set[str]
 ) -> bool:
     """Return whether a run may be stopped for a unit."""
     if placed.step.lasting:
         return False
     rank = get_rank(unit.job, guaranteed)
-    if get_rank(placed.job, guaranteed) <= rank:
-        return False
-    if unit.job.submission.terms.priority == 0:
-        return True
-    if now - unit.ready_since < PATIENCE_S:
-        return False
-    return placed.get_unsaved(now) <= STOP_SHARE * unit.step.estimate
+    return get_rank(placed.job, guaranteed) > rank
+
+
+def get_cores(step: work.Step) -> float:
+    """Return the cores of a work item, accelerators included."""
+    cores = step.demand.cpu / 1000
+    return cores + fleet.CORES_PER_ACCELERATOR * step.demand.accelerators
--- a/damaskpin/platform/__main__.py
+++ b/damaskpin/platform/__main__.py
@@ -51,7 +51,7 @@
     entry.start()
     await wait_for_stop()
     await entry.resign()
-    await asyncio.sleep(settings.bounds.graceS - EXIT_MARGIN_S)
+    await asyncio.sleep(settings.bounds.grace_s - EXIT_MARGIN_S)
     await entry.close()
 
 
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -15,10 +15,18 @@
 
 # A worker's lease is renewed well before the longest time that it may have,
 # in seconds.
-LEASE_MARGIN_S = 1.0
+LEASE_MARGIN_S = 0.5
+
+# An agent that loses the coordinator keeps its worker's lease for this time,
+# in seconds: partitions of machines last up to 12 s and must not end work.
+GRANT_S = 13.5
+
+BOUND_NAMES = {
+    'hold_max_ms': 'holdMaxMs',
+    'stop_ms': 'stopMs',
+    'grace_s': 'graceS',
+}
 
-# Time for which the machines between two processes may hold an answer back
-# while a worker stops a run; see the worker's bound ``stopMs``.
 KEY_VARIABLE = 'DAMASKPIN_FLEET_KEY'
 
 
@@ -30,12 +38,12 @@
     control: str = ''
 
 
-class Bounds(msgspec.Struct):
-    """Bounds that the users' rules state, in their units."""
+class Bounds(msgspec.Struct, rename=BOUND_NAMES):
+    """Bounds of the installation, in the units that their names state."""
 
-    holdMaxMs: float = 10000.0
-    stopMs: float = 1000.0
-    graceS: float = 6.0
+    hold_max_ms: float = 10000.0
+    stop_ms: float = 1000.0
+    grace_s: float = 6.0
 
 
 class StorePlace(msgspec.Struct):
@@ -75,8 +83,9 @@
             listen=f'tcp://{self.ip}:{port}',
             fleet_key=os.environ.get(KEY_VARIABLE, '').encode(),
             seeds=tuple(seeds),
-            grant=self.bounds.holdMaxMs / 1000 - LEASE_MARGIN_S,
-            stop_time=self.bounds.stopMs / 1000,
+            grant=GRANT_S,
+            lease=self.bounds.hold_max_ms / 1000 - LEASE_MARGIN_S,
+            stop_time=self.bounds.stop_ms / 1000,
         )
 
 
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -32,8 +32,8 @@
 # The store is asked for entries at most this often, in seconds.
 LOOKUP_INTERVAL_S = 1.0
 
-# Pause after a look at the worker that got no answer, in seconds.
-HOLD_RETRY_S = 0.1
+# Pause after a look at the worker that did not wait, in seconds.
+HOLD_RETRY_S = 0.05
 
 
 class WorkerPort(Protocol):
@@ -79,7 +79,9 @@
         self._settings = settings
         self._worker = worker
         self._store = store
-        self.agent = agents.Agent(settings.instance, settings.grant)
+        self.agent = agents.Agent(
+            settings.instance, settings.grant, settings.lease
+        )
         self._background = background.Background()
         self._heard = 0.0
         self._asked = 0.0
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin import errors
+from damaskpin.coordinator import book as books
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import job as jobs
 from damaskpin.entry import view as views
@@ -182,13 +183,9 @@
 
     def _make_coordinator(self, fence: int) -> None:
         now = clocks.get_steady()
+        book = books.Book(now, self._settings.grant, self._settings.stop_time)
         coordinator = coordinators.Coordinator(
-            now,
-            self._settings.instance,
-            fence,
-            self._settings.grant,
-            self._settings.stop_time,
-            self.installation,
+            self._settings.instance, fence, book, self.installation
         )
         coordinator.entries = tuple(self.view.entries.values())
         self.coordinator = coordinator
@@ -230,7 +227,7 @@
         job.revision = known.revision
         coordinator.add_job(now, job)
         if known.cancelled:
-            coordinator.cancel_job(now, clocks.get_wall(), job.id)
+            coordinator.cancel_job(clocks.get_wall(), job.id)
 
     def _apply_change(self, change: transactions.Change) -> None:
         job_id = self.view.apply(change)
@@ -249,8 +246,7 @@
         if job_id not in coordinator.jobs:
             self._add_job(known)
         elif known.cancelled:
-            now = clocks.get_steady()
-            coordinator.cancel_job(now, clocks.get_wall(), job_id)
+            coordinator.cancel_job(clocks.get_wall(), job_id)
         asyncio.get_running_loop().call_soon(self.pump)
 
     def _apply_config(self, change: transactions.Change) -> None:
--- a/damaskpin/runtime/options.py
+++ b/damaskpin/runtime/options.py
@@ -13,6 +13,7 @@
     :ivar seeds: pynng URLs of entries to ask first.
     :ivar grant: seconds for which an agent keeps its worker's lease without
         hearing from the coordinator.
+    :ivar lease: seconds for which one renewal keeps the worker's lease.
     :ivar stop_time: seconds that a worker takes to stop a run.
     """
 
@@ -21,4 +22,5 @@
     fleet_key: bytes
     seeds: tuple[str, ...]
     grant: float
+    lease: float
     stop_time: float
