--- /dev/null
+++ b/tests/test_agent/test_agent_agent.py
@@ -0,0 +1,115 @@
+"""Tests of the agent's orders, voids and leases."""
+
+from __future__ import annotations
+
+from damaskpin.agent import agent as agents
+from damaskpin.agent import calls
+from damaskpin.model import work
+from damaskpin.peer import orders
+
+NOW = 50.0
+LIFETIME = work.Lifetime('w1', 1)
+RUN = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
+
+
+def _make_profile(draining=False, lifetime=LIFETIME):
+    capacity = work.Resources(1000, 1000, 8)
+    return orders.WorkerProfile(
+        lifetime, 's', 'dc', 'r1', ('a', 'r1'), capacity, draining, 0.0
+    )
+
+
+def _make_orders(sequence=1, fence=5, echo=NOW, starts=(), stops=()):
+    return orders.Orders(
+        fence, sequence, 'c', LIFETIME, echo, 0, starts, stops, ()
+    )
+
+
+def _make_agent():
+    agent = agents.Agent('agent-1', 9.0, 4.0)
+    agent.handle_heartbeat(NOW, _make_profile(), 1000)
+    return agent
+
+
+def _start(agent, sequence=1, fence=5):
+    start = orders.StartOrder(RUN, 'content', '')
+    agent.handle_orders(NOW, _make_orders(sequence, fence, starts=(start,)))
+
+
+def test_lease_ends_with_the_grant():
+    """A worker that outlives the grant could run what runs elsewhere."""
+    agent = _make_agent()
+    agent.handle_orders(NOW, _make_orders())
+    assert agent.make_hold(NOW).until == 1000 + 4000
+    assert agent.make_hold(NOW + 6.0).until == 1000 + 9000
+    assert agent.make_hold(NOW + 9.5).until is None
+
+
+def test_start_without_an_answer_is_repeated_and_then_voided():
+    """A start that may arrive later must be void before it is given up."""
+    agent = _make_agent()
+    _start(agent)
+    (call,) = agent.take_calls(NOW)
+    agent.note_start(NOW, call, calls.Unanswered('timeout'))
+    (again,) = agent.take_calls(NOW + 1.0)
+    agent.note_start(NOW + 1.0, again, calls.Refused('room'))
+    assert agent.make_report(NOW + 1.0).refused == ()
+    (stop,) = agent.take_calls(NOW + 1.1)
+    assert isinstance(stop, calls.StopCall)
+    agent.note_stop(NOW + 1.2, stop, calls.Accepted(1))
+    hold = agent.make_hold(NOW + 1.3)
+    lists = calls.Lists(2300, 1, (), ())
+    agent.note_held(NOW + 1.4, NOW + 1.3, hold, lists)
+    refused = agent.make_report(NOW + 1.4).refused
+    assert [row.run for row in refused] == [RUN]
+
+
+def test_list_read_before_the_stop_proves_nothing():
+    """A start may be carried out between the list and the stop."""
+    agent = _make_agent()
+    _start(agent)
+    (call,) = agent.take_calls(NOW)
+    agent.note_start(NOW, call, calls.Unanswered('timeout'))
+    hold = agent.make_hold(NOW)
+    agent.handle_orders(NOW, _make_orders(2, stops=(RUN,)))
+    (stop,) = agent.take_calls(NOW + 0.1)
+    agent.note_stop(NOW + 0.3, stop, calls.Accepted(1))
+    lists = calls.Lists(1400, 1, (), ())
+    agent.note_held(NOW + 0.4, NOW + 0.2, hold, lists)
+    assert agent.make_report(NOW + 0.4).refused == ()
+
+
+def test_draining_worker_gets_no_start():
+    """A worker that leaves would end what it has just begun."""
+    agent = _make_agent()
+    agent.handle_heartbeat(NOW, _make_profile(draining=True), 1000)
+    _start(agent)
+    assert agent.take_calls(NOW) == []
+    assert agent.make_report(NOW).refused[0].reason == 'draining'
+
+
+def test_orders_of_a_former_coordinator_are_refused():
+    """Two coordinators must never both order starts."""
+    agent = _make_agent()
+    agent.handle_orders(NOW, _make_orders(fence=7))
+    start = orders.StartOrder(RUN, 'content', '')
+    late = _make_orders(9, fence=5, starts=(start,))
+    assert not agent.handle_orders(NOW, late)
+    assert agent.take_calls(NOW) == []
+
+
+def test_new_coordinator_voids_what_was_not_started():
+    """The new coordinator decides anew on runs that no list shows."""
+    agent = _make_agent()
+    _start(agent)
+    agent.handle_orders(NOW, _make_orders(1, fence=8))
+    assert agent.take_calls(NOW) == []
+
+
+def test_late_heartbeat_of_a_former_worker_is_ignored():
+    """A delayed heartbeat must not bring a dead worker back."""
+    agent = _make_agent()
+    newer = work.Lifetime('w2', 9)
+    agent.handle_heartbeat(NOW, _make_profile(lifetime=newer), 10)
+    agent.handle_heartbeat(NOW, _make_profile(), 1000)
+    assert agent.profile.lifetime == newer
--- /dev/null
+++ b/tests/test_coordinator/fleets.py
@@ -0,0 +1,95 @@
+"""Workers, jobs and passes for tests of decisions."""
+
+from __future__ import annotations
+
+from damaskpin.coordinator import book as books
+from damaskpin.coordinator import job as jobs
+from damaskpin.coordinator import placing
+from damaskpin.coordinator import records
+from damaskpin.model import work
+from damaskpin.peer import orders
+
+CAPACITY = work.Resources(128_000, 256_000, 8)
+WALL = 1_000_000.0
+NOW = 100.0
+GRANT_S = 9.0
+STOP_S = 0.5
+
+
+def make_book(workers=6, rack_size=3, capacity=CAPACITY):
+    """Make a book of idle workers that are in touch."""
+    book = books.Book(NOW, GRANT_S, STOP_S)
+    for index in range(workers):
+        lifetime = work.Lifetime(f'w{index}', index + 1)
+        worker = book.find_worker(NOW, f'agent-{index}', lifetime)
+        rack = f'r{index // rack_size}'
+        worker.set_profile(
+            orders.WorkerProfile(
+                lifetime,
+                's',
+                'dc',
+                rack,
+                ('a', rack),
+                capacity,
+                False,
+                0.0,
+            )
+        )
+        worker.listed = True
+        worker.heard = NOW
+        worker.address = f'address-{index}'
+    return book
+
+
+def make_step(count=1, accelerators=1, estimate=10.0, **more):
+    """Make a step whose work items need accelerators above all."""
+    demand = work.Resources(1000, 1000, accelerators)
+    return work.Step(count=count, demand=demand, estimate=estimate, **more)
+
+
+def submit(book, job_id, *steps, priority=1, account='a', now=NOW, **more):
+    """Add a job that was accepted at a time."""
+    terms = work.Terms('q', 's', priority, more.pop('attempts', 3), 2.0, 1.0)
+    accepted = WALL + now - NOW
+    submission = work.Submission(
+        job_id, account, 'content', steps, terms, accepted, **more
+    )
+    job = jobs.Job(submission, records.Progress())
+    book.add_job(now, job)
+    return job
+
+
+def decide(book, now=NOW, guarantee=0):
+    """Make one pass with all workers in touch."""
+    for worker in book.workers.values():
+        worker.heard = now
+    placing.place_all(now, WALL + now - NOW, book, lambda account: guarantee)
+
+
+def list_runs(book, job):
+    """Return worker names by index of the job's runs."""
+    found = {}
+    for worker in book.workers.values():
+        for placed in worker.runs.values():
+            if placed.job is job:
+                found[placed.run.item.index] = worker.lifetime.worker
+    return found
+
+
+def list_stopped(book):
+    """Return the job ids of the runs that are to be stopped."""
+    return sorted(
+        placed.job.id
+        for worker in book.workers.values()
+        for placed in worker.runs.values()
+        if placed.stop_reason
+    )
+
+
+def begin_all(book, now):
+    """Let all placed runs begin at a time."""
+    for worker in book.workers.values():
+        for placed in worker.runs.values():
+            if not placed.began:
+                row = work.RunningRun(placed.run, '', 0.0)
+                placed.note_listed(row, now)
--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_placing.py
@@ -0,0 +1,151 @@
+"""Tests of who starts, who waits and who makes room under load."""
+
+from __future__ import annotations
+
+from damaskpin.model import work
+from tests.test_coordinator import fleets
+
+NOW = fleets.NOW
+
+
+def test_urgent_burst_stops_others_only_within_the_guarantee():
+    """A burst of urgent work beyond guarantees must not waste long runs."""
+    book = fleets.make_book(workers=2)
+    long = fleets.submit(book, 'long', fleets.make_step(2, 8, 30.0))
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    now = NOW + 20.0
+    urgent = fleets.make_step(1, 8, 3.0)
+    fleets.submit(book, 'urgent', urgent, priority=0, now=now)
+    fleets.decide(book, now)
+    assert fleets.list_stopped(book) == []
+    fleets.decide(book, now, guarantee=8)
+    assert fleets.list_stopped(book) == ['long']
+    assert len(fleets.list_runs(book, long)) == 2
+
+
+def test_saved_work_is_stopped_for_urgent_work():
+    """Work with a checkpoint costs little to stop, so urgent work goes on."""
+    book = fleets.make_book(workers=1)
+    step = fleets.make_step(8, 1, 30.0, checkpoints=True)
+    fleets.submit(book, 'saved', step)
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    now = NOW + 20.0
+    urgent = fleets.make_step(1, 4, 5.0)
+    fleets.submit(book, 'urgent', urgent, priority=0, now=now)
+    fleets.decide(book, now)
+    assert fleets.list_stopped(book) == ['saved'] * 4
+
+
+def test_small_work_does_not_fill_the_room_of_a_waiting_large_unit():
+    """Scattered small work must not starve a unit that needs a worker."""
+    book = fleets.make_book(workers=1)
+    small = fleets.make_step(8, 1, 10.0)
+    first = fleets.submit(book, 'first', small, priority=2)
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    large = fleets.submit(book, 'large', fleets.make_step(1, 8, 10.0))
+    fleets.submit(book, 'more', fleets.make_step(4, 1, 30.0), priority=2)
+    worker = next(iter(book.workers.values()))
+    for run in list(worker.runs)[:4]:
+        worker.remove_run(run)
+        first.end_run(run, work.Ending.DONE, '', fleets.WALL)
+    fleets.decide(book, NOW + 1.0)
+    assert fleets.list_runs(book, book.jobs['more']) == {}
+    for run in list(worker.runs):
+        worker.remove_run(run)
+        first.end_run(run, work.Ending.DONE, '', fleets.WALL)
+    fleets.decide(book, NOW + 2.0)
+    assert fleets.list_runs(book, large) == {0: 'w0'}
+
+
+def test_short_work_uses_room_that_is_kept_for_later():
+    """Room kept for a long wait is used by what ends before."""
+    book = fleets.make_book(workers=1)
+    fleets.submit(book, 'first', fleets.make_step(1, 6, 60.0))
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    fleets.submit(book, 'large', fleets.make_step(1, 8, 10.0))
+    short = fleets.make_step(2, 1, 5.0)
+    backfill = fleets.submit(book, 'short', short, priority=2)
+    fleets.decide(book, NOW + 1.0)
+    assert len(fleets.list_runs(book, backfill)) == 2
+
+
+def test_gang_starts_whole_and_in_one_rack():
+    """A gang on two racks takes several times as long."""
+    book = fleets.make_book(workers=6, rack_size=3)
+    fleets.submit(book, 'other', fleets.make_step(1, 8, 10.0))
+    fleets.decide(book)
+    step = fleets.make_step(3, 8, 10.0, gang=True, same_rack=True)
+    gang = fleets.submit(book, 'gang', step)
+    fleets.decide(book)
+    runs = fleets.list_runs(book, gang)
+    assert len(runs) == 3
+    racks = {
+        worker.profile.rack
+        for worker in book.workers.values()
+        if worker.lifetime.worker in runs.values()
+    }
+    assert len(racks) == 1
+
+
+def test_gang_that_no_rack_holds_starts_on_several():
+    """A gang that is larger than a rack must not wait for ever."""
+    book = fleets.make_book(workers=6, rack_size=3)
+    step = fleets.make_step(4, 8, 10.0, gang=True, same_rack=True)
+    gang = fleets.submit(book, 'gang', step)
+    fleets.decide(book)
+    assert len(fleets.list_runs(book, gang)) == 4
+
+
+def test_limit_for_each_worker_holds():
+    """Work items that must be apart never share a worker."""
+    book = fleets.make_book(workers=2)
+    job = fleets.submit(book, 'apart', fleets.make_step(4, 1, per_worker=1))
+    fleets.decide(book)
+    assert sorted(fleets.list_runs(book, job).values()) == ['w0', 'w1']
+
+
+def test_work_waits_for_its_data_before_it_goes_far():
+    """Far from its data work takes several times as long."""
+    book = fleets.make_book(workers=6, rack_size=3)
+    fill = fleets.make_step(3, 8, 60.0, data_rack='r1')
+    fleets.submit(book, 'fill', fill)
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    step = fleets.make_step(1, 1, 5.0, data_rack='r1')
+    near = fleets.submit(book, 'near', step)
+    fleets.decide(book, NOW + 0.1)
+    assert fleets.list_runs(book, near) == {}
+    fleets.decide(book, NOW + 6.0)
+    assert fleets.list_runs(book, near) != {}
+
+
+def test_failed_unit_tries_another_worker():
+    """A worker that fails everything must not use all attempts up."""
+    book = fleets.make_book(workers=2)
+    job = fleets.submit(book, 'job', fleets.make_step(1, 1))
+    fleets.decide(book)
+    first = fleets.list_runs(book, job)[0]
+    worker = next(
+        w for w in book.workers.values() if w.lifetime.worker == first
+    )
+    run = next(iter(worker.runs))
+    row = work.EndedRun(1, run, work.Ending.FAILED, '')
+    book.end_run(NOW, fleets.WALL, worker, row)
+    fleets.decide(book, NOW + 0.1)
+    assert fleets.list_runs(book, job)[0] != first
+
+
+def test_steps_wait_for_their_predecessors_and_due_times():
+    """Work must not start before what it needs, or before its time."""
+    book = fleets.make_book(workers=2)
+    steps = (fleets.make_step(1), fleets.make_step(1, after=(0,)))
+    schedule = work.Schedule(fleets.WALL + 5.0, 10.0, 2)
+    job = fleets.submit(book, 'timed', *steps, schedule=schedule)
+    fleets.decide(book, NOW + 4.9)
+    assert fleets.list_runs(book, job) == {}
+    fleets.decide(book, NOW + 5.1)
+    assert len(fleets.list_runs(book, job)) == 1
--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -0,0 +1,64 @@
+"""Tests of runs that stand still or crawl."""
+
+from __future__ import annotations
+
+from damaskpin.coordinator import supervision
+from damaskpin.model import work
+from tests.test_coordinator import fleets
+
+NOW = fleets.NOW
+
+
+def _begin(book, job_id, count=1):
+    fleets.submit(book, job_id, fleets.make_step(count, 1, 10.0))
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+
+
+def _list(book, now, percent):
+    for worker in book.workers.values():
+        worker.heard = now
+        for placed in worker.runs.values():
+            row = work.RunningRun(placed.run, '', percent)
+            placed.note_listed(row, now)
+
+
+def test_run_without_progress_is_moved():
+    """Work on a hanging worker would wait for its lease, which is kept."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    _list(book, NOW + 1.0, 10.0)
+    supervision.stop_stuck(NOW + 2.5, book)
+    assert fleets.list_stopped(book) == []
+    _list(book, NOW + 3.4, 10.0)
+    supervision.stop_stuck(NOW + 3.5, book)
+    assert fleets.list_stopped(book) == ['job']
+
+
+def test_gang_has_time_to_gather():
+    """A run that waits for the rest of its gang makes no progress yet."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    supervision.stop_stuck(NOW + 4.0, book)
+    assert fleets.list_stopped(book) == []
+
+
+def test_crawling_run_is_moved():
+    """Work on a slow worker ends sooner elsewhere."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    _list(book, NOW + 1.0, 2.0)
+    _list(book, NOW + 2.0, 4.0)
+    _list(book, NOW + 3.0, 6.0)
+    supervision.stop_stuck(NOW + 3.1, book)
+    assert fleets.list_stopped(book) == ['job']
+
+
+def test_steady_run_stays():
+    """A run that goes as estimated is left alone."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    for second in range(1, 6):
+        _list(book, NOW + second, 10.0 * second)
+    supervision.stop_stuck(NOW + 5.1, book)
+    assert fleets.list_stopped(book) == []
--- /dev/null
+++ b/tests/test_platform/test_platform_documents.py
@@ -0,0 +1,72 @@
+"""Tests of documents that others write."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.model import work
+from damaskpin.platform import operator
+from damaskpin.platform import wire
+from damaskpin.platform import worker
+
+TERMS = work.Terms('q', 's', 1, 2)
+JOB = {
+    'spec': 'text',
+    'steps': [
+        {'count': 4, 'cpu': 500, 'memMb': 256, 'estimateMs': 900},
+        {'count': 2, 'gpu': 1, 'after': [0], 'checkpoint': True, 'new': 1},
+    ],
+}
+
+
+def _decode(**changes):
+    data = json.dumps({**JOB, **changes}).encode()
+    return operator.decode_job(data, '0' * 16, 'a', TERMS, 5.0)
+
+
+def test_job_is_decoded_into_the_products_units():
+    """Milliseconds that pass for seconds would ruin every estimate."""
+    job = _decode()
+    assert job.steps[0].estimate == 0.9
+    assert job.steps[0].demand == work.Resources(500, 256, 0)
+    assert job.steps[1].after == (0,)
+    assert job.steps[1].checkpoints
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'steps': []},
+        {'steps': [{'count': 0}]},
+        {'steps': [{'count': 10**9}]},
+        {'steps': [{'count': 1, 'after': [0]}]},
+        {'steps': [{'count': 1, 'cpu': 'many'}]},
+        {'spec': 7},
+    ],
+)
+def test_malformed_job_is_refused(changes):
+    """A job that can't be read must not reach the store."""
+    with pytest.raises(errors.MalformedError):
+        _decode(**changes)
+
+
+def test_malformed_configuration_is_refused():
+    """Bytes of another writer must not end the watch."""
+    for data in (b'\xff\x00', b'{}', b'{"version":"x"}'):
+        with pytest.raises(errors.MalformedError):
+            operator.decode_installation(data)
+
+
+def test_unreadable_rows_are_left_out():
+    """One row of another writer must not hide the others."""
+    answer = wire.WorkerAnswer(
+        5,
+        running=[['x', 1, '', 3], [f'{"0" * 16}.0.1.2', 3, 'c', 40, 7]],
+        finished=[[1, f'{"0" * 16}.0.0.0', 1, 'odd', ''], [2]],
+    )
+    lists = worker.decode_lists(answer)
+    assert [row.run.number for row in lists.running] == [3]
+    assert lists.ended == ()
