--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -160,6 +160,9 @@
         match row.ending:
             case work.Ending.DONE:
                 worker.note_done()
+                if placed.began and not placed.first_percent:
+                    durations = job.durations.setdefault(row.run.item.step, [])
+                    durations.append(now - placed.began)
             case work.Ending.FAILED:
                 worker.note_failed(now, job.id)
                 self.avoid(placed, worker)
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import fleet
-    from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import job as job_module
     from damaskpin.model import installation as installations
 
 LOG = logging.getLogger(__name__)
@@ -59,7 +59,7 @@
         self.entries: tuple[str, ...] = ()
 
     @property
-    def jobs(self) -> dict[str, jobs.Job]:
+    def jobs(self) -> dict[str, job_module.Job]:
         """Return the known jobs by id."""
         return self._book.jobs
 
@@ -75,7 +75,7 @@
         self._installation = installation
         self._book.changed = True
 
-    def add_job(self, now: float, job: jobs.Job) -> None:
+    def add_job(self, now: float, job: job_module.Job) -> None:
         """Take over a job with the progress that the store has."""
         self._book.add_job(now, job)
 
@@ -110,7 +110,7 @@
                 if placed.job is job and not placed.confirmed:
                     worker.orders_due = True
 
-    def collect_dirty(self) -> list[jobs.Job]:
+    def collect_dirty(self) -> list[job_module.Job]:
         """Return the jobs whose progress the store lacks."""
         return [job for job in self.jobs.values() if job.is_dirty()]
 
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -27,6 +27,10 @@
 # Listed progress is a rough figure; a rate needs this much of it, in percent.
 MIN_PROGRESS = 4.0
 
+# Length of the windows in which rates are measured, in seconds; listed
+# progress has steps of a percent.
+WINDOW_S = 2.0
+
 # A run beyond its estimate is expected to end after this time, in seconds.
 OVERDUE_S = 0.5
 
@@ -47,6 +51,11 @@
     :ivar percent: progress that its worker listed.
     :ivar first_percent: progress when it was listed first.
     :ivar moved: time at which the progress changed last; 0 before.
+    :ivar window: time at which the current window of its rate began.
+    :ivar window_percent: progress at that time.
+    :ivar rate: progress in the last whole window, in percent a second;
+        negative before its end.
+    :ivar best_rate: highest rate of a window.
     """
 
     run: work.Run
@@ -62,6 +71,10 @@
     percent: float = 0.0
     first_percent: float = 0.0
     moved: float = 0.0
+    window: float = 0.0
+    window_percent: float = 0.0
+    rate: float = -1.0
+    best_rate: float = 0.0
 
     def note_listed(self, row: work.RunningRun, now: float) -> None:
         """Take over what the worker lists."""
@@ -70,11 +83,24 @@
             self.began = now
             self.first_percent = row.percent
             self.moved = now
+            self._begin_window(now, row.percent)
         if row.checkpoint:
             self.checkpoint = row.checkpoint
         if row.percent != self.percent:
             self.percent = row.percent
             self.moved = now
+        if self.percent == self.first_percent:
+            # It has not begun to work.
+            self._begin_window(now, row.percent)
+        elif now - self.window >= WINDOW_S:
+            gained = row.percent - self.window_percent
+            self.rate = gained / (now - self.window)
+            self.best_rate = max(self.best_rate, self.rate)
+            self._begin_window(now, row.percent)
+
+    def _begin_window(self, now: float, percent: float) -> None:
+        self.window = now
+        self.window_percent = percent
 
     def get_cores(self) -> float:
         """Return the cores in use, accelerators included."""
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -51,12 +51,15 @@
 
     :param submission: job as it was accepted.
     :param progress: progress as it is known; changed in place.
+    :ivar avoided: workers that a unit had better not run on again.
+    :ivar durations: seconds of whole runs that were done, by step.
     """
 
     __slots__ = (
         '_ready_since',
         'avoided',
         'cancelled',
+        'durations',
         'progress',
         'revision',
         'stored_version',
@@ -71,6 +74,7 @@
         self.stored_version = progress.version
         self.revision = 0
         self.cancelled = False
+        self.durations: dict[int, list[float]] = {}
         self.avoided: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
 
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import statistics
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,10 +19,13 @@
 BEGIN_S = 4.0
 
 # A run is moved when its rest takes this many times as long as a fresh run.
-SLOW_FACTOR = 2.5
+SLOW_FACTOR = 2.0
 
-# Runs are judged by their rate after this time, in seconds.
-RATE_S = 2.0
+# Share of its progress beyond which a run is not moved, in percent.
+MOVE_PERCENT = 60.0
+
+# Rate of a run that hardly moves, in percent a second.
+MIN_RATE = 0.2
 
 # Work may stop on all workers for another cause; then moving it is in vain.
 MAX_SUSPECT_SHARE = 0.34
@@ -64,9 +68,24 @@
         limit += BEGIN_S
     if still > limit:
         return f'no progress for {still:.1f} s'
-    if now - placed.began < RATE_S or placed.percent >= 60:
+    fresh = get_fresh(placed)
+    if placed.rate < 0 or placed.percent >= MOVE_PERCENT or not fresh:
         return ''
-    remaining = placed.get_remaining(now)
-    if remaining > SLOW_FACTOR * estimate + 1.0:
-        return f'the rest would take {remaining:.1f} s'
+    remaining = (100.0 - placed.percent) / max(placed.rate, MIN_RATE)
+    if remaining > SLOW_FACTOR * fresh + 1.0:
+        return f'the rest would take {remaining:.1f} s, not {fresh:.1f} s'
     return ''
+
+
+def get_fresh(placed: fleet.PlacedRun) -> float:
+    """Return the seconds of a fresh run elsewhere; 0 if nobody knows.
+
+    Estimates are far off, so only what was measured counts: equal work items
+    that are done, and the run's own best time.
+    """
+    known = placed.job.durations.get(placed.run.item.step)
+    if known:
+        return statistics.median(known)
+    if placed.best_rate > 0:
+        return 100.0 / placed.best_rate
+    return 0.0
