--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -18,6 +18,9 @@
 # worker needs a moment to notice the end of its lease.
 LAPSE_MARGIN_S = 0.5
 
+# A draining worker often stays a little longer than it says, in seconds.
+DRAIN_SLACK_S = 1.5
+
 # A worker's steady clock may be this much slow.
 CLOCK_SLOWNESS = 0.02
 
@@ -229,7 +232,8 @@
         self.changed = True
         for placed in list(worker.runs.values()):
             movable = placed.step.checkpoints or placed.step.lasting
-            late = placed.get_remaining(now) > worker.profile.remaining
+            left = worker.profile.remaining + DRAIN_SLACK_S
+            late = placed.get_remaining(now) > left
             if movable or late:
                 self.stop_run(worker, placed, 'the worker is draining')
 
--- a/damaskpin/platform/store.py
+++ b/damaskpin/platform/store.py
@@ -22,6 +22,9 @@
 # or an outage.
 TIMEOUT_S = 0.8
 
+# A lease must be renewed several times before it ends.
+LEASE_TIMEOUT_S = 0.5
+
 # Added to the time that a watch waits.
 WATCH_MARGIN_S = 0.7
 
@@ -149,7 +152,9 @@
         :raises damaskpin.errors.StoreLeaseError: it has ended.
         :raises damaskpin.errors.StoreError: no answer.
         """
-        answer = await self._call('POST', f'/kv-keep/{lease}', None)
+        answer = await self._call(
+            'POST', f'/kv-keep/{lease}', None, LEASE_TIMEOUT_S
+        )
         if answer.status == 404:
             raise errors.StoreLeaseError('the lease has ended')
         self._check(answer)
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -330,6 +330,7 @@
 
     def _note_silent(self, address: str) -> None:
         LOG.info('peer silent', extra={'peer': address})
+        self._relay.note_silent(address)
 
     def _list_peers(self) -> list[str]:
         own = self._settings.listen
--- a/damaskpin/runtime/leadership.py
+++ b/damaskpin/runtime/leadership.py
@@ -22,8 +22,8 @@
 
 # A dead coordinator is replaced after this time, in seconds; a shorter one
 # would not survive a slow store.
-TTL_S = 2.5
-KEEP_INTERVAL_S = 0.6
+TTL_S = 1.8
+KEEP_INTERVAL_S = 0.45
 
 # An entry far from the store leaves the first try to others, in seconds.
 FAR_RTT_S = 0.012
@@ -50,6 +50,7 @@
         '_store',
         '_valid_until',
         '_view',
+        '_was_valid',
         'fence',
     )
 
@@ -69,6 +70,7 @@
         self._lease = 0
         self._valid_until = 0.0
         self._resigned = False
+        self._was_valid = False
         self.fence = 0
 
     def is_valid(self) -> bool:
@@ -108,6 +110,14 @@
         self._lease = 0
         self._valid_until = 0.0
 
+    def _log_validity(self) -> None:
+        valid = self.is_valid()
+        if valid == self._was_valid:
+            return
+        self._was_valid = valid
+        message = 'coordination resumed' if valid else 'coordination paused'
+        LOG.info(message, extra={'fence': self.fence})
+
     async def _seek(self) -> None:
         begun = clocks.get_steady()
         try:
@@ -164,9 +174,9 @@
             return
         except errors.StoreError as error:
             LOG.info('lease not renewed', extra={'error': str(error)})
-        if self.fence and clocks.get_steady() > self._valid_until:
-            self.step_down('the lease was not renewed in time')
-            return
+            # The lease may live on: a store that was away pauses leases. As
+            # long as it does, nobody else can hold the key.
+        self._log_validity()
         pause = KEEP_INTERVAL_S - (clocks.get_steady() - sent)
         await asyncio.sleep(max(pause, POLL_S))
 
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 import logging
 from typing import TYPE_CHECKING
@@ -25,7 +26,11 @@
 TURNED_AWAY = (429, 503)
 
 # Time for which the direct way is left alone after it failed, in seconds.
-DIRECT_PAUSE_S = 1.0
+DIRECT_PAUSE_S = 0.3
+
+# The same for a relay that could not help, and for one that is silent.
+RELAY_PAUSE_S = 0.5
+SILENT_PAUSE_S = 3.0
 
 # Added to a call's timeout when another entry makes it.
 RELAY_MARGIN_S = 0.4
@@ -36,6 +41,14 @@
 _DECODER = msgspec.msgpack.Decoder(transport.HttpRequest)
 
 
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A call that a peer makes for this process."""
+
+    peer: str
+    future: asyncio.Future[orders.StoreAnswer]
+
+
 class RelayingCaller:
     """Calls the store; another entry does it while this one is turned away.
 
@@ -68,7 +81,7 @@
         self._blocked_until = 0.0
         self._blocked_peers: dict[str, float] = {}
         self._ids = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[orders.StoreAnswer]] = {}
+        self._waiting: dict[int, Waiting] = {}
         self.relayed = 0
 
     def set_exchange(self, exchange: exchanges.Exchange) -> None:
@@ -101,20 +114,32 @@
                 relayed = await self._call_peer(peer, request)
             except errors.CallError as error:
                 sent = sent or error.sent
-                self._block_peer(peer, str(error))
+                self._block_peer(peer, RELAY_PAUSE_S, str(error))
                 continue
             if relayed.status not in TURNED_AWAY:
                 return relayed
-            self._block_peer(peer, f'status {relayed.status}')
+            self._block_peer(peer, RELAY_PAUSE_S, f'status {relayed.status}')
         if answer is not None and not sent:
             return answer
         raise errors.CallError(reason, sent)
 
     def handle_answer(self, answer: orders.StoreAnswer) -> None:
         """Take over the answer of a relayed call."""
-        future = self._waiting.pop(answer.id, None)
-        if future is not None and not future.done():
-            future.set_result(answer)
+        waiting = self._waiting.pop(answer.id, None)
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_result(answer)
+
+    def note_silent(self, peer: str) -> None:
+        """Give up the calls that a silent peer was to make."""
+        for number, waiting in list(self._waiting.items()):
+            if waiting.peer != peer:
+                continue
+            del self._waiting[number]
+            if not waiting.future.done():
+                waiting.future.set_result(
+                    orders.StoreAnswer(number, 0, True, b'')
+                )
+            self._block_peer(peer, SILENT_PAUSE_S, 'the peer is silent')
 
     async def serve(self, call: orders.StoreCall) -> orders.StoreAnswer:
         """Make a call for another entry, directly."""
@@ -138,9 +163,11 @@
                 usable.append(peer)
         return usable[:MAX_RELAYS]
 
-    def _block_peer(self, peer: str, reason: str) -> None:
+    def _block_peer(self, peer: str, pause: float, reason: str) -> None:
         LOG.info('relay failed', extra={'peer': peer, 'error': reason})
-        self._blocked_peers[peer] = clocks.get_steady() + DIRECT_PAUSE_S
+        until = clocks.get_steady() + pause
+        known = self._blocked_peers.get(peer, 0.0)
+        self._blocked_peers[peer] = max(known, until)
 
     def _note_direct(self, works: bool, reason: str) -> None:
         if works:
@@ -162,7 +189,7 @@
         message = orders.StoreCall(number, msgspec.msgpack.encode(request))
         loop = asyncio.get_running_loop()
         future: asyncio.Future[orders.StoreAnswer] = loop.create_future()
-        self._waiting[number] = future
+        self._waiting[number] = Waiting(peer, future)
         self._exchange.post(peer, ('store', number), lambda: message)
         try:
             answer = await asyncio.wait_for(
--- /dev/null
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -0,0 +1,102 @@
+"""Tests of the way to the store through another entry."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpin import errors
+from damaskpin import transport
+from damaskpin.peer import orders
+from damaskpin.runtime import relay
+
+REQUEST = transport.HttpRequest('GET', '/x', None, 0.2)
+
+
+class FakeCaller:
+    """Answers with a status or fails."""
+
+    def __init__(self, result):
+        self.result = result
+        self.calls = 0
+
+    async def call(self, request):
+        self.calls += 1
+        if isinstance(self.result, Exception):
+            raise self.result
+        return transport.HttpAnswer(self.result, b'direct')
+
+
+class FakeExchange:
+    """Hands relayed calls to a function."""
+
+    def __init__(self, answer):
+        self.answer = answer
+
+    def post(self, address, kind, build):
+        self.answer(address, build())
+
+
+def _make(direct, answer=None):
+    caller = relay.RelayingCaller(direct, lambda: ['peer'])
+    if answer is not None:
+        exchange = FakeExchange(lambda peer, call: answer(caller, call))
+        caller.set_exchange(exchange)
+    return caller
+
+
+def test_turned_away_entry_reaches_the_store_through_a_peer():
+    """A store that refuses one machine must not stop its callers' jobs."""
+
+    def answer(caller, call):
+        message = orders.StoreAnswer(call.id, 200, True, b'relayed')
+        caller.handle_answer(message)
+
+    caller = _make(FakeCaller(503), answer)
+    found = asyncio.run(caller.call(REQUEST))
+    assert found.body == b'relayed'
+
+
+def test_call_that_nobody_sent_says_so():
+    """Only then may a caller be told that its job was not accepted."""
+
+    def answer(caller, call):
+        caller.handle_answer(orders.StoreAnswer(call.id, 0, False, b''))
+
+    direct = FakeCaller(errors.CallError('refused', False))
+    with pytest.raises(errors.CallError) as caught:
+        asyncio.run(_make(direct, answer).call(REQUEST))
+    assert not caught.value.sent
+
+
+def test_silent_peer_ends_the_wait_at_once():
+    """A peer that is gone must not hold the next call back."""
+
+    async def call():
+        caller = _make(FakeCaller(503), lambda caller, call: None)
+        task = asyncio.ensure_future(caller.call(REQUEST))
+        await asyncio.sleep(0.01)
+        caller.note_silent('peer')
+        started = asyncio.get_running_loop().time()
+        with pytest.raises(errors.CallError) as caught:
+            await task
+        return caught.value, asyncio.get_running_loop().time() - started
+
+    error, seconds = asyncio.run(call())
+    assert error.sent
+    assert seconds < 0.1
+
+
+def test_direct_way_is_tried_again():
+    """The relay costs a hop; the direct way must be found again."""
+
+    async def call():
+        direct = FakeCaller(503)
+        caller = _make(direct)
+        await caller.call(REQUEST)
+        direct.result = 200
+        await asyncio.sleep(relay.DIRECT_PAUSE_S + 0.05)
+        return await caller.call(REQUEST)
+
+    assert asyncio.run(call()).status == 200
