--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -21,6 +21,9 @@
 # A draining worker often stays a little longer than it says, in seconds.
 DRAIN_SLACK_S = 1.5
 
+# A work item that is slow on so many workers is slow by itself.
+MAX_MOVES = 2
+
 # A worker's steady clock may be this much slow.
 CLOCK_SLOWNESS = 0.02
 
@@ -163,9 +166,6 @@
         match row.ending:
             case work.Ending.DONE:
                 worker.note_done()
-                if placed.began and not placed.first_percent:
-                    durations = job.durations.setdefault(row.run.item.step, [])
-                    durations.append(now - placed.began)
             case work.Ending.FAILED:
                 worker.note_failed(now, job.id)
                 self.avoid(placed, worker)
@@ -245,6 +245,16 @@
         avoided = placed.job.avoided.setdefault(key, set())
         avoided.add(worker.lifetime.worker)
 
+    def note_moved(self, placed: fleet.PlacedRun) -> bool:
+        """Count the moves of a work item that stands still or crawls.
+
+        :returns: whether one more move is worth its cost.
+        """
+        item = placed.run.item
+        moves = placed.job.moves.get(item, 0) + 1
+        placed.job.moves[item] = moves
+        return moves <= MAX_MOVES
+
     def _add_worker(
         self, now: float, lifetime: work.Lifetime, agent: str
     ) -> fleet.Worker:
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -52,14 +52,14 @@
     :param submission: job as it was accepted.
     :param progress: progress as it is known; changed in place.
     :ivar avoided: workers that a unit had better not run on again.
-    :ivar durations: seconds of whole runs that were done, by step.
+    :ivar moves: times that a work item was moved off a slow worker.
     """
 
     __slots__ = (
         '_ready_since',
         'avoided',
         'cancelled',
-        'durations',
+        'moves',
         'progress',
         'revision',
         'stored_version',
@@ -74,7 +74,7 @@
         self.stored_version = progress.version
         self.revision = 0
         self.cancelled = False
-        self.durations: dict[int, list[float]] = {}
+        self.moves: dict[work.Item, int] = {}
         self.avoided: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
 
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import statistics
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -48,6 +47,8 @@
             if not found:
                 continue
             reason = found
+            if not book.note_moved(placed):
+                continue
             book.avoid(placed, worker)
             book.stop_run(worker, placed, found)
         if reason and not is_suspect:
@@ -68,24 +69,12 @@
         limit += BEGIN_S
     if still > limit:
         return f'no progress for {still:.1f} s'
-    fresh = get_fresh(placed)
-    if placed.rate < 0 or placed.percent >= MOVE_PERCENT or not fresh:
+    if placed.best_rate <= 0 or placed.percent >= MOVE_PERCENT:
         return ''
+    # Estimates are far off and equal work items differ much, so a run is
+    # compared with its own best time only.
+    fresh = 100.0 / placed.best_rate
     remaining = (100.0 - placed.percent) / max(placed.rate, MIN_RATE)
     if remaining > SLOW_FACTOR * fresh + 1.0:
         return f'the rest would take {remaining:.1f} s, not {fresh:.1f} s'
     return ''
-
-
-def get_fresh(placed: fleet.PlacedRun) -> float:
-    """Return the seconds of a fresh run elsewhere; 0 if nobody knows.
-
-    Estimates are far off, so only what was measured counts: equal work items
-    that are done, and the run's own best time.
-    """
-    known = placed.job.durations.get(placed.run.item.step)
-    if known:
-        return statistics.median(known)
-    if placed.best_rate > 0:
-        return 100.0 / placed.best_rate
-    return 0.0
--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -74,3 +74,29 @@
         _list(book, NOW + second, 10.0 * second)
     supervision.stop_stuck(NOW + 5.1, book)
     assert fleets.list_stopped(book) == []
+
+
+def test_work_item_that_is_slow_everywhere_is_left_alone():
+    """Each move loses the work done; an item may be slow by itself."""
+    book = fleets.make_book(workers=4)
+    _begin(book, 'job')
+    now = NOW
+    for _ in range(6):
+        for worker in list(book.workers.values()):
+            for run, placed in list(worker.runs.items()):
+                if placed.stop_reason:
+                    row = work.EndedRun(
+                        worker.seen_serial + 1, run, work.Ending.STOPPED, ''
+                    )
+                    book.end_run(now, fleets.WALL, worker, row)
+        now += 5.0
+        fleets.decide(book, now)
+        fleets.begin_all(book, now)
+        for percent in (5.0, 25.0, 27.0, 29.0):
+            now += 2.1
+            _list(book, now, percent)
+            supervision.stop_stuck(now, book)
+    item = work.Item('job', 0, 0, 0)
+    numbers = book.jobs['job'].get_step(0, 0).numbers
+    assert numbers[item.index] == 3
+    assert fleets.list_stopped(book) == []
