--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
 class Book:
     """Jobs, workers and the runs that may exist.
 
+    :ivar counts: events of runs since the start, for metrics.
     :param started: time at which this coordinator began, in seconds.
     :param grant: seconds for which an agent keeps its worker's lease after
         the report that was answered last.
@@ -42,6 +44,7 @@
         '_started',
         '_stop_time',
         'changed',
+        'counts',
         'jobs',
         'workers',
     )
@@ -51,6 +54,7 @@
         self._grant = grant
         self._stop_time = stop_time
         self.changed = True
+        self.counts: collections.Counter[str] = collections.Counter()
         self.jobs: dict[str, jobs.Job] = {}
         self.workers: dict[work.Lifetime, fleet.Worker] = {}
 
@@ -130,6 +134,7 @@
         if placed is None:
             return
         self.changed = True
+        self.counts['lost'] += 1
         job = placed.job
         if placed.checkpoint and not job.is_final():
             step = job.get_step(run.item.occurrence, run.item.step)
@@ -151,6 +156,7 @@
         job = placed.job
         self.changed = True
         worker.orders_due = True
+        self.counts[str(row.ending)] += 1
         job.end_run(row.run, row.ending, row.checkpoint, wall)
         worker.pending_ends.append(
             fleet.PendingEnd(row.serial, job, job.progress.version)
@@ -205,6 +211,7 @@
         """Have a run stopped, with the rest of its gang."""
         if placed.stop_reason:
             return
+        self.counts['ordered to stop'] += 1
         placed.stop_reason = reason
         worker.orders_due = True
         log_run('run to be stopped', placed.run, worker, reason)
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -12,6 +12,8 @@
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
+    import collections
+
     from damaskpin.coordinator import fleet
     from damaskpin.coordinator import job as job_module
     from damaskpin.model import installation as installations
@@ -63,6 +65,11 @@
         """Return the known jobs by id."""
         return self._book.jobs
 
+    @property
+    def counts(self) -> collections.Counter[str]:
+        """Return the events of runs since the start."""
+        return self._book.counts
+
     @property
     def workers(self) -> dict[work.Lifetime, fleet.Worker]:
         """Return the known workers."""
--- a/damaskpin/coordinator/placing.py
+++ b/damaskpin/coordinator/placing.py
@@ -80,6 +80,7 @@
     def _start(self, unit: jobs.Unit, plan: planning.Plan) -> None:
         holders = [(w.lifetime, w.agent) for w in plan.workers]
         runs = unit.job.assign(unit, holders)
+        self._book.counts['placed'] += len(runs)
         for run, worker in zip(runs, plan.workers, strict=True):
             worker.add_run(
                 fleet.PlacedRun(
--- a/damaskpin/platform/__main__.py
+++ b/damaskpin/platform/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import os
 import signal
 import sys
 from typing import TYPE_CHECKING
@@ -15,6 +16,7 @@
 from damaskpin import transport
 from damaskpin.platform import control
 from damaskpin.platform import front
+from damaskpin.platform import metrics
 from damaskpin.platform import operator
 from damaskpin.platform import settings as settings_module
 from damaskpin.platform import store
@@ -25,10 +27,15 @@
 if TYPE_CHECKING:
     from tornado import web
 
+    from damaskpin.telemetry import Telemetry
+
 LOG = logging.getLogger(__name__)
 
 CONFIG_KEY = 'op/config'
 
+# Address and port on which metrics are served; empty for none.
+METRICS_VARIABLE = 'DAMASKPIN_METRICS'
+
 # Bytes of a request at most; the configuration's own limit is lower.
 MAX_BODY_BYTES = 1 << 20
 
@@ -48,6 +55,7 @@
     )
     listen(front.make_front(entry), settings.listen.front)
     listen(front.make_readiness(entry), settings.listen.ready)
+    serve_metrics(entry.telemetry)
     entry.start()
     await wait_for_stop()
     await entry.resign()
@@ -63,11 +71,19 @@
         store.StoreClient(transport.HttpCaller(settings.platform.addr)),
     )
     listen(control.make_control(runtime), settings.listen.control)
+    serve_metrics(runtime.telemetry)
     runtime.start()
     await wait_for_stop()
     await runtime.close()
 
 
+def serve_metrics(telemetry: Telemetry) -> None:
+    """Serve metrics at the address of the environment, if there is one."""
+    address = os.environ.get(METRICS_VARIABLE, '')
+    if address:
+        listen(metrics.make_metrics(telemetry), address)
+
+
 def listen(application: web.Application, address: str) -> None:
     """Serve an application at an address.
 
--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -174,6 +174,10 @@
             case outcomes.Undecided(reason=reason):
                 status = 504
                 body = {'error': reason}
+        seconds = clocks.get_steady() - self._arrived
+        labels = {'action': action, 'status': str(status)}
+        self._entry.telemetry.requests.add(1, labels)
+        self._entry.telemetry.seconds.record(seconds, labels)
         if action != 'show' or status != 200:
             LOG.info(
                 'request answered',
@@ -182,7 +186,7 @@
                     'action': action,
                     'status': status,
                     'reason': body.get('error', ''),
-                    'seconds': round(clocks.get_steady() - self._arrived, 4),
+                    'seconds': round(seconds, 4),
                 },
             )
         self._answer(status, body)
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -68,10 +68,6 @@
     app: str = ''
     service: str = ''
 
-    def get_metrics_port(self) -> int:
-        """Return the port on which metrics are served."""
-        return self.port_range[0] + 1
-
     def make_options(self) -> options.Options:
         """Return the settings in the product's terms."""
         port = self.port_range[0]
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 import secrets
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 from damaskpin import errors
+from damaskpin import telemetry
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
 from damaskpin.peer import exchange as exchanges
@@ -67,7 +69,9 @@
         '_store',
         '_worker',
         'agent',
+        'counts',
         'exchange',
+        'telemetry',
     )
 
     def __init__(
@@ -87,6 +91,13 @@
         self._asked = 0.0
         self._looked_up = 0.0
         self._next_peer = 0
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.telemetry = telemetry.Telemetry(settings.instance)
+        self.telemetry.observe_counts(
+            'damaskpin.worker.calls',
+            'calls of the worker, by kind and result',
+            lambda: self.counts,
+        )
         self.exchange = exchanges.Exchange(
             settings.instance,
             secrets.token_hex(6),
@@ -133,6 +144,7 @@
             sent = clocks.get_steady()
             result = await self._worker.hold(call)
             now = clocks.get_steady()
+            self.counts[f'hold {type(result).__name__.lower()}'] += 1
             self.agent.note_held(now, sent, call, result)
             self.pump()
             if not isinstance(result, calls.Lists) or not call.wait:
@@ -142,9 +154,11 @@
         match call:
             case calls.StartCall():
                 result = await self._worker.start(call)
+                self.counts[f'start {type(result).__name__.lower()}'] += 1
                 self.agent.note_start(clocks.get_steady(), call, result)
             case calls.StopCall():
                 result = await self._worker.stop(call)
+                self.counts[f'stop {type(result).__name__.lower()}'] += 1
                 self.agent.note_stop(clocks.get_steady(), call, result)
         self.pump()
 
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin import errors
+from damaskpin import telemetry
 from damaskpin.coordinator import book as books
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import job as jobs
@@ -71,6 +72,7 @@
         'registration',
         'requests',
         'stopping',
+        'telemetry',
         'view',
         'writer',
     )
@@ -120,6 +122,8 @@
         self.writer: writers.Writer | None = None
         self._writer_task: asyncio.Task[None] | None = None
         self.stopping = False
+        self.telemetry = telemetry.Telemetry(settings.instance)
+        self._observe()
 
     def start(self) -> None:
         """Start all loops."""
@@ -162,6 +166,29 @@
         for worker in coordinator.pop_due():
             self._post_orders(worker)
 
+    def _observe(self) -> None:
+        observe = self.telemetry.observe_counts
+        observe(
+            'damaskpin.runs',
+            'runs placed, stopped, lost or ended, as coordinator',
+            lambda: self.coordinator.counts if self.coordinator else {},
+        )
+        observe(
+            'damaskpin.store.ways',
+            'calls of the store, by the way that they took',
+            lambda: self._relay.counts,
+        )
+        self.telemetry.observe_gauge(
+            'damaskpin.coordinating',
+            '1 while this entry coordinates',
+            lambda: float(self.leadership.is_valid()),
+        )
+        self.telemetry.observe_gauge(
+            'damaskpin.configuration.version',
+            'version of the configuration in force',
+            lambda: self.installation.version if self.installation else 0,
+        )
+
     async def _run_ticks(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import logging
@@ -67,7 +68,7 @@
         '_get_peers',
         '_ids',
         '_waiting',
-        'relayed',
+        'counts',
     )
 
     def __init__(
@@ -82,7 +83,7 @@
         self._blocked_peers: dict[str, float] = {}
         self._ids = itertools.count(1)
         self._waiting: dict[int, Waiting] = {}
-        self.relayed = 0
+        self.counts: collections.Counter[str] = collections.Counter()
 
     def set_exchange(self, exchange: exchanges.Exchange) -> None:
         """Use an exchange for relayed calls."""
@@ -99,6 +100,7 @@
         answer = None
         reason = 'no entry to relay the call'
         if clocks.get_steady() >= self._blocked_until:
+            self.counts['direct'] += 1
             try:
                 answer = await self._direct.call(request)
                 if answer.status not in TURNED_AWAY:
@@ -184,7 +186,7 @@
     ) -> transport.HttpAnswer:
         if self._exchange is None:
             raise errors.CallError('no exchange', False)
-        self.relayed += 1
+        self.counts['relayed'] += 1
         number = next(self._ids)
         message = orders.StoreCall(number, msgspec.msgpack.encode(request))
         loop = asyncio.get_running_loop()
--- a/damaskpin/telemetry.py
+++ b/damaskpin/telemetry.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from opentelemetry import metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk import metrics as sdk_metrics
 from opentelemetry.sdk import resources
@@ -11,9 +12,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from opentelemetry.sdk.metrics import export
 
+Observations = list[metrics.Observation]
+
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
@@ -101,14 +105,35 @@
         :param description: what it shows, with its unit.
         :param read: returns the value at that moment.
         """
-        from opentelemetry import metrics
-
         self._meter.create_observable_gauge(
             name,
             callbacks=[lambda options: [metrics.Observation(read())]],
             description=description,
         )
 
+    def observe_counts(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], Mapping[str, int]],
+    ) -> None:
+        """Register a counter for each kind of an event.
+
+        :param name: name of the metric.
+        :param description: what is counted.
+        :param read: returns the totals since the start by kind.
+        """
+
+        def observe(options: metrics.CallbackOptions) -> Observations:
+            return [
+                metrics.Observation(total, {'kind': kind})
+                for kind, total in read().items()
+            ]
+
+        self._meter.create_observable_counter(
+            name, callbacks=[observe], description=description
+        )
+
     def render_metrics(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/tests/test_platform/test_platform_metrics.py
@@ -0,0 +1,29 @@
+"""Tests of the metrics that the platform collects."""
+
+from __future__ import annotations
+
+from tornado import testing
+
+from damaskpin import telemetry as telemetry_module
+from damaskpin.platform import metrics
+
+
+class MetricsTest(testing.AsyncHTTPTestCase):
+    """Fetches metrics as the collector does."""
+
+    def get_app(self):
+        self.telemetry = telemetry_module.Telemetry('entry-1')
+        counts = {'placed': 3, 'done': 2}
+        self.telemetry.observe_counts('damaskpin.runs', 'runs', lambda: counts)
+        return metrics.make_metrics(self.telemetry)
+
+    def tearDown(self):
+        self.telemetry.close()
+        super().tearDown()
+
+    def test_counts_are_served_by_kind(self):
+        """An on-call engineer needs the events by kind, as text."""
+        self.telemetry.seconds.record(0.2, {'action': 'submit'})
+        text = self.fetch(metrics.PATH).body.decode()
+        assert 'damaskpin_runs_total{kind="placed"} 3.0' in text
+        assert 'damaskpin_duration_seconds_bucket' in text
