Answer an undecided submission after three tries, never as a refusal

Cause: while the store was silent a submission was repeated until the caller's time limit. Ruled out: the relay (all entries were cut off alike). Now three tries, then 504; an entry that has answered 504 for a job does not refuse it with 503 later, as the write may be carried out late.

--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -112,7 +112,9 @@
             extra={
                 'worker': lifetime.worker,
                 'reason': reason,
-                'heard_ago': round(now - worker.heard, 3),
+                'heard_ago': round(now - worker.heard, 3)
+                if worker.heard
+                else None,
                 'runs': len(worker.runs),
             },
         )
--- a/damaskpin/platform/store.py
+++ b/damaskpin/platform/store.py
@@ -20,7 +20,7 @@
 
 # The store answers in milliseconds; a longer silence means a lost connection
 # or an outage.
-TIMEOUT_S = 0.8
+TIMEOUT_S = 0.6
 
 # A lease must be renewed several times before it ends.
 LEASE_TIMEOUT_S = 0.5
--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -20,12 +20,22 @@
 
 LOG = logging.getLogger(__name__)
 
+Result = transactions.Committed | transactions.Conflict | outcomes.Outcome
+
 # A store that was away is back, or another entry serves, after about this
 # time in seconds.
 RETRY_AFTER_S = 1
 
 # Pause before an undecided write is repeated, in seconds.
-SETTLE_PAUSE_S = 0.05
+SETTLE_PAUSE_S = 0.1
+
+# Tries of an undecided write. A caller whose request is not settled by then
+# is better off at another entry.
+MAX_TRIES = 3
+
+# Undecided submissions that are remembered, so that a repeat at this entry is
+# not refused as if nothing had been sent.
+MAX_UNDECIDED = 1000
 
 
 class Requests:
@@ -35,11 +45,13 @@
     :param view: view of the store.
     """
 
-    __slots__ = ('_store', '_view')
+    __slots__ = ('_store', '_undecided', '_view')
 
     def __init__(self, store: port.Store, view: views.View) -> None:
         self._store = store
         self._view = view
+        # Ordered by age; used as a set.
+        self._undecided: dict[str, None] = {}
 
     async def submit(
         self, submission: work.Submission, deadline: float
@@ -59,6 +71,7 @@
             {key: 0}, (transactions.Put(key, value),)
         )
         result = await self._settle(transaction, deadline)
+        result = self._remember(job_id, result)
         match result:
             case transactions.Committed():
                 return outcomes.Accepted()
@@ -116,6 +129,23 @@
             return outcomes.Shown(records.Progress().state)
         return outcomes.Shown(records.decode_progress(progress.value).state)
 
+    def _remember(self, job_id: str, result: Result) -> Result:
+        """Keep track of submissions that may have been stored.
+
+        :returns: the result; a refusal becomes undecided if an earlier try
+            of the same job is.
+        """
+        match result:
+            case outcomes.Undecided():
+                self._undecided[job_id] = None
+                while len(self._undecided) > MAX_UNDECIDED:
+                    del self._undecided[next(iter(self._undecided))]
+            case outcomes.Unavailable() if job_id in self._undecided:
+                return outcomes.Undecided(result.reason)
+            case transactions.Committed() | transactions.Conflict():
+                self._undecided.pop(job_id, None)
+        return result
+
     def _match_account(
         self, stored: work.Submission | None, submission: work.Submission
     ) -> outcomes.Outcome:
@@ -125,10 +155,12 @@
 
     async def _settle(
         self, transaction: transactions.Transaction, deadline: float
-    ) -> transactions.Committed | transactions.Conflict | outcomes.Outcome:
+    ) -> Result:
         """Commit; repeat a write without an answer until it is decided."""
+        tries = 0
         sent = False
         while True:
+            tries += 1
             try:
                 return await self._store.commit(transaction)
             except errors.StoreUnavailableError as error:
@@ -138,7 +170,8 @@
             except errors.StoreError as error:
                 sent = True
                 reason = str(error)
-            if clocks.get_steady() + SETTLE_PAUSE_S >= deadline:
+            late = clocks.get_steady() + SETTLE_PAUSE_S >= deadline
+            if late or tries >= MAX_TRIES:
                 return outcomes.Undecided(reason)
             await asyncio.sleep(SETTLE_PAUSE_S)
 
