--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -117,7 +117,9 @@
             layout.ENTRIES + settings.instance,
             settings.listen.encode(),
         )
-        self.requests = requests.Requests(self._store, self.view)
+        self.requests = requests.Requests(
+            self._store, self.view, self._relay.is_reachable
+        )
         self.coordinator: coordinators.Coordinator | None = None
         self.writer: writers.Writer | None = None
         self._writer_task: asyncio.Task[None] | None = None
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -33,6 +33,10 @@
 RELAY_PAUSE_S = 0.5
 SILENT_PAUSE_S = 3.0
 
+# Watches return each second; a store that has not answered for this time is
+# away, in seconds.
+QUIET_S = 1.6
+
 # Added to a call's timeout when another entry makes it.
 RELAY_MARGIN_S = 0.4
 
@@ -61,6 +65,7 @@
     """
 
     __slots__ = (
+        '_answered',
         '_blocked_peers',
         '_blocked_until',
         '_direct',
@@ -79,12 +84,17 @@
         self._direct = direct
         self._get_peers = get_peers
         self._exchange: exchanges.Exchange | None = None
+        self._answered = clocks.get_steady()
         self._blocked_until = 0.0
         self._blocked_peers: dict[str, float] = {}
         self._ids = itertools.count(1)
         self._waiting: dict[int, Waiting] = {}
         self.counts: collections.Counter[str] = collections.Counter()
 
+    def is_reachable(self) -> bool:
+        """Return whether the store has answered lately, by any way."""
+        return clocks.get_steady() - self._answered <= QUIET_S
+
     def set_exchange(self, exchange: exchanges.Exchange) -> None:
         """Use an exchange for relayed calls."""
         self._exchange = exchange
@@ -104,6 +114,7 @@
             try:
                 answer = await self._direct.call(request)
                 if answer.status not in TURNED_AWAY:
+                    self._answered = clocks.get_steady()
                     self._note_direct(True, '')
                     return answer
                 reason = f'status {answer.status}'
@@ -119,6 +130,7 @@
                 self._block_peer(peer, RELAY_PAUSE_S, str(error))
                 continue
             if relayed.status not in TURNED_AWAY:
+                self._answered = clocks.get_steady()
                 return relayed
             self._block_peer(peer, RELAY_PAUSE_S, f'status {relayed.status}')
         if answer is not None and not sent:
--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -14,6 +14,8 @@
 from damaskpin.store import transactions
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpin.entry import view as views
     from damaskpin.model import work
     from damaskpin.store import port
@@ -43,11 +45,18 @@
 
     :param store: access to the store.
     :param view: view of the store.
+    :param is_reachable: whether the store has answered lately.
     """
 
-    __slots__ = ('_store', '_undecided', '_view')
+    __slots__ = ('_is_reachable', '_store', '_undecided', '_view')
 
-    def __init__(self, store: port.Store, view: views.View) -> None:
+    def __init__(
+        self,
+        store: port.Store,
+        view: views.View,
+        is_reachable: Callable[[], bool],
+    ) -> None:
+        self._is_reachable = is_reachable
         self._store = store
         self._view = view
         # Ordered by age; used as a set.
@@ -157,6 +166,9 @@
         self, transaction: transactions.Transaction, deadline: float
     ) -> Result:
         """Commit; repeat a write without an answer until it is decided."""
+        if not self._is_reachable():
+            # A call would wait for its timeout and leave the outcome open.
+            return outcomes.Unavailable('the store is away', RETRY_AFTER_S)
         tries = 0
         sent = False
         while True:
--- a/tests/test_runtime/test_runtime_requests.py
+++ b/tests/test_runtime/test_runtime_requests.py
@@ -45,8 +45,12 @@
         return result
 
 
+def _make(store, view, reachable=True):
+    return requests.Requests(store, view, lambda: reachable)
+
+
 def _submit(store, view=None):
-    found = requests.Requests(store, view or views.View())
+    found = requests.Requests(store, view or views.View(), lambda: True)
     deadline = clocks.get_steady() + 2.0
     return asyncio.run(found.submit(JOB, deadline)), found
 
@@ -94,13 +98,13 @@
     """A view that lags must not deny an accepted job."""
     view = views.View()
     store = FakeStore(_make_item(JOB), None)
-    found = requests.Requests(store, view)
+    found = _make(store, view)
     outcome = asyncio.run(found.show(JOB.id, 'account'))
     assert outcome == outcomes.Shown(work.JobState.QUEUED)
     away = FakeStore(errors.StoreUnknownError('lost'))
-    outcome = asyncio.run(requests.Requests(away, view).show(JOB.id, 'a'))
+    outcome = asyncio.run(_make(away, view).show(JOB.id, 'a'))
     assert isinstance(outcome, outcomes.Unavailable)
-    none = requests.Requests(FakeStore(None), view)
+    none = _make(FakeStore(None), view)
     assert asyncio.run(none.show(JOB.id, 'a')) == outcomes.Unknown()
 
 
@@ -108,6 +112,15 @@
     """Accounts must not see each other's jobs."""
     view = views.View()
     view.apply(_make_item(JOB))
-    found = requests.Requests(FakeStore(), view)
+    found = _make(FakeStore(), view)
     outcome = asyncio.run(found.show(JOB.id, 'other'))
     assert outcome == outcomes.Unknown()
+
+
+def test_store_that_is_away_gets_no_writes():
+    """A write into an outage leaves the caller with an open outcome."""
+    store = FakeStore()
+    found = _make(store, views.View(), reachable=False)
+    outcome = asyncio.run(found.submit(JOB, clocks.get_steady() + 2.0))
+    assert isinstance(outcome, outcomes.Unavailable)
+    assert store.transactions == []
