Stop for unguaranteed work only when its slack runs out; count whole gangs

The test that urgent work stops saved work at once now expects it when the objective is near, and nothing before.

--- a/damaskpin/coordinator/drafts.py
+++ b/damaskpin/coordinator/drafts.py
@@ -12,9 +12,9 @@
 
     from damaskpin.coordinator import fleet
 
-# Core-seconds that one more stopped run counts, beside its unsaved work: its
-# restart takes time too.
-STOP_COST = 2.0
+# Seconds that a stopped run loses beside its unsaved work: it is stopped,
+# placed and restored again.
+RESTART_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -201,4 +201,9 @@
         return None
 
     def _get_loss(self, placed: fleet.PlacedRun) -> float:
-        return STOP_COST + placed.get_cores() * placed.get_unsaved(self._now)
+        unsaved = placed.get_unsaved(self._now)
+        loss = placed.get_cores() * (unsaved + RESTART_S)
+        if placed.step.gang:
+            # One member's stop ends all of them.
+            loss *= placed.step.count
+        return loss
--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -17,6 +17,10 @@
 # A job that ends after this multiple of its objective earns nothing more.
 LATE_FACTOR = 3.0
 
+# Others' work is stopped for an unguaranteed unit only when less than this is
+# left before it would miss its objective, in seconds.
+MIN_SLACK_S = 1.5
+
 # Wait before work of lower priority is stopped for an unguaranteed unit, in
 # seconds; room often becomes free by itself.
 PATIENCE_S = 0.5
@@ -122,9 +126,12 @@
     if job.id in guaranteed:
         return math.inf
     own = len(unit.indexes) * unit.step.estimate * get_cores(unit.step)
+    slack = get_target(unit) - wall - unit.step.estimate
+    if slack > MIN_SLACK_S:
+        # Room often becomes free by itself in time.
+        return 0.0
     if job.submission.terms.priority == 0:
-        in_time = wall + unit.step.estimate <= get_target(unit)
-        return own * (URGENT_STOP_SHARE if in_time else STOP_SHARE)
+        return own * (URGENT_STOP_SHARE if slack >= 0 else STOP_SHARE)
     if now - unit.ready_since < PATIENCE_S:
         return 0.0
     return own * STOP_SHARE
--- a/tests/test_coordinator/test_coordinator_placing.py
+++ b/tests/test_coordinator/test_coordinator_placing.py
@@ -35,6 +35,9 @@
     urgent = fleets.make_step(1, 4, 5.0)
     fleets.submit(book, 'urgent', urgent, priority=0, now=now)
     fleets.decide(book, now)
+    # Its objective leaves 6 s: room may become free by itself.
+    assert fleets.list_stopped(book) == []
+    fleets.decide(book, now + 4.6)
     assert fleets.list_stopped(book) == ['saved'] * 4
 
 
@@ -149,3 +152,18 @@
     assert fleets.list_runs(book, job) == {}
     fleets.decide(book, NOW + 5.1)
     assert len(fleets.list_runs(book, job)) == 1
+
+
+def test_stop_of_one_member_counts_the_whole_gang():
+    """Stopping one member of a large gang loses the work of all of them."""
+    book = fleets.make_book(workers=4)
+    gang = fleets.make_step(3, 8, 60.0, gang=True)
+    fleets.submit(book, 'gang', gang, now=NOW - 1.0)
+    fleets.submit(book, 'single', fleets.make_step(1, 8, 60.0))
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    urgent = fleets.make_step(1, 8, 8.0)
+    now = NOW + 2.0
+    fleets.submit(book, 'urgent', urgent, priority=0, now=now)
+    fleets.decide(book, now, guarantee=8)
+    assert fleets.list_stopped(book) == ['single']
