Keep runs apart when a worker restarts under its id; start a soak

Now an agent drops lists of another birth, runs of the former lifetime are stopped on the next one before they count as gone, only listed ends are acknowledged, and a run that the lists lack is given up by a stop. Ruled out: orders that a worker put off before its crash, which end with it.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -243,7 +243,7 @@
         return calls.HoldCall(
             self.profile.lifetime,
             self.fence,
-            self._observed,
+            self._get_acknowledged(),
             self._get_until(now),
             wait,
         )
@@ -262,6 +262,10 @@
         if self.profile is None or call.lifetime != self.profile.lifetime:
             return
         match result:
+            case calls.Lists(born=born) if born not in (0, call.lifetime.born):
+                # It was restarted under its id; its heartbeat follows.
+                LOG.info('worker restarted', extra={'born': born})
+                self._forget_worker()
             case calls.Lists():
                 self._note_lists(now, sent, call, result)
             case calls.Refused(outranked=True):
@@ -431,6 +435,16 @@
         ends = min(self._deadline, now + self._lease)
         return self._clock + int((ends - self._clock_read) * 1000)
 
+    def _get_acknowledged(self) -> int:
+        """Return the serial up to which listed ends may be forgotten.
+
+        Nothing is acknowledged that is not listed: a worker that was just
+        restarted under its id would forget ends of its new lifetime.
+        """
+        if self._lists is None or not self._lists.ended:
+            return 0
+        return min(self._observed, self._lists.ended[-1].serial)
+
     def _has_unobserved(self) -> bool:
         if self._lists is None or not self._lists.ended:
             return False
--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -22,6 +22,12 @@
 # A draining worker often stays a little longer than it says, in seconds.
 DRAIN_SLACK_S = 1.5
 
+# Longest lease of a worker and longest delay of a call, in seconds.
+RESTART_EXTRA_S = 22.0
+
+# Why runs are stopped on a worker that came back under its id.
+RESTARTED = 'the worker was restarted'
+
 # A work item that is slow on so many workers is slow by itself.
 MAX_MOVES = 2
 
@@ -90,6 +96,9 @@
                 continue
             if other.lifetime.born > lifetime.born:
                 return None
+            if other.lifetime.worker == lifetime.worker:
+                self._inherit_runs(now, other, lifetime)
+                continue
             self.lose_worker(now, other.lifetime, 'a new worker has started')
         worker = self.workers.get(lifetime)
         if worker is None:
@@ -124,7 +133,7 @@
     def drop_lapsed(self, now: float) -> None:
         """Drop the workers whose lease has certainly ended."""
         for worker in list(self.workers.values()):
-            if now > worker.gone_after:
+            if now > worker.gone_after + worker.lapse_extra:
                 reason = 'the worker is silent and its lease has ended'
                 self.lose_worker(now, worker.lifetime, reason)
 
@@ -264,6 +273,30 @@
         placed.job.moves[item] = moves
         return moves <= MAX_MOVES
 
+    def _inherit_runs(
+        self, now: float, former: fleet.Worker, lifetime: work.Lifetime
+    ) -> None:
+        """Move runs to the next lifetime of a worker that kept its id.
+
+        A start that was sent to the former lifetime may reach this one, even
+        later, so each run is stopped here before it counts as gone.
+        """
+        del self.workers[former.lifetime]
+        worker = self.workers.get(lifetime)
+        if worker is None:
+            worker = self._add_worker(now, lifetime, former.agent)
+        LOG.info(
+            'worker restarted under its id',
+            extra={'worker': lifetime.worker, 'runs': len(former.runs)},
+        )
+        for placed in former.runs.values():
+            placed.stop_reason = RESTARTED
+            worker.add_run(placed)
+        worker.orders_due = True
+        # A call that was made with the former lifetime's clock may have set
+        # a lease as long as a worker allows.
+        worker.lapse_extra = RESTART_EXTRA_S
+
     def _add_worker(
         self, now: float, lifetime: work.Lifetime, agent: str
     ) -> fleet.Worker:
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -222,15 +222,20 @@
         for refused in report.refused:
             listed.add(refused.run)
             book.refuse_run(worker, refused)
+        for run, placed in list(worker.runs.items()):
+            if placed.is_missing(now, run in listed):
+                # The stop proves that it is gone.
+                book.stop_run(worker, placed, 'it is not listed any more')
         if worker.listed:
             return
         # Under this fence nothing that a former coordinator ordered can
         # start any more, so what is not listed does not exist.
         worker.listed = True
         book.changed = True
-        for run in list(worker.runs):
-            if run not in listed:
-                book.drop_run(worker, run, 'it was never started')
+        for run, placed in list(worker.runs.items()):
+            if run in listed or placed.stop_reason == books.RESTARTED:
+                continue
+            book.drop_run(worker, run, 'it was never started')
 
     def _get_guarantee(self, account: str) -> int:
         if self._installation is None:
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -31,6 +31,10 @@
 # progress has steps of a percent.
 WINDOW_S = 2.0
 
+# A run that was accepted, and is neither running nor ended in the lists for
+# this time, is given up, in seconds.
+MISSING_S = 5.0
+
 # A run beyond its estimate is expected to end after this time, in seconds.
 OVERDUE_S = 0.5
 
@@ -51,6 +55,7 @@
     :ivar percent: progress that its worker listed.
     :ivar first_percent: progress when it was listed first.
     :ivar moved: time at which the progress changed last; 0 before.
+    :ivar missing: time since which the lists lack it; 0 if they have it.
     :ivar window: time at which the current window of its rate began.
     :ivar window_percent: progress at that time.
     :ivar rate: progress in the last whole window, in percent a second;
@@ -71,6 +76,7 @@
     percent: float = 0.0
     first_percent: float = 0.0
     moved: float = 0.0
+    missing: float = 0.0
     window: float = 0.0
     window_percent: float = 0.0
     rate: float = -1.0
@@ -102,6 +108,18 @@
         self.window = now
         self.window_percent = percent
 
+    def is_missing(self, now: float, listed: bool) -> bool:
+        """Return whether it has been missing from the lists for too long.
+
+        :param listed: whether the lists read last have it.
+        """
+        if listed or not self.confirmed:
+            self.missing = 0.0
+            return False
+        if not self.missing:
+            self.missing = now
+        return now - self.missing > MISSING_S
+
     def get_cores(self) -> float:
         """Return the cores in use, accelerators included."""
         demand = self.step.demand
@@ -145,6 +163,7 @@
     :param agent: instance id of the agent beside it.
     :param gone_after: time after which its runs can't exist any more unless
         a later grant extends it, in seconds.
+    :ivar lapse_extra: seconds that a lease may last beyond that time.
     """
 
     __slots__ = (
@@ -153,6 +172,7 @@
         'failed_jobs',
         'gone_after',
         'heard',
+        'lapse_extra',
         'lifetime',
         'listed',
         'orders_due',
@@ -178,6 +198,7 @@
         self.heard = 0.0
         self.report_time = 0.0
         self.gone_after = gone_after
+        self.lapse_extra = 0.0
         self.seen_serial = 0
         self.pending_ends: collections.deque[PendingEnd] = collections.deque()
         self.failed_jobs: set[str] = set()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real programs against stand-ins of the platform."""
--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -7,6 +7,8 @@
 
 STOP_S = 0.4
 SAVE_S = 0.5
+# A longer lease is shortened to this.
+MAX_LEASE_S = 4.5
 
 
 class FakeRun:
@@ -72,7 +74,7 @@
         if refusal is not None:
             return refusal
         if call.until is not None:
-            self.until = max(self.until, call.until)
+            self._extend(now, call.until)
         self.observed = max(self.observed, call.observed)
         self.ended = [r for r in self.ended if r.serial > self.observed]
         rows = tuple(
@@ -90,7 +92,7 @@
         run = call.order.run
         if run in self.running:
             return calls.Accepted(self.get_clock(now))
-        self.until = max(self.until, call.until)
+        self._extend(now, call.until)
         if run.number <= self.highest.get(run.item, 0):
             return calls.Refused('old')
         if self.get_clock(now) >= call.until:
@@ -111,6 +113,10 @@
             fake.stopping = now + STOP_S
         return calls.Accepted(self.get_clock(now))
 
+    def _extend(self, now, until):
+        longest = self.get_clock(now) + int(MAX_LEASE_S * 1000)
+        self.until = max(self.until, min(until, longest))
+
     def _check(self, now, call):
         self.advance(now)
         if not self.alive:
--- a/tests/test_coordinator/world.py
+++ b/tests/test_coordinator/world.py
@@ -30,7 +30,7 @@
         self.worker = None
         self.agent = None
         self.cut = False
-        self.holding = 0.0
+        self.beat = 0.0
 
 
 class World:
@@ -64,11 +64,15 @@
     # Faults and actions
 
     def restart_worker(self, place):
+        """Replace a worker; it may keep its id, and its heartbeat be late."""
+        self.lives += 1
+        name = f'w{self.lives}'
         if place.worker is not None:
             place.worker.crash()
-        self.lives += 1
+            if self.random.random() < 0.5:
+                name = place.worker.lifetime.worker
         place.worker = fakeworker.FakeWorker(
-            f'w{self.lives}',
+            name,
             self.lives,
             CAPACITY,
             self.random.choice([0.98, 1.0]),
@@ -76,12 +80,11 @@
             self._note_end,
         )
         place.worker.origin = self.now
-        if place.agent is not None:
-            self._beat(place)
+        place.beat = self.now + self.random.uniform(0.0, 1.0)
 
     def restart_agent(self, place):
         place.agent = agents.Agent(place.name, GRANT_S, LEASE_S)
-        self._beat(place)
+        place.beat = self.now + self.random.uniform(0.0, 1.0)
 
     def elect(self):
         """Start a coordinator from what the store has."""
@@ -151,10 +154,12 @@
             place.worker.advance(self.now)
             self._drive(place)
         for item in list(self.late):
-            due, place, call = item
+            due, worker, call = item
             if due <= self.now:
                 self.late.remove(item)
-                self._carry(place, call)
+                # A crash ends what the worker had put off.
+                if worker.alive:
+                    self._carry(worker, call)
         self.coordinator.decide(self.now, WALL + self.now)
         self._write()
         for worker in self.coordinator.pop_due():
@@ -164,6 +169,9 @@
 
     def _drive(self, place):
         agent = place.agent
+        if self.now >= place.beat:
+            place.beat = self.now + 1.0
+            self._beat(place)
         for call in agent.take_calls(self.now):
             result = self._send(place, call)
             match call:
@@ -196,21 +204,21 @@
         """Carry a call out now, later, or with a lost answer."""
         if self.random.random() < self.lateness:
             due = self.now + self.random.uniform(0.5, 5.0)
-            self.late.append((due, place, call))
+            self.late.append((due, place.worker, call))
             return calls.Unanswered('late')
-        result = self._carry(place, call)
+        result = self._carry(place.worker, call)
         if self._is_lost():
             return calls.Unanswered('answer lost')
         return result
 
-    def _carry(self, place, call):
+    def _carry(self, worker, call):
         match call:
             case calls.HoldCall():
-                return place.worker.hold(self.now, call)
+                return worker.hold(self.now, call)
             case calls.StartCall():
-                return place.worker.start(self.now, call)
+                return worker.start(self.now, call)
             case calls.StopCall():
-                return place.worker.stop(self.now, call)
+                return worker.stop(self.now, call)
 
     def _write(self):
         for job in self.coordinator.collect_dirty():
