--- a/damaskpin/platform/__main__.py
+++ b/damaskpin/platform/__main__.py
@@ -39,9 +39,15 @@
 # Bytes of a request at most; the configuration's own limit is lower.
 MAX_BODY_BYTES = 1 << 20
 
-# The platform kills a process after its grace time; an entry ends before it,
-# but answers its open connections as long as clients may still use them.
-EXIT_MARGIN_S = 1.5
+# The platform sends new connections elsewhere after two missed checks, one a
+# second; open ones are told to close with their next answer.
+LINGER_S = 3.0
+
+# The platform kills a process after its grace time; an entry ends before it.
+EXIT_MARGIN_S = 1.0
+
+# Time without a request in progress after which an entry ends.
+QUIET_S = 0.1
 
 
 async def run_entry(settings: settings_module.Settings) -> None:
@@ -59,10 +65,26 @@
     entry.start()
     await wait_for_stop()
     await entry.resign()
-    await asyncio.sleep(settings.bounds.grace_s - EXIT_MARGIN_S)
+    await finish_requests(entry, settings.bounds.grace_s)
     await entry.close()
 
 
+async def finish_requests(entry: entries.Entry, grace: float) -> None:
+    """Serve until the platform has moved the callers away.
+
+    :param grace: seconds from SIGTERM until the process is killed.
+    """
+    longest = grace - EXIT_MARGIN_S
+    waited = min(LINGER_S, longest)
+    await asyncio.sleep(waited)
+    while waited < longest:
+        busy = entry.in_flight > 0
+        await asyncio.sleep(QUIET_S)
+        waited += QUIET_S
+        if not busy and not entry.in_flight:
+            return
+
+
 async def run_agent(settings: settings_module.Settings) -> None:
     """Run an agent until SIGTERM."""
     runtime = agents.AgentRuntime(
--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -38,6 +38,16 @@
         self._entry = entry
         self._arrived = clocks.get_steady()
 
+    def prepare(self) -> None:
+        """Count the request; a stopping entry sends its callers away."""
+        self._entry.in_flight += 1
+        if self._entry.stopping:
+            self.set_header('Connection', 'close')
+
+    def on_finish(self) -> None:
+        """Count the end of the request."""
+        self._entry.in_flight -= 1
+
     def set_default_headers(self) -> None:
         """Drop the headers that tell nothing."""
         self.clear_header('Server')
@@ -51,9 +61,6 @@
         job_id = self._get_job_id(queue)
         if job_id is None:
             return
-        if self._entry.stopping:
-            self._refuse(job_id, 'the entry is stopping')
-            return
         try:
             submission = operator.decode_job(
                 self.request.body,
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -67,6 +67,7 @@
         '_writer_task',
         'coordinator',
         'exchange',
+        'in_flight',
         'installation',
         'leadership',
         'registration',
@@ -124,6 +125,7 @@
         self.writer: writers.Writer | None = None
         self._writer_task: asyncio.Task[None] | None = None
         self.stopping = False
+        self.in_flight = 0
         self.telemetry = telemetry.Telemetry(settings.instance)
         self._observe()
 
