--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.agent import attempts
 from damaskpin.agent import calls
 from damaskpin.peer import orders
 
@@ -19,53 +18,12 @@
 # seconds; it also bounds the age of the lease.
 HOLD_WAIT_S = 0.5
 
-# Pause before an unanswered order is repeated, in seconds.
-REPEAT_S = 0.15
-
-# Pause before a stop is repeated while the run is still listed, in seconds.
-STOP_REPEAT_S = 1.5
-
 # A lease that is about to end does not carry a start any more, in seconds.
 MIN_LEASE_S = 0.5
 
 # Orders without contact to the worker are not worth a report more often.
 REPORT_INTERVAL_S = 0.5
 
-# A refusal is reported until the coordinator has dropped the run.
-KEEP_REFUSED_S = 5.0
-
-
-class State(enum.Enum):
-    """State of an attempt to start or stop a run."""
-
-    PENDING = 'pending'
-    CALLING = 'calling'
-    ACCEPTED = 'accepted'
-    STOPPING = 'stopping'
-    VOIDED = 'voided'
-    REFUSED = 'refused'
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Attempt:
-    """What became of one run here.
-
-    :ivar order: order to start it; ``None`` if only a stop is known.
-    :ivar reason: why it will not run; empty if it may.
-    :ivar called: whether a start may have reached the worker.
-    :ivar next_call: time of the next call in seconds.
-    :ivar voided: time at which the worker acknowledged the stop.
-    """
-
-    run: work.Run
-    order: orders.StartOrder | None
-    state: State
-    reason: str = ''
-    called: bool = False
-    next_call: float = 0.0
-    voided: float = 0.0
-    mentioned: float = 0.0
-
 
 class Agent:
     """Keeps one worker's lease and carries the coordinator's orders out.
@@ -89,7 +47,6 @@
         '_lease',
         '_left',
         '_lists',
-        '_lists_sent',
         '_observed',
         '_order_sequence',
         '_sequence',
@@ -119,8 +76,7 @@
         self._clock: int | None = None
         self._clock_read = 0.0
         self._lists: calls.Lists | None = None
-        self._lists_sent = 0.0
-        self._attempts: dict[work.Run, Attempt] = {}
+        self._attempts = attempts.Attempts()
         self.reported = 0.0
         self.urgent = False
 
@@ -189,47 +145,34 @@
             return True
         self._observed = max(self._observed, message.observed)
         for order in message.starts:
-            attempt = self._attempts.get(order.run)
-            if attempt is None:
-                attempt = Attempt(order.run, order, State.PENDING)
-                self._attempts[order.run] = attempt
-            attempt.mentioned = now
+            self._attempts.order_start(now, order)
         for run in message.stops:
-            self._stop(now, run)
-        self._forget_attempts(now)
+            self._attempts.order_stop(now, run)
+        self._attempts.forget_settled(now, self._list_runs())
         return True
 
     def take_calls(self, now: float) -> list[calls.StartCall | calls.StopCall]:
         """Return the orders to send to the worker now."""
-        if self.profile is None:
+        profile = self.profile
+        if profile is None:
             return []
         found: list[calls.StartCall | calls.StopCall] = []
-        for attempt in list(self._attempts.values()):
-            if attempt.next_call > now:
-                continue
-            match attempt.state:
-                case State.PENDING:
-                    call = self._make_start(now, attempt)
-                    if call is not None:
-                        found.append(call)
-                case State.STOPPING:
-                    attempt.next_call = now + STOP_REPEAT_S
-                    found.append(
-                        calls.StopCall(
-                            self.profile.lifetime, self.fence, attempt.run
-                        )
-                    )
+        found.extend(
+            self._attempts.take_stops(now, profile.lifetime, self.fence)
+        )
+        if profile.draining:
+            self._attempts.refuse_pending(now, 'draining')
+            return found
+        until = self._get_until(now)
+        if until is None or self._deadline - now < MIN_LEASE_S:
+            return found
+        found.extend(
+            self._attempts.take_starts(
+                now, profile.lifetime, self.fence, until
+            )
+        )
         return found
 
-    def get_next_call(self) -> float | None:
-        """Return the time at which :meth:`take_calls` may return more."""
-        times = [
-            attempt.next_call
-            for attempt in self._attempts.values()
-            if attempt.state in (State.PENDING, State.STOPPING)
-        ]
-        return min(times, default=None)
-
     def make_hold(self, now: float) -> calls.HoldCall | None:
         """Return the next look at the lists, or ``None`` without a worker."""
         if self.profile is None or not self.fence:
@@ -238,7 +181,7 @@
         if self._has_unobserved():
             # The worker answers at once as long as it lists these.
             wait = 0.0
-        if self.list_fence != self.fence or self._has_voided():
+        if self.list_fence != self.fence or self._attempts.has_voided():
             wait = 0.0
         return calls.HoldCall(
             self.profile.lifetime,
@@ -276,62 +219,27 @@
         self, now: float, call: calls.StartCall, result: calls.Result
     ) -> None:
         """Take over the answer to a start."""
-        attempt = self._attempts.get(call.order.run)
-        if attempt is None or call.fence != self.fence:
-            return
-        if attempt.state is not State.CALLING:
-            return
-        match result:
-            case calls.Accepted():
-                attempt.state = State.ACCEPTED
-                self.urgent = True
-            case calls.Refused(outranked=True):
-                attempt.state = State.PENDING
-                attempt.next_call = now + REPEAT_S
-            case calls.Refused(reason=reason):
-                self._give_up(now, attempt, reason)
-            case _:
-                attempt.state = State.PENDING
-                attempt.called = True
-                attempt.next_call = now + REPEAT_S
-        LOG.info(
-            'start answered',
-            extra={
-                'job': call.order.run.item.job,
-                'step': call.order.run.item.step,
-                'index': call.order.run.item.index,
-                'number': call.order.run.number,
-                'result': type(result).__name__,
-                'reason': getattr(result, 'reason', ''),
-            },
-        )
+        if call.fence == self.fence:
+            self._attempts.note_start(now, call, result)
 
     def note_stop(
         self, now: float, call: calls.StopCall, result: calls.Result
     ) -> None:
         """Take over the answer to a stop."""
-        attempt = self._attempts.get(call.run)
-        if attempt is None or call.fence != self.fence:
-            return
-        if attempt.state is not State.STOPPING:
-            return
-        match result:
-            case calls.Accepted():
-                attempt.state = State.VOIDED
-                attempt.voided = now
-                attempt.next_call = now + STOP_REPEAT_S
-            case _:
-                attempt.next_call = now + REPEAT_S
+        if call.fence == self.fence:
+            self._attempts.note_stop(now, call, result)
 
     def is_report_due(self, now: float) -> bool:
         """Return whether the coordinator should hear of news."""
-        return self.urgent or now - self.reported >= REPORT_INTERVAL_S
+        news = self.urgent or self._attempts.news
+        return news or now - self.reported >= REPORT_INTERVAL_S
 
     def make_report(self, now: float) -> orders.Report:
         """Return what the coordinator needs to know."""
         self._sequence += 1
         self.reported = now
         self.urgent = False
+        self._attempts.news = False
         running: tuple[work.RunningRun, ...] = ()
         ended: tuple[work.EndedRun, ...] = ()
         list_fence = 0
@@ -341,16 +249,6 @@
             ended = tuple(
                 row for row in self._lists.ended if row.serial > self._observed
             )
-        accepted = []
-        refused = []
-        for attempt in self._attempts.values():
-            match attempt.state:
-                case State.ACCEPTED:
-                    accepted.append(attempt.run)
-                case State.REFUSED:
-                    refused.append(
-                        orders.RefusedRun(attempt.run, attempt.reason)
-                    )
         return orders.Report(
             self._instance,
             now,
@@ -361,8 +259,8 @@
             list_fence,
             running,
             ended,
-            tuple(accepted),
-            tuple(refused),
+            self._attempts.list_accepted(),
+            self._attempts.list_refused(),
         )
 
     def _forget_worker(self) -> None:
@@ -373,60 +271,11 @@
         self._clock = None
         self._attempts.clear()
 
-    def _forget_attempts(self, now: float) -> None:
-        listed = set()
-        if self._lists is not None:
-            listed = {row.run for row in self._lists.running}
-            listed |= {row.run for row in self._lists.ended}
-        for run, attempt in list(self._attempts.items()):
-            if now - attempt.mentioned <= KEEP_REFUSED_S:
-                continue
-            settled = attempt.state in (State.REFUSED, State.ACCEPTED)
-            if settled or run in listed:
-                del self._attempts[run]
-
-    def _stop(self, now: float, run: work.Run) -> None:
-        attempt = self._attempts.get(run)
-        if attempt is None:
-            attempt = Attempt(run, None, State.STOPPING, 'stopped')
-            self._attempts[run] = attempt
-        attempt.mentioned = now
-        if attempt.state in (State.PENDING, State.CALLING, State.ACCEPTED):
-            # A start that is under way may still arrive: the stop voids it.
-            attempt.state = State.STOPPING
-            attempt.reason = 'stopped'
-            attempt.next_call = 0.0
-
-    def _give_up(self, now: float, attempt: Attempt, reason: str) -> None:
-        """Refuse a run for good.
-
-        A start that had no answer may still be carried out, so it is voided
-        first.
-        """
-        attempt.reason = reason
-        if attempt.called or reason == 'old':
-            attempt.state = State.STOPPING
-            attempt.next_call = now
-            return
-        attempt.state = State.REFUSED
-        self.urgent = True
-
-    def _make_start(
-        self, now: float, attempt: Attempt
-    ) -> calls.StartCall | None:
-        if self.profile is None or attempt.order is None:
-            return None
-        if self.profile.draining:
-            self._give_up(now, attempt, 'draining')
-            return None
-        until = self._get_until(now)
-        if until is None or self._deadline - now < MIN_LEASE_S:
-            attempt.next_call = now + REPEAT_S
-            return None
-        attempt.state = State.CALLING
-        return calls.StartCall(
-            self.profile.lifetime, self.fence, until, attempt.order
-        )
+    def _list_runs(self) -> set[work.Run]:
+        if self._lists is None:
+            return set()
+        listed = {row.run for row in self._lists.running}
+        return listed | {row.run for row in self._lists.ended}
 
     def _get_until(self, now: float) -> int | None:
         """Return the end of the grant on the worker's clock."""
@@ -450,12 +299,6 @@
             return False
         return self._lists.ended[-1].serial > self._observed
 
-    def _has_voided(self) -> bool:
-        for attempt in self._attempts.values():
-            if attempt.state is State.VOIDED:
-                return True
-        return False
-
     def _note_lists(
         self,
         now: float,
@@ -467,20 +310,10 @@
         self._clock_read = now
         former = self._lists
         self._lists = lists
-        self._lists_sent = sent
         if self.list_fence != call.fence:
             self.list_fence = call.fence
             self.urgent = True
         last = former.ended[-1].serial if former and former.ended else 0
         if lists.ended and lists.ended[-1].serial > last:
             self.urgent = True
-        running = {row.run for row in lists.running}
-        known = running | {row.run for row in lists.ended}
-        for attempt in self._attempts.values():
-            if attempt.state is not State.VOIDED or attempt.voided > sent:
-                continue
-            if attempt.run not in known:
-                attempt.state = State.REFUSED
-                self.urgent = True
-            elif attempt.run in running and attempt.next_call <= now:
-                attempt.state = State.STOPPING
+        self._attempts.note_lists(now, sent, lists)
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -200,6 +200,8 @@
     unit: jobs.Unit, worker: fleet.Worker, counts: dict[work.Lifetime, int]
 ) -> bool:
     """Return whether one more work item of the step may run on a worker."""
+    if not shares_quietly(unit.step, worker):
+        return False
     limit = unit.step.per_worker
     if not limit:
         return True
@@ -207,6 +209,22 @@
     return used + counts.get(worker.lifetime, 0) < limit
 
 
+def shares_quietly(step: work.Step, worker: fleet.Worker) -> bool:
+    """Return whether a step's latency target survives beside other work.
+
+    Work that fills what others leave unused disturbs the tail latency of
+    work that serves users, so the two never share a worker.
+    """
+    if not step.fills and not step.latency_target:
+        return True
+    for placed in worker.runs.values():
+        if step.fills and placed.step.latency_target:
+            return False
+        if step.latency_target and placed.step.fills:
+            return False
+    return True
+
+
 def is_avoided(unit: jobs.Unit, worker: fleet.Worker) -> bool:
     """Return whether the unit, or the last run, has failed on a worker."""
     if worker.is_doubtful():
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -7,7 +7,6 @@
 import secrets
 from typing import TYPE_CHECKING
 
-from damaskpin import errors
 from damaskpin import telemetry
 from damaskpin.coordinator import book as books
 from damaskpin.coordinator import coordinator as coordinators
@@ -17,6 +16,7 @@
 from damaskpin.peer import orders
 from damaskpin.runtime import background
 from damaskpin.runtime import clocks
+from damaskpin.runtime import configuration
 from damaskpin.runtime import following
 from damaskpin.runtime import leadership as leaderships
 from damaskpin.runtime import registration
@@ -56,9 +56,7 @@
 
     __slots__ = (
         '_background',
-        '_config',
-        '_config_follower',
-        '_decode',
+        '_configuration',
         '_follower',
         '_mirror',
         '_relay',
@@ -68,7 +66,6 @@
         'coordinator',
         'exchange',
         'in_flight',
-        'installation',
         'leadership',
         'registration',
         'requests',
@@ -87,16 +84,15 @@
         config_key: str,
     ) -> None:
         self._settings = settings
-        self._decode = decode
         self._background = background.Background()
         self._relay = relay.RelayingCaller(direct, self._list_peers)
         self._store = make_store(self._relay)
         self.view = views.View()
-        self.installation: installations.Installation | None = None
         self._mirror = mirrors.Mirror(layout.ROOT, self._apply_change)
-        self._config = mirrors.Mirror(config_key, self._apply_config)
         self._follower = following.Follower(self._store, self._mirror)
-        self._config_follower = following.Follower(self._store, self._config)
+        self._configuration = configuration.Configuration(
+            self._store, config_key, decode, self._take_installation
+        )
         self.exchange = exchanges.Exchange(
             settings.instance,
             secrets.token_hex(6),
@@ -129,10 +125,15 @@
         self.telemetry = telemetry.Telemetry(settings.instance)
         self._observe()
 
+    @property
+    def installation(self) -> installations.Installation | None:
+        """Return the configuration in force."""
+        return self._configuration.installation
+
     def start(self) -> None:
         """Start all loops."""
         self._background.spawn(self._follower.run())
-        self._background.spawn(self._config_follower.run())
+        self._background.spawn(self._configuration.run())
         self._background.spawn(self.leadership.run())
         self._background.spawn(self.registration.run())
         self._background.spawn(self._run_ticks())
@@ -280,34 +281,9 @@
             coordinator.cancel_job(clocks.get_wall(), job_id)
         asyncio.get_running_loop().call_soon(self.pump)
 
-    def _apply_config(self, change: transactions.Change) -> None:
-        if not isinstance(change, transactions.StoredItem):
-            return
-        if change.key != self._config.prefix:
-            return
-        try:
-            installation = self._decode(change.value)
-        except errors.MalformedError as error:
-            LOG.error('configuration refused', extra={'error': str(error)})
-            return
-        former = self.installation
-        if former is not None and installation.version <= former.version:
-            LOG.info(
-                'older configuration ignored',
-                extra={
-                    'version': installation.version,
-                    'current': former.version,
-                },
-            )
-            return
-        self.installation = installation
-        LOG.info(
-            'configuration in force',
-            extra={
-                'version': installation.version,
-                'revision': change.revision,
-            },
-        )
+    def _take_installation(
+        self, installation: installations.Installation
+    ) -> None:
         if self.coordinator is not None:
             self.coordinator.set_installation(installation)
 
--- a/tests/test_coordinator/test_coordinator_placing.py
+++ b/tests/test_coordinator/test_coordinator_placing.py
@@ -167,3 +167,35 @@
     fleets.submit(book, 'urgent', urgent, priority=0, now=now)
     fleets.decide(book, now, guarantee=8)
     assert fleets.list_stopped(book) == ['single']
+
+
+def test_filling_work_keeps_away_from_work_with_a_latency_target():
+    """Filling work beside serving work would break its latency target."""
+    book = fleets.make_book(workers=2)
+    serving = fleets.make_step(1, 1, lasting=True, latency_target=50)
+    job = fleets.submit(book, 'serving', serving)
+    fleets.decide(book)
+    filling = fleets.make_step(4, 1, fills=True)
+    other = fleets.submit(book, 'filling', filling)
+    fleets.decide(book, NOW + 0.1)
+    taken = set(fleets.list_runs(book, job).values())
+    assert not taken & set(fleets.list_runs(book, other).values())
+    assert len(fleets.list_runs(book, other)) == 4
+
+
+def test_lasting_work_is_started_again_however_it_ends():
+    """Work that lasts has no last attempt."""
+    book = fleets.make_book(workers=2)
+    job = fleets.submit(book, 'lasting', fleets.make_step(1, 1, lasting=True))
+    for serial in range(1, 6):
+        fleets.decide(book, NOW + serial)
+        name = fleets.list_runs(book, job)[0]
+        worker = next(
+            w for w in book.workers.values() if w.lifetime.worker == name
+        )
+        ending = work.Ending.FAILED if serial % 2 else work.Ending.DONE
+        row = work.EndedRun(serial, next(iter(worker.runs)), ending, '')
+        book.end_run(NOW + serial, fleets.WALL, worker, row)
+    assert job.progress.state is work.JobState.RUNNING
+    fleets.decide(book, NOW + 20.0)
+    assert list(fleets.list_runs(book, job)) == [0]
