Let urgent work stop saved work at once

Ruled out: failing or slow workers (none in the log). Change: urgent work that still has time may lose others a fifth of its own work, half when the objective is near.

--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -30,6 +30,10 @@
 URGENT_STOP_SHARE = 0.5
 STOP_SHARE = 0.1
 
+# The same for urgent work that still has time: work that is saved costs little
+# to stop, and waiting for it would spend the time that a failure may need.
+CHEAP_STOP_SHARE = 0.2
+
 # Wait near the data as a multiple of the estimate, before a place far away is
 # taken; work far away takes several times as long.
 NEAR_PATIENCE = 1.0
@@ -127,11 +131,13 @@
         return math.inf
     own = len(unit.indexes) * unit.step.estimate * get_cores(unit.step)
     slack = get_target(unit) - wall - unit.step.estimate
+    if job.submission.terms.priority == 0:
+        if slack > MIN_SLACK_S:
+            return own * CHEAP_STOP_SHARE
+        return own * (URGENT_STOP_SHARE if slack >= 0 else STOP_SHARE)
     if slack > MIN_SLACK_S:
         # Room often becomes free by itself in time.
         return 0.0
-    if job.submission.terms.priority == 0:
-        return own * (URGENT_STOP_SHARE if slack >= 0 else STOP_SHARE)
     if now - unit.ready_since < PATIENCE_S:
         return 0.0
     return own * STOP_SHARE
