Keep the soak's ports apart from the process tests; wait for both members

The test now waits for both members within the bound of a start and still fails if there are not two.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -79,7 +79,7 @@
     width = fleets.LAST_PORT - fleets.FIRST_PORT
     first = fleets.FIRST_PORT + seed * 97 % width
     fleet = fleets.Fleet(folder, oracle, durations, first)
-    callers = callers_module.Callers(fleet, rng, durations)
+    callers = callers_module.Callers(fleet, rng, durations, oracle)
     trace = []
     try:
         await fleet.start(ENTRIES, AGENTS)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,8 @@
     :ivar refused: jobs that got nothing but refusals.
     """
 
-    def __init__(self, fleet, rng, durations):
+    def __init__(self, fleet, rng, durations, oracle):
+        self._oracle = oracle
         self._fleet = fleet
         self._rng = rng
         self._durations = durations
@@ -76,7 +77,14 @@
             return 0, {}
         if answer.code == 599:
             return 0, {}
-        return answer.code, json.loads(answer.body or b'{}')
+        try:
+            return answer.code, json.loads(answer.body or b'{}')
+        except ValueError:
+            text = answer.body[:200].decode('utf-8', 'replace')
+            self._oracle.violations.append(
+                f'{method} {job} at {entry.name}: {answer.code} {text}'
+            )
+            return answer.code, {}
 
     async def list_open(self):
         """Return the accepted jobs that are not shown as completed."""
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -37,9 +37,11 @@
     'tenants': [{'name': 't', 'apiKeys': [KEY]}],
 }
 
-# Below the range of outgoing connections of Linux, which begins at 32768.
-FIRST_PORT = 18000
-LAST_PORT = 31000
+# Below the range of outgoing connections of Linux, which begins at 32768, and
+# beside the ports of the process tests, so that a process that was killed is
+# never followed by one of theirs.
+FIRST_PORT = 30_000
+LAST_PORT = 32_700
 
 
 class Ports:
@@ -55,8 +57,11 @@
             if self._next > LAST_PORT:
                 self._next = FIRST_PORT
             with socket.socket() as probe:
-                if probe.connect_ex(('127.0.0.1', self._next)):
-                    return self._next
+                try:
+                    probe.bind(('127.0.0.1', self._next))
+                except OSError:
+                    continue
+            return self._next
 
 
 class Program:
--- a/tests/test_daemon/test_daemon_failures.py
+++ b/tests/test_daemon/test_daemon_failures.py
@@ -151,6 +151,9 @@
 def test_replaced_agent_adopts_its_running_gang(fleet):
     """Guards against a gang that ends because an agent was replaced."""
 
+    async def has_both_tasks() -> bool:
+        return len(await fleet.list_tasks()) == 2
+
     async def scenario() -> None:
         client = fleet.make_client('holder')
         answer = await client.submit(make_spec(16, 8.0, idempotent=False))
@@ -158,6 +161,9 @@
         await fleets.wait_for(
             is_in_state(client, job_id, 'running'), URGENT_START_S
         )
+        # A job is shown as running once its lead has decided; the other
+        # members start after that.
+        await fleets.wait_for(has_both_tasks, URGENT_START_S)
         tasks = await fleet.list_tasks()
         for agent in fleet.agents:
             fleet.send_signal(agent, signal.SIGTERM)
--- a/tests/test_soak/test_soak_short.py
+++ b/tests/test_soak/test_soak_short.py
@@ -36,8 +36,10 @@
     rng = soak.random.Random(5)
     durations = {}
     oracle = soak.oracles.Oracle(rng)
-    fleet = soak.fleets.Fleet(folder, oracle, durations, 19000)
-    callers = soak.callers_module.Callers(fleet, rng, durations)
+    fleet = soak.fleets.Fleet(
+        folder, oracle, durations, soak.fleets.FIRST_PORT
+    )
+    callers = soak.callers_module.Callers(fleet, rng, durations, oracle)
     try:
         await fleet.start(1, 1)
         while not callers.accepted:
