--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -149,7 +149,7 @@
         job = placed.job
         if placed.checkpoint and not job.is_final():
             step = job.get_step(run.item.occurrence, run.item.step)
-            slot = 0 if placed.step.gang else run.item.index
+            slot = placed.step.get_slot(run.item.index)
             step.checkpoints[slot] = placed.checkpoint
         job.remove_run(run)
         log_run('run gone', run, worker, reason)
@@ -258,7 +258,7 @@
     def avoid(self, placed: fleet.PlacedRun, worker: fleet.Worker) -> None:
         """Prefer other workers for the next run of a work item."""
         item = placed.run.item
-        slot = 0 if placed.step.gang else item.index
+        slot = placed.step.get_slot(item.index)
         key = (item.occurrence, item.step, slot)
         avoided = placed.job.avoided.setdefault(key, set())
         avoided.add(worker.lifetime.worker)
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -246,7 +246,7 @@
 def make_start(placed: fleet.PlacedRun) -> orders.StartOrder:
     """Return the order that starts a placed run."""
     item = placed.run.item
-    slot = 0 if placed.step.gang else item.index
+    slot = placed.step.get_slot(item.index)
     progress = placed.job.get_step(item.occurrence, item.step)
     return orders.StartOrder(
         placed.run,
--- a/damaskpin/coordinator/drafts.py
+++ b/damaskpin/coordinator/drafts.py
@@ -202,7 +202,7 @@
 
     def _get_loss(self, placed: fleet.PlacedRun) -> float:
         unsaved = placed.get_unsaved(self._now)
-        loss = placed.get_cores() * (unsaved + RESTART_S)
+        loss = placed.step.get_cores() * (unsaved + RESTART_S)
         if placed.step.gang:
             # One member's stop ends all of them.
             loss *= placed.step.count
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -21,9 +21,6 @@
 SUSPECT_S = 6.0
 SUSPECT_JOBS = 2
 
-# Cores that an accelerator counts as, as the installation's prices have it.
-CORES_PER_ACCELERATOR = 8
-
 # Listed progress is a rough figure; a rate needs this much of it, in percent.
 MIN_PROGRESS = 4.0
 
@@ -120,12 +117,6 @@
             self.missing = now
         return now - self.missing > MISSING_S
 
-    def get_cores(self) -> float:
-        """Return the cores in use, accelerators included."""
-        demand = self.step.demand
-        cores = demand.cpu / 1000
-        return cores + CORES_PER_ACCELERATOR * demand.accelerators
-
     def get_unsaved(self, now: float) -> float:
         """Return the seconds of work that a stop would lose."""
         if not self.began or self.step.checkpoints:
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -41,10 +41,6 @@
         """Return a work item of the unit."""
         return work.Item(self.job.id, self.occurrence, self.step_index, index)
 
-    def get_checkpoint(self) -> str:
-        """Return the checkpoint that the next run resumes from."""
-        return self.get_progress().checkpoints.get(self.slot, '')
-
 
 class Job:
     """A job and its progress.
@@ -127,17 +123,6 @@
                     continue
                 yield from self._iterate_step(now, occurrence, index, step)
 
-    def get_next_due(self, wall: float) -> float | None:
-        """Return the Unix time of the next occurrence after ``wall``."""
-        schedule = self.submission.schedule
-        if schedule is None or self.is_final():
-            return None
-        for occurrence in range(schedule.count):
-            due = schedule.get_due(occurrence)
-            if due > wall:
-                return due
-        return None
-
     def assign(
         self, unit: Unit, holders: list[tuple[work.Lifetime, str]]
     ) -> list[work.Run]:
@@ -175,7 +160,7 @@
         if not self.remove_run(run):
             return False
         progress = self.get_step(item.occurrence, item.step)
-        slot = 0 if step.gang else item.index
+        slot = step.get_slot(item.index)
         if checkpoint:
             progress.checkpoints[slot] = checkpoint
         if self.is_final():
--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -5,20 +5,18 @@
 import math
 from typing import TYPE_CHECKING
 
-from damaskpin.coordinator import fleet
-
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from damaskpin.coordinator import fleet
     from damaskpin.coordinator import job as jobs
-    from damaskpin.model import work
 
 # A job that ends after this multiple of its objective earns nothing more.
 LATE_FACTOR = 3.0
 
-# Others' work is stopped for an unguaranteed unit only when less than this is
-# left before it would miss its objective, in seconds.
+# A unit with more time than this before it would miss its objective, in
+# seconds, stops little or nothing unless its job is guaranteed.
 MIN_SLACK_S = 1.5
 
 # Wait before work of lower priority is stopped for an unguaranteed unit, in
@@ -129,7 +127,7 @@
     job = unit.job
     if job.id in guaranteed:
         return math.inf
-    own = len(unit.indexes) * unit.step.estimate * get_cores(unit.step)
+    own = len(unit.indexes) * unit.step.estimate * unit.step.get_cores()
     slack = get_target(unit) - wall - unit.step.estimate
     if job.submission.terms.priority == 0:
         if slack > MIN_SLACK_S:
@@ -151,9 +149,3 @@
         return False
     rank = get_rank(unit.job, guaranteed)
     return get_rank(placed.job, guaranteed) > rank
-
-
-def get_cores(step: work.Step) -> float:
-    """Return the cores of a work item, accelerators included."""
-    cores = step.demand.cpu / 1000
-    return cores + fleet.CORES_PER_ACCELERATOR * step.demand.accelerators
--- a/damaskpin/daemon/node.py
+++ b/damaskpin/daemon/node.py
@@ -17,6 +17,7 @@
 from damaskpin.peer import codec as codecs
 from damaskpin.peer import link
 from damaskpin.peer import messages
+from damaskpin.runtime import background
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -95,7 +96,7 @@
         self._addresses: dict[str, str] = {}
         self._names: dict[str, str] = {}
         self._replies: tuple[str, list[messages.Message]] | None = None
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = background.Background()
         codec = codecs.Codec(settings.fleet_key.get_secret_value().encode())
         self._outbox = link.Outbox(
             codec, self._make_frame, self._handle_reply, self._handle_failure
@@ -134,9 +135,7 @@
 
     def spawn(self, work: Coroutine[None, None, None]) -> None:
         """Run a coroutine in the background; its fault is logged."""
-        task = asyncio.ensure_future(self._run_logged(work))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        self._background.spawn(work)
 
     def start_ticks(self, tick: Callable[[], None]) -> None:
         """Call ``tick`` every ``TICK_S`` seconds from now on."""
@@ -147,8 +146,7 @@
         """Deliver what is queued and close all connections."""
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._outbox.close(), 2.0)
-        for task in list(self._background):
-            task.cancel()
+        self._background.cancel()
         await self._listener.close()
         self.telemetry.close()
 
@@ -182,14 +180,6 @@
             await asyncio.sleep(IDLE_CHECK_S)
             self._outbox.close_idle(asyncio.get_running_loop().time())
 
-    async def _run_logged(self, work: Awaitable[None]) -> None:
-        try:
-            await work
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            LOG.exception('background work failed')
-
     def _make_frame(self, batch: Sequence[messages.Message]) -> messages.Frame:
         return messages.Frame(
             self.peer.instance,
--- a/damaskpin/model/work.py
+++ b/damaskpin/model/work.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+# Cores that an accelerator counts as, as the installation's prices have it.
+CORES_PER_ACCELERATOR = 8
+
 
 class JobState(enum.StrEnum):
     """State of a job as callers see it."""
@@ -96,6 +99,15 @@
     fills: bool = False
     tolerated_absences: int = 0
 
+    def get_slot(self, index: int) -> int:
+        """Return the slot of a work item; a gang shares one."""
+        return 0 if self.gang else index
+
+    def get_cores(self) -> float:
+        """Return the cores of a work item, accelerators included."""
+        cores = self.demand.cpu / 1000
+        return cores + CORES_PER_ACCELERATOR * self.demand.accelerators
+
     def get_reserved(self) -> Resources:
         """Return what a work item takes of a worker's capacity."""
         if not self.fills:
@@ -160,10 +172,6 @@
         """Return how many times the steps run."""
         return 1 if self.schedule is None else self.schedule.count
 
-    def is_lasting(self) -> bool:
-        """Return whether the job runs until it is cancelled."""
-        return any(step.lasting for step in self.steps)
-
     def get_chain(self) -> float:
         """Return the estimated seconds of the longest chain of steps."""
         ends: list[float] = []
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -23,7 +23,7 @@
 class WorkerProfile(_Value):
     """What a worker says of itself.
 
-    :ivar label: kind of the worker.
+    :ivar labels: kind and rack of the worker.
     :ivar remaining: seconds that a draining worker stays at least.
     """
 
