Prefer a wait or stops near to a start that takes three times as long

Ruled out: late decisions (first starts within 0.8 s), failures.

Change: a unit goes far only if it would end sooner there; stops near come before free room far away. Guaranteed work goes far after 1.2 s, as it has to begin within the installation's bound.

--- a/damaskpin/coordinator/placing.py
+++ b/damaskpin/coordinator/placing.py
@@ -61,25 +61,42 @@
 
         :returns: whether equal units are worth a try in this pass.
         """
-        now = self._now
-        anywhere = ranking.may_go_far(unit, now)
-        plan = self._planner.find_free(unit, anywhere)
+        if not self._planner.has_near(unit):
+            return self._place_among(unit, near=False)
+        if self._try_now(unit, near=True):
+            return True
+        wait = self._planner.find_wait(unit, near=True)
+        if wait is None or not ranking.is_worth_near(
+            unit, wait.cost, self._now, self._guaranteed
+        ):
+            return self._place_among(unit, near=False)
+        return self._keep_room(unit, wait)
+
+    def _place_among(self, unit: jobs.Unit, near: bool) -> bool:
+        if self._try_now(unit, near):
+            return True
+        return self._keep_room(unit, self._planner.find_wait(unit, near))
+
+    def _try_now(self, unit: jobs.Unit, near: bool) -> bool:
+        """Start a unit or have others stopped for it."""
+        plan = self._planner.find_free(unit, near)
         if plan is not None:
             self._start(unit, plan)
             return True
         budget = ranking.get_stop_budget(
-            unit, now, self._wall, self._guaranteed
+            unit, self._now, self._wall, self._guaranteed
         )
-        if budget > 0:
-            plan = self._planner.find_stops(unit, anywhere, self._may_stop)
-            if plan is not None and plan.cost <= budget:
-                if not self._await_room(unit, anywhere, plan):
-                    self._make_room(unit, plan)
-                return True
-        return self._keep_room(unit, anywhere)
+        if budget <= 0:
+            return False
+        plan = self._planner.find_stops(unit, near, self._may_stop)
+        if plan is None or plan.cost > budget:
+            return False
+        if not self._await_room(unit, near, plan):
+            self._make_room(unit, plan)
+        return True
 
     def _await_room(
-        self, unit: jobs.Unit, anywhere: bool, stops: planning.Plan
+        self, unit: jobs.Unit, near: bool, stops: planning.Plan
     ) -> bool:
         """Hold room that becomes free soon instead of making it."""
         if not stops.victims:
@@ -89,7 +106,7 @@
         )
         if patience <= 0:
             return False
-        plan = self._planner.find_wait(unit, anywhere)
+        plan = self._planner.find_wait(unit, near)
         if plan is None or plan.cost > patience:
             return False
         self._planner.claim(unit, plan, self._now + plan.cost)
@@ -144,14 +161,11 @@
         for worker, victim in plan.victims:
             self._book.stop_run(worker, victim, f'room for {unit.job.id}')
 
-    def _keep_room(self, unit: jobs.Unit, anywhere: bool) -> bool:
+    def _keep_room(self, unit: jobs.Unit, plan: planning.Plan | None) -> bool:
         """Keep small work from filling what a waiting unit needs."""
         rank = ranking.get_rank(unit.job, self._guaranteed)
         kept = self._kept.get(rank, 0)
-        if kept >= MAX_KEPT:
-            return False
-        plan = self._planner.find_wait(unit, anywhere)
-        if plan is None:
+        if plan is None or kept >= MAX_KEPT:
             return False
         self._kept[rank] = kept + 1
         self._planner.claim(unit, plan, self._now + plan.cost)
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -65,37 +65,43 @@
         for worker in plan.workers:
             self._claims.setdefault(worker.lifetime, []).append(claim)
 
-    def find_free(self, unit: jobs.Unit, anywhere: bool) -> Plan | None:
+    def has_near(self, unit: jobs.Unit) -> bool:
+        """Return whether some workers would run the unit faster than others.
+
+        That is so for work near its data and for a gang within one rack.
+        """
+        if not wants_near(unit):
+            return False
+        return bool(list_near(unit, self._list_eligible(unit)))
+
+    def find_free(self, unit: jobs.Unit, near: bool) -> Plan | None:
         """Return the best plan that starts at once.
 
-        :param anywhere: whether workers far from the data, or several racks
-            for a gang that wants one, are accepted.
+        :param near: whether only workers that run the unit at full speed are
+            accepted.
         """
-        return self._find(unit, anywhere, drafts.NOTHING)
+        return self._find(unit, near, drafts.NOTHING)
 
     def find_stops(
-        self, unit: jobs.Unit, anywhere: bool, may_stop: MayStop
+        self, unit: jobs.Unit, near: bool, may_stop: MayStop
     ) -> Plan | None:
         """Return the plan whose stops lose least.
 
         :param may_stop: whether a run may be stopped for the unit.
         """
         policy = drafts.StopPolicy(lambda placed: may_stop(unit, placed))
-        return self._find(unit, anywhere, policy)
+        return self._find(unit, near, policy)
 
-    def find_wait(self, unit: jobs.Unit, anywhere: bool) -> Plan | None:
+    def find_wait(self, unit: jobs.Unit, near: bool) -> Plan | None:
         """Return the plan that is ready first without stops."""
-        return self._find(unit, anywhere, drafts.WAIT)
+        return self._find(unit, near, drafts.WAIT)
 
     def _find(
-        self, unit: jobs.Unit, anywhere: bool, policy: drafts.Policy
+        self, unit: jobs.Unit, near: bool, policy: drafts.Policy
     ) -> Plan | None:
         eligible = self._list_eligible(unit)
-        near = list_near(unit, eligible)
-        plan = self._choose(unit, near, policy)
-        if plan is not None or (near and not anywhere):
-            return plan
-        return self._choose(unit, [eligible], policy)
+        groups = list_near(unit, eligible) if near else [eligible]
+        return self._choose(unit, groups, policy)
 
     def _list_eligible(self, unit: jobs.Unit) -> list[fleet.Worker]:
         terms = unit.job.submission.terms
@@ -247,13 +253,19 @@
         )
 
 
+def wants_near(unit: jobs.Unit) -> bool:
+    """Return whether the speed of a unit depends on the racks it gets."""
+    step = unit.step
+    return bool(step.data_rack) or (step.gang and step.same_rack)
+
+
 def list_near(
     unit: jobs.Unit, eligible: list[fleet.Worker]
 ) -> list[list[fleet.Worker]]:
     """Return the groups of workers that could hold the unit at full speed."""
-    step = unit.step
-    if not step.data_rack and not (step.gang and step.same_rack):
+    if not wants_near(unit):
         return [eligible]
+    step = unit.step
     racks: dict[str, list[fleet.Worker]] = {}
     for worker in eligible:
         if worker.profile is None:
--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -40,12 +40,13 @@
 # to stop, and waiting for it would spend the time that a failure may need.
 CHEAP_STOP_SHARE = 0.2
 
-# Wait near the data as a multiple of the estimate, before a place far away is
-# taken; work far away takes several times as long.
-NEAR_PATIENCE = 1.0
+# Work far from its data, or a gang on several racks, takes this many times as
+# long.
+FAR_FACTOR = 3.0
 
-# The same for work of priority 0, in seconds; it must start soon.
-URGENT_NEAR_S = 0.7
+# Guaranteed work that has waited for a place near for this time takes one far
+# away, in seconds: it has to begin within the installation's bound.
+GUARANTEED_NEAR_S = 1.2
 
 
 def find_guaranteed(
@@ -120,12 +121,17 @@
     return submitted + factor * get_objective(unit.job)
 
 
-def may_go_far(unit: jobs.Unit, now: float) -> bool:
-    """Return whether a unit has waited long enough for a place near."""
+def is_worth_near(
+    unit: jobs.Unit, wait: float, now: float, guaranteed: set[str]
+) -> bool:
+    """Return whether a unit ends sooner if it waits for a place near.
+
+    :param wait: seconds until there is room near.
+    """
     waited = now - unit.ready_since
-    if unit.job.submission.terms.priority == 0:
-        return waited >= URGENT_NEAR_S
-    return waited >= NEAR_PATIENCE * unit.step.estimate
+    if unit.job.id in guaranteed and waited >= GUARANTEED_NEAR_S:
+        return False
+    return wait < (FAR_FACTOR - 1) * unit.step.estimate
 
 
 def get_stop_budget(
