Let a lost machine's runs end with the lease that its agent told of

Their agents could not declare the end of the lease any more, and gangs waited up to 18.7 s for one lost member, for the grant of 13.5 s that counts from the last report.

Change: the report of a silent worker says when its lease has ended; from then on the agent renews it only after orders that echo a report in contact, so the coordinator may count on that time. Leases last 7 s at most. Starts that the coordinator orders no longer are withdrawn: it may have taken their worker for lost and started them elsewhere.

--- a/bench/load.py
+++ b/bench/load.py
@@ -223,7 +223,7 @@
         if not (step.gang and step.same_rack):
             return 1.0
         for other in self._active.values():
-            if not books.is_same_gang(other.placed, active.placed):
+            if not other.placed.is_with(active.placed):
                 continue
             if other.worker.profile.rack != rack:
                 return FAR_FACTOR
@@ -244,7 +244,7 @@
             return
         for other in list(self._active):
             placed = self._active[other].placed
-            if books.is_same_gang(placed, active.placed):
+            if placed.is_with(active.placed):
                 self._finish(other, how)
 
     def _stop(self, run: work.Run) -> None:
--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -44,8 +44,6 @@
     __slots__ = (
         '_attempts',
         '_contact',
-        '_deadline',
-        '_grant',
         '_instance',
         '_left',
         '_lists',
@@ -65,7 +63,6 @@
         self, instance: str, grant: float, lease: float, stop_time: float
     ) -> None:
         self._instance = instance
-        self._grant = grant
         self.profile: orders.WorkerProfile | None = None
         self._left: work.Lifetime | None = None
         self.fence = 0
@@ -74,9 +71,8 @@
         self.entries: tuple[str, ...] = ()
         self._order_sequence = 0
         self._sequence = 0
-        self._deadline = 0.0
         self._observed = 0
-        self._contact = contacts.Contact(lease, stop_time)
+        self._contact = contacts.Contact(grant, lease, stop_time)
         self._lists: calls.Lists | None = None
         self._attempts = attempts.Attempts()
         self.reported = 0.0
@@ -140,7 +136,7 @@
             return True
         self._order_sequence = message.sequence
         self.entries = message.entries
-        self._deadline = max(self._deadline, message.echo + self._grant)
+        self._contact.note_grant(message.echo)
         if self.profile is None or message.lifetime != self.profile.lifetime:
             return True
         self._observed = max(self._observed, message.observed)
@@ -148,7 +144,10 @@
             self._attempts.order_start(now, order)
         for run in message.stops:
             self._attempts.order_stop(now, run)
-        self._attempts.forget_settled(now, self._list_runs())
+        listed = self._list_runs()
+        ordered = {order.run for order in message.starts}
+        self._attempts.withdraw(now, ordered, listed)
+        self._attempts.forget_settled(now, listed)
         return True
 
     def take_calls(self, now: float) -> list[calls.StartCall | calls.StopCall]:
@@ -167,8 +166,8 @@
         if profile.draining:
             self._attempts.refuse_pending(now, 'draining')
             return found
-        until = self._get_until(now)
-        if until is None or self._deadline - now < MIN_LEASE_S:
+        until = self._contact.grant(now)
+        if until is None or self._contact.get_left(now) < MIN_LEASE_S:
             return found
         found.extend(
             self._attempts.take_starts(
@@ -191,7 +190,7 @@
             self.profile.lifetime,
             self.fence,
             self._get_acknowledged(),
-            self._get_until(now),
+            self._contact.grant(now),
             wait,
         )
 
@@ -243,6 +242,7 @@
     def make_report(self, now: float) -> orders.Report:
         """Return what the coordinator needs to know."""
         self._sequence += 1
+        silence, lapse = self._contact.report_silence(now)
         self.reported = now
         self.urgent = False
         self._attempts.news = False
@@ -267,7 +267,8 @@
             ended,
             self._attempts.list_accepted(),
             self._attempts.list_refused(),
-            self._contact.get_silence(now),
+            silence,
+            lapse,
         )
 
     def _forget_worker(self) -> None:
@@ -284,10 +285,6 @@
         listed = {row.run for row in self._lists.running}
         return listed | {row.run for row in self._lists.ended}
 
-    def _get_until(self, now: float) -> int | None:
-        """Return the end of the grant on the worker's clock."""
-        return self._contact.grant(now, self._deadline)
-
     def _note_lapse(self, now: float) -> None:
         """Give up all runs of a silent worker whose lease has ended."""
         running: tuple[work.RunningRun, ...] = ()
@@ -329,6 +326,9 @@
         call: calls.HoldCall,
         lists: calls.Lists,
     ) -> None:
+        if self._contact.get_silence(now):
+            # The lease is renewed after the next orders only.
+            self.urgent = True
         self._contact.note_answer(now, lists.clock)
         former = self._lists
         self._lists = lists
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -100,6 +100,27 @@
             attempt.reason = 'stopped'
             attempt.next_call = 0.0
 
+    def withdraw(
+        self, now: float, ordered: set[work.Run], listed: set[work.Run]
+    ) -> None:
+        """Give up starts that the coordinator orders no longer.
+
+        It may have taken a silent worker's runs for gone and started them
+        elsewhere.
+
+        :param ordered: runs that the latest orders start.
+        :param listed: runs that the worker lists.
+        """
+        for run, attempt in list(self._known.items()):
+            if attempt.state is not State.PENDING or run in ordered:
+                continue
+            if run in listed:
+                attempt.state = State.ACCEPTED
+            elif attempt.called:
+                self._give_up(now, attempt, 'no longer ordered')
+            else:
+                del self._known[run]
+
     def take_stops(
         self, now: float, lifetime: work.Lifetime, fence: int
     ) -> list[calls.StopCall]:
--- a/damaskpin/agent/contact.py
+++ b/damaskpin/agent/contact.py
@@ -25,6 +25,8 @@
     Times are seconds of a steady clock, which may jump ahead by the time of a
     suspension.
 
+    :param grant: seconds for which the lease is kept after the report that
+        the coordinator answered last.
     :param lease: seconds for which one renewal keeps the worker's lease.
     :param stop_time: seconds that a worker takes to stop a run.
     """
@@ -32,7 +34,10 @@
     __slots__ = (
         '_answered',
         '_clock',
+        '_deadline',
+        '_echo_floor',
         '_failed',
+        '_grant',
         '_granted',
         '_last',
         '_lease',
@@ -42,7 +47,12 @@
         '_watched_read',
     )
 
-    def __init__(self, lease: float, stop_time: float) -> None:
+    def __init__(self, grant: float, lease: float, stop_time: float) -> None:
+        self._grant = grant
+        self._deadline = 0.0
+        # Grants for reports up to this time are not used: the coordinator
+        # has been told that nothing renews the lease.
+        self._echo_floor = -1.0
         self._lease = lease
         self._stop_time = stop_time
         self._last = 0.0
@@ -90,16 +100,46 @@
             return 0.0
         return now - self._answered
 
-    def grant(self, now: float, ends: float) -> int | None:
+    def report_silence(self, now: float) -> tuple[float, float]:
+        """Return what a report says of a silent worker.
+
+        From then on nothing renews the lease before orders that echo a later
+        report, as the coordinator counts on its end.
+
+        :returns: seconds of silence, and seconds until the lease has ended;
+            0 for both while the worker is in contact.
+        """
+        silence = self.get_silence(now)
+        if not silence:
+            return (0.0, 0.0)
+        self._deadline = 0.0
+        self._echo_floor = now
+        return (silence, self.get_lapse())
+
+    def note_grant(self, echo: float) -> None:
+        """Take over the coordinator's grant.
+
+        :param echo: time of the report that it answers.
+        """
+        if echo > self._echo_floor:
+            self._deadline = max(self._deadline, echo + self._grant)
+
+    def get_left(self, now: float) -> float:
+        """Return the seconds until the grant ends."""
+        return self._deadline - now
+
+    def grant(self, now: float) -> int | None:
         """Return the end of a lease on the worker's clock, in milliseconds.
 
-        :param ends: time at which the grant ends.
         :returns: ``None`` if nothing may be granted: the clock is not known,
-            or the worker is silent, so that its lease is left to end.
+            the grant has ended, or the worker is silent, so that its lease is
+            left to end.
         """
-        if self._clock is None or ends <= now or self.get_silence(now):
+        if self._clock is None or self.get_silence(now):
+            return None
+        if self._deadline <= now:
             return None
-        ends = min(ends, now + self._lease)
+        ends = min(self._deadline, now + self._lease)
         until = self._clock + int((ends - self._read) * 1000)
         self._granted = max(self._granted, until)
         return until
@@ -110,12 +150,18 @@
         Then nothing runs there that was ordered before, and no order that
         is still under way starts anything.
         """
-        if self._clock is None or not self.get_silence(now):
-            return False
-        passed = (self._watched - self._watched_read) * (1 - CLOCK_SLOWNESS)
-        margin = LAPSE_MARGIN_S + self._stop_time
-        clock = self._clock + (passed - margin) * 1000
-        return clock > self._granted
+        return bool(self.get_silence(now)) and self.get_lapse() <= 0
+
+    def get_lapse(self) -> float:
+        """Return the seconds until the lease has certainly ended.
+
+        It holds as long as nothing more is granted; negative afterwards.
+        """
+        if self._clock is None:
+            return self._lease
+        left = (self._granted - self._clock) / 1000 / (1 - CLOCK_SLOWNESS)
+        left -= self._watched - self._watched_read
+        return left + LAPSE_MARGIN_S + self._stop_time
 
     def _set_clock(self, now: float, clock: int) -> None:
         self._clock = clock
--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import events
 from damaskpin.coordinator import fleet
 from damaskpin.model import work
 
@@ -19,6 +20,10 @@
 # worker needs a moment to notice the end of its lease.
 LAPSE_MARGIN_S = 0.5
 
+# Added to what an agent says of a silent worker's lease, in seconds: its own
+# look at the clock is coarse, and it declares the end itself if it lives.
+SILENT_MARGIN_S = 1.0
+
 # A draining worker often stays a little longer than it says, in seconds.
 DRAIN_SLACK_S = 1.5
 
@@ -72,6 +77,16 @@
         lapse = heard + self._grant * (1 + CLOCK_SLOWNESS)
         return lapse + LAPSE_MARGIN_S + self._stop_time
 
+    def limit_grant(
+        self, now: float, worker: fleet.Worker, lapse: float
+    ) -> None:
+        """Take over that a silent worker's lease is not renewed.
+
+        :param lapse: seconds until it has ended, as its agent says.
+        """
+        ends = now + lapse + SILENT_MARGIN_S
+        worker.gone_after = min(worker.gone_after, ends)
+
     def add_job(self, now: float, job: jobs.Job) -> None:
         """Take over a job and the runs that its record names."""
         self.jobs[job.id] = job
@@ -152,7 +167,7 @@
             slot = placed.step.get_slot(run.item.index)
             step.checkpoints[slot] = placed.checkpoint
         job.remove_run(run)
-        log_run('run gone', run, worker, reason)
+        events.log_run('run gone', run, worker, reason)
         if placed.step.gang:
             self.stop_gang(placed, reason)
 
@@ -172,7 +187,7 @@
         worker.pending_ends.append(
             fleet.PendingEnd(row.serial, job, job.progress.version)
         )
-        log_run(
+        events.log_run(
             'run ended',
             row.run,
             worker,
@@ -225,7 +240,7 @@
         self.counts['ordered to stop'] += 1
         placed.stop_reason = reason
         worker.orders_due = True
-        log_run('run to be stopped', placed.run, worker, reason)
+        events.log_run('run to be stopped', placed.run, worker, reason)
         if placed.step.gang:
             self.stop_gang(placed, reason)
 
@@ -240,7 +255,7 @@
         """Have the other members of a gang stopped."""
         for worker in self.workers.values():
             for placed in list(worker.runs.values()):
-                if is_same_gang(placed, member):
+                if placed.is_with(member):
                     self.stop_run(worker, placed, reason)
 
     def evacuate(self, now: float, worker: fleet.Worker) -> None:
@@ -305,37 +320,3 @@
         worker = fleet.Worker(lifetime, agent, lapse)
         self.workers[lifetime] = worker
         return worker
-
-
-def is_same_gang(one: fleet.PlacedRun, other: fleet.PlacedRun) -> bool:
-    """Return whether two runs belong to the same run of a gang."""
-    return (
-        one.step.gang
-        and one.job is other.job
-        and one.run.number == other.run.number
-        and one.run.item.step == other.run.item.step
-        and one.run.item.occurrence == other.run.item.occurrence
-    )
-
-
-def log_run(
-    message: str,
-    run: work.Run,
-    worker: fleet.Worker,
-    reason: str,
-    **more: object,
-) -> None:
-    """Log what happens to a run, with the job's id."""
-    LOG.info(
-        message,
-        extra={
-            'job': run.item.job,
-            'occurrence': run.item.occurrence,
-            'step': run.item.step,
-            'index': run.item.index,
-            'number': run.number,
-            'worker': worker.lifetime.worker,
-            'reason': reason,
-            **more,
-        },
-    )
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -150,6 +150,8 @@
             )
             self._book.changed = True
         worker.silence = report.silence
+        if report.silence:
+            self._book.limit_grant(now, worker, report.lapse)
         draining = worker.profile is not None and worker.profile.draining
         worker.set_profile(profile)
         if report.list_fence == self.fence:
@@ -173,8 +175,9 @@
         """Return the current orders for a worker and extend its grant."""
         self._sequence += 1
         worker.orders_due = False
-        lapse = self._book.get_lapse(worker.heard)
-        worker.gone_after = max(worker.gone_after, lapse)
+        if not worker.silence:
+            lapse = self._book.get_lapse(worker.heard)
+            worker.gone_after = max(worker.gone_after, lapse)
         starts = []
         stops = []
         for placed in worker.runs.values():
--- /dev/null
+++ b/damaskpin/coordinator/events.py
@@ -0,0 +1,35 @@
+"""Log lines of what happens to runs."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import fleet
+    from damaskpin.model import work
+
+LOG = logging.getLogger(__name__)
+
+
+def log_run(
+    message: str,
+    run: work.Run,
+    worker: fleet.Worker,
+    reason: str,
+    **more: object,
+) -> None:
+    """Log what happens to a run, with the job's id."""
+    LOG.info(
+        message,
+        extra={
+            'job': run.item.job,
+            'occurrence': run.item.occurrence,
+            'step': run.item.step,
+            'index': run.item.index,
+            'number': run.number,
+            'worker': worker.lifetime.worker,
+            'reason': reason,
+            **more,
+        },
+    )
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -105,6 +105,14 @@
         self.window = now
         self.window_percent = percent
 
+    def is_with(self, other: PlacedRun) -> bool:
+        """Return whether two runs belong to the same start of a gang."""
+        return (
+            self.step.gang
+            and self.job is other.job
+            and self.run.get_gang() == other.run.get_gang()
+        )
+
     def is_missing(self, now: float, listed: bool) -> bool:
         """Return whether it has been missing from the lists for too long.
 
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -98,6 +98,8 @@
     :ivar refused: runs that did not start and never will.
     :ivar silence: seconds since a silent worker's last answer; 0 while it is
         in contact.
+    :ivar lapse: seconds until a silent worker's lease has certainly ended;
+        the agent renews it only after orders that echo a report in contact.
     """
 
     agent: str
@@ -112,6 +114,7 @@
     accepted: tuple[work.Run, ...]
     refused: tuple[RefusedRun, ...]
     silence: float = 0.0
+    lapse: float = 0.0
 
 
 class Redirect(_Message):
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -17,6 +17,10 @@
 # in seconds.
 LEASE_MARGIN_S = 0.5
 
+# A longer lease keeps lost workers' runs from starting elsewhere, and one that
+# is shorter does not outlast an agent that stands still for 5.5 s, in seconds.
+MAX_LEASE_S = 7.0
+
 # An agent that loses the coordinator keeps its worker's lease for this time,
 # in seconds: partitions of machines last up to 12 s and must not end work.
 GRANT_S = 13.5
@@ -88,7 +92,9 @@
             fleet_key=os.environ.get(KEY_VARIABLE, '').encode(),
             seeds=tuple(seeds),
             grant=GRANT_S,
-            lease=self.bounds.hold_max_ms / 1000 - LEASE_MARGIN_S,
+            lease=min(
+                self.bounds.hold_max_ms / 1000 - LEASE_MARGIN_S, MAX_LEASE_S
+            ),
             stop_time=self.bounds.stop_ms / 1000,
             cores=self.limits.cpu_share * self.limits.cores,
         )
--- a/tests/test_coordinator/test_coordinator_reports.py
+++ b/tests/test_coordinator/test_coordinator_reports.py
@@ -69,3 +69,32 @@
         _handle(coordinator, worker, running=(row,), silence=3.0)
     assert fleets.list_runs(book, job) == {0: 'w0'}
     assert fleets.list_stopped(book) == []
+
+
+def test_runs_of_a_machine_that_vanished_are_gone_with_the_known_lease():
+    """A gang must not wait 15 s for one member that was lost with all."""
+    book = fleets.make_book(workers=1)
+    coordinator = coordinators.Coordinator('c', FENCE, book, None)
+    (worker,) = book.workers.values()
+    job = fleets.submit(book, 'job', fleets.make_step())
+    fleets.decide(book)
+    _handle(coordinator, worker, silence=2.0, lapse=4.0)
+    coordinator.make_orders(worker)
+    coordinator.decide(NOW + 4.9, fleets.WALL)
+    assert fleets.list_runs(book, job) == {0: 'w0'}
+    coordinator.decide(NOW + 5.1, fleets.WALL)
+    assert fleets.list_runs(book, job) == {}
+
+
+def test_worker_in_contact_keeps_its_whole_grant():
+    """Work on a machine that is cut off goes on for the grant."""
+    book = fleets.make_book(workers=1)
+    coordinator = coordinators.Coordinator('c', FENCE, book, None)
+    (worker,) = book.workers.values()
+    job = fleets.submit(book, 'job', fleets.make_step())
+    fleets.decide(book)
+    _handle(coordinator, worker, silence=2.0, lapse=4.0)
+    _handle(coordinator, worker)
+    coordinator.make_orders(worker)
+    coordinator.decide(NOW + fleets.GRANT_S, fleets.WALL)
+    assert fleets.list_runs(book, job) == {0: 'w0'}
