--- a/damaskpin/runtime/configuration.py
+++ b/damaskpin/runtime/configuration.py
@@ -45,7 +45,7 @@
         self._on_change = on_change
         self.installation: installations.Installation | None = None
         mirror = mirrors.Mirror(key, self.apply)
-        self._follower = following.Follower(store, mirror)
+        self._follower = following.Follower(store, mirror, lambda: True)
 
     async def run(self) -> None:
         """Follow the key until cancelled."""
--- a/damaskpin/runtime/following.py
+++ b/damaskpin/runtime/following.py
@@ -10,6 +10,8 @@
 from damaskpin.runtime import clocks
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpin.store import mirror as mirrors
     from damaskpin.store import port
     from damaskpin.store import transactions
@@ -20,6 +22,10 @@
 # shows within the time in which a configuration must be in force.
 WATCH_WAIT_S = 1.0
 
+# An entry that only tells callers of jobs lets changes gather for this time,
+# in seconds: a watch is a priced call, and each change ends one everywhere.
+GATHER_S = 0.2
+
 # Pause after a failed call, in seconds.
 RETRY_S = 0.15
 
@@ -29,11 +35,18 @@
 
     :param store: access to the store.
     :param mirror: copy to keep current.
+    :param is_urgent: whether each change is needed at once.
     """
 
-    __slots__ = ('_mirror', '_store', 'heard')
+    __slots__ = ('_is_urgent', '_mirror', '_store', 'heard')
 
-    def __init__(self, store: port.Store, mirror: mirrors.Mirror) -> None:
+    def __init__(
+        self,
+        store: port.Store,
+        mirror: mirrors.Mirror,
+        is_urgent: Callable[[], bool],
+    ) -> None:
+        self._is_urgent = is_urgent
         self._store = store
         self._mirror = mirror
         self.heard = 0.0
@@ -76,6 +89,9 @@
             mirror.prefix, mirror.revision, WATCH_WAIT_S
         )
         mirror.apply_changes(changes)
+        self.heard = clocks.get_steady()
+        if changes.changes and not self._is_urgent():
+            await asyncio.sleep(GATHER_S)
 
     async def _load(self) -> None:
         """Read all pages; changes since the first page come by the watch."""
