Renew a worker's lease only while its looks are answered

Change: after a look without an answer the next ones carry no renewal until one is answered. A lost answer costs one renewal of many, which are 0.5 s apart.

Test: test_lease_is_renewed_only_while_looks_are_answered, and the bounds of two others follow.

--- a/damaskpin/agent/contact.py
+++ b/damaskpin/agent/contact.py
@@ -132,10 +132,10 @@
         """Return the end of a lease on the worker's clock, in milliseconds.
 
         :returns: ``None`` if nothing may be granted: the clock is not known,
-            the grant has ended, or the worker is silent, so that its lease is
-            left to end.
+            the grant has ended, or the last look had no answer. A lease that
+            is renewed while the worker may be dead only ends later.
         """
-        if self._clock is None or self.get_silence(now):
+        if self._clock is None or self._failed:
             return None
         if self._deadline <= now:
             return None
--- a/tests/test_agent/test_agent_agent.py
+++ b/tests/test_agent/test_agent_agent.py
@@ -158,9 +158,9 @@
     agent.note_start(NOW, call, calls.Accepted(1000))
     row = work.RunningRun(RUN, '', 10.0)
     _look(agent, NOW, calls.Lists(1000, 1, (row,), ()))
-    # The last grants went out until the worker counted as silent; its clock
+    # The last grant went out with the look that failed; the worker's clock
     # may be 2% slow.
-    until = NOW + 1.2 + 4.0
+    until = NOW + 0.25 + 4.0
     now = _fall_silent(agent, NOW, until)
     assert agent.make_report(now).refused == ()
     now = _fall_silent(agent, now, until + 1.5)
@@ -232,11 +232,22 @@
     _look(agent, NOW, calls.Lists(1000, 1, (), ()))
     now = _fall_silent(agent, NOW, NOW + 2.0)
     report = agent.make_report(now)
-    # 1.2 s until it counts as silent, 4 s of lease, 2%, 0.5 s for a stop.
-    assert 3.2 < report.lapse < 4.8
+    # 4 s of lease and 2%, less the silence, and 1 s for a stop and to notice.
+    assert 3.0 < report.lapse < 3.6
     _look(agent, now + 0.1, calls.Lists(3100, 1, (), ()))
     assert agent.make_hold(now + 0.1).until is None
     agent.handle_orders(now + 0.1, _make_orders(2, echo=now))
     assert agent.make_hold(now + 0.1).until is None
     agent.handle_orders(now + 0.2, _make_orders(3, echo=now + 0.1))
     assert agent.make_hold(now + 0.2).until is not None
+
+
+def test_lease_is_renewed_only_while_looks_are_answered():
+    """Each renewal of a dead worker keeps its runs from starting elsewhere."""
+    agent = _make_agent()
+    agent.handle_orders(NOW, _make_orders())
+    _look(agent, NOW, calls.Lists(1000, 1, (), ()))
+    _look(agent, NOW + 0.5, calls.Unanswered('refused'))
+    assert agent.make_hold(NOW + 0.5).until is None
+    _look(agent, NOW + 0.6, calls.Lists(1600, 1, (), ()))
+    assert agent.make_hold(NOW + 0.6).until == 1000 + 600 + 4000
