Soak: proxy the peers' channels; add series, herds, cancels and changes

The channels between our own processes go through the loopback proxy too, for which DAMASKPIN_PEER_ADDRESS tells a process the address that peers use. New faults: delayed, silent, one-way and reset peer channels, changes of the configuration, each process stopped and killed in turn while other faults go on, and most processes killed at once. The oracle also checks that cancelled jobs start nothing.

--- a/damaskpin/peer/exchange.py
+++ b/damaskpin/peer/exchange.py
@@ -33,7 +33,8 @@
 
     :param instance: instance id of this process.
     :param incarnation: random token of this run of the process.
-    :param address: pynng URL to listen on.
+    :param listen: pynng URL to listen on.
+    :param address: pynng URL at which peers reach this process.
     :param key: secret shared by all damaskpin processes.
     :param receive: called with each message and its frame; returns the reply
         to the sender or ``None``.
@@ -57,6 +58,7 @@
         self,
         instance: str,
         incarnation: str,
+        listen: str,
         address: str,
         key: bytes,
         receive: Receive,
@@ -71,11 +73,11 @@
         self._links: dict[str, link.Link] = {}
         self._waiting: dict[str, dict[object, Build]] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
-        self._listener = link.Listener(address, self._codec, self._answer)
+        self._listener = link.Listener(listen, self._codec, self._answer)
 
     @property
     def address(self) -> str:
-        """Return the URL on which this process listens."""
+        """Return the URL at which peers reach this process."""
         return self._address
 
     def is_busy(self, address: str) -> bool:
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -31,6 +31,10 @@
     'grace_s': 'graceS',
 }
 
+# pynng URL at which peers reach this process, where it is not the one that it
+# listens on, as behind a forwarder; empty for none.
+ADDRESS_VARIABLE = 'DAMASKPIN_PEER_ADDRESS'
+
 KEY_VARIABLE = 'DAMASKPIN_FLEET_KEY'
 
 
@@ -86,9 +90,11 @@
         seeds = []
         for seed in self.seeds:
             seeds.append(f'tcp://{seed.rpartition(":")[0]}:{port}')
+        listen = f'tcp://{self.ip}:{port}'
         return options.Options(
             instance=self.node,
-            listen=f'tcp://{self.ip}:{port}',
+            listen=listen,
+            address=os.environ.get(ADDRESS_VARIABLE) or listen,
             fleet_key=os.environ.get(KEY_VARIABLE, '').encode(),
             seeds=tuple(seeds),
             grant=GRANT_S,
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -108,6 +108,7 @@
             settings.instance,
             secrets.token_hex(6),
             settings.listen,
+            settings.address,
             settings.fleet_key,
             self._receive,
             self._note_silent,
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -93,6 +93,7 @@
             settings.instance,
             secrets.token_hex(6),
             settings.listen,
+            settings.address,
             settings.fleet_key,
             self._receive,
             self._note_silent,
@@ -102,14 +103,14 @@
             self._store,
             self.view,
             settings.instance,
-            settings.listen,
+            settings.address,
             lambda: self._mirror.complete,
             settings.cores,
         )
         self.registration = registration.Registration(
             self._store,
             layout.ENTRIES + settings.instance,
-            settings.listen.encode(),
+            settings.address.encode(),
         )
         self.requests = requests.Requests(
             self._store, self.view, self._relay.is_reachable
@@ -227,7 +228,7 @@
         self._relay.note_silent(address)
 
     def _list_peers(self) -> list[str]:
-        own = self._settings.listen
+        own = self._settings.address
         found = [a for a in self.view.entries.values() if a != own]
         for seed in self._settings.seeds:
             if seed != own and seed not in found:
--- a/damaskpin/runtime/options.py
+++ b/damaskpin/runtime/options.py
@@ -9,7 +9,8 @@
     """Addresses, secrets and bounds of a process.
 
     :ivar instance: name that a restarted process keeps.
-    :ivar listen: pynng URL for peers.
+    :ivar listen: pynng URL to listen on.
+    :ivar address: pynng URL at which peers reach this process.
     :ivar seeds: pynng URLs of entries to ask first.
     :ivar grant: seconds for which an agent keeps its worker's lease without
         hearing from the coordinator.
@@ -20,6 +21,7 @@
 
     instance: str
     listen: str
+    address: str
     fleet_key: bytes
     seeds: tuple[str, ...]
     grant: float
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import pathlib
 import random
 import signal
@@ -22,6 +23,9 @@
 # 13.5 s, a new coordinator and the work itself.
 SETTLE_S = 40.0
 
+# Share of the jobs that are cancelled.
+CANCEL_SHARE = 0.15
+
 FAULTS = (
     'kill',
     'terminate',
@@ -34,6 +38,13 @@
     'proxy_silent',
     'proxy_one_way',
     'proxy_reset',
+    'peer_delay',
+    'peer_silent',
+    'peer_one_way',
+    'peer_reset',
+    'config',
+    'series',
+    'herd',
     'worker_crash',
     'worker_late',
     'worker_cut',
@@ -60,6 +71,18 @@
             fleet.store.compact()
         case 'proxy_delay' | 'proxy_silent' | 'proxy_one_way':
             program.store_proxy.mode = name.removeprefix('proxy_')
+        case 'peer_delay' | 'peer_silent' | 'peer_one_way':
+            program.peer_proxy.mode = name.removeprefix('peer_')
+        case 'peer_reset':
+            program.peer_proxy.reset()
+        case 'config':
+            fleet.change_config()
+        case 'series':
+            fleet.series.append(asyncio.ensure_future(roll(fleet, rng)))
+        case 'herd':
+            for other in fleet.entries + fleet.agents:
+                if rng.random() < 0.6:
+                    other.kill()
         case 'proxy_reset':
             program.store_proxy.reset()
         case 'worker_crash':
@@ -71,6 +94,15 @@
     return f'{name} {program.name} {agent.name}'
 
 
+async def roll(fleet, rng):
+    """Stop entries and agents one after the other, each twice."""
+    for program in fleet.entries + fleet.agents:
+        for number in (signal.SIGTERM, signal.SIGKILL):
+            program.send(number)
+            await asyncio.sleep(rng.uniform(0.1, 0.5))
+            program.start()
+
+
 async def run_seed(seed, seconds, folder):
     """Run one seed; returns the violations."""
     rng = random.Random(seed)
@@ -87,13 +119,14 @@
         ends = time.monotonic() + seconds
         hand_ins = []
         while time.monotonic() < ends:
-            hand_ins.append(asyncio.ensure_future(callers.hand_in()))
+            cancel = rng.random() < CANCEL_SHARE
+            hand_ins.append(asyncio.ensure_future(callers.hand_in(cancel)))
             if rng.random() < 0.6:
                 trace.append(await inject(fleet, rng))
             await asyncio.sleep(rng.uniform(0.2, 1.0))
             if rng.random() < 0.3:
                 fleet.heal()
-        await asyncio.gather(*hand_ins)
+        await asyncio.gather(*hand_ins, *fleet.series)
         fleet.heal()
         await settle(fleet, callers, oracle)
         oracle.check_refused(callers.refused)
@@ -134,6 +167,7 @@
     :param seconds: time of faults in each run.
     :param keep: folder for the logs; a temporary one if empty.
     """
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     failed = []
     for seed in range(first, first + seeds):
         with tempfile.TemporaryDirectory() as scratch:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,8 +30,11 @@
         self.accepted = set()
         self.refused = set()
 
-    async def hand_in(self):
-        """Hand a job in, with a few repeats."""
+    async def hand_in(self, cancel=False):
+        """Hand a job in, with a few repeats.
+
+        :param cancel: whether to cancel it some time after it was accepted.
+        """
         job = f'{self._rng.getrandbits(64):016x}'
         name = f'{job}-content'
         self._durations[name] = self._rng.choice([0.2, 1.0, 3.0])
@@ -50,11 +53,20 @@
             statuses.append(status)
             if status == 200:
                 self.accepted.add(job)
+                if cancel:
+                    await self._cancel(job)
                 return
             await asyncio.sleep(self._rng.uniform(0.1, 0.6))
         if all(status in (429, 503) for status in statuses):
             self.refused.add(job)
 
+    async def _cancel(self, job):
+        """Cancel a job after a while; nothing of it starts long after."""
+        await asyncio.sleep(self._rng.uniform(0.0, 1.5))
+        status, _ = await self.call('DELETE', job)
+        if status in (200, 410):
+            self._oracle.note_cancelled(job)
+
     async def call(self, method, job, body=None):
         """Call any entry; returns status (0 without an answer) and body."""
         entry = self._rng.choice(self._fleet.entries)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -68,12 +68,15 @@
     """A process of ours that can be stopped and started.
 
     :param settings: content of its settings file.
+    :param store_proxy: carries its calls of the store.
+    :param peer_proxy: carries what its peers send to it.
     """
 
-    def __init__(self, folder, settings, store_proxy):
+    def __init__(self, folder, settings, store_proxy, peer_proxy):
         self.name = settings['node']
         self.settings = settings
         self.store_proxy = store_proxy
+        self.peer_proxy = peer_proxy
         self._file = folder / f'{self.name}.json'
         self._file.write_text(json.dumps(settings))
         self._log = (folder / f'{self.name}.log').open('ab')
@@ -87,6 +90,9 @@
             'PATH': os.environ['PATH'],
             'DAMASKPIN_BOOT': str(self._file),
             'DAMASKPIN_FLEET_KEY': 'soak-fleet-key',
+            'DAMASKPIN_PEER_ADDRESS': (
+                f'tcp://127.0.0.1:{self.peer_proxy.port}'
+            ),
         }
         self._process = subprocess.Popen(
             [sys.executable, '-m', 'damaskpin.platform'],
@@ -126,6 +132,8 @@
         self.oracle = oracle
         self.durations = durations
         self.ports = Ports(first_port)
+        self.version = 0
+        self.series = []
         self.store = None
         self.entries = []
         self.agents = []
@@ -139,8 +147,7 @@
         port = self.ports.take()
         self.store = stores.State(self.oracle.rng)
         stores.serve(self.store, port)
-        value = base64.b64encode(json.dumps(CONFIG).encode()).decode()
-        self.store.put('op/config', value)
+        self.change_config()
         for index in range(entries):
             program = await self._make_program(f'entry-{index}', port, {})
             self.entries.append(program)
@@ -151,14 +158,24 @@
 
     async def close(self):
         """End all that was started."""
+        for series in self.series:
+            series.cancel()
         for program in self.entries + self.agents:
             program.close()
             program.store_proxy.close()
+            program.peer_proxy.close()
         for beat in self._beats.values():
             beat.cancel()
         for proxy in self.worker_proxies.values():
             proxy.close()
 
+    def change_config(self):
+        """Write the next version of the configuration."""
+        self.version += 1
+        config = {**CONFIG, 'version': self.version}
+        value = base64.b64encode(json.dumps(config).encode()).decode()
+        self.store.put('op/config', value)
+
     def restart_worker(self, agent):
         """Crash the worker beside an agent; a new one starts."""
         former = self.workers[agent.name]
@@ -178,6 +195,7 @@
             worker.late = 0.0
         for program in self.entries + self.agents:
             program.store_proxy.mode = 'pass'
+            program.peer_proxy.mode = 'pass'
             program.send(signal.SIGCONT)
             program.start()
         for proxy in self.worker_proxies.values():
@@ -187,6 +205,8 @@
         proxy = proxies.Proxy(store_port)
         await proxy.start(self.ports.take())
         address = f'127.0.0.1:{proxy.port}'
+        peers = proxies.Proxy(self.ports.take())
+        await peers.start(self.ports.take())
         settings = {
             'node': name,
             'role': 'soak',
@@ -198,12 +218,12 @@
                 'ready': f'127.0.0.1:{self.ports.take()}',
                 'control': f'127.0.0.1:{self.ports.take()}',
             },
-            'portRange': [self.ports.take()],
+            'portRange': [peers.target],
             'platform': {'addr': address},
             'bounds': {'holdMaxMs': 10000, 'stopMs': 400, 'graceS': 3.0},
             **more,
         }
-        return Program(self.folder, settings, proxy)
+        return Program(self.folder, settings, proxy, peers)
 
     async def _make_agent(self, index, store_port):
         proxy = proxies.Proxy(self.ports.take())
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
+# A cancelled job starts nothing after this time, in seconds: a machine that is
+# cut off from the coordinator learns of it with its grant, of 13.5 s.
+CANCEL_S = 15.0
+
 
 class Oracle:
     """Hears of each start and end at the workers.
@@ -9,20 +15,26 @@
     :ivar violations: broken promises, in words.
     """
 
-    def __init__(self, rng):
+    def __init__(self, rng, clock=time.monotonic):
+        self.clock = clock
         self.rng = rng
         self.violations = []
         self.live = {}
         self.done = {}
         self.recorded = set()
         self.started = set()
+        self.cancelled = {}
         self.failed_hand_ins = set()
         self.starts = 0
 
     def note_start(self, worker, task, number):
         """Check a start."""
         self.starts += 1
-        self.started.add(task.split('.')[0])
+        job = task.split('.')[0]
+        self.started.add(job)
+        since = self.clock() - self.cancelled.get(job, self.clock())
+        if since > CANCEL_S:
+            self.violations.append(f'{task} starts {since:.1f} s cancelled')
         for other in self.live.get(task, {}):
             self.violations.append(
                 f'{task} starts as {number} on {worker.name} beside {other}'
@@ -31,6 +43,10 @@
             self.violations.append(f'{task} starts after its recorded end')
         self.live.setdefault(task, {})[(worker.name, number)] = worker
 
+    def note_cancelled(self, job):
+        """Note that the cancelling of a job was acknowledged."""
+        self.cancelled.setdefault(job, self.clock())
+
     def note_end(self, worker, task, number, how, serial):
         """Note an end."""
         self.live.get(task, {}).pop((worker.name, number), None)
