Begin loops anew that fail, and step down when the writer fails

An exception in the loop of looks, of the watch or of the writer ended it for good: the process lived on and did nothing.

Change: a loop that fails is logged and begins anew after 0.3 s; a coordinator whose writer fails steps down.

--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -116,8 +116,8 @@
 
     def start(self) -> None:
         """Start all loops."""
-        self._background.spawn(self._run_ticks())
-        self._background.spawn(self._run_holds())
+        self._background.keep(self._run_ticks)
+        self._background.keep(self._run_holds)
 
     async def close(self) -> None:
         """Stop all loops; the worker keeps its lease for a while."""
--- a/damaskpin/runtime/background.py
+++ b/damaskpin/runtime/background.py
@@ -7,10 +7,14 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
 LOG = logging.getLogger(__name__)
 
+# Pause before a loop that failed begins anew, in seconds.
+RESTART_S = 0.3
+
 
 class Background:
     """Runs coroutines and logs their faults."""
@@ -26,6 +30,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def keep(self, make: Callable[[], Coroutine[None, None, None]]) -> None:
+        """Run a loop; begin it anew if it fails, as nothing else would."""
+        self.spawn(_run_again(make))
+
     def cancel(self) -> None:
         """Cancel all that still runs."""
         for task in list(self._tasks):
@@ -39,3 +47,18 @@
         raise
     except Exception:
         LOG.exception('background work failed')
+
+
+async def _run_again(
+    make: Callable[[], Coroutine[None, None, None]],
+) -> None:
+    while True:
+        try:
+            await make()
+        except asyncio.CancelledError:
+            raise
+        except Exception:
+            LOG.exception('a loop failed and begins anew')
+            await asyncio.sleep(RESTART_S)
+        else:
+            return
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -179,12 +179,21 @@
         self._writer = writers.Writer(
             self._store, coordinator, self.pump, self._depose
         )
-        self._writer_task = asyncio.ensure_future(self._writer.run())
+        self._writer_task = asyncio.ensure_future(self._write(self._writer))
         LOG.info(
             'coordination begins',
             extra={'fence': fence, 'jobs': len(coordinator.jobs)},
         )
 
+    async def _write(self, writer: writers.Writer) -> None:
+        try:
+            await writer.run()
+        except Exception:
+            # Decisions that can't be stored are not carried out; the next
+            # holder of the key begins with what the store has.
+            LOG.exception('the writer failed')
+            self._depose('the writer failed')
+
     def _depose(self, reason: str) -> None:
         self._leadership.step_down(reason)
         # The key is still ours until its lease ends; the next holder reads
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -136,11 +136,11 @@
 
     def start(self) -> None:
         """Start all loops."""
-        self._background.spawn(self._follower.run())
-        self._background.spawn(self._configuration.run())
-        self._background.spawn(self.leadership.run())
-        self._background.spawn(self.registration.run())
-        self._background.spawn(self._run_ticks())
+        self._background.keep(self._follower.run)
+        self._background.keep(self._configuration.run)
+        self._background.keep(self.leadership.run)
+        self._background.keep(self.registration.run)
+        self._background.keep(self._run_ticks)
 
     async def resign(self) -> None:
         """Let other entries take over; requests are still answered."""
