Remove jobs from the store some minutes after their final state

Ended jobs stayed in the store and in each entry's memory for ever.

Test: test_runtime_retention.py. The log line of an end does not tell a run time any more for runs that a former coordinator placed; it counted from the start of the clock.

--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -193,7 +193,9 @@
             worker,
             str(row.ending),
             state=str(job.progress.state),
-            seconds=round(now - placed.placed, 3),
+            seconds=round(now - placed.placed, 3)
+            if placed.placed >= 0
+            else None,
         )
         match row.ending:
             case work.Ending.DONE:
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -29,6 +29,7 @@
     'hold_max_ms': 'holdMaxMs',
     'stop_ms': 'stopMs',
     'grace_s': 'graceS',
+    'status_s': 'status_s',
 }
 
 # pynng URL at which peers reach this process, where it is not the one that it
@@ -52,6 +53,7 @@
     hold_max_ms: float = 10000.0
     stop_ms: float = 1000.0
     grace_s: float = 6.0
+    status_s: float = 120.0
 
 
 class Limits(msgspec.Struct, rename='camel'):
@@ -102,6 +104,7 @@
                 self.bounds.hold_max_ms / 1000 - LEASE_MARGIN_S, MAX_LEASE_S
             ),
             stop_time=self.bounds.stop_ms / 1000,
+            show_time=self.bounds.status_s,
             cores=self.limits.cpu_share * self.limits.cores,
         )
 
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -20,6 +20,7 @@
 from damaskpin.runtime import registration
 from damaskpin.runtime import relay
 from damaskpin.runtime import requests
+from damaskpin.runtime import retention
 from damaskpin.store import layout
 from damaskpin.store import mirror as mirrors
 from damaskpin.store import transactions
@@ -57,6 +58,7 @@
         '_follower',
         '_mirror',
         '_relay',
+        '_retention',
         '_settings',
         '_store',
         'exchange',
@@ -124,6 +126,9 @@
             self.exchange,
             self._configuration,
         )
+        self._retention = retention.Retention(
+            self._store, self.view, settings.show_time, self._get_fence
+        )
         self.stopping = False
         self.in_flight = 0
         self.telemetry = telemetry.Telemetry(settings.instance)
@@ -140,6 +145,7 @@
         self._background.keep(self._configuration.run)
         self._background.keep(self.leadership.run)
         self._background.keep(self.registration.run)
+        self._background.keep(self._retention.run)
         self._background.keep(self._run_ticks)
 
     async def resign(self) -> None:
@@ -163,6 +169,9 @@
         quiet = clocks.get_steady() - self._follower.heard
         return quiet <= QUIET_STORE_S
 
+    def _get_fence(self) -> int:
+        return self.leadership.fence if self.leadership.is_valid() else 0
+
     def _needs_changes(self) -> bool:
         """Return whether changes are awaited: this entry decides, or may."""
         return bool(self.leadership.fence) or self.view.leader is None
--- a/damaskpin/runtime/options.py
+++ b/damaskpin/runtime/options.py
@@ -17,6 +17,7 @@
     :ivar lease: seconds for which one renewal keeps the worker's lease.
     :ivar stop_time: seconds that a worker takes to stop a run.
     :ivar cores: processor cores that the process may use.
+    :ivar show_time: seconds for which a job's final state is shown at least.
     """
 
     instance: str
@@ -28,3 +29,4 @@
     lease: float
     stop_time: float
     cores: float = 1.0
+    show_time: float = 120.0
--- /dev/null
+++ b/tests/test_runtime/test_runtime_retention.py
@@ -0,0 +1,103 @@
+"""Tests of the removal of ended jobs."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.coordinator import records
+from damaskpin.entry import view as views
+from damaskpin.model import work
+from damaskpin.runtime import retention
+from damaskpin.store import layout
+from damaskpin.store import transactions
+
+WALL = 10_000.0
+KEEP_S = 120.0
+OLD = WALL - KEEP_S - retention.MARGIN_S - 1.0
+
+
+class _Store:
+    def __init__(self, result=None):
+        self.commits = []
+        self.result = result or transactions.Committed(9)
+
+    async def commit(self, transaction):
+        self.commits.append(transaction)
+        if isinstance(self.result, Exception):
+            raise self.result
+        return self.result
+
+
+def _make_view(state, ended, active=False, cancelled=False):
+    view = views.View()
+    terms = work.Terms('q', 's', 1, 1)
+    step = work.Step(count=1, demand=work.Resources(1, 1, 0))
+    submission = work.Submission('j', 'a', 'c', (step,), terms, 0.0)
+    progress = records.Progress(state=state, ended=ended)
+    if active:
+        lifetime = work.Lifetime('w', 1)
+        run = records.ActiveRun(0, 1, lifetime, 'agent')
+        progress.occurrences[0] = [records.StepProgress(active=[run])]
+    rows = {
+        layout.make_job_key('j'): records.encode_submission(submission),
+        layout.make_progress_key('j'): records.encode_progress(progress),
+    }
+    if cancelled:
+        rows[layout.make_cancel_key('j')] = b'1'
+    for key, value in rows.items():
+        view.apply(transactions.StoredItem(key, value, 5, 5))
+    return view
+
+
+def _remove(view, store, fence=3):
+    kept = retention.Retention(store, view, KEEP_S, lambda: fence)
+    return asyncio.run(kept.remove_expired(WALL))
+
+
+def test_ended_job_goes_with_all_its_keys():
+    """Jobs that stay for ever fill the store and each entry's memory."""
+    store = _Store()
+    view = _make_view(work.JobState.CANCELED, OLD, cancelled=True)
+    assert _remove(view, store) == 1
+    (commit,) = store.commits
+    assert commit.expected == {
+        layout.LEADER: 3,
+        layout.make_progress_key('j'): 5,
+    }
+    assert set(commit.removals) == {
+        layout.make_job_key('j'),
+        layout.make_progress_key('j'),
+        layout.make_cancel_key('j'),
+    }
+
+
+@pytest.mark.parametrize(
+    ('state', 'ended', 'active'),
+    [
+        (work.JobState.COMPLETED, OLD + 10.0, False),
+        (work.JobState.RUNNING, 0.0, False),
+        (work.JobState.CANCELED, OLD, True),
+    ],
+)
+def test_job_that_may_be_asked_for_or_runs_stays(state, ended, active):
+    """Its record is what keeps its runs from being started twice."""
+    store = _Store()
+    assert _remove(_make_view(state, ended, active), store) == 0
+    assert store.commits == []
+
+
+def test_entry_that_does_not_coordinate_removes_nothing():
+    """Two entries would write against each other."""
+    store = _Store()
+    view = _make_view(work.JobState.COMPLETED, OLD)
+    assert _remove(view, store, fence=0) == 0
+    assert store.commits == []
+
+
+def test_failed_removal_is_left_for_the_next_round():
+    """An outage of the store must not end the coordinator."""
+    store = _Store(errors.StoreUnavailableError('away'))
+    assert _remove(_make_view(work.JobState.COMPLETED, OLD), store) == 0
