--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -100,3 +100,76 @@
     numbers = book.jobs['job'].get_step(0, 0).numbers
     assert numbers[item.index] == 3
     assert fleets.list_stopped(book) == []
+
+
+def _hang(book, since, until):
+    """List the same progress for a while."""
+    percent = next(
+        placed.percent
+        for worker in book.workers.values()
+        for placed in worker.runs.values()
+    )
+    now = since
+    while now < until:
+        now += 0.5
+        _list(book, now, percent)
+    return now
+
+
+def test_run_with_much_unsaved_work_outlasts_a_short_hang():
+    """Stopping after 2 s throws work away that goes on 2 s later."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    for second in range(15):
+        _list(book, NOW + second, float(second))
+    now = _hang(book, NOW + 14.0, NOW + 18.5)
+    supervision.stop_stuck(now, book)
+    assert fleets.list_stopped(book) == []
+    (worker,) = [w for w in book.workers.values() if w.runs]
+    assert worker.suspect_until > now
+    now = _hang(book, now, NOW + 21.5)
+    supervision.stop_stuck(now, book)
+    assert fleets.list_stopped(book) == ['job']
+
+
+def test_saved_work_leaves_a_hanging_worker_at_once():
+    """Work that is saved loses nothing by going elsewhere."""
+    book = fleets.make_book(workers=2)
+    step = fleets.make_step(1, 1, 10.0, checkpoints=True)
+    fleets.submit(book, 'job', step)
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    for second in range(15):
+        _list(book, NOW + second, float(second))
+    now = _hang(book, NOW + 14.0, NOW + 16.5)
+    supervision.stop_stuck(now, book)
+    assert fleets.list_stopped(book) == ['job']
+
+
+def test_worker_is_not_suspected_for_the_rest_of_a_gang():
+    """One hanging member made all workers of its gang unusable."""
+    book = fleets.make_book(workers=2)
+    gang = fleets.make_step(2, 5, 10.0, gang=True)
+    fleets.submit(book, 'gang', gang)
+    fleets.decide(book)
+    fleets.submit(book, 'other', fleets.make_step(1, 1, 60.0))
+    fleets.decide(book)
+    fleets.begin_all(book, NOW)
+    sound = None
+    now = NOW
+    for second in range(1, 9):
+        now = NOW + second
+        for worker in book.workers.values():
+            worker.heard = now
+            for placed in worker.runs.values():
+                percent = min(10.0 * second, 20.0)
+                if placed.job.id == 'other':
+                    sound = worker
+                    percent = float(second)
+                row = work.RunningRun(placed.run, '', percent)
+                placed.note_listed(row, now)
+    supervision.stop_stuck(now, book)
+    assert fleets.list_stopped(book) == ['gang', 'gang']
+    suspects = [w for w in book.workers.values() if w.suspect_until > now]
+    assert sound not in suspects
+    assert len(suspects) == 1
