Answer a fault while a request is handled with 504 in JSON

An entry could give such an answer if a handler failed, also after the job was stored.

Change: a handler that fails answers 504, which says nothing about the job, and logs the path. The soak names the server that gave an answer that is no JSON, and closes its stand-ins, which went on listening in later seeds.

Test: test_platform_front.py.

--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -52,6 +52,24 @@
         """Drop the headers that tell nothing."""
         self.clear_header('Server')
 
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answer a request whose handling failed.
+
+        A fault may come after a write to the store, so the answer is one
+        that says nothing about it: the client asks again.
+        """
+        LOG.error(
+            'request failed',
+            extra={
+                'path': self.request.path,
+                'action': self.request.method,
+                'status': status_code,
+            },
+        )
+        if status_code == 500:
+            status_code = 504
+        self._answer(status_code, {'error': 'the request failed here'})
+
     async def post(self) -> None:
         """Submit a job."""
         found = self._find_queue()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 
 from tornado import httpclient
 
@@ -93,8 +94,11 @@
             return answer.code, json.loads(answer.body or b'{}')
         except ValueError:
             text = answer.body[:200].decode('utf-8', 'replace')
+            # Entries name no server; the stand-ins do.
+            server = answer.headers.get('Server', 'an entry')
             self._oracle.violations.append(
-                f'{method} {job} at {entry.name}: {answer.code} {text}'
+                f'{method} {job} at {entry.name}, {time.strftime("%X")}: '
+                f'{answer.code} by {server}: {text}'
             )
             return answer.code, {}
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -146,7 +146,7 @@
         """Start everything."""
         port = self.ports.take()
         self.store = stores.State(self.oracle.rng)
-        stores.serve(self.store, port)
+        self._servers['store'] = stores.serve(self.store, port)
         self.change_config()
         for index in range(entries):
             program = await self._make_program(f'entry-{index}', port, {})
@@ -166,6 +166,8 @@
             program.peer_proxy.close()
         for beat in self._beats.values():
             beat.cancel()
+        for server in self._servers.values():
+            server.stop()
         for proxy in self.worker_proxies.values():
             proxy.close()
 
--- /dev/null
+++ b/tests/test_platform/test_platform_front.py
@@ -0,0 +1,64 @@
+"""Tests of the interface to clients."""
+
+from __future__ import annotations
+
+import json
+
+from tornado import testing
+
+from damaskpin import telemetry
+from damaskpin.model import installation as installations
+from damaskpin.platform import front
+
+
+class _Requests:
+    async def submit(self, submission, deadline):
+        raise RuntimeError('a fault after the write')
+
+
+class _Entry:
+    def __init__(self):
+        self.in_flight = 0
+        self.stopping = False
+        self.requests = _Requests()
+        self.telemetry = telemetry.Telemetry('entry')
+        queue = installations.Queue(
+            name='q',
+            host='h.example',
+            prefix='/jobs/',
+            service='s',
+            priority=0,
+            attempts=1,
+            stretch=1.0,
+            allowance=1.0,
+            timeout=3.0,
+            anonymous=True,
+        )
+        self.installation = installations.Installation(
+            version=1,
+            queues=(queue,),
+            services=(),
+            accounts=(),
+            max_body=10_000,
+        )
+
+
+class FaultTest(testing.AsyncHTTPTestCase):
+    """A fault of our own while a request is handled."""
+
+    def get_app(self):
+        self.entry = _Entry()
+        return front.make_front(self.entry)
+
+    def test_fault_is_answered_as_undecided(self):
+        """A 500 in HTML told callers nothing; the job may be stored."""
+        body = json.dumps({'spec': 'x', 'steps': [{'count': 1}]})
+        answer = self.fetch(
+            '/jobs/0123456789abcdef',
+            method='POST',
+            body=body,
+            headers={'Host': 'h.example'},
+        )
+        assert answer.code == 504
+        assert 'error' in json.loads(answer.body)
+        assert self.entry.in_flight == 0
