Let a pass over all jobs rest for as long as it took

Change: the next pass begins after a rest as long as the last one, at the latest with the tick of 50 ms; on a small fleet that is below a millisecond.

--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -14,6 +14,7 @@
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
 from damaskpin.runtime import leadership as leaderships
+from damaskpin.runtime import pacing
 from damaskpin.runtime import writer as writers
 from damaskpin.store import layout
 from damaskpin.store import transactions
@@ -48,6 +49,7 @@
         '_exchange',
         '_leadership',
         '_mirror',
+        '_pacer',
         '_settings',
         '_store',
         '_view',
@@ -72,6 +74,7 @@
         self._leadership = leadership
         self._exchange = exchange
         self._config = config
+        self._pacer = pacing.Pacer()
         self._coordinator: coordinators.Coordinator | None = None
         self._writer: writers.Writer | None = None
         self._writer_task: asyncio.Task[None] | None = None
@@ -89,7 +92,10 @@
         coordinator = self._coordinator
         if coordinator is None or not self._leadership.is_valid():
             return
-        coordinator.decide(clocks.get_steady(), clocks.get_wall())
+        now = clocks.get_steady()
+        if self._pacer.is_due(now):
+            coordinator.decide(now, clocks.get_wall())
+            self._pacer.note_pass(now, clocks.get_steady())
         if self._writer is not None and coordinator.collect_dirty():
             self._writer.wake()
         for worker in coordinator.pop_due():
