Ask the advisor before work of its queues is placed

The protocol lets a queue have an advisor that alone knows which workers may run a step; a start without its ticket is refused. Such queues were decoded and then scheduled as any other, so every start was refused and tried again.

The coordinating entry asks one question at a time, as the advisor takes them in turn, about the steps in the order of their rank; the planner considers only workers with a valid ticket. A refused ticket is asked for anew and not held against the worker.

--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import advice
 from damaskpin.coordinator import events
 from damaskpin.coordinator import fleet
 from damaskpin.model import work
@@ -36,6 +37,9 @@
 # A work item that is slow on so many workers is slow by itself.
 MAX_MOVES = 2
 
+# Why a worker refuses a start whose ticket has ended.
+TICKET = 'ticket'
+
 # A worker's steady clock may be this much slow.
 CLOCK_SLOWNESS = 0.02
 
@@ -57,6 +61,7 @@
         'changed',
         'counts',
         'jobs',
+        'tickets',
         'workers',
     )
 
@@ -66,6 +71,7 @@
         self._stop_time = stop_time
         self.changed = True
         self.counts: collections.Counter[str] = collections.Counter()
+        self.tickets = advice.Tickets()
         self.jobs: dict[str, jobs.Job] = {}
         self.workers: dict[work.Lifetime, fleet.Worker] = {}
 
@@ -218,7 +224,10 @@
         placed = worker.runs.get(refused.run)
         if placed is None:
             return
-        if not placed.stop_reason:
+        if refused.reason == TICKET:
+            key = advice.make_run_key(refused.run)
+            self.tickets.drop(key, worker.lifetime)
+        elif not placed.stop_reason:
             self.avoid(placed, worker)
         self.drop_run(worker, refused.run, f'refused: {refused.reason}')
 
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import advice
 from damaskpin.coordinator import book as books
 from damaskpin.coordinator import placing
 from damaskpin.coordinator import supervision
@@ -102,6 +103,7 @@
     def forget_job(self, job_id: str) -> None:
         """Drop a job whose record was removed."""
         self.jobs.pop(job_id, None)
+        self._book.tickets.forget_job(job_id)
 
     def note_stored(self, job_id: str, version: int) -> None:
         """Record that the store has a version of a job's progress."""
@@ -171,6 +173,30 @@
         supervision.stop_stuck(now, book)
         placing.place_all(now, wall, book, self._get_guarantee)
 
+    def take_question(self, now: float, wall: float) -> advice.Question | None:
+        """Return what the advisor is to be asked now."""
+        return placing.choose_question(
+            now, wall, self._book, self._get_guarantee
+        )
+
+    def note_advice(
+        self,
+        sent: float,
+        question: advice.Question,
+        rows: dict[str, str] | None,
+    ) -> None:
+        """Take over the advisor's answer.
+
+        :param sent: time at which the question was asked, in seconds.
+        :param rows: ticket by worker id; ``None`` without an answer.
+        """
+        tickets = self._book.tickets
+        if rows is None:
+            tickets.note_failure(sent, question)
+            return
+        tickets.note_answer(sent, question, rows)
+        self._book.changed = True
+
     def make_orders(self, worker: fleet.Worker) -> orders.Orders:
         """Return the current orders for a worker and extend its grant."""
         self._sequence += 1
@@ -188,7 +214,11 @@
                 continue
             if placed.version > placed.job.stored_version:
                 continue
-            starts.append(make_start(placed))
+            key = advice.make_run_key(placed.run)
+            ticket = self._book.tickets.get(
+                placed.placed, key, worker.lifetime
+            )
+            starts.append(make_start(placed, ticket))
         return orders.Orders(
             self.fence,
             self._sequence,
@@ -257,8 +287,11 @@
         return self._installation.get_guarantee(account)
 
 
-def make_start(placed: fleet.PlacedRun) -> orders.StartOrder:
-    """Return the order that starts a placed run."""
+def make_start(placed: fleet.PlacedRun, ticket: str) -> orders.StartOrder:
+    """Return the order that starts a placed run.
+
+    :param ticket: permission of the advisor; empty for none.
+    """
     item = placed.run.item
     slot = placed.step.get_slot(item.index)
     progress = placed.job.get_step(item.occurrence, item.step)
@@ -266,4 +299,5 @@
         placed.run,
         placed.job.submission.content,
         progress.checkpoints.get(slot, ''),
+        ticket,
     )
--- a/damaskpin/coordinator/placing.py
+++ b/damaskpin/coordinator/placing.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from damaskpin.coordinator import advice
     from damaskpin.coordinator import book as books
     from damaskpin.coordinator import job as jobs
 
@@ -54,7 +55,7 @@
             for worker in book.workers.values()
             if worker.is_usable(now) and worker.suspect_until <= now
         ]
-        self._planner = planning.Planner(now, usable)
+        self._planner = planning.Planner(now, usable, book.tickets)
 
     def place(self, unit: jobs.Unit) -> bool:
         """Start a unit, make room for it or keep room for it.
@@ -183,12 +184,9 @@
 ) -> None:
     """Go over all units that are ready, in the order of their rank."""
     guaranteed = ranking.find_guaranteed(book.jobs.values(), get_guarantee)
-    units: list[jobs.Unit] = []
-    for job in book.jobs.values():
-        units.extend(job.iterate_ready(now, wall))
+    units = list_ready(now, wall, book, guaranteed)
     if not units:
         return
-    units.sort(key=lambda unit: ranking.get_order(unit, wall, guaranteed))
     current = Pass(now, wall, book, guaranteed)
     failed: set[tuple[str, int, int]] = set()
     for unit in units:
@@ -197,3 +195,34 @@
             continue
         if not current.place(unit):
             failed.add(key)
+
+
+def list_ready(
+    now: float, wall: float, book: books.Book, guaranteed: set[str]
+) -> list[jobs.Unit]:
+    """Return the units that are ready, in the order of their rank."""
+    units: list[jobs.Unit] = []
+    for job in book.jobs.values():
+        units.extend(job.iterate_ready(now, wall))
+    units.sort(key=lambda unit: ranking.get_order(unit, wall, guaranteed))
+    return units
+
+
+def choose_question(
+    now: float,
+    wall: float,
+    book: books.Book,
+    get_guarantee: Callable[[str], int],
+) -> advice.Question | None:
+    """Return what the advisor is to be asked next."""
+    advised = [
+        job
+        for job in book.jobs.values()
+        if job.submission.terms.advice is not None and not job.is_final()
+    ]
+    if not advised:
+        return None
+    guaranteed = ranking.find_guaranteed(book.jobs.values(), get_guarantee)
+    units = list_ready(now, wall, book, guaranteed)
+    workers = [w for w in book.workers.values() if w.is_usable(now)]
+    return book.tickets.choose_question(now, units, workers)
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import advice
 from damaskpin.coordinator import drafts
 from damaskpin.coordinator import offers as offers_module
 
@@ -46,12 +47,19 @@
     """Plans units one after the other, in the order of their rank.
 
     :param workers: workers that may take new work.
+    :param tickets: permissions of the advisor.
     """
 
-    __slots__ = ('_claims', '_gangs', '_now', '_workers')
+    __slots__ = ('_claims', '_gangs', '_now', '_tickets', '_workers')
 
-    def __init__(self, now: float, workers: list[fleet.Worker]) -> None:
+    def __init__(
+        self,
+        now: float,
+        workers: list[fleet.Worker],
+        tickets: advice.Tickets,
+    ) -> None:
         self._now = now
+        self._tickets = tickets
         self._workers = workers
         self._claims: dict[work.Lifetime, list[drafts.Claim]] = {}
         self._gangs: dict[work.GangRun, list[fleet.Worker]] | None = None
@@ -113,8 +121,13 @@
                 continue
             if unit.step.label and unit.step.label not in profile.labels:
                 continue
-            if profile.capacity.holds(reserved):
-                eligible.append(worker)
+            if not profile.capacity.holds(reserved):
+                continue
+            if terms.advice is not None and not self._tickets.get(
+                self._now, advice.make_key(unit), worker.lifetime
+            ):
+                continue
+            eligible.append(worker)
         return eligible
 
     def _choose(
--- a/damaskpin/model/installation.py
+++ b/damaskpin/model/installation.py
@@ -15,7 +15,7 @@
     :ivar service: service whose workers run its jobs.
     :ivar anonymous: whether callers need no key.
     :ivar timeout: seconds that a caller's request may take.
-    :ivar advised: whether only workers named by the advisor may run it.
+    :ivar advice: advisor that must permit each worker; ``None`` for none.
     """
 
     name: str
@@ -28,7 +28,7 @@
     allowance: float
     anonymous: bool
     timeout: float
-    advised: bool = False
+    advice: work.Advice | None = None
 
     def get_terms(self) -> work.Terms:
         """Return the terms for a job accepted now."""
@@ -39,6 +39,7 @@
             self.attempts,
             self.stretch,
             self.allowance,
+            self.advice,
         )
 
 
--- a/damaskpin/model/work.py
+++ b/damaskpin/model/work.py
@@ -132,7 +132,20 @@
         return self.first + occurrence * self.period
 
 
-class Terms(msgspec.Struct, frozen=True):
+class Advice(msgspec.Struct, frozen=True):
+    """Time that an advisor takes, and for which its word holds, in seconds.
+
+    :ivar decide: time of an answer.
+    :ivar each: time added for each worker named.
+    :ivar valid: time for which a ticket may be used.
+    """
+
+    decide: float
+    each: float
+    valid: float
+
+
+class Terms(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a queue promised to a job when it was accepted.
 
     :ivar queue: name of the queue.
@@ -141,6 +154,7 @@
     :ivar attempts: failed runs of a work item after which the job fails.
     :ivar stretch: objective as a multiple of the longest chain of work.
     :ivar allowance: seconds added to the objective.
+    :ivar advice: advisor that must permit each worker; ``None`` for none.
     """
 
     queue: str
@@ -149,6 +163,7 @@
     attempts: int
     stretch: float = 1.0
     allowance: float = 0.0
+    advice: Advice | None = None
 
 
 class Submission(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/damaskpin/platform/__main__.py
+++ b/damaskpin/platform/__main__.py
@@ -14,6 +14,7 @@
 from damaskpin import errors
 from damaskpin import logs
 from damaskpin import transport
+from damaskpin.platform import advisor
 from damaskpin.platform import control
 from damaskpin.platform import front
 from damaskpin.platform import metrics
@@ -58,6 +59,7 @@
         store.StoreClient,
         operator.decode_installation,
         CONFIG_KEY,
+        make_advisor(settings),
     )
     listen(front.make_front(entry), settings.listen.front)
     listen(front.make_readiness(entry), settings.listen.ready)
@@ -69,6 +71,15 @@
     await entry.close()
 
 
+def make_advisor(
+    settings: settings_module.Settings,
+) -> advisor.AdvisorClient | None:
+    """Return access to the advisor, if the installation has one."""
+    if not settings.advice:
+        return None
+    return advisor.AdvisorClient(transport.HttpCaller(settings.advice))
+
+
 async def finish_requests(entry: entries.Entry, grace: float) -> None:
     """Serve until the platform has moved the callers away.
 
--- a/damaskpin/platform/operator.py
+++ b/damaskpin/platform/operator.py
@@ -29,7 +29,7 @@
             allowance=route.target_latency_ms / 1000,
             anonymous=route.anonymous,
             timeout=route.timeout_ms / 1000,
-            advised=bool(route.advice),
+            advice=decode_advice(route.advice),
         )
         for route in body.routes
     ]
@@ -49,6 +49,17 @@
     )
 
 
+def decode_advice(advice: wire.Advice | None) -> work.Advice | None:
+    """Return the advisor's times in seconds."""
+    if advice is None:
+        return None
+    return work.Advice(
+        advice.decide_ms / 1000,
+        advice.each_ms / 1000,
+        advice.valid_ms / 1000,
+    )
+
+
 def decode_job(
     data: bytes, job_id: str, account: str, terms: work.Terms, now: float
 ) -> work.Submission:
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -84,6 +84,7 @@
     bounds: Bounds = msgspec.field(default_factory=Bounds)
     limits: Limits = msgspec.field(default_factory=Limits)
     app: str = ''
+    advice: str = ''
     service: str = ''
 
     def make_options(self) -> options.Options:
--- a/damaskpin/platform/wire.py
+++ b/damaskpin/platform/wire.py
@@ -80,6 +80,27 @@
     lease: int = 0
 
 
+class Advice(msgspec.Struct, rename='camel'):
+    """Times of the advisor in milliseconds."""
+
+    decide_ms: float = 0.0
+    each_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
+class AdviseBody(msgspec.Struct):
+    """A question about a step, ID.K.STEP; ``workers`` are ids."""
+
+    step: str
+    workers: list[str]
+
+
+class AdviseAnswer(msgspec.Struct):
+    """Rows of worker id and ticket."""
+
+    good: list[tuple[str, str]] = []
+
+
 class Route(msgspec.Struct, rename='camel'):
     """A queue of the configuration."""
 
@@ -93,7 +114,7 @@
     target_latency_ms: float = 0.0
     timeout_ms: float = 3000.0
     anonymous: bool = False
-    advice: object = None
+    advice: Advice | None = None
 
 
 class Service(msgspec.Struct, rename='camel'):
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -20,6 +20,7 @@
 from damaskpin.store import transactions
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import advice
     from damaskpin.coordinator import fleet
     from damaskpin.model import installation as installations
     from damaskpin.peer import exchange as exchanges
@@ -101,6 +102,31 @@
         for worker in coordinator.pop_due():
             self._post_orders(worker)
 
+    def needs_advice(self) -> bool:
+        """Return whether this entry may have questions for an advisor."""
+        installation = self._config.installation
+        if self._coordinator is None or installation is None:
+            return False
+        return any(queue.advice is not None for queue in installation.queues)
+
+    def take_question(self) -> advice.Question | None:
+        """Return what the advisor is to be asked now."""
+        if self._coordinator is None or not self._leadership.is_valid():
+            return None
+        return self._coordinator.take_question(
+            clocks.get_steady(), clocks.get_wall()
+        )
+
+    def note_advice(
+        self,
+        question: advice.Question,
+        sent: float,
+        rows: dict[str, str] | None,
+    ) -> None:
+        """Take over the advisor's answer; ``None`` if there was none."""
+        if self._coordinator is not None:
+            self._coordinator.note_advice(sent, question, rows)
+
     def drop(self) -> None:
         """Stop to coordinate."""
         if self._writer_task is not None:
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -11,6 +11,7 @@
 from damaskpin.entry import view as views
 from damaskpin.peer import exchange as exchanges
 from damaskpin.peer import orders
+from damaskpin.runtime import advising
 from damaskpin.runtime import background
 from damaskpin.runtime import clocks
 from damaskpin.runtime import configuration
@@ -49,9 +50,11 @@
     :param make_store: makes the store's client of a caller.
     :param decode: decodes the operators' configuration.
     :param config_key: key of the configuration in the store.
+    :param advisor: access to the advisor, if the installation has one.
     """
 
     __slots__ = (
+        '_advising',
         '_background',
         '_configuration',
         '_coordination',
@@ -78,6 +81,7 @@
         make_store: Callable[[transport.Caller], port.Store],
         decode: Callable[[bytes], installations.Installation],
         config_key: str,
+        advisor: advising.Advisor | None = None,
     ) -> None:
         self._settings = settings
         self._background = background.Background()
@@ -129,6 +133,9 @@
         self._retention = retention.Retention(
             self._store, self.view, settings.show_time, self._get_fence
         )
+        self._advising: advising.Advising | None = None
+        if advisor is not None:
+            self._advising = advising.Advising(self._coordination, advisor)
         self.stopping = False
         self.in_flight = 0
         self.telemetry = telemetry.Telemetry(settings.instance)
@@ -146,6 +153,8 @@
         self._background.keep(self.leadership.run)
         self._background.keep(self.registration.run)
         self._background.keep(self._retention.run)
+        if self._advising is not None:
+            self._background.keep(self._advising.run)
         self._background.keep(self._run_ticks)
 
     async def resign(self) -> None:
