--- a/bench/capacity_machines.py
+++ b/bench/capacity_machines.py
@@ -16,6 +16,7 @@
 from damaskpin.gang import owner as owners
 from damaskpin.model import job as jobs
 from damaskpin.peer import codec as codecs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import home as homes
 from damaskpin.peer import membership
 from damaskpin.peer import messages
@@ -264,7 +265,8 @@
             if isinstance(effect, effects.Send)
         ]
         answers = [
-            messages.JobUpdate(message.job.id, 'queued') for message in sent
+            gang_messages.JobUpdate(message.job.id, 'queued')
+            for message in sent
         ]
         for answer in answers:
             owner.receive(now, 'entry-01', answer)
--- a/bench/gang_messages.py
+++ b/bench/gang_messages.py
@@ -22,6 +22,7 @@
 from damaskpin.gang import owner as owners
 from damaskpin.model import job as jobs
 from damaskpin.peer import codec as codecs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 LATENCY_S = 0.001
@@ -98,7 +99,7 @@
                 'job-0123456789ab.1',
                 job,
                 OWNER,
-                tuple(messages.Member(name, (0,)) for name in names),
+                tuple(gang_messages.Member(name, (0,)) for name in names),
                 7,
                 True,
             ),
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -52,6 +52,7 @@
     :ivar percent: progress that its worker listed.
     :ivar first_percent: progress when it was listed first.
     :ivar moved: time at which the progress changed last; 0 before.
+    :ivar seen: time at which it was listed last; 0 before.
     :ivar missing: time since which the lists lack it; 0 if they have it.
     :ivar window: time at which the current window of its rate began.
     :ivar window_percent: progress at that time.
@@ -73,6 +74,7 @@
     percent: float = 0.0
     first_percent: float = 0.0
     moved: float = 0.0
+    seen: float = 0.0
     missing: float = 0.0
     window: float = 0.0
     window_percent: float = 0.0
@@ -82,6 +84,7 @@
     def note_listed(self, row: work.RunningRun, now: float) -> None:
         """Take over what the worker lists."""
         self.confirmed = True
+        self.seen = now
         if not self.began:
             self.began = now
             self.first_percent = row.percent
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -34,7 +34,7 @@
 # Share of its progress beyond which a run is not moved, in percent.
 MOVE_PERCENT = 60.0
 
-# Rate of a run that hardly moves, in percent a second.
+# Rate of a run that moves at all, in percent a second.
 MIN_RATE = 0.2
 
 # Work may stop on all workers for another cause; then moving it is in vain.
@@ -120,7 +120,8 @@
     estimate = placed.step.estimate
     if estimate <= 0 or placed.percent >= 99:
         return None
-    still = now - placed.moved
+    # Time without lists, as while an agent restarts, says nothing.
+    still = placed.seen - placed.moved
     limit = max(STILL_S, STILL_SHARE * estimate)
     if placed.percent <= placed.first_percent:
         limit += BEGIN_S
@@ -131,10 +132,13 @@
         return Fault(reason, still > patience)
     if placed.best_rate <= 0 or placed.percent >= MOVE_PERCENT:
         return None
+    if placed.rate < MIN_RATE:
+        # It stands still, which is judged by its time above.
+        return None
     # Estimates are far off and equal work items differ much, so a run is
     # compared with its own best time only.
     fresh = 100.0 / placed.best_rate
-    remaining = (100.0 - placed.percent) / max(placed.rate, MIN_RATE)
+    remaining = (100.0 - placed.percent) / placed.rate
     if remaining > SLOW_FACTOR * fresh + 1.0:
         reason = f'the rest would take {remaining:.1f} s, not {fresh:.1f} s'
         return Fault(reason, True)
--- a/damaskpin/daemon/coordination.py
+++ b/damaskpin/daemon/coordination.py
@@ -11,6 +11,7 @@
 from damaskpin.model import config as configs
 from damaskpin.model import hardware
 from damaskpin.model import job as jobs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 from damaskpin.scheduler import decisions
 from damaskpin.scheduler import scheduler as schedulers
@@ -54,7 +55,7 @@
     """A stop of a restored gang, repeated until the gang is gone."""
 
     lead: str
-    message: messages.StopGang
+    message: gang_messages.StopGang
     next_send: float
 
 
@@ -154,9 +155,9 @@
     ) -> list[effects.Effect]:
         """Handle a message of an owner or of an agent."""
         match message:
-            case messages.SubmitJob():
+            case gang_messages.SubmitJob():
                 return self._submit(now, message)
-            case messages.CancelJob(job_id, reason):
+            case gang_messages.CancelJob(job_id, reason):
                 return self._cancel(now, job_id, reason)
         return self._handle(now, self._gang.receive(now, sender, message))
 
@@ -187,7 +188,7 @@
         return self._scheduler.get_snapshot(now)
 
     def _submit(
-        self, now: float, message: messages.SubmitJob
+        self, now: float, message: gang_messages.SubmitJob
     ) -> list[effects.Effect]:
         job = message.job
         if self._active_since is None:
@@ -277,7 +278,7 @@
             state.worker: name for name, state in self._agents.items()
         }
         members = tuple(
-            messages.Member(by_worker[worker], indexes)
+            gang_messages.Member(by_worker[worker], indexes)
             for worker, indexes in place.members
         )
         self._attempts += 1
@@ -337,7 +338,7 @@
                 ),
                 '',
             )
-            message = messages.StopGang(entry.attempt, reason, grace)
+            message = gang_messages.StopGang(entry.attempt, reason, grace)
             self._stops[job_id] = _Stop(lead, message, now)
         return self._handle(
             now, self._gang.stop(now, job_id, reason, grace)
@@ -588,4 +589,4 @@
 def _update(
     owner: str, job_id: str, state: str, reason: str = ''
 ) -> effects.Send:
-    return effects.Send(owner, messages.JobUpdate(job_id, state, reason))
+    return effects.Send(owner, gang_messages.JobUpdate(job_id, state, reason))
--- a/damaskpin/daemon/entry.py
+++ b/damaskpin/daemon/entry.py
@@ -24,6 +24,7 @@
 from damaskpin.daemon import seeds
 from damaskpin.model import config as configs
 from damaskpin.peer import events
+from damaskpin.peer import gang_messages
 from damaskpin.peer import membership as memberships
 from damaskpin.peer import messages
 from damaskpin.report import burn as burns
@@ -313,12 +314,12 @@
                 | messages.RunState()
             ):
                 self.apply(self.dispatcher.receive(now, sender, message))
-            case messages.RequestGrant() | messages.JobUpdate():
+            case gang_messages.RequestGrant() | gang_messages.JobUpdate():
                 self.desk.receive(sender, message)
             case (
-                messages.GangFinished()
-                | messages.GangStatus()
-                | messages.GangFinishedAck()
+                gang_messages.GangFinished()
+                | gang_messages.GangStatus()
+                | gang_messages.GangFinishedAck()
             ):
                 self.desk.receive(sender, message)
                 self.apply(self.coordination.receive(now, sender, message))
--- a/damaskpin/daemon/jobs.py
+++ b/damaskpin/daemon/jobs.py
@@ -15,6 +15,7 @@
 from damaskpin import verdict as verdicts
 from damaskpin.gang import owner as owners
 from damaskpin.model import job as jobs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 from damaskpin.store import records
 
@@ -206,7 +207,7 @@
         now = self._get_time()
         job_id = getattr(message, 'job', '')
         owned = self._jobs.get(job_id)
-        if isinstance(message, messages.JobUpdate) and owned is not None:
+        if isinstance(message, gang_messages.JobUpdate) and owned is not None:
             self._note_update(owned, message)
         if owned is not None:
             owner = self._owners[owned.region]
@@ -220,7 +221,7 @@
                 return
 
     def _note_update(
-        self, owned: OwnedJob, update: messages.JobUpdate
+        self, owned: OwnedJob, update: gang_messages.JobUpdate
     ) -> None:
         owned.state, owned.reason = update.state, update.reason
         if update.state == 'running' and owned.started is None:
--- a/damaskpin/gang/abandoned.py
+++ b/damaskpin/gang/abandoned.py
@@ -6,7 +6,7 @@
 
 from damaskpin import effects
 from damaskpin.gang import timers
-from damaskpin.peer import messages
+from damaskpin.peer import gang_messages
 
 # An attempt that was given up may still run behind a partition; it is asked
 # to stop for this long.
@@ -55,6 +55,6 @@
                 del self._attempts[name]
                 continue
             self._timers.set(name, now + ABANDONED_POLL_SECONDS)
-            stop = messages.StopGang(name, 'given up')
+            stop = gang_messages.StopGang(name, 'given up')
             out.append(effects.Send(attempt.lead, stop))
         return out
--- a/damaskpin/gang/answers.py
+++ b/damaskpin/gang/answers.py
@@ -8,27 +8,34 @@
 from damaskpin.gang import metrics
 from damaskpin.gang import records
 from damaskpin.gang import timing
-from damaskpin.peer import messages
+from damaskpin.peer import gang_messages
 
 if TYPE_CHECKING:
     from damaskpin.gang import holdings
 
 
 def reserve(
-    held: holdings.Holdings, now: float, sender: str, message: messages.Reserve
+    held: holdings.Holdings,
+    now: float,
+    sender: str,
+    message: gang_messages.Reserve,
 ) -> None:
     """Hold accelerators for an attempt, or refuse."""
     known = held.entries.get(message.attempt)
     if known is not None:
         if known.phase is records.Phase.RESERVED:
-            held.send(sender, messages.Reserved(message.attempt, known.token))
+            held.send(
+                sender, gang_messages.Reserved(message.attempt, known.token)
+            )
         return
     reason = _check_reserve(held, now, message)
     if reason:
         metrics.REFUSALS.add(1, {'reason': reason})
         held.send(
             sender,
-            messages.ReserveRefused(message.attempt, reason, held.revision),
+            gang_messages.ReserveRefused(
+                message.attempt, reason, held.revision
+            ),
         )
         return
     held.revision = max(held.revision, message.revision)
@@ -53,11 +60,11 @@
         + timing.compute_member_patience(timing.MIN_BEAT_SECONDS),
     )
     held.entries[message.attempt] = holding
-    held.send(sender, messages.Reserved(message.attempt, holding.token))
+    held.send(sender, gang_messages.Reserved(message.attempt, holding.token))
 
 
 def _check_reserve(
-    held: holdings.Holdings, now: float, message: messages.Reserve
+    held: holdings.Holdings, now: float, message: gang_messages.Reserve
 ) -> str:
     wanted = set(message.accelerators)
     if message.attempt in held.gangs:
@@ -82,13 +89,16 @@
 
 
 def commit(
-    held: holdings.Holdings, now: float, sender: str, message: messages.Commit
+    held: holdings.Holdings,
+    now: float,
+    sender: str,
+    message: gang_messages.Commit,
 ) -> None:
     """Decide, as the lead, whether the gang starts."""
     attempt = message.attempt
     gang = held.gangs.get(attempt)
     if gang is not None:
-        held.send(sender, messages.Committed(attempt))
+        held.send(sender, gang_messages.Committed(attempt))
         gang.add_watcher(sender)
         return
     holding = held.entries.get(attempt)
@@ -102,7 +112,7 @@
     ):
         # The commit belongs to the reservation of another incarnation,
         # which may have started it.
-        held.send(sender, messages.GangStatus(attempt, 'unknown'))
+        held.send(sender, gang_messages.GangStatus(attempt, 'unknown'))
         return
     if now + timing.COMMIT_MARGIN_SECONDS > holding.expires:
         held.close(now, holding, records.Fate.ABORTED, 'expired')
@@ -110,11 +120,14 @@
         return
     held.lead_gang(now, holding, message.tokens)
     held.start_tasks(now, holding, message.tokens)
-    held.send(sender, messages.Committed(attempt))
+    held.send(sender, gang_messages.Committed(attempt))
 
 
 def _answer_closed(
-    held: holdings.Holdings, now: float, sender: str, message: messages.Commit
+    held: holdings.Holdings,
+    now: float,
+    sender: str,
+    message: gang_messages.Commit,
 ) -> None:
     """Answer a commit of an attempt that this agent does not hold.
 
@@ -125,16 +138,18 @@
     tombstone = held.tombstones.get(attempt)
     aborted = tombstone and tombstone.fate is records.Fate.ABORTED
     if tombstone and aborted and tombstone.token in message.tokens:
-        held.send(sender, messages.CommitRefused(attempt, tombstone.reason))
+        held.send(
+            sender, gang_messages.CommitRefused(attempt, tombstone.reason)
+        )
     elif held.knows_all(now):
-        held.send(sender, messages.GangStatus(attempt, 'unknown'))
+        held.send(sender, gang_messages.GangStatus(attempt, 'unknown'))
 
 
 def start_member(
     held: holdings.Holdings,
     now: float,
     sender: str,
-    message: messages.StartMember,
+    message: gang_messages.StartMember,
 ) -> None:
     """Start the tasks of a committed gang."""
     attempt = message.attempt
@@ -144,13 +159,13 @@
         if tombstone and tombstone.fate is records.Fate.FINISHED:
             held.send_end(sender, attempt, tombstone)
         elif tombstone is not None:
-            held.send(sender, messages.MemberRefused(attempt, 'closed'))
+            held.send(sender, gang_messages.MemberRefused(attempt, 'closed'))
         elif held.knows_all(now):
             held.tombstones.add(now, attempt, '', records.Fate.CLOSED)
-            held.send(sender, messages.MemberRefused(attempt, 'unknown'))
+            held.send(sender, gang_messages.MemberRefused(attempt, 'unknown'))
     elif holding.token != message.token:
         if holding.phase is records.Phase.RESERVED:
-            held.send(sender, messages.MemberRefused(attempt, 'unknown'))
+            held.send(sender, gang_messages.MemberRefused(attempt, 'unknown'))
     else:
         if holding.confirmed:
             right = holding.reserved + timing.compute_member_patience(
@@ -167,7 +182,7 @@
     held: holdings.Holdings,
     now: float,
     sender: str,
-    message: messages.QueryGang,
+    message: gang_messages.QueryGang,
 ) -> None:
     """Tell the decision about a gang that this agent leads."""
     attempt = message.attempt
@@ -190,7 +205,7 @@
         # A reservation that is still under way must not be granted once
         # somebody has acted on this answer.
         held.tombstones.add(now, attempt, '', records.Fate.CLOSED)
-    held.send(sender, messages.GangStatus(attempt, state, message.token))
+    held.send(sender, gang_messages.GangStatus(attempt, state, message.token))
 
 
 def _answer_for_gang(
@@ -212,7 +227,7 @@
     held: holdings.Holdings,
     now: float,
     sender: str,
-    message: messages.GangStatus,
+    message: gang_messages.GangStatus,
 ) -> None:
     """Act on the decision of the lead."""
     holding = held.entries.get(message.attempt)
@@ -236,7 +251,7 @@
     held: holdings.Holdings,
     now: float,
     sender: str,
-    message: messages.GangBeat,
+    message: gang_messages.GangBeat,
 ) -> None:
     """Answer a beat of the lead."""
     attempt = message.attempt
@@ -246,7 +261,7 @@
         if tombstone is not None:
             held.send_end(sender, attempt, tombstone)
         elif held.knows_all(now):
-            held.send(sender, messages.MemberStopped(attempt))
+            held.send(sender, gang_messages.MemberStopped(attempt))
         return
     if holding.lead != sender or holding.phase not in (
         records.Phase.STARTING,
@@ -266,7 +281,7 @@
     held: holdings.Holdings,
     now: float,
     sender: str,
-    message: messages.GangBeat,
+    message: gang_messages.GangBeat,
 ) -> None:
     """Note the answer of a member to a beat."""
     gang = held.gangs.get(message.attempt)
@@ -277,14 +292,14 @@
     if message.attempt in held.entries:
         return
     if held.knows_all(now):
-        held.send(sender, messages.GangStatus(message.attempt, 'unknown'))
+        held.send(sender, gang_messages.GangStatus(message.attempt, 'unknown'))
 
 
 def stop(
     held: holdings.Holdings,
     now: float,
     sender: str,
-    message: messages.StopGang,
+    message: gang_messages.StopGang,
 ) -> None:
     """End an attempt here, or everywhere when this agent leads it."""
     attempt = message.attempt
@@ -312,4 +327,4 @@
     if tombstone.fate is records.Fate.ABORTED:
         held.report_aborted(sender, tombstone)
     elif tombstone.fate is records.Fate.CLOSED:
-        held.send(sender, messages.GangStatus(attempt, 'unknown'))
+        held.send(sender, gang_messages.GangStatus(attempt, 'unknown'))
--- a/damaskpin/gang/coordinator.py
+++ b/damaskpin/gang/coordinator.py
@@ -8,6 +8,7 @@
 from damaskpin.gang import metrics
 from damaskpin.gang import placement as placements
 from damaskpin.gang import timers
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 if TYPE_CHECKING:
@@ -48,7 +49,7 @@
         attempt: str,
         job: jobs.Job,
         owner: str,
-        members: tuple[messages.Member, ...],
+        members: tuple[gang_messages.Member, ...],
         revision: int,
         guaranteed: bool,
     ) -> list[effects.Effect]:
@@ -135,44 +136,44 @@
         placement = self._placements.get(attempt)
         if placement is None:
             # A former coordinator of this name started the gang.
-            if isinstance(message, messages.GangFinished):
-                self._send(sender, messages.GangFinishedAck(attempt))
+            if isinstance(message, gang_messages.GangFinished):
+                self._send(sender, gang_messages.GangFinishedAck(attempt))
             return self._flush()
         # A process that was paused finds its placements overdue first.
         self._advance(now, placement)
         match message:
-            case messages.Reserved():
+            case gang_messages.Reserved():
                 placement.note_reserved(now, sender, message.token)
-            case messages.ReserveRefused():
+            case gang_messages.ReserveRefused():
                 placement.note_refused(now, sender, message.reason)
-            case messages.Granted() if (
+            case gang_messages.Granted() if (
                 placement.phase is placements.Phase.GRANTING
             ):
                 placement.phase = placements.Phase.COMMITTING
                 self._cells.free(placement)
                 placement.hurry(now)
-            case messages.Denied() if (
+            case gang_messages.Denied() if (
                 placement.phase is placements.Phase.GRANTING
             ):
                 self._fail(now, placement, f'denied: {message.reason}', ())
-            case messages.Committed():
+            case gang_messages.Committed():
                 self._note_committed(now, placement)
-            case messages.CommitRefused():
+            case gang_messages.CommitRefused():
                 if placement.phase is placements.Phase.COMMITTING:
                     refused = (placement.lead,)
                     self._fail(now, placement, message.reason, refused)
-            case messages.GangStatus() if sender == placement.lead:
+            case gang_messages.GangStatus() if sender == placement.lead:
                 self._note_status(now, placement, message.state)
-            case messages.GangFinished():
-                self._send(sender, messages.GangFinishedAck(attempt))
+            case gang_messages.GangFinished():
+                self._send(sender, gang_messages.GangFinishedAck(attempt))
                 self._note_finished(now, placement, message)
             case (
-                messages.MemberStopped()
-                | messages.MemberRefused()
-                | messages.MemberFinished()
+                gang_messages.MemberStopped()
+                | gang_messages.MemberRefused()
+                | gang_messages.MemberFinished()
             ):
                 placement.released.add(sender)
-            case messages.GangFinishedAck() if sender == placement.owner:
+            case gang_messages.GangFinishedAck() if sender == placement.owner:
                 placement.owner_told = True
         self._advance(now, placement)
         return self._flush()
@@ -224,7 +225,7 @@
         self,
         now: float,
         placement: placements.Placement,
-        message: messages.GangFinished,
+        message: gang_messages.GangFinished,
     ) -> None:
         if placement.phase not in (
             placements.Phase.COMMITTING,
--- a/damaskpin/gang/holdings.py
+++ b/damaskpin/gang/holdings.py
@@ -10,6 +10,7 @@
 from damaskpin.gang import metrics
 from damaskpin.gang import records
 from damaskpin.gang import timing
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 if TYPE_CHECKING:
@@ -131,7 +132,8 @@
         if not reserved:
             self.send_beat(now, holding)
         self.send(
-            holding.lead, messages.QueryGang(holding.attempt, holding.token)
+            holding.lead,
+            gang_messages.QueryGang(holding.attempt, holding.token),
         )
 
     def lead_gang(
@@ -175,7 +177,7 @@
             return
         self.send(
             holding.lead,
-            messages.MemberStarted(holding.attempt, now + self.epoch),
+            gang_messages.MemberStarted(holding.attempt, now + self.epoch),
         )
 
     def stop_tasks(
@@ -239,16 +241,18 @@
     ) -> None:
         """Tell how an attempt ended here."""
         if tombstone.fate is records.Fate.FINISHED:
-            message = messages.MemberFinished(attempt, tombstone.exit_code)
+            message = gang_messages.MemberFinished(
+                attempt, tombstone.exit_code
+            )
             self.send(to, message)
         else:
-            self.send(to, messages.MemberStopped(attempt))
+            self.send(to, gang_messages.MemberStopped(attempt))
 
     def send_beat(self, now: float, holding: records.Holding) -> None:
         """Answer a beat."""
         self.send(
             holding.lead,
-            messages.GangBeat(
+            gang_messages.GangBeat(
                 holding.attempt, 0.0, reply=True, uptime=now + self.epoch
             ),
         )
@@ -257,7 +261,7 @@
         """Tell that a gang was not committed."""
         self.send(
             to,
-            messages.GangFinished(
+            gang_messages.GangFinished(
                 attempt=tombstone.attempt,
                 job=tombstone.job,
                 committed=False,
--- a/damaskpin/gang/jobs.py
+++ b/damaskpin/gang/jobs.py
@@ -12,7 +12,7 @@
 from damaskpin import verdict as verdicts
 from damaskpin.gang import timing
 from damaskpin.model import job as jobs
-from damaskpin.peer import messages
+from damaskpin.peer import gang_messages
 
 RESUBMIT_SECONDS = 2.0
 # A job that the coordinator confirmed is submitted again this seldom; a new
@@ -127,7 +127,7 @@
             return 'ending'
         return ''
 
-    def assign(self, request: messages.RequestGrant) -> None:
+    def assign(self, request: gang_messages.RequestGrant) -> None:
         """Take the attempt of a request."""
         self.attempt = request.attempt
         self.lead = request.lead
@@ -205,24 +205,26 @@
         self.submit_delay = min(2 * self.submit_delay, MAX_RESUBMIT_SECONDS)
         self.next_submit = max(self.next_submit, now + self.submit_delay)
 
-    def make_submission(self, now: float, owner: str) -> messages.SubmitJob:
+    def make_submission(
+        self, now: float, owner: str
+    ) -> gang_messages.SubmitJob:
         """Return the message that queues the job."""
         job = msgspec.structs.replace(
             self.job, age_seconds=now - self.submitted
         )
-        return messages.SubmitJob(job, owner, self.attempt)
+        return gang_messages.SubmitJob(job, owner, self.attempt)
 
     def ask_lead(self, now: float) -> list[effects.Effect]:
         """Return the question or the request to the lead that is due."""
         if self.cancelled is not None and self.phase is Phase.GRANTED:
             self.next_poll = now + self.poll_delay
             self.poll_delay = min(2 * self.poll_delay, MAX_STOP_REPEAT_SECONDS)
-            message = messages.StopGang(self.attempt, self.cancelled)
+            message = gang_messages.StopGang(self.attempt, self.cancelled)
         else:
             doubt = not self.running or self.phase is Phase.SETTLING
             delay = DOUBT_POLL_SECONDS if doubt else POLL_SECONDS
             self.next_poll = now + delay
-            message = messages.QueryGang(self.attempt)
+            message = gang_messages.QueryGang(self.attempt)
         return [effects.Send(self.lead, message)] if self.lead else []
 
     def compute_due(self) -> float:
--- a/damaskpin/gang/lead.py
+++ b/damaskpin/gang/lead.py
@@ -10,6 +10,7 @@
 from damaskpin import effects
 from damaskpin.gang import metrics
 from damaskpin.gang import timing
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 if TYPE_CHECKING:
@@ -240,18 +241,20 @@
             self._report(now, out)
         return out
 
-    def make_beat(self, agent: str) -> messages.GangBeat:
+    def make_beat(self, agent: str) -> gang_messages.GangBeat:
         """Return a beat for a member."""
         uptime = self._members[agent].uptime
-        return messages.GangBeat(self.attempt, self.interval, uptime=uptime)
+        return gang_messages.GangBeat(
+            self.attempt, self.interval, uptime=uptime
+        )
 
-    def make_report(self) -> messages.GangFinished:
+    def make_report(self) -> gang_messages.GangFinished:
         """Return the message that tells the end of the gang."""
         codes = [member.exit_code for member in self._members.values()]
         exit_code = self._failed_code
         if exit_code is None and None not in codes:
             exit_code = max(code for code in codes if code is not None)
-        return messages.GangFinished(
+        return gang_messages.GangFinished(
             attempt=self.attempt,
             job=self.job,
             committed=True,
@@ -270,10 +273,10 @@
         member.next_send = now + member.delay * self._rng.uniform(0.75, 1.25)
         member.delay = min(2 * member.delay, MAX_REPEAT_SECONDS)
         if self.decision is Decision.COMMITTED:
-            return messages.StartMember(
+            return gang_messages.StartMember(
                 self.attempt, member.token, self.interval
             )
-        return messages.StopGang(self.attempt, self.reason, self._grace)
+        return gang_messages.StopGang(self.attempt, self.reason, self._grace)
 
     def _conclude(self, now: float) -> None:
         if not all(self._is_gone(now, m) for m in self._members.values()):
--- a/damaskpin/gang/member.py
+++ b/damaskpin/gang/member.py
@@ -10,6 +10,7 @@
 from damaskpin.gang import holdings
 from damaskpin.gang import records
 from damaskpin.gang import timing
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 if TYPE_CHECKING:
@@ -191,32 +192,32 @@
         attempt = getattr(message, 'attempt', '')
         gang = self._held.gangs.get(attempt)
         match message:
-            case messages.Reserve():
+            case gang_messages.Reserve():
                 answers.reserve(self._held, now, sender, message)
-            case messages.Commit():
+            case gang_messages.Commit():
                 answers.commit(self._held, now, sender, message)
-            case messages.StartMember():
+            case gang_messages.StartMember():
                 answers.start_member(self._held, now, sender, message)
-            case messages.QueryGang():
+            case gang_messages.QueryGang():
                 answers.answer_query(self._held, now, sender, message)
-            case messages.GangStatus():
+            case gang_messages.GangStatus():
                 answers.learn_decision(self._held, now, sender, message)
-            case messages.GangBeat(reply=False):
+            case gang_messages.GangBeat(reply=False):
                 answers.answer_beat(self._held, now, sender, message)
-            case messages.GangBeat():
+            case gang_messages.GangBeat():
                 answers.note_beat(self._held, now, sender, message)
-            case messages.StopGang():
+            case gang_messages.StopGang():
                 answers.stop(self._held, now, sender, message)
-            case messages.MemberStarted() if gang:
+            case gang_messages.MemberStarted() if gang:
                 gang.note_started(now, sender, message.uptime)
-            case messages.MemberRefused() if gang:
+            case gang_messages.MemberRefused() if gang:
                 reason = f'{sender} refused: {message.reason}'
                 gang.note_stopped(now, sender, reason)
-            case messages.MemberStopped() if gang:
+            case gang_messages.MemberStopped() if gang:
                 gang.note_stopped(now, sender, f'{sender} stopped')
-            case messages.MemberFinished() if gang:
+            case gang_messages.MemberFinished() if gang:
                 gang.note_finished(now, sender, message.exit_code)
-            case messages.GangFinishedAck() if gang:
+            case gang_messages.GangFinishedAck() if gang:
                 gang.acknowledge(sender)
         return self._held.flush(now)
 
--- a/damaskpin/gang/owner.py
+++ b/damaskpin/gang/owner.py
@@ -10,6 +10,7 @@
 from damaskpin.gang import jobs as gang_jobs
 from damaskpin.gang import metrics
 from damaskpin.gang import timers
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 if TYPE_CHECKING:
@@ -126,7 +127,9 @@
         if record is None:
             return []
         if self._coordinator:
-            self._send(self._coordinator, messages.CancelJob(job_id, reason))
+            self._send(
+                self._coordinator, gang_messages.CancelJob(job_id, reason)
+            )
         if not record.is_granted:
             # No attempt holds a grant, and none gets one from here on.
             self._conclude(record, record.make_unstarted(reason))
@@ -184,17 +187,19 @@
         :param sender: instance id of the sender.
         """
         match message:
-            case messages.RequestGrant():
+            case gang_messages.RequestGrant():
                 self._answer_request(now, sender, message)
-            case messages.GangFinished():
+            case gang_messages.GangFinished():
                 self._abandoned.remove(message.attempt)
                 self._note_finished(now, message)
                 if message.job not in self._storing:
-                    acknowledge = messages.GangFinishedAck(message.attempt)
+                    acknowledge = gang_messages.GangFinishedAck(
+                        message.attempt
+                    )
                     self._send(sender, acknowledge)
-            case messages.GangStatus():
+            case gang_messages.GangStatus():
                 self._note_status(now, sender, message)
-            case messages.JobUpdate():
+            case gang_messages.JobUpdate():
                 self._note_update(now, sender, message)
         return self._flush()
 
@@ -210,7 +215,7 @@
     # Grants
 
     def _answer_request(
-        self, now: float, sender: str, message: messages.RequestGrant
+        self, now: float, sender: str, message: gang_messages.RequestGrant
     ) -> None:
         attempt = message.attempt
         record = self._records.get(message.job)
@@ -226,7 +231,7 @@
             return
         record.requester = sender
         if record.phase is gang_jobs.Phase.GRANTED:
-            self._send(sender, messages.Granted(message.job, attempt))
+            self._send(sender, gang_messages.Granted(message.job, attempt))
         if record.phase is not gang_jobs.Phase.WAITING:
             return
         self._attempts[attempt] = message.job
@@ -242,16 +247,17 @@
         record.grant(now)
         self._record(record, 'granted', record.attempt)
         self._send(
-            record.requester, messages.Granted(record.job.id, record.attempt)
+            record.requester,
+            gang_messages.Granted(record.job.id, record.attempt),
         )
 
     def _deny(self, to: str, job: str, attempt: str, reason: str) -> None:
-        self._send(to, messages.Denied(job, attempt, reason))
+        self._send(to, gang_messages.Denied(job, attempt, reason))
 
     # News of an attempt
 
     def _note_finished(
-        self, now: float, message: messages.GangFinished
+        self, now: float, message: gang_messages.GangFinished
     ) -> None:
         record = self._records.get(message.job)
         if record is None:
@@ -274,7 +280,7 @@
         self._advance(now, record)
 
     def _note_status(
-        self, now: float, sender: str, message: messages.GangStatus
+        self, now: float, sender: str, message: gang_messages.GangStatus
     ) -> None:
         job_id = self._attempts.get(message.attempt, '')
         record = self._records.get(job_id)
@@ -288,7 +294,7 @@
         self._advance(now, record)
 
     def _note_update(
-        self, now: float, sender: str, message: messages.JobUpdate
+        self, now: float, sender: str, message: gang_messages.JobUpdate
     ) -> None:
         record = self._records.get(message.job)
         if record is None or sender != self._coordinator:
--- a/damaskpin/gang/placement.py
+++ b/damaskpin/gang/placement.py
@@ -8,7 +8,7 @@
 
 from damaskpin import effects
 from damaskpin.gang import timing
-from damaskpin.peer import messages
+from damaskpin.peer import gang_messages
 
 if TYPE_CHECKING:
     import random
@@ -56,7 +56,7 @@
     attempt: str
     job: jobs.Job
     owner: str
-    members: tuple[messages.Member, ...]
+    members: tuple[gang_messages.Member, ...]
     revision: int
     guaranteed: bool
     began: float
@@ -191,7 +191,7 @@
             case Phase.RESERVING:
                 out = self._make_reserves()
             case Phase.GRANTING:
-                request = messages.RequestGrant(
+                request = gang_messages.RequestGrant(
                     self.job.id,
                     self.attempt,
                     lead,
@@ -202,17 +202,19 @@
             case Phase.RELEASING:
                 out = self._make_releases(now)
             case _ if self.stop is not None:
-                stop = messages.StopGang(self.attempt, *self.stop)
+                stop = gang_messages.StopGang(self.attempt, *self.stop)
                 out = [effects.Send(lead, stop)]
             case Phase.COMMITTING if self.lost_at is None:
                 tokens = tuple(self.tokens[agent] for agent in self.agents)
-                commit = messages.Commit(self.attempt, tokens)
+                commit = gang_messages.Commit(self.attempt, tokens)
                 out = [effects.Send(lead, commit)]
             case _:
                 # Finds the end of a gang whose notice was lost.
                 lost = self.lost_at is not None
                 delay = LOST_POLL_SECONDS if lost else POLL_SECONDS
-                out = [effects.Send(lead, messages.QueryGang(self.attempt))]
+                out = [
+                    effects.Send(lead, gang_messages.QueryGang(self.attempt))
+                ]
         self.next_send = now + delay * rng.uniform(0.75, 1.25)
         self.delay = min(2 * self.delay, MAX_REPEAT_SECONDS)
         return out
@@ -223,7 +225,7 @@
             agent = member.agent
             if agent in self.tokens or agent in self.refused:
                 continue
-            reserve = messages.Reserve(
+            reserve = gang_messages.Reserve(
                 attempt=self.attempt,
                 job=self.job.id,
                 account=self.job.account,
@@ -243,10 +245,10 @@
         out: list[effects.Effect] = []
         for agent in self.agents:
             if agent not in self.released and now < self.released_by:
-                stop = messages.StopGang(self.attempt, self.reason)
+                stop = gang_messages.StopGang(self.attempt, self.reason)
                 out.append(effects.Send(agent, stop))
         if self.asked_owner and not self.owner_told:
-            notice = messages.GangFinished(
+            notice = gang_messages.GangFinished(
                 attempt=self.attempt,
                 job=self.job.id,
                 committed=False,
--- a/damaskpin/gang/records.py
+++ b/damaskpin/gang/records.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from damaskpin.gang import timing
-from damaskpin.peer import messages
+from damaskpin.peer import gang_messages
 
 MAX_TOMBSTONES = 4096
 
@@ -46,7 +46,7 @@
     owner: str
     accelerators: tuple[int, ...]
     lead: str
-    members: tuple[messages.Member, ...]
+    members: tuple[gang_messages.Member, ...]
     coordinator: str
     guaranteed: bool
     command: tuple[str, ...]
@@ -171,7 +171,7 @@
     """
     try:
         members = msgspec.json.decode(
-            labels.get('members', '[]'), type=tuple[messages.Member, ...]
+            labels.get('members', '[]'), type=tuple[gang_messages.Member, ...]
         )
         tokens = msgspec.json.decode(
             labels.get('tokens', '[]'), type=tuple[str, ...]
--- /dev/null
+++ b/damaskpin/peer/forms.py
@@ -0,0 +1,13 @@
+"""Base classes of what processes exchange."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Value(msgspec.Struct, frozen=True, array_like=True):
+    """Base class of values inside messages."""
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base class of messages; the class name is the tag."""
--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -5,21 +5,12 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from damaskpin import verdict
-from damaskpin.model import job as jobs
-
-
-class _Value(msgspec.Struct, frozen=True, array_like=True):
-    """Base class of values inside messages."""
-
-
-class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Base class of messages; the class name is the tag."""
+from damaskpin.peer import forms
+from damaskpin.peer import gang_messages
 
 
-class Peer(_Value):
+class Peer(forms.Value):
     """A process of ours.
 
     :ivar instance: name that a restarted process keeps.
@@ -37,7 +28,7 @@
     http: str = ''
 
 
-class TargetState(_Value):
+class TargetState(forms.Value):
     """An announced target.
 
     :ivar slots: requests that it serves at the same time.
@@ -50,7 +41,7 @@
     leaving: bool = False
 
 
-class GangState(_Value):
+class GangState(forms.Value):
     """A gang member on a worker.
 
     :ivar accelerators: indexes of the accelerators in use.
@@ -68,7 +59,7 @@
     owner: str = ''
 
 
-class AgentState(_Value):
+class AgentState(forms.Value):
     """What an agent reports about its worker.
 
     :ivar uptime: seconds since the agent started, on its monotonic clock.
@@ -91,7 +82,7 @@
 # Membership
 
 
-class AgentReport(_Message):
+class AgentReport(forms.Message):
     """Heartbeat of an agent to its home entry.
 
     :ivar state: full state when it changed or was asked for.
@@ -107,7 +98,7 @@
     entries_version: str = ''
 
 
-class ReportAck(_Message):
+class ReportAck(forms.Message):
     """Answer of the home entry.
 
     :ivar interval: seconds until the next report is due.
@@ -123,7 +114,7 @@
     entries: tuple[Peer, ...] = ()
 
 
-class EntryBeat(_Message):
+class EntryBeat(forms.Message):
     """Heartbeat between entries.
 
     :ivar interval: seconds until the sender's next heartbeat.
@@ -141,7 +132,7 @@
     digest: int = 0
 
 
-class RegionUpdate(_Message):
+class RegionUpdate(forms.Message):
     """Changed agent states, from their home to the entries of the region.
 
     :ivar agents: changed states.
@@ -154,7 +145,7 @@
     full: bool = False
 
 
-class FindPeer(_Message):
+class FindPeer(forms.Message):
     """Ask an entry for the address of a process.
 
     :ivar instance: instance id of the process.
@@ -163,32 +154,32 @@
     instance: str
 
 
-class PeerFound(_Message):
+class PeerFound(forms.Message):
     """Where a process listens now."""
 
     peer: Peer
 
 
-class SyncRequest(_Message):
+class SyncRequest(forms.Message):
     """Ask an entry for all agent states that it is home of."""
 
 
 # Configuration
 
 
-class RevisionNotice(_Message):
+class RevisionNotice(forms.Message):
     """A revision that the sender has applied."""
 
     revision: int
 
 
-class FetchConfig(_Message):
+class FetchConfig(forms.Message):
     """Ask for a configuration newer than the given revision."""
 
     revision: int
 
 
-class ConfigBody(_Message):
+class ConfigBody(forms.Message):
     """A configuration document and its revision."""
 
     revision: int
@@ -198,7 +189,7 @@
 # Requests to services
 
 
-class RunRequest(_Message):
+class RunRequest(forms.Message):
     """Run one request on the target beside the agent.
 
     :ivar incarnation: incarnation of the agent that may run it.
@@ -217,14 +208,14 @@
     trace: str = ''
 
 
-class RunAnswer(_Message):
+class RunAnswer(forms.Message):
     """The whole answer of an attempt."""
 
     attempt: str
     answer: verdict.Answer
 
 
-class RunRefused(_Message):
+class RunRefused(forms.Message):
     """The attempt did not run here and never will.
 
     :ivar reason: ``busy``, ``leaving``, ``no-target``, ``expired``,
@@ -235,7 +226,7 @@
     reason: str
 
 
-class RunUncertain(_Message):
+class RunUncertain(forms.Message):
     """The attempt may have run, and no whole answer can be given.
 
     The target was called without a whole answer, or the agent can't know: the
@@ -246,7 +237,7 @@
     reason: str
 
 
-class CancelRequest(_Message):
+class CancelRequest(forms.Message):
     """Stop an attempt: a waiting one is refused, a running one is ended.
 
     An agent that has not seen the attempt needs the other fields to know
@@ -261,7 +252,7 @@
     expires_uptime: float = 0.0
 
 
-class QueryRun(_Message):
+class QueryRun(forms.Message):
     """Ask for the state of an attempt without sending its body again.
 
     :ivar incarnation: incarnation of the agent that may run the attempt.
@@ -273,7 +264,7 @@
     expires_uptime: float
 
 
-class RunState(_Message):
+class RunState(forms.Message):
     """State of an attempt that has not ended.
 
     :ivar state: ``waiting``, ``running`` or ``unknown``; unknown asks for the
@@ -284,273 +275,6 @@
     state: str
 
 
-# Jobs
-
-
-class SubmitJob(_Message):
-    """Queue a job at the coordinator; repeated until it ends.
-
-    :ivar owner: instance id of the entry that grants attempts.
-    :ivar attempt: attempt that is granted and may run, if any.
-    """
-
-    job: jobs.Job
-    owner: str
-    attempt: str = ''
-
-
-class JobUpdate(_Message):
-    """What the coordinator decided about a queued job.
-
-    :ivar state: ``queued``, ``placing``, ``running``, ``refused`` or
-        ``reclaimed``.
-    """
-
-    job: str
-    state: str
-    reason: str = ''
-
-
-class CancelJob(_Message):
-    """Remove a job, and stop its gang if it runs."""
-
-    job: str
-    reason: str
-
-
-class RequestGrant(_Message):
-    """Ask the owner whether an attempt of a job may commit.
-
-    :ivar token: token of the lead's reservation.
-    """
-
-    job: str
-    attempt: str
-    lead: str
-    members: tuple[str, ...] = ()
-    token: str = ''
-
-
-class Granted(_Message):
-    """The attempt may commit; no other attempt of the job may."""
-
-    job: str
-    attempt: str
-
-
-class Denied(_Message):
-    """The attempt may not commit."""
-
-    job: str
-    attempt: str
-    reason: str
-
-
-# Gangs
-
-
-class Member(_Value):
-    """One member of a gang.
-
-    :ivar agent: instance id of the agent.
-    :ivar accelerators: indexes of the accelerators, one task on each.
-    """
-
-    agent: str
-    accelerators: tuple[int, ...]
-
-
-class Reserve(_Message):
-    """Reserve the accelerators of one gang member.
-
-    :ivar members: the whole gang for the lead; empty for other members.
-    :ivar ttl: seconds that the reservation holds before the decision.
-    :ivar revision: configuration revision the placement was decided under.
-    """
-
-    attempt: str
-    job: str
-    account: str
-    owner: str
-    accelerators: tuple[int, ...]
-    lead: str
-    members: tuple[Member, ...]
-    revision: int
-    ttl: float
-    guaranteed: bool
-    command: tuple[str, ...] = ()
-    trace: str = ''
-
-
-class Reserved(_Message):
-    """The accelerators are held.
-
-    :ivar token: random name of this reservation. A start must carry it, so
-        that a late message can't start a reservation of a later incarnation.
-    """
-
-    attempt: str
-    token: str = ''
-
-
-class ReserveRefused(_Message):
-    """The accelerators are not held, and the attempt can't start here.
-
-    :ivar reason: ``taken``, ``stale-revision``, ``draining``,
-        ``closed`` (the attempt ended here) or ``unhealthy``.
-    """
-
-    attempt: str
-    reason: str
-    revision: int = 0
-
-
-class Commit(_Message):
-    """Ask the lead to decide that the gang starts.
-
-    :ivar tokens: token of each member's reservation, in the members' order.
-    """
-
-    attempt: str
-    tokens: tuple[str, ...] = ()
-
-
-class Committed(_Message):
-    """The lead decided that the gang starts."""
-
-    attempt: str
-
-
-class CommitRefused(_Message):
-    """The lead decided, for good, that the gang does not start."""
-
-    attempt: str
-    reason: str
-
-
-class StartMember(_Message):
-    """The gang is committed: start the tasks of this member.
-
-    :ivar token: token of the member's reservation.
-    :ivar interval: seconds between beats of the lead.
-    """
-
-    attempt: str
-    token: str = ''
-    interval: float = 0.0
-
-
-class MemberStarted(_Message):
-    """The tasks of this member run.
-
-    :ivar uptime: clock of the member, see ``GangBeat``.
-    """
-
-    attempt: str
-    uptime: float = 0.0
-
-
-class MemberRefused(_Message):
-    """Nothing of the attempt runs on this member or can start there."""
-
-    attempt: str
-    reason: str
-
-
-class QueryGang(_Message):
-    """Ask the lead for its decision.
-
-    A process that is no member is also told the end of the gang.
-
-    :ivar token: token of the reservation of a member that asks.
-    """
-
-    attempt: str
-    token: str = ''
-
-
-class GangStatus(_Message):
-    """Decision of the lead.
-
-    :ivar state: ``undecided``, ``committed``, ``ended`` or ``unknown``.
-    :ivar token: token of the query that this answers.
-    """
-
-    attempt: str
-    state: str
-    token: str = ''
-
-
-class GangBeat(_Message):
-    """Heartbeat between the lead and a member.
-
-    :ivar interval: seconds until the lead sends the next one.
-    :ivar reply: true on a member's answer.
-    :ivar uptime: clock of the member when it answered; the lead sends the
-        last one back, so that a member can tell how old a late beat is. 0
-        before the first answer.
-    """
-
-    attempt: str
-    interval: float
-    reply: bool = False
-    uptime: float = 0.0
-
-
-class StopGang(_Message):
-    """End the attempt on this member, or on all when sent to the lead.
-
-    :ivar grace: seconds for a checkpoint; 0 stops without one.
-    """
-
-    attempt: str
-    reason: str
-    grace: float = 0.0
-
-
-class MemberStopped(_Message):
-    """The tasks of this member do not run and can't start any more."""
-
-    attempt: str
-
-
-class MemberFinished(_Message):
-    """The tasks of a member ended by themselves.
-
-    :ivar exit_code: largest exit code of the member's tasks.
-    """
-
-    attempt: str
-    exit_code: int
-
-
-class GangFinished(_Message):
-    """End of an attempt, from the lead to the owner and the coordinator.
-
-    :ivar committed: whether the lead had decided to start.
-    :ivar exit_code: largest exit code, or ``None`` when it was stopped.
-    :ivar stopped: whether every member has answered that nothing runs. It is
-        sent without these answers when the leases of the silent members have
-        ended.
-    :ivar token: token of the lead's reservation that was not committed; a
-        lead that restarted may have committed an earlier one.
-    """
-
-    attempt: str
-    job: str
-    committed: bool
-    exit_code: int | None
-    reason: str
-    stopped: bool = True
-    token: str = ''
-
-
-class GangFinishedAck(_Message):
-    """The owner has recorded the end of the attempt."""
-
-    attempt: str
-
-
 Message = (
     AgentReport
     | ReportAck
@@ -569,33 +293,33 @@
     | CancelRequest
     | QueryRun
     | RunState
-    | SubmitJob
-    | JobUpdate
-    | CancelJob
-    | RequestGrant
-    | Granted
-    | Denied
-    | Reserve
-    | Reserved
-    | ReserveRefused
-    | Commit
-    | Committed
-    | CommitRefused
-    | StartMember
-    | MemberStarted
-    | MemberRefused
-    | QueryGang
-    | GangStatus
-    | GangBeat
-    | StopGang
-    | MemberStopped
-    | MemberFinished
-    | GangFinished
-    | GangFinishedAck
+    | gang_messages.SubmitJob
+    | gang_messages.JobUpdate
+    | gang_messages.CancelJob
+    | gang_messages.RequestGrant
+    | gang_messages.Granted
+    | gang_messages.Denied
+    | gang_messages.Reserve
+    | gang_messages.Reserved
+    | gang_messages.ReserveRefused
+    | gang_messages.Commit
+    | gang_messages.Committed
+    | gang_messages.CommitRefused
+    | gang_messages.StartMember
+    | gang_messages.MemberStarted
+    | gang_messages.MemberRefused
+    | gang_messages.QueryGang
+    | gang_messages.GangStatus
+    | gang_messages.GangBeat
+    | gang_messages.StopGang
+    | gang_messages.MemberStopped
+    | gang_messages.MemberFinished
+    | gang_messages.GangFinished
+    | gang_messages.GangFinishedAck
 )
 
 
-class Frame(_Value):
+class Frame(forms.Value):
     """What one call or reply carries.
 
     :ivar sender: instance id of the sender.
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -7,20 +7,11 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from damaskpin.model import work
+from damaskpin.peer import forms
 
 
-class _Value(msgspec.Struct, frozen=True, array_like=True):
-    """Base class of values inside messages."""
-
-
-class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """Base class of messages; the class name is the tag."""
-
-
-class WorkerProfile(_Value):
+class WorkerProfile(forms.Value):
     """What a worker says of itself.
 
     :ivar labels: kind and rack of the worker.
@@ -37,7 +28,7 @@
     remaining: float
 
 
-class StartOrder(_Value):
+class StartOrder(forms.Value):
     """A run to start.
 
     :ivar content: text handed to the work item.
@@ -51,14 +42,14 @@
     ticket: str = ''
 
 
-class RefusedRun(_Value):
+class RefusedRun(forms.Value):
     """A run that does not exist and never will: refused, or lapsed."""
 
     run: work.Run
     reason: str
 
 
-class Orders(_Message):
+class Orders(forms.Message):
     """What the coordinator wants of one worker.
 
     :ivar fence: fencing token of the coordinator; only rises.
@@ -83,7 +74,7 @@
     entries: tuple[str, ...]
 
 
-class Report(_Message):
+class Report(forms.Message):
     """What an agent knows of its worker.
 
     :ivar time: agent's clock in seconds.
@@ -117,7 +108,7 @@
     lapse: float = 0.0
 
 
-class Redirect(_Message):
+class Redirect(forms.Message):
     """Where the coordinator is, as an entry knows it.
 
     :ivar coordinator: address; empty if none is known.
@@ -128,7 +119,7 @@
     entries: tuple[str, ...]
 
 
-class StoreCall(_Message):
+class StoreCall(forms.Message):
     """A call to the store that the receiver makes for the sender.
 
     :ivar request: encoded request of the store's client.
@@ -138,7 +129,7 @@
     request: bytes
 
 
-class StoreAnswer(_Message):
+class StoreAnswer(forms.Message):
     """Answer of a relayed call.
 
     :ivar status: HTTP status; 0 when the store gave no answer.
@@ -154,7 +145,7 @@
 Message = Orders | Report | Redirect | StoreCall | StoreAnswer
 
 
-class Frame(_Value):
+class Frame(forms.Value):
     """What one call or reply carries.
 
     :ivar sender: instance id of the sender.
--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -39,6 +39,7 @@
     """A run that waits for the rest of its gang makes no progress yet."""
     book = fleets.make_book(workers=2)
     _begin(book, 'job')
+    _list(book, NOW + 4.0, 0.0)
     supervision.stop_stuck(NOW + 4.0, book)
     assert fleets.list_stopped(book) == []
 
@@ -173,3 +174,29 @@
     suspects = [w for w in book.workers.values() if w.suspect_until > now]
     assert sound not in suspects
     assert len(suspects) == 1
+
+
+def test_time_without_lists_is_no_standstill():
+    """An agent that is killed and restarts reports before it has lists."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    _list(book, NOW + 1.0, 10.0)
+    for worker in book.workers.values():
+        worker.heard = NOW + 4.0
+    supervision.stop_stuck(NOW + 4.0, book)
+    assert fleets.list_stopped(book) == []
+    assert all(w.suspect_until <= NOW for w in book.workers.values())
+    _list(book, NOW + 4.2, 40.0)
+    supervision.stop_stuck(NOW + 4.2, book)
+    assert fleets.list_stopped(book) == []
+
+
+def test_hang_early_in_a_run_is_no_slow_run():
+    """The rate of a run that stands still told of an endless rest at once."""
+    book = fleets.make_book(workers=2)
+    _begin(book, 'job')
+    for second in range(11):
+        _list(book, NOW + second, 2.0 * second)
+    now = _hang(book, NOW + 10.0, NOW + 14.0)
+    supervision.stop_stuck(now, book)
+    assert fleets.list_stopped(book) == []
--- a/tests/test_daemon/test_daemon_coordination.py
+++ b/tests/test_daemon/test_daemon_coordination.py
@@ -7,6 +7,7 @@
 from damaskpin.model import config as configs
 from damaskpin.model import hardware
 from damaskpin.model import job as jobs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 WORKERS = 4
@@ -70,7 +71,7 @@
 
 
 def submit(made, now, job, attempt=''):
-    message = messages.SubmitJob(job, 'owner', attempt)
+    message = gang_messages.SubmitJob(job, 'owner', attempt)
     return made.receive(now, 'owner', message)
 
 
@@ -86,7 +87,7 @@
 def list_updates(outputs):
     return [
         (message.job, message.state)
-        for _, message in list_sent(outputs, messages.JobUpdate)
+        for _, message in list_sent(outputs, gang_messages.JobUpdate)
     ]
 
 
@@ -100,13 +101,14 @@
 def list_placed(outputs):
     return {
         (message.job, to)
-        for to, message in list_sent(outputs, messages.Reserve)
+        for to, message in list_sent(outputs, gang_messages.Reserve)
     }
 
 
 def list_attempts(outputs):
     return {
-        message.attempt for _, message in list_sent(outputs, messages.Reserve)
+        message.attempt
+        for _, message in list_sent(outputs, gang_messages.Reserve)
     }
 
 
@@ -191,14 +193,14 @@
     made = make_coordination(make_state(0, make_gang('j')))
     submit(made, 1.0, make_job('j'), 't1')
     run(made, SETTLED, 1.0)
-    cancel = messages.CancelJob('j', 'cancelled')
+    cancel = gang_messages.CancelJob('j', 'cancelled')
     outputs = made.receive(SETTLED + 1, 'owner', cancel)
-    stop = ('a0', messages.StopGang('t1', 'cancelled', 0.0))
-    assert list_sent(outputs, messages.StopGang) == [stop]
+    stop = ('a0', gang_messages.StopGang('t1', 'cancelled', 0.0))
+    assert list_sent(outputs, gang_messages.StopGang) == [stop]
     repeated = run(made, SETTLED + 1.1, coordinations.STOP_REPEAT_S)
-    assert list_sent(repeated, messages.StopGang) == [stop]
+    assert list_sent(repeated, gang_messages.StopGang) == [stop]
     made.set_agent(SETTLED + 4, make_state(0, sequence=2))
-    assert not list_sent(run(made, SETTLED + 4, 9.0), messages.StopGang)
+    assert not list_sent(run(made, SETTLED + 4, 9.0), gang_messages.StopGang)
 
 
 def test_job_that_can_never_run_is_refused():
@@ -218,9 +220,11 @@
     submit(made, 1.0, make_job('j'))
     outputs = run(made, SETTLED, 0.2)
     [(_, agent)] = list_placed(outputs)
-    cancel = messages.CancelJob('j', 'cancelled')
+    cancel = gang_messages.CancelJob('j', 'cancelled')
     outputs = made.receive(SETTLED + 0.2, 'owner', cancel)
-    assert agent in [to for to, _ in list_sent(outputs, messages.StopGang)]
+    assert agent in [
+        to for to, _ in list_sent(outputs, gang_messages.StopGang)
+    ]
     assert made.get_snapshot(SETTLED + 0.2).used == 0
     assert not list_placed(run(made, SETTLED + 0.3, 5.0))
 
@@ -231,7 +235,7 @@
     submit(made, 1.0, make_job('waiting'))
     submit(made, 1.0, make_job('granted'), 't9')
     for name in ('waiting', 'granted'):
-        made.receive(1.5, 'owner', messages.CancelJob(name, 'cancelled'))
+        made.receive(1.5, 'owner', gang_messages.CancelJob(name, 'cancelled'))
     assert not list_placed(run(made, SETTLED, 3.0))
 
 
@@ -245,10 +249,10 @@
     for made in (one, two):
         submit(made, 1.0, make_job('j'))
         outputs = run(made, SETTLED, 0.2)
-        attempts.append(list_sent(outputs, messages.Reserve)[0])
+        attempts.append(list_sent(outputs, gang_messages.Reserve)[0])
     (agent, first), (other, second) = attempts
     assert first.attempt != second.attempt
-    refusal = messages.ReserveRefused(second.attempt, 'taken', 1)
+    refusal = gang_messages.ReserveRefused(second.attempt, 'taken', 1)
     two.receive(SETTLED + 0.3, other, refusal)
     outputs = run(two, SETTLED + 0.3, 1.0)
     begun = list_attempts(outputs)
--- a/tests/test_gang/simulation.py
+++ b/tests/test_gang/simulation.py
@@ -12,7 +12,7 @@
 from damaskpin.gang import member as members
 from damaskpin.gang import owner as owners
 from damaskpin.model import job as jobs
-from damaskpin.peer import messages
+from damaskpin.peer import gang_messages
 
 TICK_SECONDS = 0.25
 RENEW_SECONDS = 4.0
@@ -289,7 +289,7 @@
         self.tick_forever()
 
     def handle(self, sender, message):
-        if isinstance(message, messages.SubmitJob):
+        if isinstance(message, gang_messages.SubmitJob):
             self.place(message)
             return
         self.do(self.owner.receive, sender, message)
@@ -420,7 +420,7 @@
         if effect.to == process.name:
             self.after(0.0, lambda: process.deliver(process.name, message))
             return
-        if self.split and isinstance(message, messages.SubmitJob):
+        if self.split and isinstance(message, gang_messages.SubmitJob):
             for entry in self.entries.values():
                 self.after(
                     0.01, lambda e=entry: e.deliver(process.name, message)
@@ -462,7 +462,7 @@
         for name in names:
             count = self.rng.randint(1, per_agent)
             indexes = self.rng.sample(range(per_agent), count)
-            chosen.append(messages.Member(name, tuple(sorted(indexes))))
+            chosen.append(gang_messages.Member(name, tuple(sorted(indexes))))
         return tuple(chosen)
 
     # Faults
@@ -564,15 +564,15 @@
 
     def check_message(self, process, to, message):
         match message:
-            case messages.Granted():
+            case gang_messages.Granted():
                 state = self.jobs[message.job]
                 if message.attempt not in state.attempts:
                     state.attempts.append(message.attempt)
-            case messages.GangFinished(committed=True):
+            case gang_messages.GangFinished(committed=True):
                 if process.name in self.agents:
                     running = self.list_running(message.attempt)
                     assert not running, f'{message} while it runs: {running}'
-            case messages.Reserve(members=chosen) if chosen:
+            case gang_messages.Reserve(members=chosen) if chosen:
                 self.attempt_agents[message.attempt] = {
                     member.agent for member in chosen
                 }
--- a/tests/test_peer/test_peer_codec.py
+++ b/tests/test_peer/test_peer_codec.py
@@ -4,13 +4,14 @@
 
 from damaskpin import errors
 from damaskpin.peer import codec as codecs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import messages
 
 FRAME = messages.Frame(
     sender='entry-1',
     incarnation='a',
     address='tcp://127.0.0.1:1',
-    messages=(messages.RevisionNotice(7), messages.Commit('a.1')),
+    messages=(messages.RevisionNotice(7), gang_messages.Commit('a.1')),
 )
 
 
--- a/tests/test_peer/test_peer_link.py
+++ b/tests/test_peer/test_peer_link.py
@@ -8,6 +8,7 @@
 
 from damaskpin import errors
 from damaskpin.peer import codec as codecs
+from damaskpin.peer import gang_messages
 from damaskpin.peer import link
 from damaskpin.peer import messages
 
@@ -40,13 +41,15 @@
         listener, address = await open_listener(30_100)
         connection = link.Link(address, CODEC)
         try:
-            await connection.call(make_frame(messages.Commit('a.1')))
-            return await connection.call(make_frame(messages.Commit('a.2')))
+            await connection.call(make_frame(gang_messages.Commit('a.1')))
+            return await connection.call(
+                make_frame(gang_messages.Commit('a.2'))
+            )
         finally:
             connection.close()
             await listener.close()
 
-    assert asyncio.run(run()).messages == (messages.Commit('a.2'),)
+    assert asyncio.run(run()).messages == (gang_messages.Commit('a.2'),)
 
 
 def test_call_of_a_dead_peer_is_reported_as_not_delivered():
