Put a worker aside that fails run after run; trust last attempts to few

Free at once after each failure, they drew 78 runs, mostly of the same wide jobs; two jobs had to fail on a worker before it was put aside. With two attempts, a second failing worker failed the whole job: 74 runs were stopped with failed jobs.

Change: three failed runs in a row put a worker aside, unless their job has failed on more workers than that; a last attempt prefers workers that ended a run well within 5 s.

--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -205,9 +205,9 @@
         )
         match row.ending:
             case work.Ending.DONE:
-                worker.note_done()
+                worker.note_done(now)
             case work.Ending.FAILED:
-                worker.note_failed(now, job.id)
+                worker.note_failed(now, job)
                 self.avoid(placed, worker)
         if job.progress.state is work.JobState.COMPLETED:
             # The other members of a gang end by themselves.
--- a/damaskpin/coordinator/drafts.py
+++ b/damaskpin/coordinator/drafts.py
@@ -93,11 +93,11 @@
         '_claims',
         '_ends',
         '_gangs',
-        '_now',
         '_policy',
         '_taken',
         '_victims',
         'cost',
+        'now',
     )
 
     def __init__(
@@ -107,7 +107,7 @@
         claims: dict[work.Lifetime, list[Claim]],
         policy: Policy,
     ) -> None:
-        self._now = now
+        self.now = now
         self._ends = ends
         self._claims = claims
         self._policy = policy
@@ -224,7 +224,7 @@
             elif placed.stop_reason:
                 waits.append((0.0, placed))
             elif not placed.step.lasting:
-                waits.append((placed.get_remaining(self._now), placed))
+                waits.append((placed.get_remaining(self.now), placed))
         waits.sort(key=lambda wait: wait[0])
         chosen: list[fleet.PlacedRun] = []
         for wait, placed in waits:
@@ -235,7 +235,7 @@
         return None
 
     def _get_loss(self, placed: fleet.PlacedRun) -> float:
-        unsaved = placed.get_unsaved(self._now)
+        unsaved = placed.get_unsaved(self.now)
         return placed.step.get_cores() * (unsaved + RESTART_S)
 
 
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -21,6 +21,14 @@
 SUSPECT_S = 6.0
 SUSPECT_JOBS = 2
 
+# The same after so many runs of one job, unless the job has failed on as many
+# other workers: then it is the job that fails.
+SUSPECT_RUNS = 3
+
+# A worker that ended a run well within this time is trusted with a last
+# attempt, in seconds.
+TRUST_S = 5.0
+
 # Listed progress is a rough figure; a rate needs this much of it, in percent.
 MIN_PROGRESS = 4.0
 
@@ -173,7 +181,9 @@
     __slots__ = (
         'address',
         'agent',
+        'done_at',
         'failed_jobs',
+        'failed_runs',
         'gone_after',
         'heard',
         'lapse_extra',
@@ -208,6 +218,8 @@
         self.silence = 0.0
         self.pending_ends: collections.deque[PendingEnd] = collections.deque()
         self.failed_jobs: set[str] = set()
+        self.failed_runs = 0
+        self.done_at = -TRUST_S
         self.suspect_until = 0.0
         self.orders_due = False
 
@@ -260,17 +272,33 @@
                 count += 1
         return count
 
-    def note_done(self) -> None:
+    def note_done(self, now: float) -> None:
         """Trust a worker that has done its work."""
+        self.done_at = now
+        self.failed_runs = 0
         self.failed_jobs.clear()
         self.suspect_until = 0.0
 
-    def note_failed(self, now: float, job_id: str) -> None:
-        """Suspect a worker that fails different jobs one after the other."""
-        self.failed_jobs.add(job_id)
-        if len(self.failed_jobs) >= SUSPECT_JOBS:
+    def note_failed(self, now: float, job: jobs.Job) -> None:
+        """Suspect a worker that fails one run after the other.
+
+        Work that fails on several workers fails by itself, so that one job
+        alone does not cast suspicion on many.
+        """
+        self.failed_jobs.add(job.id)
+        job.failed_on.add(self.lifetime.worker)
+        if len(job.failed_on) <= SUSPECT_RUNS:
+            self.failed_runs += 1
+        if (
+            len(self.failed_jobs) >= SUSPECT_JOBS
+            or self.failed_runs >= SUSPECT_RUNS
+        ):
             self.suspect(now)
 
+    def is_trusted(self, now: float) -> bool:
+        """Return whether a run has ended well here lately."""
+        return not self.failed_jobs and now - self.done_at <= TRUST_S
+
     def suspect(self, now: float) -> None:
         """Give the worker nothing new for a while."""
         self.suspect_until = now + SUSPECT_S
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -37,6 +37,11 @@
         """Return the identity of the unit."""
         return (self.job.id, self.occurrence, self.step_index, self.slot)
 
+    def is_last_attempt(self) -> bool:
+        """Return whether the job fails if the next run does."""
+        failures = self.get_progress().failures.get(self.slot, 0)
+        return 0 < failures >= self.job.submission.terms.attempts - 1
+
     def get_item(self, index: int) -> work.Item:
         """Return a work item of the unit."""
         return work.Item(self.job.id, self.occurrence, self.step_index, index)
@@ -48,6 +53,7 @@
     :param submission: job as it was accepted.
     :param progress: progress as it is known; changed in place.
     :ivar avoided: workers that a unit had better not run on again.
+    :ivar failed_on: workers on which runs of it have failed.
     :ivar moves: times that a work item was moved off a slow worker.
     """
 
@@ -55,6 +61,7 @@
         '_ready_since',
         'avoided',
         'cancelled',
+        'failed_on',
         'moves',
         'progress',
         'revision',
@@ -70,6 +77,7 @@
         self.stored_version = progress.version
         self.revision = 0
         self.cancelled = False
+        self.failed_on: set[str] = set()
         self.moves: dict[work.Item, int] = {}
         self.avoided: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
--- a/damaskpin/coordinator/offers.py
+++ b/damaskpin/coordinator/offers.py
@@ -32,7 +32,16 @@
     item costs one new offer instead of a look at all workers.
     """
 
-    __slots__ = ('_counts', '_draft', '_heap', '_rounds', '_unit', '_workers')
+    __slots__ = (
+        '_avoided',
+        '_counts',
+        '_draft',
+        '_heap',
+        '_needs_trust',
+        '_rounds',
+        '_unit',
+        '_workers',
+    )
 
     def __init__(
         self, unit: jobs.Unit, group: list[fleet.Worker], draft: drafts.Draft
@@ -42,6 +51,8 @@
         self._workers = {
             worker.lifetime: position for position, worker in enumerate(group)
         }
+        self._avoided = unit.job.avoided.get(unit.get_key()[1:], ())
+        self._needs_trust = unit.is_last_attempt()
         self._counts: dict[work.Lifetime, int] = {}
         self._rounds = [0] * len(group)
         # Avoided, cost, leftover, position, round, offer.
@@ -72,6 +83,12 @@
         if len(self._heap) > before:
             heapq.heappush(self._heap, self._heap.pop())
 
+    def _is_avoided(self, worker: fleet.Worker) -> bool:
+        """Return whether other workers are preferred for the unit."""
+        if worker.is_doubtful() or worker.lifetime.worker in self._avoided:
+            return True
+        return self._needs_trust and not worker.is_trusted(self._draft.now)
+
     def _push(self, position: int, worker: fleet.Worker) -> None:
         unit = self._unit
         if not is_allowed(unit, worker, self._counts):
@@ -84,7 +101,7 @@
         leftover = measure_leftover(worker, free, demand)
         self._heap.append(
             (
-                is_avoided(unit, worker),
+                self._is_avoided(worker),
                 room.cost,
                 leftover,
                 position,
@@ -123,14 +140,6 @@
     return True
 
 
-def is_avoided(unit: jobs.Unit, worker: fleet.Worker) -> bool:
-    """Return whether the unit, or the last run, has failed on a worker."""
-    if worker.is_doubtful():
-        return True
-    avoided = unit.job.avoided.get(unit.get_key()[1:], ())
-    return worker.lifetime.worker in avoided
-
-
 def measure_leftover(
     worker: fleet.Worker, free: work.Resources, demand: work.Resources
 ) -> float:
