--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -160,7 +160,7 @@
 ) -> float:
     """Return the seconds that a unit may wait for room before it stops others.
 
-    Only work of priority 0 is considered; other work waits by its budget.
+    Work that is not guaranteed may wait for as long as it has slack.
     """
     job = unit.job
     slack = get_target(unit) - wall - unit.step.estimate - SLACK_MARGIN_S
