Let a restarted agent ignore grants of its predecessor

Found by reading: an agent that has told of a silent worker's lease may be killed, and orders that were under way to it may reach its successor, which would renew a lease that the coordinator counts as ended.

Test: test_restarted_agent_uses_no_grant_of_its_predecessor.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -78,6 +78,10 @@
         self.reported = 0.0
         self.urgent = False
 
+    def begin(self, now: float) -> None:
+        """Start; orders that echo an earlier report are not for this run."""
+        self._contact.begin(now)
+
     def handle_heartbeat(
         self, now: float, profile: orders.WorkerProfile, clock: int | None
     ) -> None:
--- a/damaskpin/agent/contact.py
+++ b/damaskpin/agent/contact.py
@@ -68,6 +68,13 @@
         self._answered = 0.0
         self._failed = False
 
+    def begin(self, now: float) -> None:
+        """Ignore grants that were given to a former run of this process.
+
+        It may have told the coordinator of a silent worker's lease.
+        """
+        self._echo_floor = now
+
     def watch(self, now: float) -> None:
         """Let time pass; called at least four times a second."""
         self._watched += min(max(now - self._last, 0.0), MAX_STEP_S)
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -116,6 +116,7 @@
 
     def start(self) -> None:
         """Start all loops."""
+        self.agent.begin(clocks.get_steady())
         self._background.keep(self._run_ticks)
         self._background.keep(self._run_holds)
 
--- a/tests/test_agent/test_agent_agent.py
+++ b/tests/test_agent/test_agent_agent.py
@@ -251,3 +251,14 @@
     assert agent.make_hold(NOW + 0.5).until is None
     _look(agent, NOW + 0.6, calls.Lists(1600, 1, (), ()))
     assert agent.make_hold(NOW + 0.6).until == 1000 + 600 + 4000
+
+
+def test_restarted_agent_uses_no_grant_of_its_predecessor():
+    """The predecessor may have told that a silent worker is not renewed."""
+    agent = agents.Agent('agent-1', 9.0, 4.0, 0.5)
+    agent.begin(NOW)
+    agent.handle_heartbeat(NOW, _make_profile(), 1000)
+    agent.handle_orders(NOW + 0.1, _make_orders(echo=NOW - 2.0))
+    assert agent.make_hold(NOW + 0.1).until is None
+    agent.handle_orders(NOW + 0.2, _make_orders(2, echo=NOW + 0.1))
+    assert agent.make_hold(NOW + 0.2).until is not None
