Count a silent worker's lease from the first answer; ignore overtaken reports

A restarted agent took its predecessor's grant from the clock of a heartbeat, which may be seconds late, and kept it after the first answer had shown the true clock. A report of silence that arrives after the grant for a later report in contact limited that grant.

Change: the first answer counts a whole lease from its own clock; a report of silence counts only if no grant echoes a later report.

Tests: test_late_heartbeat_does_not_hide_a_predecessors_grant and test_overtaken_report_of_silence_limits_no_later_grant, which fail before.

--- a/damaskpin/agent/contact.py
+++ b/damaskpin/agent/contact.py
@@ -39,6 +39,7 @@
         '_failed',
         '_grant',
         '_granted',
+        '_has_answered',
         '_last',
         '_lease',
         '_read',
@@ -67,6 +68,7 @@
         self._granted = 0
         self._answered = 0.0
         self._failed = False
+        self._has_answered = False
 
     def begin(self, now: float) -> None:
         """Ignore grants that were given to a former run of this process.
@@ -91,8 +93,12 @@
 
     def note_answer(self, now: float, clock: int) -> None:
         """Take over the clock of an answer."""
-        if self._clock is None:
-            self._granted = clock + int(self._lease * 1000)
+        if not self._has_answered:
+            # A heartbeat's clock may be late, and a former agent may have
+            # granted a whole lease up to now.
+            self._has_answered = True
+            granted = clock + int(self._lease * 1000)
+            self._granted = max(self._granted, granted)
         self._answered = now
         self._failed = False
         self._set_clock(now, clock)
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -152,7 +152,8 @@
             )
             self._book.changed = True
         worker.silence = report.silence
-        if report.silence:
+        if report.silence and report.time > worker.granted_time:
+            # A report that was overtaken by a later grant limits nothing.
             self._book.limit_grant(now, worker, report.lapse)
         draining = worker.profile is not None and worker.profile.draining
         worker.set_profile(profile)
@@ -204,6 +205,7 @@
         if not worker.silence:
             lapse = self._book.get_lapse(worker.heard)
             worker.gone_after = max(worker.gone_after, lapse)
+            worker.granted_time = max(worker.granted_time, worker.report_time)
         starts = []
         stops = []
         for placed in worker.runs.values():
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -174,6 +174,8 @@
     :param gone_after: time after which its runs can't exist any more unless
         a later grant extends it, in seconds.
     :ivar lapse_extra: seconds that a lease may last beyond that time.
+    :ivar report_time: time of the latest report, on the agent's clock.
+    :ivar granted_time: latest report time that a grant was counted from.
     :ivar silence: seconds since its last answer to the agent; 0 while the two
         are in contact.
     """
@@ -185,6 +187,7 @@
         'failed_jobs',
         'failed_runs',
         'gone_after',
+        'granted_time',
         'heard',
         'lapse_extra',
         'lifetime',
@@ -212,6 +215,7 @@
         self.listed = False
         self.heard = 0.0
         self.report_time = 0.0
+        self.granted_time = 0.0
         self.gone_after = gone_after
         self.lapse_extra = 0.0
         self.seen_serial = 0
--- a/tests/test_agent/test_agent_agent.py
+++ b/tests/test_agent/test_agent_agent.py
@@ -262,3 +262,17 @@
     assert agent.make_hold(NOW + 0.1).until is None
     agent.handle_orders(NOW + 0.2, _make_orders(2, echo=NOW + 0.1))
     assert agent.make_hold(NOW + 0.2).until is not None
+
+
+def test_late_heartbeat_does_not_hide_a_predecessors_grant():
+    """The first answer tells the clock that the predecessor granted by."""
+    agent = agents.Agent('agent-1', 9.0, 4.0, 0.5)
+    agent.begin(NOW)
+    # The heartbeat is 3 s late: the worker's clock is at 4,000 by now.
+    agent.handle_heartbeat(NOW, _make_profile(), 1000)
+    start = orders.StartOrder(RUN, 'content', '')
+    agent.handle_orders(NOW, _make_orders(echo=NOW - 1.0, starts=(start,)))
+    row = work.RunningRun(RUN, '', 10.0)
+    _look(agent, NOW + 0.1, calls.Lists(4000, 1, (row,), ()))
+    now = _fall_silent(agent, NOW + 0.1, NOW + 4.0)
+    assert agent.make_report(now).refused == ()
--- a/tests/test_coordinator/test_coordinator_reports.py
+++ b/tests/test_coordinator/test_coordinator_reports.py
@@ -98,3 +98,20 @@
     coordinator.make_orders(worker)
     coordinator.decide(NOW + fleets.GRANT_S, fleets.WALL)
     assert fleets.list_runs(book, job) == {0: 'w0'}
+
+
+def test_overtaken_report_of_silence_limits_no_later_grant():
+    """Reports may arrive in another order; the lease was renewed since."""
+    book = fleets.make_book(workers=1)
+    coordinator = coordinators.Coordinator('c', FENCE, book, None)
+    (worker,) = book.workers.values()
+    job = fleets.submit(book, 'job', fleets.make_step())
+    fleets.decide(book)
+    _handle(coordinator, worker, time=5.0)
+    coordinator.make_orders(worker)
+    _handle(coordinator, worker, time=4.0, silence=2.0, lapse=1.0)
+    coordinator.decide(NOW + 3.0, fleets.WALL)
+    assert fleets.list_runs(book, job) == {0: 'w0'}
+    _handle(coordinator, worker, time=6.0, silence=2.0, lapse=1.0)
+    coordinator.decide(NOW + 3.0, fleets.WALL)
+    assert fleets.list_runs(book, job) == {}
