--- a/tests/test_coordinator/world.py
+++ b/tests/test_coordinator/world.py
@@ -53,6 +53,7 @@
         self.places = [Place(i) for i in range(places)]
         self.lives = 0
         self.late = []
+        self.mail = []
         self.live_runs = {}
         self.starts = 0
         self.loss = 0.0
@@ -155,6 +156,7 @@
         for place in self.places:
             place.worker.advance(self.now)
             self._drive(place)
+        self._deliver_late()
         for item in list(self.late):
             due, worker, call = item
             if due <= self.now:
@@ -191,16 +193,36 @@
         report = agent.make_report(self.now)
         if self._is_lost():
             return
-        if report.fence > self.coordinator.fence:
-            return
-        worker = self.coordinator.handle_report(
-            self.now, WALL + self.now, report, place.name
-        )
-        if worker is not None and not self._is_lost():
-            self._deliver(place, self.coordinator.make_orders(worker))
+        self._deliver(place, report)
+
+    def _deliver_late(self):
+        for item in list(self.mail):
+            due, place, message = item
+            if due <= self.now:
+                self.mail.remove(item)
+                self._receive(place, message)
 
     def _deliver(self, place, message):
-        place.agent.handle_orders(self.now, message)
+        """Deliver a report or orders, at times after later ones."""
+        if self.random.random() < self.lateness:
+            due = self.now + self.random.uniform(0.2, 3.0)
+            self.mail.append((due, place, message))
+            return
+        self._receive(place, message)
+
+    def _receive(self, place, message):
+        if place.cut:
+            return
+        match message:
+            case orders.Orders():
+                place.agent.handle_orders(self.now, message)
+            case orders.Report(fence=fence) if fence <= self.coordinator.fence:
+                worker = self.coordinator.handle_report(
+                    self.now, WALL + self.now, message, place.name
+                )
+                if worker is not None and not self._is_lost():
+                    made = self.coordinator.make_orders(worker)
+                    self._deliver(place, made)
 
     def _send(self, place, call):
         """Carry a call out now, later, or with a lost answer."""
@@ -273,8 +295,7 @@
             other
             for place in self.places
             for other in place.worker.running
-            if other.number == run.number
-            and is_same_step(other.item, run.item)
+            if other.get_gang() == run.get_gang()
         ]
         return len(present) == step.count
 
@@ -284,8 +305,7 @@
             return
         for place in self.places:
             for other in list(place.worker.running):
-                same = other.number == run.number
-                if same and is_same_step(other.item, run.item):
+                if other.get_gang() == run.get_gang():
                     place.worker.finish(other, work.Ending.DONE)
 
     # Oracle
@@ -320,12 +340,3 @@
 
     def _note_end(self, worker, run, ending):
         self.live_runs[run.item].discard(run)
-
-
-def is_same_step(one, other):
-    """Return whether two work items belong to the same step."""
-    return (
-        one.job == other.job
-        and one.occurrence == other.occurrence
-        and one.step == other.step
-    )
