--- /dev/null
+++ b/tests/test_platform/test_platform_settings.py
@@ -0,0 +1,71 @@
+"""Tests of the settings file that the platform writes."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.platform import settings
+
+FIELDS = {
+    'node': 'front-a-1',
+    'role': 'entry',
+    'ip': '10.1.0.19',
+    'zone': 'a',
+    'region': 'r',
+    'listen': {'front': '10.1.0.19:8521'},
+    'portRange': [7000, 7015],
+    'platform': {'addr': '10.200.1.7:8524', 'form': 'kv'},
+    'seeds': ['10.2.0.35:8526'],
+    'bounds': {'holdMaxMs': 6000, 'stopMs': 400, 'status_s': 60},
+    'limits': {'cpuShare': 0.5, 'cores': 3, 'memoryMb': 300},
+    'field of a later version': True,
+}
+
+
+def _load(tmp_path, monkeypatch, fields):
+    path = tmp_path / 'settings.json'
+    path.write_text(json.dumps(fields))
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    return settings.load_settings()
+
+
+def test_fields_become_the_products_own(tmp_path, monkeypatch):
+    """A field that is read in another unit shortens leases or grants."""
+    monkeypatch.delenv(settings.ADDRESS_VARIABLE, raising=False)
+    made = _load(tmp_path, monkeypatch, FIELDS).make_options()
+    assert made.listen == 'tcp://10.1.0.19:7000'
+    assert made.address == made.listen
+    assert made.seeds == ('tcp://10.2.0.35:7000',)
+    assert made.lease == 5.5
+    assert made.stop_time == 0.4
+    assert made.show_time == 60.0
+    assert made.cores == 1.5
+
+
+def test_lease_is_shorter_than_the_longest_that_is_allowed(
+    tmp_path, monkeypatch
+):
+    """A long lease keeps the runs of a lost worker from starting again."""
+    bounds = {**FIELDS['bounds'], 'holdMaxMs': 60000}
+    fields = {**FIELDS, 'bounds': bounds}
+    made = _load(tmp_path, monkeypatch, fields).make_options()
+    assert made.lease == settings.MAX_LEASE_S
+
+
+def test_address_for_peers_may_differ(tmp_path, monkeypatch):
+    """Behind a forwarder peers can't use the address that is listened on."""
+    monkeypatch.setenv(settings.ADDRESS_VARIABLE, 'tcp://10.9.9.9:1')
+    made = _load(tmp_path, monkeypatch, FIELDS).make_options()
+    assert made.address == 'tcp://10.9.9.9:1'
+    assert made.listen == 'tcp://10.1.0.19:7000'
+
+
+@pytest.mark.parametrize('name', ['node', 'portRange', 'platform'])
+def test_missing_field_is_named(tmp_path, monkeypatch, name):
+    """A process that starts with half of its settings fails later."""
+    fields = {key: value for key, value in FIELDS.items() if key != name}
+    with pytest.raises(errors.SettingsError, match=name):
+        _load(tmp_path, monkeypatch, fields)
