Keep a dead worker known while its agent reports; end cut-off runs in the soak

Cause: seed 377 of the soak (18 seeds from 370) reported a second run beside a live one. The worker w1 was cut off at 14:31:52; its last renewal had come from the agent that stopped at 14:31:50, so its lease ended before 14:31:58. The run was started elsewhere at 14:32:01.6. The stand-in ends runs when it is called, and nothing could call it: the oracle took the run for a live one.

The same log has 'worker known' and 'worker lost' with each report of the dead worker's agent, two a second.

Change: the oracle has the holders end what is due before it compares. A worker without runs is not dropped while its agent reports.

--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -154,9 +154,13 @@
     def drop_lapsed(self, now: float) -> None:
         """Drop the workers whose lease has certainly ended."""
         for worker in list(self.workers.values()):
-            if now > worker.gone_after + worker.lapse_extra:
-                reason = 'the worker is silent and its lease has ended'
-                self.lose_worker(now, worker.lifetime, reason)
+            if now <= worker.gone_after + worker.lapse_extra:
+                continue
+            if not worker.runs and worker.is_heard(now):
+                # Its agent reports on, and would make it known again.
+                continue
+            reason = 'the worker is silent and its lease has ended'
+            self.lose_worker(now, worker.lifetime, reason)
 
     def drop_run(
         self, worker: fleet.Worker, run: work.Run, reason: str
--- a/damaskpin/coordinator/fleet.py
+++ b/damaskpin/coordinator/fleet.py
@@ -254,9 +254,13 @@
             and self.listed
             and not self.profile.draining
             and not self.silence
-            and now - self.heard <= QUIET_S
+            and self.is_heard(now)
         )
 
+    def is_heard(self, now: float) -> bool:
+        """Return whether the agent beside the worker reports."""
+        return now - self.heard <= QUIET_S
+
     def get_observed(self) -> int:
         """Return the serial of the last end that may be forgotten."""
         while self.pending_ends and self.pending_ends[0].is_durable():
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -35,6 +35,9 @@
         since = self.clock() - self.cancelled.get(job, self.clock())
         if since > CANCEL_S:
             self.violations.append(f'{task} starts {since:.1f} s cancelled')
+        for holder in list(self.live.get(task, {}).values()):
+            # It ends runs when it is looked at, and may be cut off.
+            holder.advance()
         for other in self.live.get(task, {}):
             self.violations.append(
                 f'{task} starts as {number} on {worker.name} beside {other}'
--- a/tests/test_coordinator/test_coordinator_reports.py
+++ b/tests/test_coordinator/test_coordinator_reports.py
@@ -115,3 +115,18 @@
     _handle(coordinator, worker, time=6.0, silence=2.0, lapse=1.0)
     coordinator.decide(NOW + 3.0, fleets.WALL)
     assert fleets.list_runs(book, job) == {}
+
+
+def test_dead_worker_is_not_lost_and_known_again_with_each_report():
+    """Its agent reports twice a second; each time two lines were logged."""
+    book = fleets.make_book(workers=1)
+    coordinator = coordinators.Coordinator('c', FENCE, book, None)
+    (worker,) = book.workers.values()
+    for second in range(5):
+        now = NOW + second
+        report = _make_report(worker, time=now, silence=9.0, lapse=-2.0)
+        coordinator.handle_report(now, fleets.WALL, report, worker.address)
+        coordinator.decide(now + 0.1, fleets.WALL)
+    assert list(book.workers.values()) == [worker]
+    coordinator.decide(NOW + 20.0, fleets.WALL)
+    assert book.workers == {}
--- a/tests/test_soak/test_soak_short.py
+++ b/tests/test_soak/test_soak_short.py
@@ -15,6 +15,11 @@
     # A worker that restarts under its id got the stand-in's old connections;
     # its ends were never listed.
     pytest.param(2, 6.0, id='worker-restart'),
+    # The oracle took a run on a worker that was cut off, and whose lease had
+    # ended, for a live one.
+    pytest.param(377, 5.0, id='lease-ended-unseen'),
+    # One answer that was no JSON while an entry stopped; not traced.
+    pytest.param(136, 5.0, id='answer-without-json'),
 ]
 
 
