--- a/damaskpin/peer/forms.py
+++ b/damaskpin/peer/bases.py
@@ -1,4 +1,4 @@
-"""Base classes of what processes exchange."""
+"""Base classes of messages between processes, and of their parts."""
 
 from __future__ import annotations
 
--- a/damaskpin/peer/gang_messages.py
+++ b/damaskpin/peer/gang_messages.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from damaskpin.model import job as jobs
-from damaskpin.peer import forms
+from damaskpin.peer import bases
 
 
-class SubmitJob(forms.Message):
+class SubmitJob(bases.Message):
     """Queue a job at the coordinator; repeated until it ends.
 
     :ivar owner: instance id of the entry that grants attempts.
@@ -18,7 +18,7 @@
     attempt: str = ''
 
 
-class JobUpdate(forms.Message):
+class JobUpdate(bases.Message):
     """What the coordinator decided about a queued job.
 
     :ivar state: ``queued``, ``placing``, ``running``, ``refused`` or
@@ -30,14 +30,14 @@
     reason: str = ''
 
 
-class CancelJob(forms.Message):
+class CancelJob(bases.Message):
     """Remove a job, and stop its gang if it runs."""
 
     job: str
     reason: str
 
 
-class RequestGrant(forms.Message):
+class RequestGrant(bases.Message):
     """Ask the owner whether an attempt of a job may commit.
 
     :ivar token: token of the lead's reservation.
@@ -50,14 +50,14 @@
     token: str = ''
 
 
-class Granted(forms.Message):
+class Granted(bases.Message):
     """The attempt may commit; no other attempt of the job may."""
 
     job: str
     attempt: str
 
 
-class Denied(forms.Message):
+class Denied(bases.Message):
     """The attempt may not commit."""
 
     job: str
@@ -68,7 +68,7 @@
 # Gangs
 
 
-class Member(forms.Value):
+class Member(bases.Value):
     """One member of a gang.
 
     :ivar agent: instance id of the agent.
@@ -79,7 +79,7 @@
     accelerators: tuple[int, ...]
 
 
-class Reserve(forms.Message):
+class Reserve(bases.Message):
     """Reserve the accelerators of one gang member.
 
     :ivar members: the whole gang for the lead; empty for other members.
@@ -101,7 +101,7 @@
     trace: str = ''
 
 
-class Reserved(forms.Message):
+class Reserved(bases.Message):
     """The accelerators are held.
 
     :ivar token: random name of this reservation. A start must carry it, so
@@ -112,7 +112,7 @@
     token: str = ''
 
 
-class ReserveRefused(forms.Message):
+class ReserveRefused(bases.Message):
     """The accelerators are not held, and the attempt can't start here.
 
     :ivar reason: ``taken``, ``stale-revision``, ``draining``,
@@ -124,7 +124,7 @@
     revision: int = 0
 
 
-class Commit(forms.Message):
+class Commit(bases.Message):
     """Ask the lead to decide that the gang starts.
 
     :ivar tokens: token of each member's reservation, in the members' order.
@@ -134,20 +134,20 @@
     tokens: tuple[str, ...] = ()
 
 
-class Committed(forms.Message):
+class Committed(bases.Message):
     """The lead decided that the gang starts."""
 
     attempt: str
 
 
-class CommitRefused(forms.Message):
+class CommitRefused(bases.Message):
     """The lead decided, for good, that the gang does not start."""
 
     attempt: str
     reason: str
 
 
-class StartMember(forms.Message):
+class StartMember(bases.Message):
     """The gang is committed: start the tasks of this member.
 
     :ivar token: token of the member's reservation.
@@ -159,7 +159,7 @@
     interval: float = 0.0
 
 
-class MemberStarted(forms.Message):
+class MemberStarted(bases.Message):
     """The tasks of this member run.
 
     :ivar uptime: clock of the member, see ``GangBeat``.
@@ -169,14 +169,14 @@
     uptime: float = 0.0
 
 
-class MemberRefused(forms.Message):
+class MemberRefused(bases.Message):
     """Nothing of the attempt runs on this member or can start there."""
 
     attempt: str
     reason: str
 
 
-class QueryGang(forms.Message):
+class QueryGang(bases.Message):
     """Ask the lead for its decision.
 
     A process that is no member is also told the end of the gang.
@@ -188,7 +188,7 @@
     token: str = ''
 
 
-class GangStatus(forms.Message):
+class GangStatus(bases.Message):
     """Decision of the lead.
 
     :ivar state: ``undecided``, ``committed``, ``ended`` or ``unknown``.
@@ -200,7 +200,7 @@
     token: str = ''
 
 
-class GangBeat(forms.Message):
+class GangBeat(bases.Message):
     """Heartbeat between the lead and a member.
 
     :ivar interval: seconds until the lead sends the next one.
@@ -216,7 +216,7 @@
     uptime: float = 0.0
 
 
-class StopGang(forms.Message):
+class StopGang(bases.Message):
     """End the attempt on this member, or on all when sent to the lead.
 
     :ivar grace: seconds for a checkpoint; 0 stops without one.
@@ -227,13 +227,13 @@
     grace: float = 0.0
 
 
-class MemberStopped(forms.Message):
+class MemberStopped(bases.Message):
     """The tasks of this member do not run and can't start any more."""
 
     attempt: str
 
 
-class MemberFinished(forms.Message):
+class MemberFinished(bases.Message):
     """The tasks of a member ended by themselves.
 
     :ivar exit_code: largest exit code of the member's tasks.
@@ -243,7 +243,7 @@
     exit_code: int
 
 
-class GangFinished(forms.Message):
+class GangFinished(bases.Message):
     """End of an attempt, from the lead to the owner and the coordinator.
 
     :ivar committed: whether the lead had decided to start.
@@ -264,7 +264,7 @@
     token: str = ''
 
 
-class GangFinishedAck(forms.Message):
+class GangFinishedAck(bases.Message):
     """The owner has recorded the end of the attempt."""
 
     attempt: str
--- a/damaskpin/peer/messages.py
+++ b/damaskpin/peer/messages.py
@@ -6,11 +6,11 @@
 from __future__ import annotations
 
 from damaskpin import verdict
-from damaskpin.peer import forms
+from damaskpin.peer import bases
 from damaskpin.peer import gang_messages
 
 
-class Peer(forms.Value):
+class Peer(bases.Value):
     """A process of ours.
 
     :ivar instance: name that a restarted process keeps.
@@ -28,7 +28,7 @@
     http: str = ''
 
 
-class TargetState(forms.Value):
+class TargetState(bases.Value):
     """An announced target.
 
     :ivar slots: requests that it serves at the same time.
@@ -41,7 +41,7 @@
     leaving: bool = False
 
 
-class GangState(forms.Value):
+class GangState(bases.Value):
     """A gang member on a worker.
 
     :ivar accelerators: indexes of the accelerators in use.
@@ -59,7 +59,7 @@
     owner: str = ''
 
 
-class AgentState(forms.Value):
+class AgentState(bases.Value):
     """What an agent reports about its worker.
 
     :ivar uptime: seconds since the agent started, on its monotonic clock.
@@ -82,7 +82,7 @@
 # Membership
 
 
-class AgentReport(forms.Message):
+class AgentReport(bases.Message):
     """Heartbeat of an agent to its home entry.
 
     :ivar state: full state when it changed or was asked for.
@@ -98,7 +98,7 @@
     entries_version: str = ''
 
 
-class ReportAck(forms.Message):
+class ReportAck(bases.Message):
     """Answer of the home entry.
 
     :ivar interval: seconds until the next report is due.
@@ -114,7 +114,7 @@
     entries: tuple[Peer, ...] = ()
 
 
-class EntryBeat(forms.Message):
+class EntryBeat(bases.Message):
     """Heartbeat between entries.
 
     :ivar interval: seconds until the sender's next heartbeat.
@@ -132,7 +132,7 @@
     digest: int = 0
 
 
-class RegionUpdate(forms.Message):
+class RegionUpdate(bases.Message):
     """Changed agent states, from their home to the entries of the region.
 
     :ivar agents: changed states.
@@ -145,7 +145,7 @@
     full: bool = False
 
 
-class FindPeer(forms.Message):
+class FindPeer(bases.Message):
     """Ask an entry for the address of a process.
 
     :ivar instance: instance id of the process.
@@ -154,32 +154,32 @@
     instance: str
 
 
-class PeerFound(forms.Message):
+class PeerFound(bases.Message):
     """Where a process listens now."""
 
     peer: Peer
 
 
-class SyncRequest(forms.Message):
+class SyncRequest(bases.Message):
     """Ask an entry for all agent states that it is home of."""
 
 
 # Configuration
 
 
-class RevisionNotice(forms.Message):
+class RevisionNotice(bases.Message):
     """A revision that the sender has applied."""
 
     revision: int
 
 
-class FetchConfig(forms.Message):
+class FetchConfig(bases.Message):
     """Ask for a configuration newer than the given revision."""
 
     revision: int
 
 
-class ConfigBody(forms.Message):
+class ConfigBody(bases.Message):
     """A configuration document and its revision."""
 
     revision: int
@@ -189,7 +189,7 @@
 # Requests to services
 
 
-class RunRequest(forms.Message):
+class RunRequest(bases.Message):
     """Run one request on the target beside the agent.
 
     :ivar incarnation: incarnation of the agent that may run it.
@@ -208,14 +208,14 @@
     trace: str = ''
 
 
-class RunAnswer(forms.Message):
+class RunAnswer(bases.Message):
     """The whole answer of an attempt."""
 
     attempt: str
     answer: verdict.Answer
 
 
-class RunRefused(forms.Message):
+class RunRefused(bases.Message):
     """The attempt did not run here and never will.
 
     :ivar reason: ``busy``, ``leaving``, ``no-target``, ``expired``,
@@ -226,7 +226,7 @@
     reason: str
 
 
-class RunUncertain(forms.Message):
+class RunUncertain(bases.Message):
     """The attempt may have run, and no whole answer can be given.
 
     The target was called without a whole answer, or the agent can't know: the
@@ -237,7 +237,7 @@
     reason: str
 
 
-class CancelRequest(forms.Message):
+class CancelRequest(bases.Message):
     """Stop an attempt: a waiting one is refused, a running one is ended.
 
     An agent that has not seen the attempt needs the other fields to know
@@ -252,7 +252,7 @@
     expires_uptime: float = 0.0
 
 
-class QueryRun(forms.Message):
+class QueryRun(bases.Message):
     """Ask for the state of an attempt without sending its body again.
 
     :ivar incarnation: incarnation of the agent that may run the attempt.
@@ -264,7 +264,7 @@
     expires_uptime: float
 
 
-class RunState(forms.Message):
+class RunState(bases.Message):
     """State of an attempt that has not ended.
 
     :ivar state: ``waiting``, ``running`` or ``unknown``; unknown asks for the
@@ -319,7 +319,7 @@
 )
 
 
-class Frame(forms.Value):
+class Frame(bases.Value):
     """What one call or reply carries.
 
     :ivar sender: instance id of the sender.
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from damaskpin.model import work
-from damaskpin.peer import forms
+from damaskpin.peer import bases
 
 
-class WorkerProfile(forms.Value):
+class WorkerProfile(bases.Value):
     """What a worker says of itself.
 
     :ivar labels: kind and rack of the worker.
@@ -28,7 +28,7 @@
     remaining: float
 
 
-class StartOrder(forms.Value):
+class StartOrder(bases.Value):
     """A run to start.
 
     :ivar content: text handed to the work item.
@@ -42,14 +42,14 @@
     ticket: str = ''
 
 
-class RefusedRun(forms.Value):
+class RefusedRun(bases.Value):
     """A run that does not exist and never will: refused, or lapsed."""
 
     run: work.Run
     reason: str
 
 
-class Orders(forms.Message):
+class Orders(bases.Message):
     """What the coordinator wants of one worker.
 
     :ivar fence: fencing token of the coordinator; only rises.
@@ -74,7 +74,7 @@
     entries: tuple[str, ...]
 
 
-class Report(forms.Message):
+class Report(bases.Message):
     """What an agent knows of its worker.
 
     :ivar time: agent's clock in seconds.
@@ -108,7 +108,7 @@
     lapse: float = 0.0
 
 
-class Redirect(forms.Message):
+class Redirect(bases.Message):
     """Where the coordinator is, as an entry knows it.
 
     :ivar coordinator: address; empty if none is known.
@@ -119,7 +119,7 @@
     entries: tuple[str, ...]
 
 
-class StoreCall(forms.Message):
+class StoreCall(bases.Message):
     """A call to the store that the receiver makes for the sender.
 
     :ivar request: encoded request of the store's client.
@@ -129,7 +129,7 @@
     request: bytes
 
 
-class StoreAnswer(forms.Message):
+class StoreAnswer(bases.Message):
     """Answer of a relayed call.
 
     :ivar status: HTTP status; 0 when the store gave no answer.
@@ -145,7 +145,7 @@
 Message = Orders | Report | Redirect | StoreCall | StoreAnswer
 
 
-class Frame(forms.Value):
+class Frame(bases.Value):
     """What one call or reply carries.
 
     :ivar sender: instance id of the sender.
