Make one piece of what the change wrote twice

The two figures that say when a lease has certainly ended stand in model/leases.py for the agent and the coordinator; the head of a frame stands once for both kinds of message; entry and agent make their exchange by one function; submitting and cancelling find the job by one function; the rule that lasting steps record no ends is checked in one place.

The planner finds the workers that may run a unit once in a pass, instead of up to five times, and no list of ready units is made while the advisor is asked.

Behaviour and wire stay as they are; the tests keep their assertions.

--- a/damaskpin/agent/contact.py
+++ b/damaskpin/agent/contact.py
@@ -2,17 +2,12 @@
 
 from __future__ import annotations
 
+from damaskpin.model import leases
+
 # A worker that has left a look at its lists unanswered for this time is
 # silent, in seconds: a look takes 0.5 s, and 0.5 s later it has failed.
 SILENT_S = 1.2
 
-# A worker's steady clock may be this much slow.
-CLOCK_SLOWNESS = 0.02
-
-# Added to the end of a lease before its runs count as gone, in seconds: the
-# worker needs a moment to notice it.
-LAPSE_MARGIN_S = 0.5
-
 # Longest step by which a look at the clock counts as watched, in seconds. A
 # machine that was suspended sees a longer one; the worker's clock may have
 # stood still with it.
@@ -172,9 +167,11 @@
         """
         if self._clock is None:
             return self._lease
-        left = (self._granted - self._clock) / 1000 / (1 - CLOCK_SLOWNESS)
+        left = (
+            (self._granted - self._clock) / 1000 / (1 - leases.CLOCK_SLOWNESS)
+        )
         left -= self._watched - self._watched_read
-        return left + LAPSE_MARGIN_S + self._stop_time
+        return left + leases.LAPSE_MARGIN_S + self._stop_time
 
     def _set_clock(self, now: float, clock: int) -> None:
         self._clock = clock
--- a/damaskpin/coordinator/advice.py
+++ b/damaskpin/coordinator/advice.py
@@ -81,6 +81,10 @@
         self._answers: dict[StepKey, Answers] = {}
         self._pending: Question | None = None
 
+    def is_asking(self) -> bool:
+        """Return whether a question is under way."""
+        return self._pending is not None
+
     def get(self, now: float, key: StepKey, lifetime: work.Lifetime) -> str:
         """Return the ticket for a start; empty if there is none."""
         answers = self._answers.get(key)
@@ -101,7 +105,7 @@
 
         :param units: ready units in the order of their rank.
         """
-        if self._pending is not None:
+        if self.is_asking():
             return None
         seen: set[StepKey] = set()
         for unit in units:
--- a/damaskpin/coordinator/book.py
+++ b/damaskpin/coordinator/book.py
@@ -9,6 +9,7 @@
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import events
 from damaskpin.coordinator import fleet
+from damaskpin.model import leases
 from damaskpin.model import work
 
 if TYPE_CHECKING:
@@ -17,10 +18,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Added to the time after which a lost worker's runs are gone, in seconds: the
-# worker needs a moment to notice the end of its lease.
-LAPSE_MARGIN_S = 0.5
-
 # Added to what an agent says of a silent worker's lease, in seconds: its own
 # look at the clock is coarse, and it declares the end itself if it lives.
 SILENT_MARGIN_S = 1.0
@@ -40,9 +37,6 @@
 # Why a worker refuses a start whose ticket has ended.
 TICKET = 'ticket'
 
-# A worker's steady clock may be this much slow.
-CLOCK_SLOWNESS = 0.02
-
 
 class Book:
     """Jobs, workers and the runs that may exist.
@@ -80,8 +74,8 @@
 
         :param heard: time of the report that a grant was counted from.
         """
-        lapse = heard + self._grant * (1 + CLOCK_SLOWNESS)
-        return lapse + LAPSE_MARGIN_S + self._stop_time
+        lapse = heard + self._grant * (1 + leases.CLOCK_SLOWNESS)
+        return lapse + leases.LAPSE_MARGIN_S + self._stop_time
 
     def limit_grant(
         self, now: float, worker: fleet.Worker, lapse: float
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -171,7 +171,7 @@
         slot = step.get_slot(item.index)
         if checkpoint:
             progress.checkpoints[slot] = checkpoint
-        if self.is_final():
+        if self.is_final() or step.lasting:
             return True
         match ending:
             case work.Ending.DONE:
@@ -263,8 +263,6 @@
         progress: records.StepProgress,
         wall: float,
     ) -> None:
-        if step.lasting:
-            return
         if step.gang:
             progress.done.update(range(step.count))
         else:
@@ -284,8 +282,6 @@
         progress: records.StepProgress,
         wall: float,
     ) -> None:
-        if step.lasting:
-            return
         failures = progress.failures.get(slot, 0) + 1
         progress.failures[slot] = failures
         attempts = self.submission.terms.attempts
--- a/damaskpin/coordinator/placing.py
+++ b/damaskpin/coordinator/placing.py
@@ -215,6 +215,8 @@
     get_guarantee: Callable[[str], int],
 ) -> advice.Question | None:
     """Return what the advisor is to be asked next."""
+    if book.tickets.is_asking():
+        return None
     advised = [
         job
         for job in book.jobs.values()
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -50,7 +50,14 @@
     :param tickets: permissions of the advisor.
     """
 
-    __slots__ = ('_claims', '_gangs', '_now', '_tickets', '_workers')
+    __slots__ = (
+        '_claims',
+        '_eligible',
+        '_gangs',
+        '_now',
+        '_tickets',
+        '_workers',
+    )
 
     def __init__(
         self,
@@ -62,6 +69,7 @@
         self._tickets = tickets
         self._workers = workers
         self._claims: dict[work.Lifetime, list[drafts.Claim]] = {}
+        self._eligible: dict[tuple[object, ...], list[fleet.Worker]] = {}
         self._gangs: dict[work.GangRun, list[fleet.Worker]] | None = None
 
     def claim(self, unit: jobs.Unit, plan: Plan, ready: float) -> None:
@@ -112,6 +120,21 @@
         return self._choose(unit, groups, policy)
 
     def _list_eligible(self, unit: jobs.Unit) -> list[fleet.Worker]:
+        """Return the workers that may run a unit, found once in a pass."""
+        terms = unit.job.submission.terms
+        key: tuple[object, ...] = (
+            terms.service,
+            unit.step.label,
+            unit.step.get_reserved(),
+            advice.make_key(unit) if terms.advice is not None else None,
+        )
+        known = self._eligible.get(key)
+        if known is None:
+            known = self._find_eligible(unit)
+            self._eligible[key] = known
+        return known
+
+    def _find_eligible(self, unit: jobs.Unit) -> list[fleet.Worker]:
         terms = unit.job.submission.terms
         reserved = unit.step.get_reserved()
         eligible = []
--- a/damaskpin/peer/bases.py
+++ b/damaskpin/peer/bases.py
@@ -11,3 +11,16 @@
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base class of messages; the class name is the tag."""
+
+
+class Frame(Value):
+    """Head of what one call or reply carries.
+
+    :ivar sender: instance id of the sender.
+    :ivar incarnation: incarnation of the sender.
+    :ivar address: address where the sender listens.
+    """
+
+    sender: str
+    incarnation: str
+    address: str
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -145,15 +145,7 @@
 Message = Orders | Report | Redirect | StoreCall | StoreAnswer
 
 
-class Frame(bases.Value):
-    """What one call or reply carries.
+class Frame(bases.Frame):
+    """What one call or reply carries."""
 
-    :ivar sender: instance id of the sender.
-    :ivar incarnation: incarnation of the sender.
-    :ivar address: address where the sender listens.
-    """
-
-    sender: str
-    incarnation: str
-    address: str
     messages: tuple[Message, ...]
--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -72,13 +72,10 @@
 
     async def post(self) -> None:
         """Submit a job."""
-        found = self._find_queue()
+        found = self._find_job()
         if found is None:
             return
-        queue, account = found
-        job_id = self._get_job_id(queue)
-        if job_id is None:
-            return
+        queue, account, job_id = found
         try:
             submission = operator.decode_job(
                 self.request.body,
@@ -116,13 +113,10 @@
 
     async def delete(self) -> None:
         """Cancel a job."""
-        found = self._find_queue()
+        found = self._find_job()
         if found is None:
             return
-        queue, account = found
-        job_id = self._get_job_id(queue)
-        if job_id is None:
-            return
+        queue, account, job_id = found
         outcome = await self._entry.requests.cancel(
             job_id, account, self._get_deadline(queue)
         )
@@ -159,6 +153,15 @@
         self._answer(401, {'error': 'unknown key'})
         return None
 
+    def _find_job(self) -> tuple[installations.Queue, str, str] | None:
+        """Return the queue, the client account and the job's id, or answer."""
+        found = self._find_queue()
+        if found is None:
+            return None
+        queue, account = found
+        job_id = self._get_job_id(queue)
+        return None if job_id is None else (queue, account, job_id)
+
     def _get_job_id(self, queue: installations.Queue) -> str | None:
         job_id = self.request.path[len(queue.prefix) :]
         if JOB_ID.fullmatch(job_id):
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -5,7 +5,6 @@
 import asyncio
 import collections
 import logging
-import secrets
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -13,10 +12,10 @@
 from damaskpin import telemetry
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
-from damaskpin.peer import exchange as exchanges
 from damaskpin.peer import orders
 from damaskpin.runtime import background
 from damaskpin.runtime import clocks
+from damaskpin.runtime import links
 from damaskpin.store import layout
 
 if TYPE_CHECKING:
@@ -104,14 +103,8 @@
             'calls of the worker, by kind and result',
             lambda: self.counts,
         )
-        self.exchange = exchanges.Exchange(
-            settings.instance,
-            secrets.token_hex(6),
-            settings.listen,
-            settings.address,
-            settings.fleet_key,
-            self._receive,
-            self._note_silent,
+        self.exchange = links.make_exchange(
+            settings, self._receive, self._note_silent
         )
 
     def start(self) -> None:
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -4,12 +4,10 @@
 
 import asyncio
 import logging
-import secrets
 from typing import TYPE_CHECKING
 
 from damaskpin import telemetry
 from damaskpin.entry import view as views
-from damaskpin.peer import exchange as exchanges
 from damaskpin.peer import orders
 from damaskpin.runtime import advising
 from damaskpin.runtime import background
@@ -18,6 +16,7 @@
 from damaskpin.runtime import coordination
 from damaskpin.runtime import following
 from damaskpin.runtime import leadership as leaderships
+from damaskpin.runtime import links
 from damaskpin.runtime import registration
 from damaskpin.runtime import relay
 from damaskpin.runtime import requests
@@ -95,14 +94,8 @@
         self._configuration = configuration.Configuration(
             self._store, config_key, decode, self._take_installation
         )
-        self.exchange = exchanges.Exchange(
-            settings.instance,
-            secrets.token_hex(6),
-            settings.listen,
-            settings.address,
-            settings.fleet_key,
-            self._receive,
-            self._note_silent,
+        self.exchange = links.make_exchange(
+            settings, self._receive, self._note_silent
         )
         self._relay.set_exchange(self.exchange)
         self.leadership = leaderships.Leadership(
--- a/tests/test_coordinator/test_coordinator_reports.py
+++ b/tests/test_coordinator/test_coordinator_reports.py
@@ -21,6 +21,16 @@
     return msgspec.structs.replace(report, **more)
 
 
+def _make_running():
+    """Make a coordinator whose only worker has a run."""
+    book = fleets.make_book(workers=1)
+    coordinator = coordinators.Coordinator('c', FENCE, book, None)
+    (worker,) = book.workers.values()
+    job = fleets.submit(book, 'job', fleets.make_step())
+    fleets.decide(book)
+    return book, coordinator, worker, job
+
+
 def _handle(coordinator, worker, **more):
     report = _make_report(worker, **more)
     coordinator.handle_report(NOW, fleets.WALL, report, worker.address)
@@ -57,11 +67,7 @@
 
 def test_run_beside_a_silent_worker_is_not_taken_for_missing():
     """Old lists of a silent worker say nothing about newer runs."""
-    book = fleets.make_book(workers=1)
-    coordinator = coordinators.Coordinator('c', FENCE, book, None)
-    (worker,) = book.workers.values()
-    job = fleets.submit(book, 'job', fleets.make_step())
-    fleets.decide(book)
+    book, coordinator, worker, job = _make_running()
     (run,) = worker.runs
     row = work.RunningRun(run, '', 5.0)
     _handle(coordinator, worker, running=(row,))
@@ -73,11 +79,7 @@
 
 def test_runs_of_a_machine_that_vanished_are_gone_with_the_known_lease():
     """A gang must not wait 15 s for one member that was lost with all."""
-    book = fleets.make_book(workers=1)
-    coordinator = coordinators.Coordinator('c', FENCE, book, None)
-    (worker,) = book.workers.values()
-    job = fleets.submit(book, 'job', fleets.make_step())
-    fleets.decide(book)
+    book, coordinator, worker, job = _make_running()
     _handle(coordinator, worker, silence=2.0, lapse=4.0)
     coordinator.make_orders(worker)
     coordinator.decide(NOW + 4.9, fleets.WALL)
@@ -88,11 +90,7 @@
 
 def test_worker_in_contact_keeps_its_whole_grant():
     """Work on a machine that is cut off goes on for the grant."""
-    book = fleets.make_book(workers=1)
-    coordinator = coordinators.Coordinator('c', FENCE, book, None)
-    (worker,) = book.workers.values()
-    job = fleets.submit(book, 'job', fleets.make_step())
-    fleets.decide(book)
+    book, coordinator, worker, job = _make_running()
     _handle(coordinator, worker, silence=2.0, lapse=4.0)
     _handle(coordinator, worker)
     coordinator.make_orders(worker)
@@ -102,11 +100,7 @@
 
 def test_overtaken_report_of_silence_limits_no_later_grant():
     """Reports may arrive in another order; the lease was renewed since."""
-    book = fleets.make_book(workers=1)
-    coordinator = coordinators.Coordinator('c', FENCE, book, None)
-    (worker,) = book.workers.values()
-    job = fleets.submit(book, 'job', fleets.make_step())
-    fleets.decide(book)
+    book, coordinator, worker, job = _make_running()
     _handle(coordinator, worker, time=5.0)
     coordinator.make_orders(worker)
     _handle(coordinator, worker, time=4.0, silence=2.0, lapse=1.0)
