Log the time a client has left and the first answer with each state

To tell a refusal that its client can follow from one that it can't, the line of an answered request now has the Retry-After that it got and the seconds for which it would still wait. When a client learned of a job's state was not in the logs: each entry now has one line for each state that it tells of a job, and none for repeated answers, so that the volume stays bounded.

--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -11,6 +11,7 @@
 
 from damaskpin import errors
 from damaskpin.entry import outcomes
+from damaskpin.entry import shown_states
 from damaskpin.platform import operator
 from damaskpin.runtime import clocks
 
@@ -36,9 +37,15 @@
 class JobsHandler(web.RequestHandler):
     """Handles all client requests about jobs and queues."""
 
-    def initialize(self, entry: entries.Entry) -> None:
-        """Set the entry that carries out the request; record the arrival."""
+    def initialize(
+        self, entry: entries.Entry, shown: shown_states.ShownStates
+    ) -> None:
+        """Set the entry that carries out the request; record the arrival.
+
+        :param shown: states that callers of this entry were told.
+        """
         self._entry = entry
+        self._shown = shown
         self._arrival_time = clocks.get_monotonic_time()
 
     def prepare(self) -> None:
@@ -183,11 +190,16 @@
 
     def _get_deadline(self, queue: installations.Queue) -> float:
         timeout = queue.timeout or DEFAULT_TIMEOUT_S
-        client_timeout = self.request.headers.get('X-Timeout-Ms', '')
-        if client_timeout.isdigit():
-            timeout = min(timeout, int(client_timeout) / 1000)
+        client_timeout = self._get_client_timeout()
+        if client_timeout is not None:
+            timeout = min(timeout, client_timeout)
         return self._arrival_time + timeout - ANSWER_MARGIN_S
 
+    def _get_client_timeout(self) -> float | None:
+        """Return the seconds for which the client waits, if it tells."""
+        value = self.request.headers.get('X-Timeout-Ms', '')
+        return int(value) / 1000 if value.isdigit() else None
+
     def _answer_unavailable(self, job_id: str, reason: str) -> None:
         self._answer_outcome(
             self.request.method or '',
@@ -199,18 +211,20 @@
         self, action: str, job_id: str, outcome: outcomes.Outcome
     ) -> None:
         body: dict[str, str] = {}
+        retry_after: int | None = None
         match outcome:
             case outcomes.Accepted():
                 status = 200
             case outcomes.JobFound(state=state):
                 status = 200
                 body = {'state': str(state)}
+                self._log_shown_state(job_id, str(state))
             case outcomes.JobNotFound():
                 status = 410
-            case outcomes.Unavailable(reason=reason, retry_after=seconds):
+            case outcomes.Unavailable(reason=reason, retry_after=retry_after):
                 status = 503
                 body = {'error': reason}
-                self.set_header('Retry-After', str(seconds))
+                self.set_header('Retry-After', str(retry_after))
             case outcomes.Undecided(reason=reason):
                 status = 504
                 body = {'error': reason}
@@ -219,6 +233,7 @@
         self._entry.telemetry.requests.add(1, labels)
         self._entry.telemetry.verdict_seconds.record(seconds, labels)
         if action != 'show' or status != 200:
+            client_timeout = self._get_client_timeout()
             LOG.info(
                 'client request answered',
                 extra={
@@ -227,10 +242,17 @@
                     'status': status,
                     'reason': body.get('error', ''),
                     'seconds': round(seconds, 4),
+                    'retry_after': retry_after,
+                    'time_left': client_timeout
+                    and round(client_timeout - seconds, 3),
                 },
             )
         self._answer(status, body)
 
+    def _log_shown_state(self, job_id: str, state: str) -> None:
+        if self._shown.record(job_id, state):
+            LOG.info('job state shown', extra={'job': job_id, 'state': state})
+
     def _answer(self, status: int, body: dict[str, object]) -> None:
         self.set_status(status)
         self.set_header('Content-Type', 'application/json')
@@ -252,7 +274,8 @@
 
 def make_client_application(entry: entries.Entry) -> web.Application:
     """Return the HTTP application that clients call."""
-    return web.Application([('/.*', JobsHandler, {'entry': entry})])
+    arguments = {'entry': entry, 'shown': shown_states.ShownStates()}
+    return web.Application([('/.*', JobsHandler, arguments)])
 
 
 def make_readiness_application(entry: entries.Entry) -> web.Application:
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -7,7 +7,9 @@
 from tornado import testing
 
 from damaskpin import telemetry
+from damaskpin.entry import outcomes
 from damaskpin.model import installation as installations
+from damaskpin.model import work
 from damaskpin.platform import front
 
 
@@ -65,3 +67,48 @@
         assert answer.code == 504
         assert 'error' in json.loads(answer.body)
         assert self.entry.in_flight == 0
+
+
+class _Refusing:
+    async def submit(self, submission, deadline):
+        return outcomes.Unavailable('the store does not answer', 1)
+
+    async def get_state(self, job_id, account):
+        return outcomes.JobFound(work.JobState.RUNNING)
+
+
+class AnswerLogTest(testing.AsyncHTTPTestCase):
+    """Tests the log lines of answered requests."""
+
+    def get_app(self):
+        self.entry = _Entry()
+        self.entry.requests = _Refusing()
+        return front.make_client_application(self.entry)
+
+    def test_refusal_is_logged_with_the_time_that_the_client_has_left(self):
+        """Guards against refusals whose log does not tell if they help.
+
+        A client whose time ends before Retry-After can't come back.
+        """
+        with self.assertLogs(front.LOG, 'INFO') as logged:
+            answer = self.fetch(
+                '/jobs/0123456789abcdef',
+                method='POST',
+                body=json.dumps({'spec': 'x', 'steps': [{'count': 1}]}),
+                headers={'Host': 'h.example', 'X-Timeout-Ms': '700'},
+            )
+        assert answer.code == 503
+        record = logged.records[-1]
+        assert record.retry_after == 1
+        assert 0 < record.time_left <= 0.7
+
+    def test_first_answer_with_a_state_is_logged(self):
+        """Guards against logs that don't tell when a client saw a state."""
+        with self.assertLogs(front.LOG, 'INFO') as logged:
+            for _ in range(2):
+                self.fetch(
+                    '/jobs/0123456789abcdef', headers={'Host': 'h.example'}
+                )
+        assert [record.message for record in logged.records] == [
+            'job state shown'
+        ]
