Ask the store before a request is refused because it was away

Cause: an entry judged the store by the answers to its own loops, which pause 0.15 s to 0.5 s and hang up to 1.7 s on a silent connection. Until one of them got through, each request was refused on that belief.

Change: in doubt the entry reads a key first, directly and without the pause after failed calls. A read has no effect; a write stays forbidden until the store has answered.

--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -21,6 +21,7 @@
 from damaskpin.runtime import relay
 from damaskpin.runtime import requests
 from damaskpin.runtime import retention
+from damaskpin.runtime import store_probe
 from damaskpin.store import layout
 from damaskpin.store import mirror as mirrors
 from damaskpin.store import transactions
@@ -119,7 +120,9 @@
             settings.address.encode(),
         )
         self.requests = requests.Requests(
-            self._store, self.view, self._relay.is_reachable
+            self._store,
+            self.view,
+            store_probe.StoreProbe(self._store, self._relay),
         )
         self._coordination = coordination.Coordination(
             settings,
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -72,6 +72,7 @@
         '_blocked_peers',
         '_call_ids',
         '_direct_blocked_until',
+        '_direct_call_allowed',
         '_direct_caller',
         '_exchange',
         '_get_peers',
@@ -90,6 +91,7 @@
         self._exchange: exchanges.Exchange | None = None
         self._last_answer_time = clocks.get_monotonic_time()
         self._direct_blocked_until = 0.0
+        self._direct_call_allowed = False
         self._blocked_peers: dict[str, float] = {}
         self._call_ids = itertools.count(1)
         self._pending_calls: dict[int, PendingCall] = {}
@@ -102,6 +104,10 @@
             <= MAX_STORE_SILENCE_S
         )
 
+    def allow_direct_call(self) -> None:
+        """Let the next call go to the store directly, without the pause."""
+        self._direct_call_allowed = True
+
     def set_exchange(self, exchange: exchanges.Exchange) -> None:
         """Set the exchange that carries relayed calls to peers."""
         self._exchange = exchange
@@ -117,7 +123,7 @@
         sent = False
         answer = None
         reason = 'no entry to relay the call'
-        if clocks.get_monotonic_time() >= self._direct_blocked_until:
+        if self._may_call_directly():
             self.counts['direct'] += 1
             try:
                 answer = await self._direct_caller.call(request)
@@ -181,6 +187,13 @@
             return orders.StoreAnswer(call.id, 0, False, b'')
         return orders.StoreAnswer(call.id, answer.status, True, answer.body)
 
+    def _may_call_directly(self) -> bool:
+        is_allowed = self._direct_call_allowed
+        self._direct_call_allowed = False
+        return is_allowed or (
+            clocks.get_monotonic_time() >= self._direct_blocked_until
+        )
+
     def _list_relays(self) -> list[str]:
         now = clocks.get_monotonic_time()
         relays = []
--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -14,10 +14,9 @@
 from damaskpin.store import transactions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from damaskpin.entry import view as views
     from damaskpin.model import work
+    from damaskpin.runtime import store_probe
     from damaskpin.store import interface
 
 LOG = logging.getLogger(__name__)
@@ -48,18 +47,18 @@
 
     :param store: client of the store.
     :param view: jobs that are recorded in the store.
-    :param is_reachable: returns whether the store has answered a recent call.
+    :param probe: tells whether the store answers.
     """
 
-    __slots__ = ('_is_reachable', '_store', '_undecided_submissions', '_view')
+    __slots__ = ('_probe', '_store', '_undecided_submissions', '_view')
 
     def __init__(
         self,
         store: interface.Store,
         view: views.JobView,
-        is_reachable: Callable[[], bool],
+        probe: store_probe.StoreProbe,
     ) -> None:
-        self._is_reachable = is_reachable
+        self._probe = probe
         self._store = store
         self._view = view
         # Ids of submissions with an unknown result, oldest first; the dict
@@ -180,10 +179,9 @@
         self, transaction: transactions.Transaction, deadline: float
     ) -> CommitOutcome:
         """Commit a write; repeat it while it is unknown if it took effect."""
-        if not self._is_reachable():
-            # The store has not answered recent calls. A write sent to it would
-            # probably time out, and it would be unknown whether it took
-            # effect.
+        if not await self._probe.is_available():
+            # A write sent to the store would probably time out, and it would
+            # be unknown whether it took effect.
             return outcomes.Unavailable(
                 'the store does not answer', RETRY_AFTER_S
             )
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -104,3 +104,22 @@
         return await caller.call(REQUEST)
 
     assert asyncio.run(call()).status == 200
+
+
+def test_one_direct_call_may_be_made_within_the_pause():
+    """Guards against a probe that asks only peers, which pause as well."""
+
+    async def call():
+        direct_caller = FakeCaller(503)
+        caller = _make_caller(direct_caller)
+        await caller.call(REQUEST)
+        direct_caller.result = 200
+        caller.allow_direct_call()
+        allowed = await caller.call(REQUEST)
+        direct_caller.result = 503
+        await caller.call(REQUEST)
+        with pytest.raises(errors.CallError):
+            await caller.call(REQUEST)
+        return allowed.status, direct_caller.calls
+
+    assert asyncio.run(call()) == (200, 3)
--- a/tests/test_runtime/test_runtime_requests.py
+++ b/tests/test_runtime/test_runtime_requests.py
@@ -45,12 +45,22 @@
         return result
 
 
+class FakeProbe:
+    """Tells whether the store answers, without asking it."""
+
+    def __init__(self, available=True):
+        self.available = available
+
+    async def is_available(self):
+        return self.available
+
+
 def _make_requests(store, view, reachable=True):
-    return requests.Requests(store, view, lambda: reachable)
+    return requests.Requests(store, view, FakeProbe(reachable))
 
 
 def _submit(store, view=None):
-    handler = requests.Requests(store, view or views.JobView(), lambda: True)
+    handler = _make_requests(store, view or views.JobView())
     deadline = clocks.get_monotonic_time() + 2.0
     return asyncio.run(handler.submit(JOB, deadline)), handler
 
