Wait for the store where a refusal is of no use to the client

Cause: refusals did not look at the client's time limit.

Change: with less time left than Retry-After the entry goes on asking the store until the client's time limit; a repeat of an undecided submission waits 0.5 s at most. All others are refused at once as before. A probe is not waited for longer than the client waits.

test_write_with_unknown_result_is_never_reported_unavailable gets a store that stays busy for more calls, as a repeat now makes several; what it checks is unchanged.

Evidence: three tests fail before (Unavailable or Undecided instead of Accepted).

--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -29,7 +29,11 @@
 # again, or the client reaches another entry.
 RETRY_AFTER_S = 1
 
-# Pause before a write without an answer is repeated, in seconds.
+# Longest time in seconds for which a repeat of an undecided submission waits
+# for the store. It is short, so that the client may still reach another entry.
+UNDECIDED_WAIT_S = 0.5
+
+# Pause before a write is tried again, in seconds.
 COMMIT_RETRY_PAUSE_S = 0.1
 
 # Maximum attempts of a write without an answer. After these the client should
@@ -83,7 +87,9 @@
         transaction = transactions.Transaction(
             {key: 0}, (transactions.Put(key, value),)
         )
-        result = await self._commit_until_decided(transaction, deadline)
+        result = await self._commit(
+            transaction, deadline, job_id in self._undecided_submissions
+        )
         result = self._track_undecided_submission(job_id, result)
         match result:
             case transactions.Committed():
@@ -109,7 +115,7 @@
         transaction = transactions.Transaction(
             {key: 0}, (transactions.Put(key, b'1'),)
         )
-        result = await self._commit_until_decided(transaction, deadline)
+        result = await self._commit(transaction, deadline)
         match result:
             case transactions.Committed() | transactions.Conflict():
                 return outcomes.Accepted()
@@ -175,11 +181,42 @@
             return outcomes.JobNotFound()
         return outcomes.Accepted()
 
+    async def _commit(
+        self,
+        transaction: transactions.Transaction,
+        deadline: float,
+        is_undecided: bool = False,
+    ) -> CommitOutcome:
+        """Commit a write; wait for the store if a refusal would be useless.
+
+        A refusal is useless if the client's time ends before it may come
+        back. A repeat of an undecided submission can't be refused, and its
+        answer can't tell the client when to come back.
+
+        :param is_undecided: whether an earlier submission of the same job has
+            an unknown result.
+        """
+        now = clocks.get_monotonic_time()
+        if deadline - now < RETRY_AFTER_S:
+            wait_end = deadline
+        elif is_undecided:
+            wait_end = min(deadline, now + UNDECIDED_WAIT_S)
+        else:
+            wait_end = now
+        while True:
+            result = await self._commit_until_decided(transaction, deadline)
+            if not isinstance(result, outcomes.Unavailable):
+                return result
+            next_try = clocks.get_monotonic_time() + COMMIT_RETRY_PAUSE_S
+            if next_try >= wait_end:
+                return result
+            await asyncio.sleep(COMMIT_RETRY_PAUSE_S)
+
     async def _commit_until_decided(
         self, transaction: transactions.Transaction, deadline: float
     ) -> CommitOutcome:
         """Commit a write; repeat it while it is unknown if it took effect."""
-        if not await self._probe.is_available():
+        if not await self._probe.is_available(deadline):
             # A write sent to the store would probably time out, and it would
             # be unknown whether it took effect.
             return outcomes.Unavailable(
--- a/damaskpin/runtime/store_probe.py
+++ b/damaskpin/runtime/store_probe.py
@@ -20,6 +20,11 @@
 # request waits this long before it is refused while the store is silent.
 PROBE_TIMEOUT_S = 0.4
 
+# Seconds for which a request waits for the answer to a probe even if its
+# deadline has passed: deadlines have a margin for the client, and an answer
+# from another region takes this long.
+MIN_WAIT_S = 0.06
+
 # Time after a probe without an answer for which its result holds, in seconds,
 # so that many refused requests do not each cost a call to the store.
 PROBE_INTERVAL_S = 0.1
@@ -47,10 +52,13 @@
         self._probing: asyncio.Task[bool] | None = None
         self._failed_until = 0.0
 
-    async def is_available(self) -> bool:
+    async def is_available(self, deadline: float) -> bool:
         """Return whether the store answers; ask it if that is in doubt.
 
         Concurrent requests share one probe.
+
+        :param deadline: monotonic time in seconds until which to wait for the
+            answer.
         """
         if self._relay.is_reachable():
             return True
@@ -58,7 +66,9 @@
             return False
         if self._probing is None or self._probing.done():
             self._probing = asyncio.ensure_future(self._probe())
-        return await asyncio.shield(self._probing)
+        wait = deadline - clocks.get_monotonic_time()
+        await asyncio.wait({self._probing}, timeout=max(wait, MIN_WAIT_S))
+        return self._probing.done() and self._probing.result()
 
     async def _probe(self) -> bool:
         self._relay.allow_direct_call()
--- a/tests/test_runtime/test_runtime_requests.py
+++ b/tests/test_runtime/test_runtime_requests.py
@@ -51,7 +51,7 @@
     def __init__(self, available=True):
         self.available = available
 
-    async def is_available(self):
+    async def is_available(self, deadline):
         return self.available
 
 
@@ -95,12 +95,8 @@
 
 def test_write_with_unknown_result_is_never_reported_unavailable():
     """Guards against denying a job that a delayed write may still store."""
-    store = FakeStore(
-        errors.StoreUncertainError('lost'),
-        errors.StoreUnavailableError('busy'),
-        errors.StoreUnavailableError('busy'),
-        errors.StoreUnavailableError('busy'),
-    )
+    busy = [errors.StoreUnavailableError('busy')] * 20
+    store = FakeStore(errors.StoreUncertainError('lost'), *busy)
     outcome, handler = _submit(store)
     assert isinstance(outcome, outcomes.Undecided)
     deadline = clocks.get_monotonic_time() + 2.0
--- a/tests/test_runtime/test_runtime_store_outage.py
+++ b/tests/test_runtime/test_runtime_store_outage.py
@@ -11,10 +11,12 @@
 from damaskpin.coordinator import records
 from damaskpin.entry import outcomes
 from damaskpin.model import work
+from damaskpin.platform import front
 from damaskpin.runtime import clocks
 from damaskpin.runtime import entry as entries
 from damaskpin.runtime import options
 from damaskpin.runtime import relay
+from damaskpin.runtime import store_probe
 from damaskpin.store import layout
 from damaskpin.store import transactions
 
@@ -35,16 +37,18 @@
 
     :ivar away: whether the store is away.
     :ivar sent: whether calls in the outage may still take effect.
+    :ivar delay: seconds until a call is answered.
     """
 
     def __init__(self):
         self.away = False
         self.sent = False
+        self.delay = 0.001
         self.calls = []
 
     async def call(self, request):
         self.calls.append(request)
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(self.delay)
         if self.away:
             raise errors.CallError('the store is away', self.sent)
         return transport.HttpAnswer(200, b'')
@@ -129,6 +133,13 @@
     return outcome, clocks.get_monotonic_time() - started
 
 
+def _end_outage_after(link, seconds):
+    def end():
+        link.away = False
+
+    asyncio.get_running_loop().call_later(seconds, end)
+
+
 def test_job_is_not_refused_after_the_store_has_returned():
     """Guards against refusals on an old belief that the store is away.
 
@@ -144,6 +155,40 @@
     assert outcome == outcomes.Accepted()
 
 
+def test_client_that_cannot_return_in_time_is_not_refused_early():
+    """Guards against a refusal with a Retry-After beyond the time limit.
+
+    The store returns while the client would still have waited.
+    """
+
+    async def play(entry, link):
+        await _lose_store(entry, link)
+        _end_outage_after(link, 0.25)
+        return await _submit(entry, 0.6)
+
+    outcome, _ = _play(play)
+    assert outcome == outcomes.Accepted()
+
+
+def test_repeat_of_an_undecided_job_waits_for_the_store():
+    """Guards against answers 504 that use up a client's attempts at once.
+
+    Such an answer can't tell when to come back, and clients repeat their
+    request within milliseconds.
+    """
+
+    async def play(entry, link):
+        link.away = link.sent = True
+        first, _ = await _submit(entry, 2.5)
+        await _lose_store(entry, link)
+        _end_outage_after(link, 0.25)
+        return first, await _submit(entry, 2.0)
+
+    first, (outcome, _) = _play(play)
+    assert isinstance(first, outcomes.Undecided)
+    assert outcome == outcomes.Accepted()
+
+
 def test_client_that_can_return_in_time_is_refused_at_once():
     """Guards against requests that are held in an outage.
 
@@ -159,6 +204,46 @@
     assert seconds < 0.2
 
 
+def test_wait_for_the_store_ends_before_the_client_gives_up():
+    """Guards against answers that come after their client's time limit."""
+
+    async def play(entry, link):
+        await _lose_store(entry, link)
+        return await _submit(entry, 0.6)
+
+    outcome, seconds = _play(play)
+    assert isinstance(outcome, outcomes.Unavailable)
+    assert 0.3 < seconds < 0.6 + front.ANSWER_MARGIN_S
+
+
+def test_silent_store_does_not_hold_a_request_past_its_time_limit(monkeypatch):
+    """Guards against a probe that outlasts the client's last milliseconds."""
+    monkeypatch.setattr(store_probe, 'PROBE_TIMEOUT_S', 5.0)
+
+    async def play(entry, link):
+        await _lose_store(entry, link)
+        link.delay = 5.0
+        return await _submit(entry, -front.ANSWER_MARGIN_S + 0.1)
+
+    outcome, seconds = _play(play)
+    assert isinstance(outcome, outcomes.Unavailable)
+    assert seconds < 0.1
+
+
+def test_wait_of_an_undecided_job_is_bounded():
+    """Guards against holding a request that another entry could serve."""
+
+    async def play(entry, link):
+        link.away = link.sent = True
+        await _submit(entry, 2.5)
+        await _lose_store(entry, link)
+        return await _submit(entry, 2.5)
+
+    outcome, seconds = _play(play)
+    assert isinstance(outcome, outcomes.Undecided)
+    assert 0.3 < seconds < 0.75
+
+
 def test_no_job_is_written_while_the_store_is_away():
     """Guards against writes in an outage, which leave the result unknown."""
 
