Resume direct calls once the store is known to be back

Cause: the entry learned through a peer at 22.27 s that the store was back, and sent the write that way, as its own calls still paused after the last failure. The peer lost power, and the call waited 0.7 s for it.

Change: the first answer after a silence of the whole store ends the pause of direct calls. While only this entry is refused, the pause stays, as each refused call is priced.

Evidence: test_direct_calls_resume_once_a_peer_finds_the_store_back fails before (the call is relayed).

--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -128,7 +128,7 @@
             try:
                 answer = await self._direct_caller.call(request)
                 if answer.status not in REFUSAL_STATUSES:
-                    self._last_answer_time = clocks.get_monotonic_time()
+                    self._record_answer()
                     self._record_direct_call(True, '')
                     return answer
                 reason = f'status {answer.status}'
@@ -144,7 +144,7 @@
                 self._block_peer(peer, RELAY_RETRY_S, str(error))
                 continue
             if relayed.status not in REFUSAL_STATUSES:
-                self._last_answer_time = clocks.get_monotonic_time()
+                self._record_answer()
                 return relayed
             self._block_peer(peer, RELAY_RETRY_S, f'status {relayed.status}')
         if answer is not None and not sent:
@@ -187,6 +187,14 @@
             return orders.StoreAnswer(call.id, 0, False, b'')
         return orders.StoreAnswer(call.id, answer.status, True, answer.body)
 
+    def _record_answer(self) -> None:
+        now = clocks.get_monotonic_time()
+        if not self.is_reachable():
+            # The store was away for all entries, so that direct calls are
+            # likely to work again, too.
+            self._direct_blocked_until = min(self._direct_blocked_until, now)
+        self._last_answer_time = now
+
     def _may_call_directly(self) -> bool:
         is_allowed = self._direct_call_allowed
         self._direct_call_allowed = False
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -123,3 +123,41 @@
         return allowed.status, direct_caller.calls
 
     assert asyncio.run(call()) == (200, 3)
+
+
+def test_direct_calls_resume_once_a_peer_finds_the_store_back(monkeypatch):
+    """Guards against writes after an outage that go through a peer only.
+
+    The peer may stop before it has relayed them.
+    """
+    monkeypatch.setattr(relay, 'MAX_STORE_SILENCE_S', 0.02)
+
+    def answer(caller, call):
+        caller.handle_answer(orders.StoreAnswer(call.id, 200, True, b''))
+
+    async def call():
+        direct_caller = FakeCaller(503)
+        caller = _make_caller(direct_caller, answer)
+        await asyncio.sleep(0.03)
+        await caller.call(REQUEST)
+        direct_caller.result = 200
+        answered = await caller.call(REQUEST)
+        return answered.body, direct_caller.calls
+
+    assert asyncio.run(call()) == (b'direct', 2)
+
+
+def test_direct_calls_pause_while_only_this_entry_is_refused():
+    """Guards against a refused call for each relayed one: all are priced."""
+
+    def answer(caller, call):
+        caller.handle_answer(orders.StoreAnswer(call.id, 200, True, b''))
+
+    async def call():
+        direct_caller = FakeCaller(503)
+        caller = _make_caller(direct_caller, answer)
+        for _ in range(5):
+            await caller.call(REQUEST)
+        return direct_caller.calls
+
+    assert asyncio.run(call()) == 1
