Send watches anew once the store is back

Same class of fault as the refusals: knowledge of the store that is as old as a call that hangs. What callers saw: a job that was accepted after an outage waited for the coordinator, whose watch had been sent in the outage and hung until its timeout (0.7 s after the wait of 1 s).

Change: the first answer after a silence of the whole store makes the entry send its pending watches again.

Evidence: test_hanging_watches_are_replaced_once_the_store_is_back fails before (no watch within 0.1 s).

--- a/damaskpin/runtime/configuration.py
+++ b/damaskpin/runtime/configuration.py
@@ -53,6 +53,10 @@
         """Watch the configuration key until cancelled."""
         await self._follower.run()
 
+    def restart_watch(self) -> None:
+        """Replace a pending watch of the configuration by a new one."""
+        self._follower.restart_watch()
+
     def apply(self, change: transactions.Change) -> None:
         """Put a changed configuration in force if it is valid and newer."""
         if not isinstance(change, transactions.StoredItem):
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -106,6 +106,7 @@
             settings, self._handle_message, self._handle_peer_failure
         )
         self._relay.set_exchange(self.exchange)
+        self._relay.on_return = self._restart_watches
         self.leadership = leaderships.Leadership(
             self._store,
             self.view,
@@ -185,6 +186,10 @@
         )
         return silence <= MAX_STORE_SILENCE_S
 
+    def _restart_watches(self) -> None:
+        self._follower.restart_watch()
+        self._configuration.restart_watch()
+
     def _get_fence(self) -> int:
         return self.leadership.fence if self.leadership.is_leader() else 0
 
--- a/damaskpin/runtime/mirror_follower.py
+++ b/damaskpin/runtime/mirror_follower.py
@@ -44,7 +44,13 @@
         seconds.
     """
 
-    __slots__ = ('_is_urgent', '_mirror', '_store', 'last_contact_time')
+    __slots__ = (
+        '_is_urgent',
+        '_mirror',
+        '_pending_watch',
+        '_store',
+        'last_contact_time',
+    )
 
     def __init__(
         self,
@@ -55,6 +61,7 @@
         self._is_urgent = is_urgent
         self._store = store
         self._mirror = mirror
+        self._pending_watch: asyncio.Task[transactions.Changes] | None = None
         self.last_contact_time = 0.0
 
     async def run(self) -> None:
@@ -62,7 +69,8 @@
         unreachable = False
         while True:
             try:
-                await self._follow_once()
+                if not await self._follow_once():
+                    continue
                 self.last_contact_time = clocks.get_monotonic_time()
                 if unreachable:
                     LOG.info(
@@ -88,18 +96,46 @@
                 unreachable = True
                 await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def _follow_once(self) -> None:
+    def restart_watch(self) -> None:
+        """Replace a pending watch by a new one.
+
+        A watch that was sent while the store was away may hang until its
+        timeout, although the store answers again.
+        """
+        if self._pending_watch is not None:
+            self._pending_watch.cancel()
+
+    async def _follow_once(self) -> bool:
+        """Load the keys or wait for changes once.
+
+        :returns: whether the store has answered.
+        """
         mirror = self._mirror
         if not mirror.complete:
             await self._load()
-            return
-        changes = await self._store.watch(
-            mirror.prefix, mirror.revision, WATCH_WAIT_S
-        )
+            return True
+        changes = await self._watch()
+        if changes is None:
+            return False
         mirror.apply_changes(changes)
         self.last_contact_time = clocks.get_monotonic_time()
         if changes.changes and not self._is_urgent():
             await asyncio.sleep(WATCH_PAUSE_S)
+        return True
+
+    async def _watch(self) -> transactions.Changes | None:
+        """Return the next changes; ``None`` if the watch is restarted."""
+        mirror = self._mirror
+        watch = asyncio.ensure_future(
+            self._store.watch(mirror.prefix, mirror.revision, WATCH_WAIT_S)
+        )
+        self._pending_watch = watch
+        try:
+            await asyncio.wait({watch})
+        finally:
+            self._pending_watch = None
+            watch.cancel()
+        return None if watch.cancelled() else watch.result()
 
     async def _load(self) -> None:
         """Replace the mirror by a listing of all keys below its prefix.
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -65,6 +65,8 @@
 
     :param direct_caller: makes HTTP calls to the store from this instance.
     :param get_peers: returns the addresses of other entries.
+    :ivar on_return: called with the first answer after a silence of the whole
+        store.
     :ivar counts: number of direct and of relayed calls.
     """
 
@@ -79,6 +81,7 @@
         '_last_answer_time',
         '_pending_calls',
         'counts',
+        'on_return',
     )
 
     def __init__(
@@ -96,6 +99,7 @@
         self._call_ids = itertools.count(1)
         self._pending_calls: dict[int, PendingCall] = {}
         self.counts: collections.Counter[str] = collections.Counter()
+        self.on_return: Callable[[], None] = lambda: None
 
     def is_reachable(self) -> bool:
         """Return whether the store has answered a recent call."""
@@ -189,11 +193,14 @@
 
     def _record_answer(self) -> None:
         now = clocks.get_monotonic_time()
-        if not self.is_reachable():
-            # The store was away for all entries, so that direct calls are
-            # likely to work again, too.
-            self._direct_blocked_until = min(self._direct_blocked_until, now)
+        was_reachable = self.is_reachable()
         self._last_answer_time = now
+        if was_reachable:
+            return
+        # The store was away for all entries, so that direct calls are likely
+        # to work again, too.
+        self._direct_blocked_until = min(self._direct_blocked_until, now)
+        self.on_return()
 
     def _may_call_directly(self) -> bool:
         is_allowed = self._direct_call_allowed
--- a/tests/test_runtime/test_runtime_mirror_follower.py
+++ b/tests/test_runtime/test_runtime_mirror_follower.py
@@ -79,3 +79,31 @@
 
     asyncio.run(follow())
     assert len(listed_prefixes) >= 2
+
+
+def test_restarted_watch_is_sent_at_once_and_the_loop_goes_on():
+    """Guards against a follower that ends with the watch it replaces."""
+    store = _BusyStore()
+
+    async def watch(prefix, after, wait):
+        store.watches += 1
+        await asyncio.sleep(60)
+
+    store.watch = watch
+
+    async def follow():
+        mirror = mirrors.Mirror('p/', lambda change: None)
+        follower = mirror_follower.MirrorFollower(store, mirror, lambda: True)
+        task = asyncio.ensure_future(follower.run())
+        for _ in range(3):
+            await asyncio.sleep(0.02)
+            follower.restart_watch()
+        await asyncio.sleep(0.02)
+        running = not task.done()
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        return running
+
+    assert asyncio.run(follow())
+    assert store.watches == 4
--- a/tests/test_runtime/test_runtime_store_outage.py
+++ b/tests/test_runtime/test_runtime_store_outage.py
@@ -14,6 +14,7 @@
 from damaskpin.platform import front
 from damaskpin.runtime import clocks
 from damaskpin.runtime import entry as entries
+from damaskpin.runtime import mirror_follower
 from damaskpin.runtime import options
 from damaskpin.runtime import relay
 from damaskpin.runtime import store_probe
@@ -28,6 +29,7 @@
     work.Terms('q', 's', 1, 2),
     5.0,
 )
+WATCH = transport.HttpRequest('GET', '/watch', None, 0.2)
 READ = transport.HttpRequest('GET', '/read', None, 0.2)
 WRITE = transport.HttpRequest('POST', '/write', b'', 0.2)
 
@@ -74,6 +76,15 @@
         self.items[key] = transactions.StoredItem(key, value, 7, 7)
         return transactions.Committed(7)
 
+    async def list_page(self, prefix, after='', stale=False):
+        await self._call(READ)
+        return transactions.Page((), 1, False)
+
+    async def watch(self, prefix, after, wait):
+        await self._call(WATCH)
+        await asyncio.sleep(wait)
+        return transactions.Changes((), after)
+
     async def _call(self, request):
         try:
             await self._caller.call(request)
@@ -287,3 +298,24 @@
     outcome, item = _play(play)
     assert outcome == outcomes.Accepted()
     assert item.revision == 5
+
+
+def test_hanging_watches_are_replaced_once_the_store_is_back():
+    """Guards against changes that are seen a second after an outage.
+
+    A watch that was sent in a silent outage hangs until its timeout. Until
+    then a coordinator learns of no new job.
+    """
+
+    async def play(entry, link):
+        entry.start()
+        await asyncio.sleep(0.1)
+        link.away, link.delay = True, 5.0
+        await asyncio.sleep(mirror_follower.WATCH_WAIT_S + 0.2)
+        link.away, link.delay = False, 0.001
+        link.calls.clear()
+        await _submit(entry, 2.5)
+        await asyncio.sleep(0.1)
+        return link.calls.count(WATCH)
+
+    assert _play(play) == 2
