Leave half of the client's time for another attempt

The wait for the store went on to the client's time limit. A client that is held to its end can't ask another entry, and one whose job can't be served any more is told too late. It now ends after half of the time left; a repeat of an undecided submission waits 0.25 s, so that its attempts spread over the client's time limit instead of using it up at one entry.

--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -31,7 +31,11 @@
 
 # Longest time in seconds for which a repeat of an undecided submission waits
 # for the store. It is short, so that the client may still reach another entry.
-UNDECIDED_WAIT_S = 0.5
+UNDECIDED_WAIT_S = 0.25
+
+# Largest share of a client's remaining time for which its request waits for
+# the store. The rest is for another attempt, which may reach another entry.
+MAX_WAIT_SHARE = 0.5
 
 # Pause before a write is tried again, in seconds.
 COMMIT_RETRY_PAUSE_S = 0.1
@@ -197,12 +201,13 @@
             an unknown result.
         """
         now = clocks.get_monotonic_time()
-        if deadline - now < RETRY_AFTER_S:
-            wait_end = deadline
+        time_left = deadline - now
+        wait = 0.0
+        if time_left < RETRY_AFTER_S:
+            wait = time_left * MAX_WAIT_SHARE
         elif is_undecided:
-            wait_end = min(deadline, now + UNDECIDED_WAIT_S)
-        else:
-            wait_end = now
+            wait = UNDECIDED_WAIT_S
+        wait_end = now + wait
         while True:
             result = await self._commit_until_decided(transaction, deadline)
             if not isinstance(result, outcomes.Unavailable):
