Log the end of each job beside its objective

The coordinator now writes one line for each job that ends, with its seconds since acceptance, its objective and its number of starts.

--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -1,11 +1,14 @@
-"""Log records about events of runs."""
+"""Log records about events of runs and jobs."""
 
 from __future__ import annotations
 
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import ranking
+
 if TYPE_CHECKING:
+    from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import worker_state
     from damaskpin.model import work
 
@@ -38,3 +41,27 @@
             **more,
         },
     )
+
+
+def log_job_end(job: jobs.Job) -> None:
+    """Log the end of a job beside the objective that it had.
+
+    Times are seconds since the job was accepted.
+    """
+    runs = sum(
+        sum(step.numbers.values())
+        for steps in job.progress.occurrences.values()
+        for step in steps
+    )
+    LOG.info(
+        'job ended',
+        extra={
+            'job': job.id,
+            'state': str(job.progress.state),
+            'reason': job.progress.reason,
+            'priority': job.submission.terms.priority,
+            'seconds': round(job.progress.ended - job.submission.accepted, 3),
+            'objective': round(ranking.get_objective_duration(job), 3),
+            'runs': runs,
+        },
+    )
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -222,6 +222,7 @@
         self.changed = True
         worker.orders_due = True
         self.counts[str(ended.ending)] += 1
+        was_final = job.is_final()
         job.end_run(ended.run, ended.ending, ended.checkpoint, wall)
         worker.pending_ends.append(
             worker_state.PendingEnd(ended.serial, job, job.progress.version)
@@ -242,6 +243,8 @@
             case work.Ending.FAILED:
                 worker.record_failure(now, job)
                 self.avoid_worker(placed, worker)
+        if job.is_final() and not was_final:
+            events.log_job_end(job)
         if job.progress.state is work.JobState.COMPLETED:
             # The other members of the gang end without a stop order.
             return
