Answer a request within the time of its client

Cause: a deadline that isn't handed on. The entry checks the client's time limit between its writes only, and one write takes 0.6 s directly and 1.0 s through each of two peers, 2.6 s while the store is silent. Reads for a job's state had no limit at all.

Class and other places: nested timeouts that add up. All waits of a client's request for the store now share one limit: the client's time, 1 s at most, so that it can still ask another entry. What is undecided then is answered 504. A cancelled HTTP call no longer logs its later error as a fault.

Evidence: test_submission_is_answered_within_the_time_of_its_client and test_state_is_answered_within_the_time_of_its_client fail before (5 s).

--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -119,7 +119,9 @@
         job_id = self._get_job_id(queue)
         if job_id is None:
             return
-        outcome = await self._entry.requests.get_state(job_id, account)
+        outcome = await self._entry.requests.get_state(
+            job_id, account, self._get_deadline(queue)
+        )
         self._answer_outcome('show', job_id, outcome)
 
     async def delete(self) -> None:
--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -44,6 +44,13 @@
 # repeat its request at another entry.
 MAX_COMMIT_ATTEMPTS = 3
 
+# Longest and shortest time in seconds for which a request waits for answers of
+# the store. A call goes through other entries when the store does not answer,
+# which takes several timeouts; by then the client should ask another entry.
+# The shortest time applies to clients whose time is up but for the margin.
+MAX_STORE_TIME_S = 1.0
+MIN_STORE_TIME_S = 0.15
+
 # Maximum number of remembered submissions for which it is unknown whether the
 # store has the job. The answer to a repeat of such a submission must not say
 # that the job was not stored.
@@ -110,7 +117,7 @@
         self, job_id: str, account: str, deadline: float
     ) -> outcomes.Outcome:
         """Store the cancellation of a job unless the job has ended."""
-        outcome = await self._find_state(job_id, account)
+        outcome = await self._find_state(job_id, account, deadline)
         if not isinstance(outcome, outcomes.JobFound):
             return outcome
         if outcome.state.is_final():
@@ -125,20 +132,26 @@
                 return outcomes.Accepted()
         return result
 
-    async def get_state(self, job_id: str, account: str) -> outcomes.Outcome:
+    async def get_state(
+        self, job_id: str, account: str, deadline: float
+    ) -> outcomes.Outcome:
         """Return the state of a job, from the view or from the store."""
-        return await self._find_state(job_id, account)
+        return await self._find_state(job_id, account, deadline)
 
-    async def _find_state(self, job_id: str, account: str) -> outcomes.Outcome:
+    async def _find_state(
+        self, job_id: str, account: str, deadline: float
+    ) -> outcomes.Outcome:
         known_job = self._view.get(job_id)
         if known_job is not None and known_job.submission is not None:
             if not is_visible(known_job.submission, account):
                 return outcomes.JobNotFound()
             return outcomes.JobFound(known_job.progress.state)
         try:
-            return await self._read_state(job_id, account)
-        except errors.StoreError as error:
-            return outcomes.Unavailable(str(error), RETRY_AFTER_S)
+            async with asyncio.timeout(get_time_limit(deadline)):
+                return await self._read_state(job_id, account)
+        except (errors.StoreError, TimeoutError) as error:
+            reason = str(error) or 'the store did not answer in time'
+            return outcomes.Unavailable(reason, RETRY_AFTER_S)
 
     async def _read_state(self, job_id: str, account: str) -> outcomes.Outcome:
         """Read a job's state from the store, as the view may lag behind."""
@@ -227,6 +240,15 @@
             return outcomes.Unavailable(
                 'the store does not answer', RETRY_AFTER_S
             )
+        try:
+            async with asyncio.timeout(get_time_limit(deadline)):
+                return await self._repeat_until_decided(transaction)
+        except TimeoutError:
+            return outcomes.Undecided('the store did not answer in time')
+
+    async def _repeat_until_decided(
+        self, transaction: transactions.Transaction
+    ) -> CommitOutcome:
         attempts = 0
         maybe_written = False
         while True:
@@ -240,14 +262,21 @@
             except errors.StoreError as error:
                 maybe_written = True
                 reason = str(error)
-            deadline_reached = (
-                clocks.get_monotonic_time() + COMMIT_RETRY_PAUSE_S >= deadline
-            )
-            if deadline_reached or attempts >= MAX_COMMIT_ATTEMPTS:
+            if attempts >= MAX_COMMIT_ATTEMPTS:
                 return outcomes.Undecided(reason)
             await asyncio.sleep(COMMIT_RETRY_PAUSE_S)
 
 
+def get_time_limit(deadline: float) -> float:
+    """Return the seconds for which a request may wait for the store.
+
+    :param deadline: monotonic time in seconds at which the client stops
+        waiting.
+    """
+    time_left = deadline - clocks.get_monotonic_time()
+    return max(min(time_left, MAX_STORE_TIME_S), MIN_STORE_TIME_S)
+
+
 def is_visible(submission: work.Submission, account: str) -> bool:
     """Return whether a client account may see a job.
 
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -92,8 +93,14 @@
             decompress_response=False,
             follow_redirects=False,
         )
+        fetch = self._client.fetch(prepared, raise_error=False)
         try:
-            answer = await self._client.fetch(prepared, raise_error=False)
+            # Cancelling the fetch itself would not end it, and its later
+            # error would be logged as a fault.
+            answer = await asyncio.shield(fetch)
+        except asyncio.CancelledError:
+            fetch.add_done_callback(_consume_error)
+            raise
         except curl_httpclient.CurlError as error:
             # ``raise_error`` affects only answers of the server; a timeout or
             # a broken connection is always raised.
@@ -104,3 +111,9 @@
     def close(self) -> None:
         """Close all connections to the server."""
         self._client.close()
+
+
+def _consume_error(fetch: asyncio.Future[httpclient.HTTPResponse]) -> None:
+    """Retrieve the error of a call that nobody waits for any more."""
+    if not fetch.cancelled():
+        fetch.exception()
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -73,7 +73,7 @@
     async def submit(self, submission, deadline):
         return outcomes.Unavailable('the store does not answer', 1)
 
-    async def get_state(self, job_id, account):
+    async def get_state(self, job_id, account, deadline):
         return outcomes.JobFound(work.JobState.RUNNING)
 
 
--- a/tests/test_runtime/test_runtime_requests.py
+++ b/tests/test_runtime/test_runtime_requests.py
@@ -65,6 +65,10 @@
     return asyncio.run(handler.submit(JOB, deadline)), handler
 
 
+def _get_deadline():
+    return clocks.get_monotonic_time() + 2.0
+
+
 def _make_item(submission):
     value = records.encode_submission(submission)
     key = layout.make_job_key(submission.id)
@@ -109,16 +113,22 @@
     view = views.JobView()
     store = FakeStore(_make_item(JOB), None)
     handler = _make_requests(store, view)
-    outcome = asyncio.run(handler.get_state(JOB.id, 'account'))
+    outcome = asyncio.run(
+        handler.get_state(JOB.id, 'account', _get_deadline())
+    )
     assert outcome == outcomes.JobFound(work.JobState.QUEUED)
     failing_store = FakeStore(errors.StoreUncertainError('lost'))
     outcome = asyncio.run(
-        _make_requests(failing_store, view).get_state(JOB.id, 'a')
+        _make_requests(failing_store, view).get_state(
+            JOB.id, 'a', _get_deadline()
+        )
     )
     assert isinstance(outcome, outcomes.Unavailable)
     handler_without_job = _make_requests(FakeStore(None), view)
     assert (
-        asyncio.run(handler_without_job.get_state(JOB.id, 'a'))
+        asyncio.run(
+            handler_without_job.get_state(JOB.id, 'a', _get_deadline())
+        )
         == outcomes.JobNotFound()
     )
 
@@ -128,7 +138,7 @@
     view = views.JobView()
     view.apply(_make_item(JOB))
     handler = _make_requests(FakeStore(), view)
-    outcome = asyncio.run(handler.get_state(JOB.id, 'other'))
+    outcome = asyncio.run(handler.get_state(JOB.id, 'other', _get_deadline()))
     assert outcome == outcomes.JobNotFound()
 
 
--- a/tests/test_runtime/test_runtime_store_outage.py
+++ b/tests/test_runtime/test_runtime_store_outage.py
@@ -133,7 +133,9 @@
     link.away = True
     await asyncio.sleep(0.06)
     link.sent, sent = False, link.sent
-    await entry.requests.get_state(JOB.id, 'account')
+    await entry.requests.get_state(
+        JOB.id, 'account', clocks.get_monotonic_time() + 2.5
+    )
     link.sent = sent
 
 
@@ -244,6 +246,38 @@
     assert seconds < 0.1
 
 
+@pytest.mark.parametrize('seconds', [0.5, 3.0])
+def test_submission_is_answered_within_the_time_of_its_client(seconds):
+    """Guards against calls through peers that outlast the client's limit.
+
+    Each of them has its own timeout, and together they took over 3 s.
+    """
+
+    async def play(entry, link):
+        link.delay = 5.0
+        return await _submit(entry, seconds)
+
+    outcome, elapsed = _play(play)
+    assert isinstance(outcome, outcomes.Undecided)
+    assert elapsed < min(seconds, 1.0) + 0.1
+
+
+def test_state_is_answered_within_the_time_of_its_client():
+    """Guards against a status request that waits for a silent store."""
+
+    async def play(entry, link):
+        link.delay = 5.0
+        started = clocks.get_monotonic_time()
+        outcome = await entry.requests.get_state(
+            JOB.id, 'account', started + 0.5
+        )
+        return outcome, clocks.get_monotonic_time() - started
+
+    outcome, elapsed = _play(play)
+    assert isinstance(outcome, outcomes.Unavailable)
+    assert elapsed < 0.6
+
+
 def test_wait_of_an_undecided_job_is_bounded():
     """Guards against holding a request that another entry could serve."""
 
