Soak: an entry that runs undisturbed answers within the time limit

A request without an answer within 2.2 s (its time limit of 2 s and a margin) at an entry that was neither started, stopped nor paused meanwhile is a violation.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,6 +10,11 @@
 
 from soak import fleet as fleets
 
+# Time limit that requests state, in milliseconds, and time in seconds after
+# which an answer counts as missing.
+TIME_LIMIT_MS = 2000
+REQUEST_TIMEOUT_S = 2.2
+
 FINAL_STATES = ('completed', 'failed', 'canceled')
 
 
@@ -84,11 +89,12 @@
             headers={
                 'Host': fleets.HOST,
                 'Authorization': f'Bearer {fleets.KEY}',
-                'X-Timeout-Ms': '2000',
+                'X-Timeout-Ms': str(TIME_LIMIT_MS),
             },
-            request_timeout=2.2,
+            request_timeout=REQUEST_TIMEOUT_S,
             connect_timeout=1.0,
         )
+        started = time.monotonic()
         try:
             response = await self._http_client.fetch(
                 request, raise_error=False
@@ -96,6 +102,7 @@
         except (OSError, httpclient.HTTPError):
             return 0, {}
         if response.code == 599:
+            self._check_time_limit(entry, method, job, started)
             return 0, {}
         try:
             return response.code, json.loads(response.body or b'{}')
@@ -109,6 +116,17 @@
             )
             return response.code, {}
 
+    def _check_time_limit(self, entry, method, job, started):
+        """Report an entry that ran and did not answer in time."""
+        seconds = time.monotonic() - started
+        if seconds < REQUEST_TIMEOUT_S:
+            return
+        if entry.has_run_undisturbed_since(started):
+            self._oracle.violations.append(
+                f'{method} {job} at {entry.name}, {time.strftime("%X")}: '
+                f'no answer within {seconds:.2f} s'
+            )
+
     async def list_unfinished(self):
         """Return a description of each accepted job without a final state."""
         unfinished = set()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 from soak import proxy as proxies
 from soak import store as stores
@@ -71,9 +72,13 @@
     :param settings: content of the settings file.
     :param store_proxy: proxy between the daemon and the store.
     :param peer_proxy: proxy on which other daemons reach this one.
+    :ivar paused: whether the process is stopped by a signal.
+    :ivar disturbed_at: monotonic time in seconds of the last start or signal.
     """
 
     def __init__(self, folder, settings, store_proxy, peer_proxy):
+        self.paused = False
+        self.disturbed_at = 0.0
         self.name = settings['node']
         self.settings = settings
         self.store_proxy = store_proxy
@@ -95,6 +100,8 @@
                 f'tcp://127.0.0.1:{self.peer_proxy.port}'
             ),
         }
+        self.paused = False
+        self.disturbed_at = time.monotonic()
         self._process = subprocess.Popen(
             [sys.executable, '-m', 'damaskpin.platform'],
             cwd=ROOT,
@@ -109,8 +116,20 @@
 
     def send_signal(self, signum):
         """Send a signal to the process if it is running."""
-        if self.is_running():
-            self._process.send_signal(signum)
+        if not self.is_running():
+            return
+        if signum != signal.SIGCONT or self.paused:
+            self.disturbed_at = time.monotonic()
+        self.paused = signum == signal.SIGSTOP or (
+            self.paused and signum != signal.SIGCONT
+        )
+        self._process.send_signal(signum)
+
+    def has_run_undisturbed_since(self, start):
+        """Return whether the process has run since then without a signal."""
+        return (
+            self.is_running() and not self.paused and self.disturbed_at < start
+        )
 
     def kill(self):
         """Kill the process, paused or not, and wait until it has ended."""
