--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -235,7 +235,9 @@
         self._entry.telemetry.requests.add(1, labels)
         self._entry.telemetry.verdict_seconds.record(seconds, labels)
         if action != 'show' or status != 200:
-            client_timeout = self._get_client_timeout()
+            time_left = self._get_client_timeout()
+            if time_left is not None:
+                time_left = round(time_left - seconds, 3)
             LOG.info(
                 'client request answered',
                 extra={
@@ -245,8 +247,7 @@
                     'reason': body.get('error', ''),
                     'seconds': round(seconds, 4),
                     'retry_after': retry_after,
-                    'time_left': client_timeout
-                    and round(client_timeout - seconds, 3),
+                    'time_left': time_left,
                 },
             )
         self._answer(status, body)
--- a/damaskpin/runtime/store_probe.py
+++ b/damaskpin/runtime/store_probe.py
@@ -76,7 +76,8 @@
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 await self._store.get(layout.LEADER_KEY)
         except (errors.StoreError, TimeoutError) as error:
-            LOG.info('store still away', extra={'error': str(error)})
+            reason = str(error) or 'no answer in time'
+            LOG.info('store still away', extra={'error': reason})
             self._failed_until = clocks.get_monotonic_time() + PROBE_INTERVAL_S
             return False
         return True
