--- a/tests/test_runtime/test_runtime_requests.py
+++ b/tests/test_runtime/test_runtime_requests.py
@@ -13,15 +13,9 @@
 from damaskpin.runtime import requests
 from damaskpin.store import layout
 from damaskpin.store import transactions
+from tests.test_runtime import outages
 
-JOB = work.Submission(
-    'a' * 16,
-    'account',
-    'content',
-    (work.Step(count=1, demand=work.Resources(1, 1, 0)),),
-    work.Terms('q', 's', 1, 2),
-    5.0,
-)
+JOB = outages.JOB
 
 
 class FakeStore:
