Send probes of the store anew while one hangs

Cause: requests share one probe, and the one sent at 21.99 s, in a silent outage, hung until its timeout of 0.4 s. What the entry knew was again as old as a call that hangs.

Change: while requests wait, a new probe is sent every 0.15 s, and any answer counts. The margin of the client's time limit moves to the requests, so that the limit that they are given is the client's own; the waits stay as they were.

--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -23,9 +23,6 @@
 
 JOB_ID_PATTERN = re.compile('[0-9a-f]{16}')
 
-# Seconds subtracted from the client's timeout, so that the answer arrives in
-# time.
-ANSWER_MARGIN_S = 0.25
 # Timeout of requests to a queue without its own timeout, in seconds.
 DEFAULT_TIMEOUT_S = 3.0
 
@@ -195,7 +192,7 @@
         client_timeout = self._get_client_timeout()
         if client_timeout is not None:
             timeout = min(timeout, client_timeout)
-        return self._arrival_time + timeout - ANSWER_MARGIN_S
+        return self._arrival_time + timeout
 
     def _get_client_timeout(self) -> float | None:
         """Return the seconds for which the client waits, if it tells."""
--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -37,6 +37,9 @@
 # the store. The rest is for another attempt, which may reach another entry.
 MAX_WAIT_SHARE = 0.5
 
+# Seconds before a client's time limit by which it should have its answer.
+ANSWER_MARGIN_S = 0.25
+
 # Pause before a write is tried again, in seconds.
 COMMIT_RETRY_PAUSE_S = 0.1
 
@@ -214,7 +217,7 @@
             an unknown result.
         """
         now = clocks.get_monotonic_time()
-        time_left = deadline - now
+        time_left = deadline - ANSWER_MARGIN_S - now
         wait = 0.0
         if time_left < RETRY_AFTER_S:
             wait = time_left * MAX_WAIT_SHARE
@@ -234,7 +237,7 @@
         self, transaction: transactions.Transaction, deadline: float
     ) -> CommitOutcome:
         """Commit a write; repeat it while it is unknown if it took effect."""
-        if not await self._probe.is_available(deadline):
+        if not await self._probe.is_available(deadline - ANSWER_MARGIN_S):
             # A write sent to the store would probably time out, and it would
             # be unknown whether it took effect.
             return outcomes.Unavailable(
@@ -273,7 +276,7 @@
     :param deadline: monotonic time in seconds at which the client stops
         waiting.
     """
-    time_left = deadline - clocks.get_monotonic_time()
+    time_left = deadline - ANSWER_MARGIN_S - clocks.get_monotonic_time()
     return max(min(time_left, MAX_STORE_TIME_S), MIN_STORE_TIME_S)
 
 
--- a/damaskpin/runtime/store_probe.py
+++ b/damaskpin/runtime/store_probe.py
@@ -25,9 +25,10 @@
 # from another region takes this long.
 MIN_WAIT_S = 0.06
 
-# Time after a probe without an answer for which its result holds, in seconds,
-# so that many refused requests do not each cost a call to the store.
-PROBE_INTERVAL_S = 0.1
+# Shortest time between two probes, in seconds. A probe that was sent before
+# the store's return may hang, so that later ones are needed; and many refused
+# requests do not each cost a call to the store.
+PROBE_INTERVAL_S = 0.15
 
 
 class StoreProbe:
@@ -42,35 +43,44 @@
     :param relay: knows when the store answered last.
     """
 
-    __slots__ = ('_failed_until', '_probing', '_relay', '_store')
+    __slots__ = ('_probe_sent', '_relay', '_store', '_task')
 
     def __init__(
         self, store: interface.Store, relay: relays.RelayingCaller
     ) -> None:
         self._relay = relay
         self._store = store
-        self._probing: asyncio.Task[bool] | None = None
-        self._failed_until = 0.0
+        self._task: asyncio.Task[None] | None = None
+        self._probe_sent = 0.0
 
     async def is_available(self, deadline: float) -> bool:
         """Return whether the store answers; ask it if that is in doubt.
 
-        Concurrent requests share one probe.
+        Concurrent requests share the probes.
 
         :param deadline: monotonic time in seconds until which to wait for the
             answer.
         """
-        if self._relay.is_reachable():
-            return True
-        if clocks.get_monotonic_time() < self._failed_until:
-            return False
-        if self._probing is None or self._probing.done():
-            self._probing = asyncio.ensure_future(self._probe())
-        wait = deadline - clocks.get_monotonic_time()
-        await asyncio.wait({self._probing}, timeout=max(wait, MIN_WAIT_S))
-        return self._probing.done() and self._probing.result()
-
-    async def _probe(self) -> bool:
+        now = clocks.get_monotonic_time()
+        end = min(max(deadline, now + MIN_WAIT_S), now + PROBE_TIMEOUT_S)
+        while not self._relay.is_reachable():
+            task = self._get_latest_probe()
+            time_left = end - clocks.get_monotonic_time()
+            if task.done() or time_left <= 0:
+                return False
+            wait = min(time_left, PROBE_INTERVAL_S)
+            await asyncio.wait({task}, timeout=wait)
+        return True
+
+    def _get_latest_probe(self) -> asyncio.Task[None]:
+        """Return the latest probe, or a new one if that is due."""
+        now = clocks.get_monotonic_time()
+        if self._task is None or now - self._probe_sent >= PROBE_INTERVAL_S:
+            self._probe_sent = now
+            self._task = asyncio.ensure_future(self._probe())
+        return self._task
+
+    async def _probe(self) -> None:
         self._relay.allow_direct_call()
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
@@ -78,6 +88,3 @@
         except (errors.StoreError, TimeoutError) as error:
             reason = str(error) or 'no answer in time'
             LOG.info('store still away', extra={'error': reason})
-            self._failed_until = clocks.get_monotonic_time() + PROBE_INTERVAL_S
-            return False
-        return True
--- a/tests/test_runtime/outages.py
+++ b/tests/test_runtime/outages.py
@@ -134,5 +134,6 @@
 def end_outage_after(link, seconds):
     def end():
         link.away = False
+        link.delay = 0.001
 
     asyncio.get_running_loop().call_later(seconds, end)
