Soak: check answer times where the HTTP client reports a timeout

The check of, that an entry that runs undisturbed answers within the time limit, never ran: it stood behind a status of 599, but with raise_error off the client still raises its own timeouts.

The check moves to the handler of that error, and the branch that could not be reached goes. test_entry_that_does_not_answer_in_time_is_reported fails before (no violation).

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -100,8 +100,6 @@
                 request, raise_error=False
             )
         except (OSError, httpclient.HTTPError):
-            return 0, {}
-        if response.code == 599:
             self._check_time_limit(entry, method, job, started)
             return 0, {}
         try:
