Drop a method of requests that only called another one

get_state passed its arguments on to _find_state, and the deadline had to be added to both. Behaviour is unchanged; tests of runtime and platform pass.

--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -120,7 +120,7 @@
         self, job_id: str, account: str, deadline: float
     ) -> outcomes.Outcome:
         """Store the cancellation of a job unless the job has ended."""
-        outcome = await self._find_state(job_id, account, deadline)
+        outcome = await self.get_state(job_id, account, deadline)
         if not isinstance(outcome, outcomes.JobFound):
             return outcome
         if outcome.state.is_final():
@@ -139,11 +139,6 @@
         self, job_id: str, account: str, deadline: float
     ) -> outcomes.Outcome:
         """Return the state of a job, from the view or from the store."""
-        return await self._find_state(job_id, account, deadline)
-
-    async def _find_state(
-        self, job_id: str, account: str, deadline: float
-    ) -> outcomes.Outcome:
         known_job = self._view.get(job_id)
         if known_job is not None and known_job.submission is not None:
             if not is_visible(known_job.submission, account):
