Log what decided a refusal, the age of a configuration and stalls

Now a 401 or 404 tells the version that decided it and the time since the store last showed that it was the newest; the same age stands beside each version in force and in a metric. Listings tell how long they took, and a line tells when the first answer after a silence sends the watches anew.

--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -145,7 +145,7 @@
         host = self.request.host.partition(':')[0]
         queue = installation.find_queue(host, self.request.path)
         if queue is None:
-            self._answer(404, {'error': 'no such queue'})
+            self._refuse(installation, 404, 'no such queue')
             return None
         scheme, _, key = self.request.headers.get(
             'Authorization', ''
@@ -157,15 +157,30 @@
             return queue, account.name
         if queue.anonymous:
             return queue, ''
+        self._refuse(installation, 401, 'unknown key')
+        return None
+
+    def _refuse(
+        self,
+        installation: installations.Installation,
+        status: int,
+        reason: str,
+    ) -> None:
+        """Refuse a request that the configuration in force does not allow."""
         LOG.info(
-            'request with an unknown API key refused',
+            'request refused by the configuration',
             extra={
                 'path': self.request.path,
+                'action': self.request.method,
+                'status': status,
+                'reason': reason,
                 'version': installation.version,
+                'confirmation_age': round(
+                    self._entry.get_configuration_age(), 3
+                ),
             },
         )
-        self._answer(401, {'error': 'unknown key'})
-        return None
+        self._answer(status, {'error': reason})
 
     def _find_job(self) -> tuple[installations.Queue, str, str] | None:
         """Find the queue, the client account and the job id of the request.
@@ -235,6 +250,8 @@
             time_left = self._get_client_timeout()
             if time_left is not None:
                 time_left = round(time_left - seconds, 3)
+            installation = self._entry.installation
+            version = installation.version if installation else 0
             LOG.info(
                 'client request answered',
                 extra={
@@ -245,6 +262,7 @@
                     'seconds': round(seconds, 4),
                     'retry_after': retry_after,
                     'time_left': time_left,
+                    'version': version,
                 },
             )
         self._answer(status, body)
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -15,6 +15,7 @@
 from damaskpin.peer import orders
 from damaskpin.runtime import background
 from damaskpin.runtime import clocks
+from damaskpin.runtime import event_loop
 from damaskpin.runtime import exchange_factory
 from damaskpin.store import layout
 
@@ -114,6 +115,7 @@
     def start(self) -> None:
         """Start the periodic loop and the lease renewal loop."""
         self.agent.start(clocks.get_monotonic_time())
+        self._background.supervise(event_loop.LoopMonitor().run)
         self._background.supervise(self._run_periodically)
         self._background.supervise(self._run_lease_renewals)
 
--- a/damaskpin/runtime/configuration.py
+++ b/damaskpin/runtime/configuration.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin import errors
+from damaskpin.runtime import clocks
 from damaskpin.runtime import mirror_follower
 from damaskpin.store import mirror as mirrors
 from damaskpin.store import transactions
@@ -31,7 +32,14 @@
     :ivar installation: configuration in force; ``None`` before the first one.
     """
 
-    __slots__ = ('_decode', '_follower', '_key', '_on_change', 'installation')
+    __slots__ = (
+        '_decode',
+        '_follower',
+        '_key',
+        '_on_change',
+        '_started',
+        'installation',
+    )
 
     def __init__(
         self,
@@ -43,6 +51,7 @@
         self._key = key
         self._decode = decode
         self._on_change = on_change
+        self._started = clocks.get_monotonic_time()
         self.installation: installations.Installation | None = None
         mirror = mirrors.Mirror(key, self.apply)
         self._follower = mirror_follower.MirrorFollower(
@@ -57,6 +66,16 @@
         """Replace a pending watch of the configuration by a new one."""
         self._follower.restart_watch()
 
+    def get_confirmation_age(self) -> float:
+        """Return the seconds since the store last showed the newest version.
+
+        Before its first answer they count from the start of the watcher.
+        """
+        last_contact_time = self._follower.last_contact_time
+        return clocks.get_monotonic_time() - max(
+            last_contact_time, self._started
+        )
+
     def apply(self, change: transactions.Change) -> None:
         """Put a changed configuration in force if it is valid and newer."""
         if not isinstance(change, transactions.StoredItem):
@@ -86,6 +105,7 @@
             extra={
                 'version': installation.version,
                 'revision': change.revision,
+                'confirmation_age': round(self.get_confirmation_age(), 3),
             },
         )
         self._on_change(installation)
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -14,6 +14,7 @@
 from damaskpin.runtime import clocks
 from damaskpin.runtime import configuration
 from damaskpin.runtime import coordination
+from damaskpin.runtime import event_loop
 from damaskpin.runtime import exchange_factory
 from damaskpin.runtime import leadership as leaderships
 from damaskpin.runtime import mirror_follower
@@ -63,6 +64,7 @@
         '_configuration',
         '_coordination',
         '_follower',
+        '_loop_monitor',
         '_mirror',
         '_relay',
         '_retention',
@@ -89,6 +91,7 @@
     ) -> None:
         self._settings = settings
         self._background = background.BackgroundTasks()
+        self._loop_monitor = event_loop.LoopMonitor()
         self._relay = relay.RelayingCaller(direct_caller, self._list_peers)
         self._store = make_store(self._relay)
         self.view = views.JobView()
@@ -152,8 +155,13 @@
         """Return the configuration in force."""
         return self._configuration.installation
 
+    def get_configuration_age(self) -> float:
+        """Return the seconds since the configuration was known as newest."""
+        return self._configuration.get_confirmation_age()
+
     def start(self) -> None:
         """Start all background loops of the entry."""
+        self._background.supervise(self._loop_monitor.run)
         self._background.supervise(self._follower.run)
         self._background.supervise(self._configuration.run)
         self._background.supervise(self.leadership.run)
@@ -219,6 +227,16 @@
             'version of the configuration in force',
             lambda: self.installation.version if self.installation else 0,
         )
+        self.telemetry.register_gauge(
+            'damaskpin.configuration.confirmation_age',
+            'seconds since the store last showed the newest version',
+            self.get_configuration_age,
+        )
+        self.telemetry.register_gauge(
+            'damaskpin.event_loop.longest_delay',
+            'longest delay of a timer since the start, in seconds',
+            lambda: self._loop_monitor.longest_delay,
+        )
 
     async def _run_periodically(self) -> None:
         while True:
--- a/damaskpin/runtime/mirror_follower.py
+++ b/damaskpin/runtime/mirror_follower.py
@@ -69,13 +69,18 @@
         unreachable = False
         while True:
             try:
+                last_contact_time = self.last_contact_time
                 if not await self._follow_once():
                     continue
                 self.last_contact_time = clocks.get_monotonic_time()
+                silence = self.last_contact_time - last_contact_time
                 if unreachable:
                     LOG.info(
                         'store answers again',
-                        extra={'prefix': self._mirror.prefix},
+                        extra={
+                            'prefix': self._mirror.prefix,
+                            'seconds': round(silence, 3),
+                        },
                     )
                 unreachable = False
             except errors.StoreCompactedError:
@@ -143,6 +148,7 @@
         The next watch starts at the revision of the listing's first page, so
         that it returns the changes made while later pages were read.
         """
+        started = clocks.get_monotonic_time()
         items: list[transactions.StoredItem] = []
         after = ''
         revision = None
@@ -161,5 +167,6 @@
                 'prefix': self._mirror.prefix,
                 'keys': len(items),
                 'revision': revision,
+                'seconds': round(clocks.get_monotonic_time() - started, 3),
             },
         )
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -194,9 +194,14 @@
     def _record_answer(self) -> None:
         now = clocks.get_monotonic_time()
         was_reachable = self.is_reachable()
+        silence = now - self._last_answer_time
         self._last_answer_time = now
         if was_reachable:
             return
+        LOG.info(
+            'store answers after a silence; watches are sent anew',
+            extra={'seconds': round(silence, 3)},
+        )
         # The store was away for all entries, so that direct calls are likely
         # to work again, too.
         self._direct_blocked_until = min(self._direct_blocked_until, now)
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -44,6 +44,9 @@
             max_body=10_000,
         )
 
+    def get_configuration_age(self):
+        return 1.25
+
 
 class HandlerExceptionTest(testing.AsyncHTTPTestCase):
     """Tests the answer to a request whose handler raises an exception."""
@@ -102,6 +105,18 @@
         assert record.retry_after == 1
         assert 0 < record.time_left <= 0.7
 
+    def test_refusal_by_the_configuration_is_logged_with_its_age(self):
+        """Guards against a 404 whose log does not tell what decided it.
+
+        The route may be in a version that this entry does not have yet.
+        """
+        with self.assertLogs(front.LOG, 'INFO') as logged:
+            answer = self.fetch('/new/', headers={'Host': 'h.example'})
+        assert answer.code == 404
+        record = logged.records[-1]
+        assert (record.status, record.version) == (404, 1)
+        assert record.confirmation_age == 1.25
+
     def test_first_answer_with_a_state_is_logged(self):
         """Guards against logs that don't tell when a client saw a state."""
         with self.assertLogs(front.LOG, 'INFO') as logged:
