Keep a watch whose own answer shows the return of the store

Cause: a watch over the silent way hangs for 1.7 s, then a peer answers it. That is more than 1.6 s without an answer, so the answer was taken for the return of the store, and all pending watches were cancelled to be sent anew over the direct way: first the very watch that had just been answered. The next answer came 1.7 s later, again by way of a peer, and so on.

The new tests fail before (TimeoutError after 2.5 s, also after 30 s; the changes of the answer are lost).

Change: only a direct answer after a silence of the direct way sends watches anew, as a peer's answer proves nothing about that way; and never the watch in whose task it is noticed. Pauses of direct calls end as before.

Tests of runtime and platform pass.

--- a/damaskpin/runtime/mirror_follower.py
+++ b/damaskpin/runtime/mirror_follower.py
@@ -105,10 +105,14 @@
         """Replace a pending watch by a new one.
 
         A watch that was sent while the store was away may hang until its
-        timeout, although the store answers again.
+        timeout, although the store answers again. A watch whose own answer
+        shows the return is kept.
         """
-        if self._pending_watch is not None:
-            self._pending_watch.cancel()
+        watch = self._pending_watch
+        if watch is None or watch is asyncio.current_task():
+            return
+        LOG.info('watch sent anew', extra={'prefix': self._mirror.prefix})
+        watch.cancel()
 
     async def _follow_once(self) -> bool:
         """Load the keys or wait for changes once.
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -65,8 +65,8 @@
 
     :param direct_caller: makes HTTP calls to the store from this instance.
     :param get_peers: returns the addresses of other entries.
-    :ivar on_return: called with the first answer after a silence of the whole
-        store.
+    :ivar on_return: called with the first direct answer after a silence of
+        the direct way.
     :ivar counts: number of direct and of relayed calls.
     """
 
@@ -79,6 +79,7 @@
         '_exchange',
         '_get_peers',
         '_last_answer_time',
+        '_last_direct_answer_time',
         '_pending_calls',
         'counts',
         'on_return',
@@ -93,6 +94,7 @@
         self._get_peers = get_peers
         self._exchange: exchanges.Exchange | None = None
         self._last_answer_time = clocks.get_monotonic_time()
+        self._last_direct_answer_time = self._last_answer_time
         self._direct_blocked_until = 0.0
         self._direct_call_allowed = False
         self._blocked_peers: dict[str, float] = {}
@@ -133,13 +135,13 @@
                 answer = await self._direct_caller.call(request)
                 if answer.status not in REFUSAL_STATUSES:
                     self._record_answer()
-                    self._record_direct_call(True, '')
+                    self._record_direct_answer()
                     return answer
                 reason = f'status {answer.status}'
             except errors.CallError as error:
                 sent = error.sent
                 reason = str(error)
-            self._record_direct_call(False, reason)
+            self._record_direct_failure(reason)
         for peer in self._list_relays():
             try:
                 relayed = await self._call_peer(peer, request)
@@ -199,13 +201,27 @@
         if was_reachable:
             return
         LOG.info(
-            'store answers after a silence; watches are sent anew',
+            'store answers after a silence',
             extra={'seconds': round(silence, 3)},
         )
         # The store was away for all entries, so that direct calls are likely
         # to work again, too.
         self._direct_blocked_until = min(self._direct_blocked_until, now)
-        self.on_return()
+
+    def _record_direct_answer(self) -> None:
+        """Allow direct calls; tell of the first answer after a silence.
+
+        An answer through a peer proves nothing about the direct way, over
+        which watches would hang again if they were sent anew.
+        """
+        if self._direct_blocked_until:
+            LOG.info('direct calls to the store work again')
+        self._direct_blocked_until = 0.0
+        now = clocks.get_monotonic_time()
+        silence = now - self._last_direct_answer_time
+        self._last_direct_answer_time = now
+        if silence > MAX_STORE_SILENCE_S:
+            self.on_return()
 
     def _may_call_directly(self) -> bool:
         is_allowed = self._direct_call_allowed
@@ -231,12 +247,7 @@
         previous = self._blocked_peers.get(peer, 0.0)
         self._blocked_peers[peer] = max(previous, blocked_until)
 
-    def _record_direct_call(self, succeeded: bool, reason: str) -> None:
-        if succeeded:
-            if self._direct_blocked_until:
-                LOG.info('direct calls to the store work again')
-            self._direct_blocked_until = 0.0
-            return
+    def _record_direct_failure(self, reason: str) -> None:
         if not self._direct_blocked_until:
             LOG.warning(
                 'direct call to the store failed', extra={'error': reason}
--- a/tests/test_runtime/test_runtime_mirror_follower.py
+++ b/tests/test_runtime/test_runtime_mirror_follower.py
@@ -107,3 +107,26 @@
 
     assert asyncio.run(follow())
     assert store.watches == 4
+
+
+def test_watch_whose_answer_shows_the_return_of_the_store_is_kept():
+    """Guards against discarding the changes that have just arrived."""
+    store = _BusyStore()
+
+    async def follow():
+        mirror = mirrors.Mirror('p/', lambda change: None)
+        follower = mirror_follower.MirrorFollower(store, mirror, lambda: True)
+        answer = store.watch
+
+        async def watch(prefix, after, wait):
+            changes = await answer(prefix, after, wait)
+            follower.restart_watch()
+            return changes
+
+        store.watch = watch
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return mirror.items
+
+    assert 'p/k' in asyncio.run(follow())
--- /dev/null
+++ b/tests/test_runtime/test_runtime_silence.py
@@ -0,0 +1,29 @@
+"""Tests of a configuration that changes while calls to the store hang."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.test_runtime import silence
+
+# Time in seconds within which a change must be in force everywhere, which the
+# smaller of the users' installations have as configApplyMs.
+MAX_APPLY_TIME_S = 2.5
+
+
+def test_versions_come_through_peers_while_the_own_way_is_silent():
+    """Guards against watches that cancel themselves once they are answered.
+
+    The first answer after a silence came through a peer, and each watch was
+    then sent again over the silent way, so that none ever ended.
+    """
+
+    async def play(followers, store):
+        store.direct_silent = True
+        await asyncio.sleep(2.5)
+        for _ in range(3):
+            version = store.write_version()
+            await followers.wait_for_version(version, MAX_APPLY_TIME_S)
+            await asyncio.sleep(0.3)
+
+    silence.play_scenario(play)
