Try the relays first that failed longest ago

Cause: a call takes the first two peers of the list that do not pause. A peer that could not relay pauses for 0.5 s, less than the round of a watch takes, so the same few peers at the head of the list were tried again and again. Where they are refused as well, the others are never asked. An installation with two peers can't show it.

The new test fails before (no version in force within 2.5 s) with five of seven peers refused.

Change: peers that do not pause are tried in the order of their last failure, and a success clears the failure, so that a peer that works stays first.

--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -150,6 +150,7 @@
                 self._block_peer(peer, RELAY_RETRY_S, str(error))
                 continue
             if relayed.status not in REFUSAL_STATUSES:
+                self._blocked_peers.pop(peer, None)
                 self._record_answer()
                 return relayed
             self._block_peer(peer, RELAY_RETRY_S, f'status {relayed.status}')
@@ -231,11 +232,17 @@
         )
 
     def _list_relays(self) -> list[str]:
+        """Return the peers to try, those that failed longest ago first.
+
+        In a fixed order, peers whose pause is over would be tried again and
+        again before the others.
+        """
         now = clocks.get_monotonic_time()
         relays = []
         for peer in self._get_peers():
             if self._blocked_peers.get(peer, 0.0) <= now:
                 relays.append(peer)
+        relays.sort(key=lambda peer: self._blocked_peers.get(peer, 0.0))
         return relays[:MAX_RELAYS]
 
     def _block_peer(self, peer: str, pause: float, reason: str) -> None:
--- a/tests/test_runtime/silence.py
+++ b/tests/test_runtime/silence.py
@@ -23,18 +23,21 @@
 
 CONFIG_KEY = 'op/config'
 STORE_DELAY_S = 0.01
+PEERS = ('one', 'two', 'three', 'four', 'five', 'six', 'seven')
 
 
 class Store:
     """Answers listings and watches of the configuration key.
 
     :ivar direct_silent: whether direct calls hang until their timeout.
-    :ivar peers_silent: whether relayed calls get no answer.
+    :ivar silent_peers: peers that give no answer to relayed calls.
+    :ivar refused_peers: peers whose own calls are refused.
     """
 
     def __init__(self):
         self.direct_silent = False
-        self.peers_silent = False
+        self.silent_peers = set()
+        self.refused_peers = set()
         self.revision = 1
         self.version = 1
         self._changed = asyncio.Event()
@@ -95,14 +98,21 @@
         self._tasks = set()
 
     def post(self, address, kind, build):
-        """Answer a relayed call unless the peers are silent."""
-        if self._store.peers_silent:
+        """Answer a relayed call unless the peer is silent."""
+        if address in self._store.silent_peers:
             return
-        task = asyncio.ensure_future(self._answer(build()))
+        refused = address in self._store.refused_peers
+        task = asyncio.ensure_future(self._answer(build(), refused))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _answer(self, call):
+    async def _answer(self, call, refused):
+        if refused:
+            await asyncio.sleep(STORE_DELAY_S)
+            self._caller.handle_answer(
+                orders.StoreAnswer(call.id, 0, False, b'')
+            )
+            return
         request = msgspec.msgpack.decode(
             call.request, type=transport.HttpRequest
         )
@@ -120,7 +130,7 @@
 
     def __init__(self, store):
         self.store = store
-        self._caller = relay.RelayingCaller(store, lambda: ['one', 'two'])
+        self._caller = relay.RelayingCaller(store, lambda: list(PEERS))
         self._caller.set_exchange(Exchange(store, self._caller))
         client = store_client.StoreClient(self._caller)
         self._in_force = {}
--- a/tests/test_runtime/test_runtime_silence.py
+++ b/tests/test_runtime/test_runtime_silence.py
@@ -27,3 +27,21 @@
             await asyncio.sleep(0.3)
 
     silence.play_scenario(play)
+
+
+def test_version_comes_through_the_peers_that_reach_the_store():
+    """Guards against relays that are tried in turn and fail again and again.
+
+    The first peers of the list were refused by the store as well, and their
+    pause was over before the later ones were tried.
+    """
+
+    async def play(followers, store):
+        store.refused_peers = set(silence.PEERS[:5])
+        store.direct_silent = True
+        await asyncio.sleep(5.0)
+        for _ in range(3):
+            version = store.write_version()
+            await followers.wait_for_version(version, MAX_APPLY_TIME_S)
+
+    silence.play_scenario(play)
