Read over several ways at a time if one does not answer

Cause: a read went one way after the other, each with a timeout of its own: 1.7 s directly, then 2.1 s over each of two peers, 6.05 s with the pause after them. configApplyMs is 4 s there. Nothing asked the direct way again meanwhile, though other calls of the process already got their answers over new connections.

Of the two new tests on silent peers test_peers_that_hang_do_not_hold_up_the_own_way fails before; the other one guards.

Change: a read that has no answer 0.25 s after it should have one goes over the next way as well, a way that fails is followed by the next one at once, and a direct call that hung is made once more. The first answer counts. Pages of a listing wait for their whole timeout instead, so that they don't fill a narrow link twice. Writes still go one way at a time.

--- a/damaskpin/errors.py
+++ b/damaskpin/errors.py
@@ -107,5 +107,16 @@
         self.sent = sent
 
 
+class CallRefusedError(CallError):
+    """The server does not serve an HTTP call now and has not carried it out.
+
+    :param status: HTTP status of the answer.
+    """
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f'status {status}', False)
+        self.status = status
+
+
 class MalformedError(DamaskpinError):
     """A document or message from outside damaskpin is malformed."""
--- a/damaskpin/platform/store.py
+++ b/damaskpin/platform/store.py
@@ -29,6 +29,11 @@
 # Seconds added to the wait time of a watch to get the timeout of its call.
 WATCH_MARGIN_S = 0.7
 
+# Seconds without an answer after which a read of a key or a watch whose wait
+# is over is also sent another way. Pages of a listing may take longer on a
+# narrow link and would fill it if they were read twice.
+PATIENCE_S = 0.25
+
 PATH_PREFIX = '/damaskpin'
 # HTTP statuses with which the store refuses a call under load.
 BUSY_STATUSES = (429, 503)
@@ -51,7 +56,9 @@
         :raises damaskpin.errors.StoreError: no answer.
         """
         query = parse.urlencode({'key': key})
-        answer = await self._call('GET', f'/kv-key?{query}', None)
+        answer = await self._call(
+            'GET', f'/kv-key?{query}', None, patience=PATIENCE_S
+        )
         if answer.status == 404:
             return None
         self._check_status(answer)
@@ -95,7 +102,11 @@
             {'prefix': prefix, 'after': after, 'waitMs': int(wait * 1000)}
         )
         answer = await self._call(
-            'GET', f'/kv-watch?{query}', None, wait + WATCH_MARGIN_S
+            'GET',
+            f'/kv-watch?{query}',
+            None,
+            wait + WATCH_MARGIN_S,
+            wait + PATIENCE_S,
         )
         if answer.status == 410:
             raise errors.StoreCompactedError('the store discarded the history')
@@ -176,10 +187,11 @@
         path: str,
         body: msgspec.Struct | None,
         timeout: float = TIMEOUT_S,
+        patience: float = 0.0,
     ) -> transport.HttpAnswer:
         data = msgspec.json.encode(body) if body is not None else None
         request = transport.HttpRequest(
-            method, PATH_PREFIX + path, data, timeout
+            method, PATH_PREFIX + path, data, timeout, patience=patience
         )
         try:
             return await self._caller.call(request)
--- /dev/null
+++ b/damaskpin/runtime/hedging.py
@@ -0,0 +1,74 @@
+"""Calls over several ways, of which the first answer counts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from damaskpin import errors
+from damaskpin.runtime import clocks
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+T = TypeVar('T')
+
+
+async def call_first(
+    ways: Iterable[Callable[[], Awaitable[T]]], patience: float, limit: float
+) -> T:
+    """Make a call over several ways and return the first answer.
+
+    The next way is tried as soon as one has failed, and beside the others
+    after a time without an answer. Ways that are still in use at the end are
+    cancelled.
+
+    :param ways: functions that make the call; each is taken when it is due.
+    :param patience: seconds without an answer until the next way is tried.
+    :param limit: seconds after which the call is given up.
+    :raises damaskpin.errors.CallError: no way has given an answer; see
+        :func:`join_failures`.
+    """
+    deadline = clocks.get_monotonic_time() + limit
+    unused_ways = iter(ways)
+    failures: list[errors.CallError] = []
+    tasks: set[asyncio.Task[T]] = set()
+    try:
+        while True:
+            way = next(unused_ways, None)
+            if way is not None:
+                tasks.add(asyncio.ensure_future(way()))
+            time_left = deadline - clocks.get_monotonic_time()
+            if tasks and time_left <= 0:
+                failures.append(errors.CallError('no answer in time', True))
+            if not tasks or time_left <= 0:
+                raise join_failures(failures)
+            done, tasks = await asyncio.wait(
+                tasks,
+                timeout=time_left if way is None else min(patience, time_left),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                try:
+                    return task.result()
+                except errors.CallError as error:
+                    failures.append(error)
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def join_failures(failures: list[errors.CallError]) -> errors.CallError:
+    """Return the error of a call that has failed over each way.
+
+    It is the first error, marked as sent if the server may have received the
+    call over any way.
+
+    :param failures: errors of the ways in the order of time, at least one.
+    """
+    if any(failure.sent for failure in failures) and not failures[0].sent:
+        return errors.CallError(str(failures[0]), True)
+    return failures[0]
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import itertools
 import logging
 from typing import TYPE_CHECKING
@@ -15,9 +16,12 @@
 from damaskpin import transport
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
+from damaskpin.runtime import hedging
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from damaskpin.peer import exchange as exchanges
 
@@ -49,6 +53,21 @@
 _REQUEST_DECODER = msgspec.msgpack.Decoder(transport.HttpRequest)
 
 
+# The way of a call that no peer relays.
+DIRECT_WAY = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """Answer to a call of the store.
+
+    :ivar way: address of the peer that relayed the call, or ``DIRECT_WAY``.
+    """
+
+    way: str
+    answer: transport.HttpAnswer
+
+
 @dataclasses.dataclass(slots=True)
 class PendingCall:
     """A call to the store that a peer relays for this process."""
@@ -76,6 +95,7 @@
         '_direct_blocked_until',
         '_direct_call_allowed',
         '_direct_caller',
+        '_direct_hung',
         '_exchange',
         '_get_peers',
         '_last_answer_time',
@@ -97,6 +117,7 @@
         self._last_direct_answer_time = self._last_answer_time
         self._direct_blocked_until = 0.0
         self._direct_call_allowed = False
+        self._direct_hung = False
         self._blocked_peers: dict[str, float] = {}
         self._call_ids = itertools.count(1)
         self._pending_calls: dict[int, PendingCall] = {}
@@ -123,40 +144,27 @@
     ) -> transport.HttpAnswer:
         """Call the store and return its answer.
 
+        A read may be in progress over several ways at a time, so that a way
+        that hangs does not hold it up. A write goes one way at a time, which
+        keeps down the number of calls that take effect late.
+
         :raises damaskpin.errors.CallError: neither the direct call nor a
             relay got an answer.
         """
-        sent = False
-        answer = None
-        reason = 'no entry to relay the call'
-        if self._may_call_directly():
-            self.counts['direct'] += 1
-            try:
-                answer = await self._direct_caller.call(request)
-                if answer.status not in REFUSAL_STATUSES:
-                    self._record_answer()
-                    self._record_direct_answer()
-                    return answer
-                reason = f'status {answer.status}'
-            except errors.CallError as error:
-                sent = error.sent
-                reason = str(error)
-            self._record_direct_failure(reason)
-        for peer in self._list_relays():
-            try:
-                relayed = await self._call_peer(peer, request)
-            except errors.CallError as error:
-                sent = sent or error.sent
-                self._block_peer(peer, RELAY_RETRY_S, str(error))
-                continue
-            if relayed.status not in REFUSAL_STATUSES:
-                self._blocked_peers.pop(peer, None)
-                self._record_answer()
-                return relayed
-            self._block_peer(peer, RELAY_RETRY_S, f'status {relayed.status}')
-        if answer is not None and not sent:
-            return answer
-        raise errors.CallError(reason, sent)
+        ways = self._list_ways()
+        if not ways:
+            raise errors.CallError('no entry to relay the call', False)
+        try:
+            if request.method == 'GET':
+                answered = await self._call_hedged(ways, request)
+            else:
+                answered = await self._call_in_turn(ways, request)
+        except errors.CallRefusedError as error:
+            return transport.HttpAnswer(error.status, b'')
+        self._record_answer()
+        if answered.way == DIRECT_WAY:
+            self._record_direct_answer()
+        return answered.answer
 
     def handle_answer(self, answer: orders.StoreAnswer) -> None:
         """Complete a relayed call with the answer that a peer sent."""
@@ -194,6 +202,80 @@
             return orders.StoreAnswer(call.id, 0, False, b'')
         return orders.StoreAnswer(call.id, answer.status, True, answer.body)
 
+    async def _call_in_turn(
+        self, ways: list[str], request: transport.HttpRequest
+    ) -> Answered:
+        """Make a call over one way after the other until one answers."""
+        failures = []
+        for way in ways:
+            try:
+                return await self._call_over(way, request)
+            except errors.CallError as error:
+                failures.append(error)
+        raise hedging.join_failures(failures)
+
+    async def _call_hedged(
+        self, ways: list[str], request: transport.HttpRequest
+    ) -> Answered:
+        """Make a read, over several ways at a time if one does not answer."""
+        patience = request.patience or request.timeout
+        limit = patience + request.timeout + RELAY_EXTRA_TIMEOUT_S
+        answered = await hedging.call_first(
+            self._iterate_reads(ways, request), patience, limit
+        )
+        if answered.way != DIRECT_WAY and DIRECT_WAY in ways:
+            self._record_direct_failure('no answer before that of a peer')
+        return answered
+
+    def _iterate_reads(
+        self, ways: list[str], request: transport.HttpRequest
+    ) -> Iterator[Callable[[], Awaitable[Answered]]]:
+        """Yield the calls of a read over the given ways.
+
+        A direct call that hung is made once more: its connection may be dead
+        while new ones work.
+        """
+        repeat = functools.partial(self._call_over, DIRECT_WAY, request)
+        may_repeat = DIRECT_WAY in ways
+        for position, way in enumerate(ways):
+            if position > 1 and may_repeat and self._direct_hung:
+                may_repeat = False
+                yield repeat
+            yield functools.partial(self._call_over, way, request)
+        if may_repeat and self._direct_hung:
+            yield repeat
+
+    def _list_ways(self) -> list[str]:
+        """Return the ways of a call, in the order in which to try them."""
+        relays = self._list_relays()
+        return [DIRECT_WAY, *relays] if self._may_call_directly() else relays
+
+    async def _call_over(
+        self, way: str, request: transport.HttpRequest
+    ) -> Answered:
+        """Make a call over one way.
+
+        :raises damaskpin.errors.CallRefusedError: the store refused the call.
+        :raises damaskpin.errors.CallError: no answer.
+        """
+        try:
+            if way == DIRECT_WAY:
+                self.counts['direct'] += 1
+                answer = await self._direct_caller.call(request)
+            else:
+                answer = await self._call_peer(way, request)
+            if answer.status in REFUSAL_STATUSES:
+                raise errors.CallRefusedError(answer.status)
+        except errors.CallError as error:
+            if way == DIRECT_WAY:
+                self._direct_hung = error.sent
+                self._record_direct_failure(str(error))
+            else:
+                self._block_peer(way, RELAY_RETRY_S, str(error))
+            raise
+        self._blocked_peers.pop(way, None)
+        return Answered(way, answer)
+
     def _record_answer(self) -> None:
         now = clocks.get_monotonic_time()
         was_reachable = self.is_reachable()
@@ -218,6 +300,7 @@
         if self._direct_blocked_until:
             LOG.info('direct calls to the store work again')
         self._direct_blocked_until = 0.0
+        self._direct_hung = False
         now = clocks.get_monotonic_time()
         silence = now - self._last_direct_answer_time
         self._last_direct_answer_time = now
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -39,6 +39,8 @@
     :ivar path: path and query of the URL.
     :ivar body: JSON body; ``None`` for none.
     :ivar timeout: seconds to wait for the answer.
+    :ivar patience: seconds without an answer after which a read may also be
+        sent another way; 0 for not before it has failed.
     """
 
     method: str
@@ -46,6 +48,7 @@
     body: bytes | None
     timeout: float
     headers: dict[str, str] = {}
+    patience: float = 0.0
 
 
 class HttpAnswer(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_runtime/test_runtime_silence.py
+++ b/tests/test_runtime/test_runtime_silence.py
@@ -29,6 +29,37 @@
     silence.play_scenario(play)
 
 
+def test_peers_that_hang_do_not_hold_up_the_own_way():
+    """Guards against a watch that waits for one silent way after the other.
+
+    Its direct call and its two relayed calls had timeouts of 6 s together,
+    while other calls of the process were answered directly again.
+    """
+
+    async def play(followers, store):
+        store.silent_peers = set(silence.PEERS)
+        store.direct_silent = True
+        await asyncio.sleep(3.0)
+        store.direct_silent = False
+        version = store.write_version()
+        await followers.wait_for_version(version, MAX_APPLY_TIME_S)
+
+    silence.play_scenario(play)
+
+
+def test_one_peer_that_hangs_does_not_hold_up_the_others():
+    """Guards against waiting for the timeout of the first peer."""
+
+    async def play(followers, store):
+        store.silent_peers = {'one'}
+        store.direct_silent = True
+        await asyncio.sleep(1.0)
+        version = store.write_version()
+        await followers.wait_for_version(version, MAX_APPLY_TIME_S)
+
+    silence.play_scenario(play)
+
+
 def test_version_comes_through_the_peers_that_reach_the_store():
     """Guards against relays that are tried in turn and fail again and again.
 
