Start the ids of relayed calls at a random number

An answer about another prefix would move the revision of a mirror past changes that it never saw: a configuration that stays unknown, or jobs that are missing.

test_answer_for_a_former_process_does_not_complete_a_call fails before (1 == 1). The first id is now a random number of 48 bits.

--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -8,6 +8,7 @@
 import functools
 import itertools
 import logging
+import secrets
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -53,6 +54,9 @@
 _REQUEST_DECODER = msgspec.msgpack.Decoder(transport.HttpRequest)
 
 
+# Number of random bits of a process's first call id.
+CALL_ID_BITS = 48
+
 # The way of a call that no peer relays.
 DIRECT_WAY = ''
 
@@ -119,7 +123,9 @@
         self._direct_call_allowed = False
         self._direct_hung = False
         self._blocked_peers: dict[str, float] = {}
-        self._call_ids = itertools.count(1)
+        # A peer may answer the calls of a former process at this address, so
+        # that the processes must not use the same ids.
+        self._call_ids = itertools.count(secrets.randbits(CALL_ID_BITS))
         self._pending_calls: dict[int, PendingCall] = {}
         self.counts: collections.Counter[str] = collections.Counter()
         self.on_return: Callable[[], None] = lambda: None
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -161,3 +162,24 @@
         return direct_caller.calls
 
     assert asyncio.run(call()) == 1
+
+
+def test_answer_for_a_former_process_does_not_complete_a_call():
+    """Guards against the answer to another question after a restart.
+
+    A peer may send it to the address after the process was started anew. A
+    listing of another prefix would then move the revision past changes that
+    were never seen.
+    """
+
+    def make_call_id():
+        posted = []
+        caller = _make_caller(
+            FakeCaller(503), lambda caller, call: posted.append(call)
+        )
+        request = transport.HttpRequest('GET', '/x', None, 0.05)
+        with contextlib.suppress(errors.CallError):
+            asyncio.run(caller.call(request))
+        return posted[0].id
+
+    assert make_call_id() != make_call_id()
