Leave all older connections after a timeout

What callers saw: entries that were behind by up to 4.5 s after their channels had gone silent, as each of several calls to the store timed out in turn.

Cause: a burst opens several connections, which stay open. When all went silent, a timeout closes one of them, and libcurl takes the oldest of the others for the next call, though a new connection would work.

Change: a call uses no connection that is older than the last timeout of a call to that server; within a second of it, it takes a new one. Timeouts of calls that nobody waits for any more count as well.

--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -11,6 +11,7 @@
 from tornado import httpclient
 
 from damaskpin import errors
+from damaskpin.runtime import clocks
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -65,13 +66,14 @@
     :ivar calls: number of calls that were made.
     """
 
-    __slots__ = ('_base', '_client', 'calls')
+    __slots__ = ('_base', '_client', '_last_timeout', 'calls')
 
     def __init__(self, address: str) -> None:
         self._base = f'http://{address}'
         self._client = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CONNECTIONS
         )
+        self._last_timeout = 0.0
         self.calls = 0
 
     async def call(self, request: HttpRequest) -> HttpAnswer:
@@ -95,6 +97,7 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
             follow_redirects=False,
+            prepare_curl_callback=self._avoid_old_connections,
         )
         fetch = self._client.fetch(prepared, raise_error=False)
         try:
@@ -102,12 +105,13 @@
             # error would be logged as a fault.
             answer = await asyncio.shield(fetch)
         except asyncio.CancelledError:
-            fetch.add_done_callback(_consume_error)
+            fetch.add_done_callback(self._handle_unused_answer)
             raise
         except curl_httpclient.CurlError as error:
             # ``raise_error`` affects only answers of the server; a timeout or
             # a broken connection is always raised.
             sent = error.errno not in UNSENT_ERRORS
+            self._record_error(error)
             raise errors.CallError(error.message, sent) from error
         return HttpAnswer(answer.code, answer.body or b'')
 
@@ -115,8 +119,27 @@
         """Close all connections to the server."""
         self._client.close()
 
-
-def _consume_error(fetch: asyncio.Future[httpclient.HTTPResponse]) -> None:
-    """Retrieve the error of a call that nobody waits for any more."""
-    if not fetch.cancelled():
-        fetch.exception()
+    def _record_error(self, error: curl_httpclient.CurlError) -> None:
+        if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+            self._last_timeout = clocks.get_monotonic_time()
+
+    def _handle_unused_answer(
+        self, fetch: asyncio.Future[httpclient.HTTPResponse]
+    ) -> None:
+        """Retrieve the error of a call that nobody waits for any more."""
+        if fetch.cancelled():
+            return
+        error = fetch.exception()
+        if isinstance(error, curl_httpclient.CurlError):
+            self._record_error(error)
+
+    def _avoid_old_connections(self, curl: pycurl.Curl) -> None:
+        """Use only connections that are younger than the last timeout.
+
+        When one connection went silent, others that were open may be dead,
+        too, and each of them would cost a timeout.
+        """
+        age = clocks.get_monotonic_time() - self._last_timeout
+        # libcurl compares whole seconds and takes 0 for no limit.
+        curl.setopt(pycurl.FRESH_CONNECT, age < 1)
+        curl.setopt(pycurl.MAXLIFETIME_CONN, int(age))
--- a/tests/test_runtime/test_runtime_transport.py
+++ b/tests/test_runtime/test_runtime_transport.py
@@ -42,3 +42,59 @@
     with pytest.raises(errors.CallError) as caught:
         asyncio.run(call())
     assert not caught.value.sent
+
+
+class _SilencedServer:
+    """Answers each request; connections may go silent while new ones work."""
+
+    def __init__(self):
+        self.server = None
+        self._silenced = set()
+        self._connections = set()
+
+    async def start(self):
+        """Listen on a free port; return it."""
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    def silence_connections(self):
+        """Leave all requests on the open connections unanswered."""
+        self._silenced |= self._connections
+
+    async def _serve(self, reader, writer):
+        self._connections.add(writer)
+        try:
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                await asyncio.sleep(0.02)
+                if writer not in self._silenced:
+                    writer.write(
+                        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+                    )
+        except asyncio.IncompleteReadError:
+            writer.close()
+
+
+def test_one_timeout_is_enough_to_leave_all_silent_connections():
+    """Guards against a timeout for each connection that a burst has opened.
+
+    After all went silent, each call took the oldest of them.
+    """
+
+    async def call():
+        server = _SilencedServer()
+        caller = transport.HttpCaller(f'127.0.0.1:{await server.start()}')
+        request = transport.HttpRequest('GET', '/', None, 0.3)
+        await asyncio.gather(*(caller.call(request) for _ in range(8)))
+        server.silence_connections()
+        timeouts = 0
+        for _ in range(8):
+            try:
+                await caller.call(request)
+            except errors.CallError:
+                timeouts += 1
+        caller.close()
+        server.server.close()
+        return timeouts
+
+    assert asyncio.run(call()) == 1
