Give up a work item that crashes the workers that start it

Cause: a run that is lost with its worker counted nothing against its work item; only ends that a worker lists as failed did. A worker that crashes lists nothing.

Change: an agent that lives tells which runs its worker had when it ended without notice, and which of them had been started at most 2 s before; it repeats that for 30 s, so that a cut or a new coordinator hides nothing. A drain, a notice, and an agent that was restarted with its worker (a power cut) are no crash, and a start that could not connect is no cause. The coordinator stores the crashes with the job's progress, one for each run number. After a crash soon after its start a work item is a suspect: it is started where no other start is recent, an idle worker first, and no other start joins it for 2.5 s. Two such crashes end the job as failed, five crashes under runs of any age too. The reason is in the log and in the answer to its client.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -9,6 +9,7 @@
 
 from damaskpin.agent import attempts
 from damaskpin.agent import calls
+from damaskpin.agent import crash_log
 from damaskpin.agent import lease_tracker as lease_trackers
 from damaskpin.peer import orders
 
@@ -55,6 +56,7 @@
 
     __slots__ = (
         '_attempts',
+        '_crash_log',
         '_instance',
         '_lease_tracker',
         '_order_sequence',
@@ -89,6 +91,7 @@
         )
         self._worker_lists: calls.Lists | None = None
         self._attempts = attempts.Attempts()
+        self._crash_log = crash_log.CrashLog()
         self.last_report_time = 0.0
         self.report_requested = False
 
@@ -108,6 +111,7 @@
             if profile.lifetime.born < previous.lifetime.born:
                 LOG.info('delayed heartbeat of a previous worker ignored')
                 return
+            self._record_crash(now)
             self._discard_worker_state()
         if previous is None or previous.lifetime != profile.lifetime:
             LOG.info('worker found', extra={'worker': profile.lifetime.worker})
@@ -246,6 +250,7 @@
                 # The worker was restarted with the same id; a heartbeat
                 # of the new process follows.
                 LOG.info('worker restarted', extra={'born': born})
+                self._record_crash(now)
                 self._discard_worker_state()
             case calls.Lists():
                 self._record_lists(now, sent, call, result)
@@ -309,6 +314,23 @@
             self._attempts.list_refused(),
             silence,
             lapse,
+            self._crash_log.list_reported(now),
+        )
+
+    def _record_crash(self, now: float) -> None:
+        """Record that the known worker has ended without leaving.
+
+        A draining worker has announced its end and may omit the notice that
+        it leaves.
+        """
+        if self.profile is None or self.profile.draining:
+            return
+        self._crash_log.record(
+            now,
+            self._lease_tracker.get_last_answer_time(),
+            self.profile.lifetime,
+            self._worker_lists,
+            self._attempts.list_calls(),
         )
 
     def _discard_worker_state(self) -> None:
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -50,6 +50,8 @@
     :ivar reason: why the run will not execute; empty if it may.
     :ivar may_have_been_sent: whether a start call without an answer may have
         reached the worker.
+    :ivar called_at: time in seconds of the latest start call that may have
+        reached the worker; 0 for none.
     :ivar next_call_at: earliest time of the next call in seconds.
     :ivar stop_acknowledged_at: time in seconds at which the worker
         acknowledged the stop call.
@@ -62,6 +64,7 @@
     state: State
     reason: str = ''
     may_have_been_sent: bool = False
+    called_at: float = 0.0
     next_call_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     last_ordered_at: float = 0.0
@@ -163,6 +166,7 @@
             if attempt.next_call_at > now:
                 continue
             attempt.state = State.CALLING
+            attempt.called_at = now
             due_calls.append(
                 calls.StartCall(lifetime, fence, until, attempt.order)
             )
@@ -214,9 +218,9 @@
                 attempt.next_call_at = now + RETRY_INTERVAL_S
             case calls.Refused(reason=reason):
                 self._abandon_start(now, attempt, reason)
-            case _:
+            case calls.Unanswered():
                 attempt.state = State.PENDING
-                attempt.may_have_been_sent = True
+                attempt.may_have_been_sent |= result.sent
                 attempt.next_call_at = now + RETRY_INTERVAL_S
         log_start_result(call.order.run, result)
 
@@ -297,6 +301,19 @@
             if attempt.state is State.REFUSED
         )
 
+    def list_calls(self) -> dict[work.Run, float]:
+        """Return when each run that may have started was last called."""
+        return {
+            attempt.run: attempt.called_at
+            for attempt in self._attempts_by_run.values()
+            if attempt.called_at
+            and attempt.state is not State.REFUSED
+            and (
+                attempt.state is not State.PENDING
+                or attempt.may_have_been_sent
+            )
+        }
+
     def _abandon_start(
         self, now: float, attempt: Attempt, reason: str
     ) -> None:
--- a/damaskpin/agent/calls.py
+++ b/damaskpin/agent/calls.py
@@ -98,9 +98,12 @@
     """Result of a call without an answer.
 
     The worker may have carried the call out or may still do so.
+
+    :ivar sent: whether the call may have reached the worker.
     """
 
     reason: str
+    sent: bool = True
 
 
 Result = Lists | Accepted | Refused | Unanswered
--- /dev/null
+++ b/damaskpin/agent/crash_log.py
@@ -0,0 +1,87 @@
+"""Crashes of an agent's worker, kept for its reports."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from damaskpin.model import crashes
+from damaskpin.peer import orders
+
+if TYPE_CHECKING:
+    from damaskpin.agent import calls
+    from damaskpin.model import work
+
+LOG = logging.getLogger(__name__)
+
+# Time for which a crash is reported, in seconds. It bridges cuts and elections
+# for which agents keep the leases of their workers.
+REPORTED_TIME_S = 30.0
+
+MAX_REPORTED_CRASHES = 4
+
+
+class CrashLog:
+    """Latest crashes of the worker beside an agent.
+
+    An agent that was restarted together with its worker, as by a power cut,
+    knows of no crash.
+    """
+
+    __slots__ = ('_crashes',)
+
+    def __init__(self) -> None:
+        self._crashes: list[tuple[float, orders.Crash]] = []
+
+    def record(
+        self,
+        now: float,
+        last_answer_time: float,
+        lifetime: work.Lifetime,
+        lists: calls.Lists | None,
+        called: dict[work.Run, float],
+    ) -> None:
+        """Record that a worker process ended without notice.
+
+        :param last_answer_time: time of the worker's last answer.
+        :param lists: last lists of the worker; ``None`` without lists.
+        :param called: times of the start calls that may have reached it.
+        """
+        runs = set(called)
+        if lists is not None:
+            runs |= {row.run for row in lists.running}
+            runs -= {row.run for row in lists.ended}
+        earliest = last_answer_time - crashes.RECENT_START_S
+        recent = {run for run in runs if called.get(run, 0.0) >= earliest}
+        LOG.warning(
+            'worker crashed',
+            extra={
+                'worker': lifetime.worker,
+                'silent': round(now - last_answer_time, 3),
+                'runs': len(runs),
+                'recent': [_format_run(run) for run in sorted_runs(recent)],
+            },
+        )
+        crash = orders.Crash(lifetime, sorted_runs(runs), sorted_runs(recent))
+        self._crashes.append((now, crash))
+        del self._crashes[:-MAX_REPORTED_CRASHES]
+
+    def list_reported(self, now: float) -> tuple[orders.Crash, ...]:
+        """Return the crashes that reports tell the coordinator."""
+        return tuple(
+            crash
+            for recorded, crash in self._crashes
+            if now - recorded <= REPORTED_TIME_S
+        )
+
+
+def sorted_runs(runs: set[work.Run]) -> tuple[work.Run, ...]:
+    """Return runs in the order of their names."""
+    return tuple(sorted(runs, key=_format_run))
+
+
+def _format_run(run: work.Run) -> str:
+    item = run.item
+    return (
+        f'{item.job}.{item.occurrence}.{item.step}.{item.index}#{run.number}'
+    )
--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -123,6 +123,10 @@
         """Record that the worker did not answer a poll."""
         self._last_poll_failed = True
 
+    def get_last_answer_time(self) -> float:
+        """Return the time of the worker's last answer or heartbeat."""
+        return self._last_answer_time
+
     def get_silence(self, now: float) -> float:
         """Return the seconds since a silent worker's last answer, else 0."""
         if (
--- a/damaskpin/coordinator/candidates.py
+++ b/damaskpin/coordinator/candidates.py
@@ -6,6 +6,8 @@
 import heapq
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import crashes
+
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import tentative_plan
@@ -46,6 +48,7 @@
         '_candidate_versions',
         '_chosen_counts',
         '_heap',
+        '_is_suspect',
         '_positions',
         '_prefers_trusted',
         '_unit',
@@ -65,6 +68,7 @@
         self._avoided_workers = unit.job.avoided_workers.get(
             unit.get_key()[1:], ()
         )
+        self._is_suspect = unit.is_suspect()
         self._prefers_trusted = unit.is_last_attempt()
         self._chosen_counts: dict[work.Lifetime, int] = {}
         self._candidate_versions = [0] * len(group)
@@ -113,6 +117,9 @@
             or worker.lifetime.worker in self._avoided_workers
         ):
             return True
+        if self._is_suspect and worker.runs:
+            # Another crash would end these runs, too.
+            return True
         return self._prefers_trusted and not worker.is_trusted(
             self._allocation.now
         )
@@ -121,6 +128,8 @@
         unit = self._unit
         if not may_run_another_item(unit, worker, self._chosen_counts):
             return
+        if not crashes.may_share_worker(self._allocation.now, unit, worker):
+            return
         demand = unit.step.get_reservation()
         option = self._allocation.find_capacity(worker, demand)
         if option is None:
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import advice
+from damaskpin.coordinator import crashes
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
 from damaskpin.coordinator import supervision
@@ -140,6 +141,8 @@
         :returns: the worker that the report is about; ``None`` if there is
             none or the report is outdated.
         """
+        for crash in report.crashes:
+            crashes.record_crash(wall, self._ledger, crash)
         if report.left is not None:
             self._ledger.remove_worker(now, report.left, 'the worker has left')
         profile = report.profile
--- /dev/null
+++ b/damaskpin/coordinator/crashes.py
@@ -0,0 +1,83 @@
+"""Crashes of workers, and the work items that are given up for them.
+
+A work item may crash each worker that starts it. Two starts that were each
+followed by a crash tell it from its bystanders, as after the first one it is
+started where no other run is new, and nothing else is started there for a
+while.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import events
+from damaskpin.model import crashes
+from damaskpin.model import work
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import worker_state
+    from damaskpin.peer import orders
+
+# Time after a start in which a crash is blamed on it, in seconds: that of the
+# agent and the way of the order.
+PROBATION_S = crashes.RECENT_START_S + 0.5
+
+
+def record_crash(
+    wall: float, ledger: ledgers.RunLedger, crash: orders.Crash
+) -> None:
+    """Count a crash for the runs that the worker had; repeats are ignored.
+
+    :param wall: Unix time in seconds.
+    """
+    for run in crash.runs:
+        job = ledger.jobs.get(run.item.job)
+        if job is None or job.is_final():
+            continue
+        recent = run in crash.recent
+        counted = job.record_crash(run, recent)
+        if not counted:
+            continue
+        ledger.changed = True
+        ledger.counts['crashed'] += 1
+        events.log_crash(run, crash.lifetime, recent, counted)
+        reason = explain_giving_up(counted)
+        if not reason:
+            continue
+        job.finish(work.JobState.FAILED, wall, reason)
+        ledger.counts['given up after crashes'] += 1
+        events.log_job_end(job)
+        ledger.stop_job(job, reason)
+
+
+def explain_giving_up(counted: dict[int, bool]) -> str:
+    """Return why a work item is given up, empty if it is not.
+
+    :param counted: crashes of the work item by run number, and whether the
+        run had been started shortly before.
+    """
+    suspected = sum(counted.values())
+    if suspected >= crashes.MAX_SUSPECTED_CRASHES:
+        return f'{suspected} workers crashed soon after they had started it'
+    if len(counted) >= crashes.MAX_CRASHES:
+        return f'{len(counted)} workers crashed while they ran it'
+    return ''
+
+
+def may_share_worker(
+    now: float, unit: jobs.Unit, worker: worker_state.Worker
+) -> bool:
+    """Return whether a crash after a start on a worker could be attributed.
+
+    A suspect unit needs a worker without another recent start, and a worker
+    with a recent start of a suspect unit takes no other.
+    """
+    suspect = unit.is_suspect()
+    for placed in worker.runs.values():
+        if now - placed.placed_at >= PROBATION_S or placed.placed_at < 0:
+            continue
+        if suspect or placed.suspect:
+            return False
+    return True
--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -43,6 +43,33 @@
     )
 
 
+def log_crash(
+    run: work.Run,
+    lifetime: work.Lifetime,
+    recent: bool,
+    counted: dict[int, bool],
+) -> None:
+    """Log that a worker has crashed under a run.
+
+    :param recent: whether the run had been started shortly before.
+    :param counted: crashes of the work item by run number.
+    """
+    LOG.warning(
+        'worker crashed under a run',
+        extra={
+            'job': run.item.job,
+            'occurrence': run.item.occurrence,
+            'step': run.item.step,
+            'index': run.item.index,
+            'number': run.number,
+            'worker': lifetime.worker,
+            'recent': recent,
+            'crashes': len(counted),
+            'recent_crashes': sum(counted.values()),
+        },
+    )
+
+
 def log_job_end(job: jobs.Job) -> None:
     """Log the end of a job beside the objective that it had.
 
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -46,6 +46,11 @@
         failures = self.get_progress().failures.get(self.slot, 0)
         return 0 < failures >= self.job.submission.terms.attempts - 1
 
+    def is_suspect(self) -> bool:
+        """Return whether a worker has crashed soon after a start of it."""
+        crashes = self.get_progress().crashes.get(self.slot, {})
+        return any(crashes.values())
+
     def get_item(self, index: int) -> work.Item:
         """Return the identity of one work item of the unit.
 
@@ -214,6 +219,31 @@
                 return True
         return False
 
+    def record_crash(self, run: work.Run, recent: bool) -> dict[int, bool]:
+        """Record that a worker has crashed under a run.
+
+        :param recent: whether the run had been started shortly before.
+        :returns: the crashes of the work item or gang by run number; empty if
+            this one was known or the work item is done.
+        """
+        item = run.item
+        steps = self.progress.occurrences.get(item.occurrence)
+        if steps is None or item.step >= len(steps):
+            return {}
+        progress = steps[item.step]
+        slot = self.submission.steps[item.step].get_slot(item.index)
+        if (
+            item.index in progress.done
+            or not 0 < run.number <= progress.numbers.get(slot, 0)
+        ):
+            return {}
+        crashes = progress.crashes.setdefault(slot, {})
+        if crashes.get(run.number, False) >= recent and run.number in crashes:
+            return {}
+        crashes[run.number] = recent
+        self.mark_changed()
+        return crashes
+
     def finish(
         self, state: work.JobState, wall: float, reason: str = ''
     ) -> None:
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -139,6 +139,7 @@
 
     def _start(self, unit: jobs.Unit, plan: planning.Plan) -> None:
         assignments = [(w.lifetime, w.agent) for w in plan.workers]
+        suspect = unit.is_suspect()
         runs = unit.job.assign_runs(unit, assignments)
         self._ledger.counts['placed'] += len(runs)
         for run, worker in zip(runs, plan.workers, strict=True):
@@ -151,6 +152,7 @@
                     unit.job.progress.version,
                     False,
                     self._now,
+                    suspect,
                 )
             )
         LOG.info(
@@ -226,7 +228,7 @@
         key = unit.get_key()[:3]
         if key in unplaceable_steps:
             continue
-        if not placement_pass.place(unit):
+        if not placement_pass.place(unit) and not unit.is_suspect():
             unplaceable_steps.add(key)
 
 
--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -37,6 +37,8 @@
     :ivar numbers: latest run number by slot.
     :ivar checkpoints: latest checkpoint by slot.
     :ivar active: runs that may exist on workers.
+    :ivar crashes: numbers of the runs under which a worker has crashed by
+        slot, and whether the run had been started shortly before.
     """
 
     done: set[int] = msgspec.field(default_factory=set)
@@ -44,6 +46,7 @@
     numbers: dict[int, int] = msgspec.field(default_factory=dict)
     checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
     active: list[ActiveRun] = msgspec.field(default_factory=list)
+    crashes: dict[int, dict[int, bool]] = msgspec.field(default_factory=dict)
 
 
 class Progress(msgspec.Struct, omit_defaults=True):
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -57,6 +57,8 @@
     :ivar confirmed: whether the worker has listed or accepted the run.
     :ivar placed_at: time of the placement in seconds; negative for a run that
         a former coordinator has placed.
+    :ivar suspect: whether a worker has crashed soon after an earlier start of
+        the work item.
     :ivar first_listed: time at which the worker first listed the run; 0
         before.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
@@ -81,6 +83,7 @@
     version: int
     confirmed: bool
     placed_at: float
+    suspect: bool = False
     first_listed: float = 0.0
     stop_reason: str = ''
     checkpoint: str = ''
--- a/damaskpin/entry/outcomes.py
+++ b/damaskpin/entry/outcomes.py
@@ -41,9 +41,11 @@
     """The job exists.
 
     :ivar state: state of the job.
+    :ivar reason: why the job failed; empty otherwise.
     """
 
     state: work.JobState
+    reason: str = ''
 
 
 Outcome = Accepted | Unavailable | Undecided | JobNotFound | JobFound
--- /dev/null
+++ b/damaskpin/model/crashes.py
@@ -0,0 +1,14 @@
+"""Limits by which crashes of workers are blamed on work items."""
+
+from __future__ import annotations
+
+# A run that was started at most this time before its worker crashed, in
+# seconds, may be the cause. Work that crashes its worker does so soon after
+# its start; runs that have lasted longer are taken as bystanders.
+RECENT_START_S = 2.0
+
+# Number of recent starts before a crash after which a work item is given up.
+MAX_SUSPECTED_CRASHES = 2
+
+# Number of crashes under runs of any age after which a work item is given up.
+MAX_CRASHES = 5
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -61,6 +61,19 @@
     reason: str
 
 
+class Crash(bases.Value):
+    """A worker process that ended without notice while its agent lived.
+
+    :ivar lifetime: identity of the worker process.
+    :ivar runs: runs that the worker had when it crashed.
+    :ivar recent: those of them that had been started shortly before.
+    """
+
+    lifetime: work.Lifetime
+    runs: tuple[work.Run, ...]
+    recent: tuple[work.Run, ...]
+
+
 class Orders(bases.Message):
     """Orders of the coordinator for one worker.
 
@@ -113,6 +126,8 @@
         certainly ended, or 0 while the worker responds. From then on the agent
         renews the lease only after orders whose ``echo`` is the time of a
         later report.
+    :ivar crashes: latest crashes of workers; they are repeated, as a cut or a
+        new coordinator may hide a report.
     """
 
     agent: str
@@ -128,6 +143,7 @@
     refused: tuple[RefusedRun, ...]
     silence: float = 0.0
     lapse: float = 0.0
+    crashes: tuple[Crash, ...] = ()
 
 
 class Redirect(bases.Message):
--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -229,9 +229,11 @@
         match outcome:
             case outcomes.Accepted():
                 status = 200
-            case outcomes.JobFound(state=state):
+            case outcomes.JobFound(state=state, reason=reason):
                 status = 200
                 body = {'state': str(state)}
+                if reason:
+                    body['reason'] = reason
                 self._log_shown_state(job_id, str(state))
             case outcomes.JobNotFound():
                 status = 410
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -80,7 +80,7 @@
         try:
             answer = await self._caller.call(request)
         except errors.CallError as error:
-            return calls.Unanswered(str(error))
+            return calls.Unanswered(str(error), error.sent)
         if answer.status == 421:
             return calls.Refused('another lifetime')
         try:
--- a/damaskpin/runtime/requests.py
+++ b/damaskpin/runtime/requests.py
@@ -143,7 +143,7 @@
         if known_job is not None and known_job.submission is not None:
             if not is_visible(known_job.submission, account):
                 return outcomes.JobNotFound()
-            return outcomes.JobFound(known_job.progress.state)
+            return make_job_found(known_job.progress)
         try:
             async with asyncio.timeout(get_time_limit(deadline)):
                 return await self._read_state(job_id, account)
@@ -160,8 +160,8 @@
             return outcomes.JobNotFound()
         progress = await self._store.get(layout.make_progress_key(job_id))
         if progress is None:
-            return outcomes.JobFound(records.Progress().state)
-        return outcomes.JobFound(records.decode_progress(progress.value).state)
+            return make_job_found(records.Progress())
+        return make_job_found(records.decode_progress(progress.value))
 
     def _track_undecided_submission(
         self, job_id: str, result: CommitOutcome
@@ -275,6 +275,11 @@
     return max(min(time_left, MAX_STORE_TIME_S), MIN_STORE_TIME_S)
 
 
+def make_job_found(progress: records.Progress) -> outcomes.JobFound:
+    """Return what a caller is told of a job with the given progress."""
+    return outcomes.JobFound(progress.state, progress.reason)
+
+
 def is_visible(submission: work.Submission, account: str) -> bool:
     """Return whether a client account may see a job.
 
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 
 from damaskpin.agent import agent as agents
@@ -46,6 +47,8 @@
     at the same time and none after its recorded end, steps wait for their
     predecessors, the number of failed runs is within its limit, and the
     worker has enough capacity.
+
+    :ivar crashing_jobs: ids of jobs whose work items crash their workers.
     """
 
     def __init__(self, seed, instances=3):
@@ -62,6 +65,9 @@
         self.delayed_messages = []
         self.running_runs = {}
         self.start_count = 0
+        self.starts_by_item = collections.Counter()
+        self.crashing_jobs = set()
+        self.crashing_workers = []
         self.loss_rate = 0.0
         self.delay_rate = 0.0
         for instance in self.instances:
@@ -175,6 +181,10 @@
                 # A crashed worker loses the calls that were delayed.
                 if worker.alive:
                     self._apply_call(worker, call)
+        for instance in self.instances:
+            if instance.worker in self.crashing_workers:
+                self.restart_worker(instance)
+        self.crashing_workers.clear()
         self.coordinator.decide(self.now, WALL + self.now)
         self._store_progress()
         for worker in self.coordinator.pop_due_workers():
@@ -323,6 +333,9 @@
 
     def _check_start(self, worker, run, order):
         self.start_count += 1
+        self.starts_by_item[run.item] += 1
+        if run.item.job in self.crashing_jobs:
+            self.crashing_workers.append(worker)
         submission = self.submissions[run.item.job]
         step = submission.steps[run.item.step]
         others = self.running_runs.setdefault(run.item, set())
--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_crashes.py
@@ -0,0 +1,169 @@
+"""Tests of work items that crash the workers that start them."""
+
+from __future__ import annotations
+
+import pytest
+
+from damaskpin.coordinator import crashes
+from damaskpin.coordinator import records
+from damaskpin.model import crashes as limits
+from damaskpin.model import work
+from damaskpin.peer import orders
+from tests.test_coordinator import builders
+from tests.test_coordinator import simulation as simulations
+
+STEP = work.Step(count=1, demand=work.Resources(1000, 500, 1), estimate=3.0)
+JOB_ID = '0' * 16
+WALL = builders.WALL
+
+
+def _submit_crashing_job(simulation, steps=(STEP,)):
+    job_id = f'{len(simulation.submissions):016x}'
+    simulation.crashing_jobs.add(job_id)
+    simulation.submit(steps)
+    return job_id
+
+
+def _get_state(simulation, job_id):
+    return simulation.coordinator.jobs[job_id].progress.state
+
+
+def _make_crash(ledger, *runs, recent=True):
+    """Return the crash of the worker that has the first of the runs."""
+    worker = next(w for w in ledger.workers.values() if runs[0] in w.runs)
+    return orders.Crash(worker.lifetime, runs, runs if recent else ())
+
+
+def _list_placed(ledger, job):
+    return [
+        placed
+        for worker in ledger.workers.values()
+        for placed in worker.runs.values()
+        if placed.job is job
+    ]
+
+
+def _lose_worker_of(ledger, job, now, recent=True):
+    """Crash the worker of a job's only run; the run is gone."""
+    (placed,) = _list_placed(ledger, job)
+    crash = _make_crash(ledger, placed.run, recent=recent)
+    crashes.record_crash(WALL, ledger, crash)
+    worker = ledger.workers[crash.lifetime]
+    ledger.remove_lost_run(worker, placed.run, 'crashed')
+    return crash
+
+
+@pytest.mark.parametrize('gang', [False, True])
+def test_work_item_that_crashes_its_workers_is_given_up(gang):
+    """Guards against a work item that ends one worker after the other."""
+    simulation = simulations.Simulation(1, instances=5)
+    step = work.Step(
+        count=2, demand=STEP.demand, estimate=3.0, gang=gang, checkpoints=True
+    )
+    job_id = _submit_crashing_job(simulation, (step,))
+    simulation.run(60.0)
+    assert _get_state(simulation, job_id) is work.JobState.FAILED
+    assert max(simulation.starts_by_item.values()) <= 3
+
+
+def test_count_outlasts_the_coordinator_and_cuts():
+    """Guards against counting anew after an election or a late report."""
+    simulation = simulations.Simulation(2, instances=5)
+    job_id = _submit_crashing_job(simulation)
+    for _ in range(12):
+        simulation.run(2.0)
+        simulation.replace_coordinator()
+        for instance in simulation.instances:
+            instance.disconnected = not instance.disconnected
+    for instance in simulation.instances:
+        instance.disconnected = False
+    simulation.run(30.0)
+    assert _get_state(simulation, job_id) is work.JobState.FAILED
+    assert max(simulation.starts_by_item.values()) <= 4
+
+
+def test_other_work_survives_beside_work_that_crashes_its_workers():
+    """Guards against giving up work that merely shared a worker."""
+    simulation = simulations.Simulation(3, instances=5)
+    for _ in range(4):
+        simulation.submit((STEP,))
+    crashing = _submit_crashing_job(simulation)
+    for _ in range(4):
+        simulation.submit((STEP,))
+    simulation.run(30.0)
+    simulation.heal_and_finish()
+    for job_id in simulation.submissions:
+        expected = work.JobState.COMPLETED
+        if job_id == crashing:
+            expected = work.JobState.FAILED
+        assert _get_state(simulation, job_id) is expected
+
+
+def test_restart_of_agent_and_worker_together_is_no_crash():
+    """Guards against blaming work for a power cut of its machine."""
+    simulation = simulations.Simulation(4, instances=3)
+    simulation.submit((STEP,))
+    for _ in range(8):
+        simulation.run(3.0)
+        for instance in simulation.instances:
+            simulation.restart_worker(instance)
+            simulation.restart_agent(instance)
+    simulation.run(20.0)
+    assert _get_state(simulation, JOB_ID) is work.JobState.RUNNING
+    assert simulation.coordinator.counts['crashed'] == 0
+
+
+def test_repeated_report_of_a_crash_counts_once():
+    """Guards against giving up work after one crash."""
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    builders.decide(ledger)
+    crash = _lose_worker_of(ledger, job, builders.NOW)
+    crashes.record_crash(WALL, ledger, crash)
+    assert not job.is_final()
+    assert job.progress.occurrences[0][0].crashes == {0: {1: True}}
+
+
+def test_count_is_stored_with_the_progress():
+    """Guards against a count that ends with the coordinator's process."""
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    builders.decide(ledger)
+    version = job.progress.version
+    _lose_worker_of(ledger, job, builders.NOW)
+    stored = records.decode_progress(records.encode_progress(job.progress))
+    assert stored.occurrences[0][0].crashes == {0: {1: True}}
+    assert stored.version > version
+
+
+def test_suspect_runs_apart_from_other_recent_starts():
+    """Guards against a second crash that can't be attributed."""
+    ledger = builders.make_ledger(workers=2)
+    job = builders.submit(ledger, 'j', builders.make_step())
+    builders.decide(ledger)
+    _lose_worker_of(ledger, job, builders.NOW)
+    builders.decide(ledger)
+    (suspect,) = builders.list_runs(ledger, job).values()
+    other = builders.submit(ledger, 'k', builders.make_step(count=4))
+    builders.decide(ledger)
+    assert suspect not in builders.list_runs(ledger, other).values()
+    later = builders.NOW + crashes.PROBATION_S
+    more = builders.submit(ledger, 'l', builders.make_step(count=12))
+    builders.decide(ledger, later)
+    assert suspect in builders.list_runs(ledger, more).values()
+
+
+def test_old_runs_are_given_up_only_after_many_crashes():
+    """Guards against failed jobs where workers crash for other reasons."""
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    now = builders.NOW
+    for _ in range(limits.MAX_CRASHES - 1):
+        builders.decide(ledger, now)
+        _lose_worker_of(ledger, job, now, recent=False)
+        now += 10.0
+    assert not job.is_final()
+    builders.decide(ledger, now)
+    _lose_worker_of(ledger, job, now, recent=False)
+    assert job.progress.state is work.JobState.FAILED
+    assert '5 workers crashed' in job.progress.reason
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -80,6 +80,30 @@
         return outcomes.JobFound(work.JobState.RUNNING)
 
 
+class _Failed:
+    async def get_state(self, job_id, account, deadline):
+        return outcomes.JobFound(work.JobState.FAILED, 'two workers crashed')
+
+
+class FailedJobTest(testing.AsyncHTTPTestCase):
+    """Tests the answer about a job that has failed."""
+
+    def get_app(self):
+        self.entry = _Entry()
+        self.entry.requests = _Failed()
+        return front.make_client_application(self.entry)
+
+    def test_failed_job_is_shown_with_its_reason(self):
+        """Guards against a failure that its client can't explain."""
+        answer = self.fetch(
+            '/jobs/0123456789abcdef', headers={'Host': 'h.example'}
+        )
+        assert json.loads(answer.body) == {
+            'state': 'failed',
+            'reason': 'two workers crashed',
+        }
+
+
 class AnswerLogTest(testing.AsyncHTTPTestCase):
     """Tests the log lines of answered requests."""
 
