Leave odd entries out and keep the others in use

Class: input of another writer is checked where it is used, not where it is read. Change: decoding a body turns all of these into MalformedError, with numbers limited to 64 bits by the types of the fields; rows of lists are checked one by one; stored records too; an entry's address is checked when it is read, with a line that names the key; a link to an address that can't be dialled is closed and counts as unreachable.

--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 import msgspec
 
+from damaskpin import errors
 from damaskpin.model import work
 
+RecordT = TypeVar('RecordT')
+
 
 class ActiveRun(msgspec.Struct, array_like=True, frozen=True):
     """A run that may exist on a worker.
@@ -85,9 +90,9 @@
 def decode_progress(data: bytes) -> Progress:
     """Return the progress of a job from its stored form.
 
-    :raises msgspec.DecodeError: the data is malformed.
+    :raises damaskpin.errors.MalformedError: the data is malformed.
     """
-    return _DECODER.decode(data)
+    return _decode(_DECODER, data)
 
 
 def encode_submission(submission: work.Submission) -> bytes:
@@ -98,6 +103,15 @@
 def decode_submission(data: bytes) -> work.Submission:
     """Return a submission from its stored form.
 
-    :raises msgspec.DecodeError: the data is malformed.
+    :raises damaskpin.errors.MalformedError: the data is malformed.
     """
-    return _SUBMISSIONS.decode(data)
+    return _decode(_SUBMISSIONS, data)
+
+
+def _decode(decoder: msgspec.json.Decoder[RecordT], data: bytes) -> RecordT:
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise errors.MalformedError(str(error)) from error
+    except RecursionError as error:
+        raise errors.MalformedError('nested too deeply') from error
--- a/damaskpin/entry/view.py
+++ b/damaskpin/entry/view.py
@@ -5,9 +5,9 @@
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
+from damaskpin import errors
 from damaskpin.coordinator import records
+from damaskpin.peer import addresses
 from damaskpin.store import layout
 from damaskpin.store import transactions
 
@@ -112,10 +112,20 @@
         name = change.key[len(layout.ENTRIES_PREFIX) :]
         match change:
             case transactions.StoredItem():
-                self.entries[name] = change.value.decode('utf-8', 'replace')
+                self._add_entry(name, change)
             case transactions.Removal():
                 self.entries.pop(name, None)
 
+    def _add_entry(self, name: str, item: transactions.StoredItem) -> None:
+        try:
+            self.entries[name] = addresses.decode_address(item.value)
+        except errors.MalformedError as error:
+            self.entries.pop(name, None)
+            LOG.error(
+                'entry without a usable address ignored',
+                extra={'key': item.key, 'error': str(error)},
+            )
+
     def _apply_job(
         self, prefix: str, job_id: str, change: transactions.Change
     ) -> None:
@@ -134,7 +144,7 @@
                     job.revision = change.revision
                 case _:
                     job.cancelled = True
-        except msgspec.DecodeError as error:
+        except errors.MalformedError as error:
             LOG.error(
                 'stored record could not be decoded',
                 extra={'key': change.key, 'error': str(error)},
--- a/damaskpin/peer/codec.py
+++ b/damaskpin/peer/codec.py
@@ -51,7 +51,7 @@
             raise errors.FrameError('authentication code does not match')
         try:
             return self._decoder.decode(payload)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             raise errors.FrameError(f'malformed frame: {error}') from error
 
     def _compute_mac(self, payload: bytes) -> bytes:
--- a/damaskpin/peer/link.py
+++ b/damaskpin/peer/link.py
@@ -145,7 +145,14 @@
             reply arrived.
         """
         data = self._codec.encode_frame(frame)
-        context = self._open_context()
+        try:
+            context = self._open_context()
+        except (pynng.NNGException, ValueError) as error:
+            # Without this the socket of each attempt would stay open.
+            self.close()
+            raise errors.PeerUnreachableError(
+                f'{self.address} is no address: {error}'
+            ) from error
         try:
             await asyncio.wait_for(context.asend(data), timeout)
         except (TimeoutError, pynng.NNGException) as error:
--- a/damaskpin/platform/front.py
+++ b/damaskpin/platform/front.py
@@ -23,6 +23,9 @@
 
 JOB_ID_PATTERN = re.compile('[0-9a-f]{16}')
 
+# A client's time limit in milliseconds; a longer number is ignored.
+TIMEOUT_PATTERN = re.compile('[0-9]{1,9}')
+
 # Timeout of requests to a queue without its own timeout, in seconds.
 DEFAULT_TIMEOUT_S = 3.0
 
@@ -212,7 +215,9 @@
     def _get_client_timeout(self) -> float | None:
         """Return the seconds for which the client waits, if it tells."""
         value = self.request.headers.get('X-Timeout-Ms', '')
-        return int(value) / 1000 if value.isdigit() else None
+        if not TIMEOUT_PATTERN.fullmatch(value):
+            return None
+        return int(value) / 1000
 
     def _answer_unavailable(self, job_id: str, reason: str) -> None:
         self._answer_outcome(
--- a/damaskpin/platform/wire.py
+++ b/damaskpin/platform/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+from typing import Annotated
 from typing import TypeVar
 
 import msgspec
@@ -11,6 +12,12 @@
 
 T = TypeVar('T')
 
+# Largest whole number in messages between processes, which have 64 bits.
+MAX_NUMBER = 2**63 - 1
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class Item(msgspec.Struct):
     """A key of the store with its value as base64 text.
@@ -196,24 +203,24 @@
     ``work.Step``, which are described there.
     """
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0.0
-    after: list[int] = []
+    count: Count
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimate_ms: Milliseconds = 0.0
+    after: list[Count] = []
     checkpoint: bool = False
     gang: bool = False
     rack_local: bool = False
     constraints: str = ''
     affinity: str = ''
-    anti_affinity: int = 0
+    anti_affinity: Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: int = 0
+    target_ms: Count = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class JobBody(msgspec.Struct, rename='camel'):
@@ -221,17 +228,17 @@
 
     spec: str
     steps: list[JobStep]
-    repeats: int = 0
-    first_ms: float = 0.0
-    period_ms: float = 0.0
+    repeats: Count = 0
+    first_ms: Milliseconds = 0.0
+    period_ms: Milliseconds = 0.0
 
 
 class Capacity(msgspec.Struct, rename='camel'):
     """Processor, memory and accelerator capacity of a worker."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
 
 class HeartbeatBody(msgspec.Struct, rename='camel'):
@@ -245,14 +252,14 @@
 
     service: str
     state: str
-    born: int = 0
+    born: Count = 0
     addr: str = ''
     zone: str = ''
     capacity: Capacity = msgspec.field(default_factory=Capacity)
     labels: list[str] = []
-    remaining_ms: float = 0.0
-    clock_ms: int | None = None
-    sequence: int = 0
+    remaining_ms: Milliseconds = 0.0
+    clock_ms: Count | None = None
+    sequence: Count = 0
 
 
 class RenewLeaseBody(msgspec.Struct, rename='camel', omit_defaults=True):
@@ -318,11 +325,11 @@
         the answer lacks it.
     """
 
-    clock_ms: int = 0
+    clock_ms: Count = 0
     reason: str = ''
-    born: int = 0
-    running: list[list[object]] = []
-    finished: list[list[object]] = []
+    born: Count = 0
+    running: list[object] = []
+    finished: list[object] = []
 
 
 def decode(data: bytes, body_type: type[T]) -> T:
@@ -335,6 +342,8 @@
         return msgspec.json.decode(data, type=body_type, strict=True)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise errors.MalformedError(str(error)) from error
+    except RecursionError as error:
+        raise errors.MalformedError('nested too deeply') from error
 
 
 def decode_value(text: str) -> bytes:
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import logging
+import re
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import msgspec
 
@@ -14,10 +16,23 @@
 from damaskpin.platform import wire
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpin.transport import Caller
 
 LOG = logging.getLogger(__name__)
 
+RowT = TypeVar('RowT')
+
+# Occurrence, step or index in the name of a work item; 18 digits fit into 64
+# bits.
+ITEM_NUMBER = re.compile('[0-9]{1,18}')
+
+ENDINGS = [str(ending) for ending in work.Ending]
+
+# Number of characters of a malformed row that are logged.
+MAX_LOGGED_ROW = 200
+
 # Timeout of calls in seconds. The worker is on the same instance and answers
 # within milliseconds.
 TIMEOUT_S = 0.5
@@ -100,43 +115,84 @@
     return f'{item.job}.{item.occurrence}.{item.step}.{item.index}'
 
 
-def parse_item(name: str) -> work.Item:
+def parse_item(name: object) -> work.Item:
     """Parse a work item's name on the platform, ID.K.STEP.INDEX.
 
-    :raises ValueError: not the name of a work item.
+    :raises damaskpin.errors.MalformedError: not the name of a work item.
     """
-    job, occurrence, step, index = name.split('.')
-    return work.Item(job, int(occurrence), int(step), int(index))
+    fields = name.split('.') if isinstance(name, str) else []
+    if len(fields) != 4 or not all(map(ITEM_NUMBER.fullmatch, fields[1:])):
+        raise errors.MalformedError('not the name of a work item')
+    return work.Item(fields[0], *map(int, fields[1:]))
 
 
-def decode_lists(answer: wire.WorkerAnswer) -> calls.Lists:
-    """Decode a worker's lists of runs; malformed rows are left out."""
-    running = []
-    for row in answer.running:
-        try:
-            run = work.Run(parse_item(str(row[0])), int(row[1]))
-            running.append(
-                work.RunningRun(run, str(row[2] or ''), float(row[3]))
-            )
-        except (ValueError, IndexError, TypeError) as error:
-            LOG.warning(
-                'malformed row in a list of runs ignored',
-                extra={'error': str(error)},
-            )
-    ended = []
-    for row in answer.finished:
+def parse_count(value: object) -> int:
+    """Return a whole number that fits into messages between processes.
+
+    :raises damaskpin.errors.MalformedError: not such a number.
+    """
+    if type(value) is int and 0 <= value <= wire.MAX_NUMBER:
+        return value
+    raise errors.MalformedError('not a whole number of 64 bits')
+
+
+def parse_percent(value: object) -> float:
+    """Return the progress of a run, or the measured value in its place.
+
+    :raises damaskpin.errors.MalformedError: not a number in range.
+    """
+    if type(value) is float and 0 <= value <= wire.MAX_NUMBER:
+        return value
+    return float(parse_count(value))
+
+
+def parse_running(row: object) -> work.RunningRun:
+    """Parse a row of the list of running runs.
+
+    :raises damaskpin.errors.MalformedError: not such a row.
+    """
+    if not isinstance(row, list) or len(row) < 4:
+        raise errors.MalformedError('not a row of four or more fields')
+    run = work.Run(parse_item(row[0]), parse_count(row[1]))
+    return work.RunningRun(run, str(row[2] or ''), parse_percent(row[3]))
+
+
+def parse_ended(row: object) -> work.EndedRun:
+    """Parse a row of the list of ended runs.
+
+    :raises damaskpin.errors.MalformedError: not such a row.
+    """
+    if not isinstance(row, list) or len(row) < 5:
+        raise errors.MalformedError('not a row of five fields')
+    run = work.Run(parse_item(row[1]), parse_count(row[2]))
+    if row[3] not in ENDINGS:
+        raise errors.MalformedError('not an end of a run')
+    return work.EndedRun(
+        parse_count(row[0]), run, work.Ending(row[3]), str(row[4] or '')
+    )
+
+
+def parse_rows(
+    rows: list[object], parse: Callable[[object], RowT]
+) -> tuple[RowT, ...]:
+    """Parse a list of runs; malformed rows are left out."""
+    parsed = []
+    for row in rows:
         try:
-            run = work.Run(parse_item(str(row[1])), int(row[2]))
-            ended.append(
-                work.EndedRun(
-                    int(row[0]), run, work.Ending(row[3]), str(row[4] or '')
-                )
-            )
-        except (ValueError, IndexError, TypeError) as error:
+            parsed.append(parse(row))
+        except errors.MalformedError as error:
             LOG.warning(
                 'malformed row in a list of runs ignored',
-                extra={'error': str(error)},
+                extra={'error': str(error), 'row': repr(row)[:MAX_LOGGED_ROW]},
             )
+    return tuple(parsed)
+
+
+def decode_lists(answer: wire.WorkerAnswer) -> calls.Lists:
+    """Decode a worker's lists of runs; malformed rows are left out."""
     return calls.Lists(
-        answer.clock_ms, answer.born, tuple(running), tuple(ended)
+        answer.clock_ms,
+        answer.born,
+        parse_rows(answer.running, parse_running),
+        parse_rows(answer.finished, parse_ended),
     )
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -12,6 +12,7 @@
 from damaskpin import telemetry
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
+from damaskpin.peer import addresses
 from damaskpin.peer import orders
 from damaskpin.runtime import background
 from damaskpin.runtime import clocks
@@ -258,11 +259,17 @@
         except errors.StoreError as error:
             LOG.info('list of entries not read', extra={'error': str(error)})
             return
-        addresses = [
-            item.value.decode('utf-8', 'replace') for item in page.items
-        ]
-        if addresses:
-            self.agent.entries = tuple(addresses)
+        entries = []
+        for item in page.items:
+            try:
+                entries.append(addresses.decode_address(item.value))
+            except errors.MalformedError as error:
+                LOG.error(
+                    'entry without a usable address ignored',
+                    extra={'key': item.key, 'error': str(error)},
+                )
+        if entries:
+            self.agent.entries = tuple(entries)
 
     def _handle_peer_failure(self, address: str) -> None:
         LOG.info('peer did not answer', extra={'peer': address})
--- a/tests/test_peer/test_peer_link.py
+++ b/tests/test_peer/test_peer_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import psutil
 import pytest
 
 from damaskpin import errors
@@ -87,3 +88,28 @@
             connection.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    'address',
+    ['[[[[[', 'x' * 5000, 'tcp://127.0.0.1:99999', 'tcp://127.0.0.1:7/path'],
+)
+def test_call_to_an_odd_address_fails_and_leaves_nothing_open(address):
+    """Guards against an odd entry that costs a socket with each call."""
+
+    async def call():
+        connection = link.Link(address, CODEC)
+        frame = make_frame()
+        await _fail(connection, frame)
+        process = psutil.Process()
+        before = process.num_fds()
+        for _ in range(5):
+            await _fail(connection, frame)
+        return process.num_fds() - before
+
+    assert asyncio.run(call()) <= 0
+
+
+async def _fail(connection, frame):
+    with pytest.raises(errors.PeerError):
+        await connection.call(frame, 0.05)
--- a/tests/test_platform/test_platform_front.py
+++ b/tests/test_platform/test_platform_front.py
@@ -151,3 +151,12 @@
         assert [record.message for record in logged.records] == [
             'job state shown'
         ]
+
+    def test_odd_time_limit_of_a_client_is_ignored(self):
+        """Guards against a number that ends the request with an exception."""
+        for value in ('9' * 5000, '9' * 400, '\u00b2', '-1', '1e3'):
+            answer = self.fetch(
+                '/jobs/0123456789abcdef',
+                headers={'Host': 'h.example', 'X-Timeout-Ms': value},
+            )
+            assert json.loads(answer.body) == {'state': 'running'}
