Refuse to relay while the own way to the store hangs

Cause, in part: a peer whose own direct calls hang makes the relayed call nevertheless and answers after 1.7 s that it got no answer. Its pause after a failure, 0.3 s, is over by then.

Change: a peer whose last direct call hung says so at once; its own loops go on calling, and the first direct answer ends it.

Evidence: test_peer_whose_own_way_hangs_does_not_hold_up_relayed_calls fails before.

--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -193,8 +193,13 @@
             )
 
     async def serve_call(self, call: orders.StoreCall) -> orders.StoreAnswer:
-        """Make a direct call to the store on behalf of another entry."""
-        if clocks.get_monotonic_time() < self._direct_blocked_until:
+        """Make a direct call to the store on behalf of another entry.
+
+        While the direct way hangs, the caller is told at once to ask another
+        entry.
+        """
+        is_blocked = clocks.get_monotonic_time() < self._direct_blocked_until
+        if is_blocked or self._direct_hung:
             return orders.StoreAnswer(call.id, 0, False, b'')
         try:
             request = _REQUEST_DECODER.decode(call.request)
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 
+import msgspec
 import pytest
 
 from damaskpin import errors
@@ -183,3 +184,23 @@
         return posted[0].id
 
     assert make_call_id() != make_call_id()
+
+
+def test_peer_whose_own_way_hangs_does_not_hold_up_relayed_calls():
+    """Guards against a relayed call that waits for the peer's timeout.
+
+    The caller asks the next peer only then.
+    """
+
+    async def call():
+        direct_caller = FakeCaller(errors.CallError('timed out', True))
+        caller = _make_caller(direct_caller)
+        with contextlib.suppress(errors.CallError):
+            await caller.call(REQUEST)
+        await asyncio.sleep(relay.DIRECT_RETRY_S)
+        made = direct_caller.calls
+        relayed = orders.StoreCall(7, msgspec.msgpack.encode(REQUEST))
+        answer = await caller.serve_call(relayed)
+        return answer, direct_caller.calls - made
+
+    assert asyncio.run(call()) == (orders.StoreAnswer(7, 0, False, b''), 0)
