Split the peers that relay calls from the caller of the store

The choice of peers, their pauses and the pending relayed calls move to relay_peers.py; the caller keeps the direct way and the order of the ways.

--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -20,6 +20,7 @@
 from damaskpin.runtime import mirror_follower
 from damaskpin.runtime import registration
 from damaskpin.runtime import relay
+from damaskpin.runtime import relay_peers
 from damaskpin.runtime import requests
 from damaskpin.runtime import retention
 from damaskpin.runtime import store_probe
@@ -67,6 +68,7 @@
         '_loop_monitor',
         '_mirror',
         '_relay',
+        '_relay_peers',
         '_retention',
         '_settings',
         '_store',
@@ -92,7 +94,8 @@
         self._settings = settings
         self._background = background.BackgroundTasks()
         self._loop_monitor = event_loop.LoopMonitor()
-        self._relay = relay.RelayingCaller(direct_caller, self._list_peers)
+        self._relay_peers = relay_peers.RelayPeers(self._list_peers)
+        self._relay = relay.RelayingCaller(direct_caller, self._relay_peers)
         self._store = make_store(self._relay)
         self.view = views.JobView()
         self._mirror = mirrors.Mirror(layout.ROOT_PREFIX, self._apply_change)
@@ -108,7 +111,7 @@
         self.exchange = exchange_factory.make_exchange(
             settings, self._handle_message, self._handle_peer_failure
         )
-        self._relay.set_exchange(self.exchange)
+        self._relay_peers.set_exchange(self.exchange)
         self._relay.on_return = self._restart_watches
         self.leadership = leaderships.Leadership(
             self._store,
@@ -266,7 +269,7 @@
                     self._serve_store_call(frame.address, message)
                 )
             case orders.StoreAnswer():
-                self._relay.handle_answer(message)
+                self._relay_peers.handle_answer(message)
         return None
 
     async def _serve_store_call(
@@ -277,7 +280,7 @@
 
     def _handle_peer_failure(self, address: str) -> None:
         LOG.info('peer did not answer', extra={'peer': address})
-        self._relay.handle_peer_failure(address)
+        self._relay_peers.handle_peer_failure(address)
 
     def _list_peers(self) -> list[str]:
         own_address = self._settings.address
--- a/tests/test_runtime/silence.py
+++ b/tests/test_runtime/silence.py
@@ -18,6 +18,7 @@
 from damaskpin.runtime import configuration
 from damaskpin.runtime import mirror_follower
 from damaskpin.runtime import relay
+from damaskpin.runtime import relay_peers
 from damaskpin.store import layout
 from damaskpin.store import mirror as mirrors
 
@@ -92,9 +93,9 @@
 class Exchange:
     """Carries relayed calls to a peer that reaches the store."""
 
-    def __init__(self, store, caller):
+    def __init__(self, store, peers):
         self._store = store
-        self._caller = caller
+        self._peers = peers
         self._tasks = set()
 
     def post(self, address, kind, build):
@@ -109,7 +110,7 @@
     async def _answer(self, call, refused):
         if refused:
             await asyncio.sleep(STORE_DELAY_S)
-            self._caller.handle_answer(
+            self._peers.handle_answer(
                 orders.StoreAnswer(call.id, 0, False, b'')
             )
             return
@@ -117,7 +118,7 @@
             call.request, type=transport.HttpRequest
         )
         answer = await self._store.answer(request)
-        self._caller.handle_answer(
+        self._peers.handle_answer(
             orders.StoreAnswer(call.id, answer.status, True, answer.body)
         )
 
@@ -130,8 +131,9 @@
 
     def __init__(self, store):
         self.store = store
-        self._caller = relay.RelayingCaller(store, lambda: list(PEERS))
-        self._caller.set_exchange(Exchange(store, self._caller))
+        peers = relay_peers.RelayPeers(lambda: list(PEERS))
+        peers.set_exchange(Exchange(store, peers))
+        self._caller = relay.RelayingCaller(store, peers)
         client = store_client.StoreClient(self._caller)
         self._in_force = {}
         self._config = configuration.ConfigurationWatcher(
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -12,6 +12,7 @@
 from damaskpin import transport
 from damaskpin.peer import orders
 from damaskpin.runtime import relay
+from damaskpin.runtime import relay_peers
 
 REQUEST = transport.HttpRequest('GET', '/x', None, 0.2)
 
@@ -41,10 +42,11 @@
 
 
 def _make_caller(direct_caller, answer=None):
-    caller = relay.RelayingCaller(direct_caller, lambda: ['peer'])
+    peers = relay_peers.RelayPeers(lambda: ['peer'])
+    caller = relay.RelayingCaller(direct_caller, peers)
     if answer is not None:
-        exchange = FakeExchange(lambda peer, call: answer(caller, call))
-        caller.set_exchange(exchange)
+        exchange = FakeExchange(lambda peer, call: answer(peers, call))
+        peers.set_exchange(exchange)
     return caller
 
 
@@ -80,10 +82,12 @@
     """Guards against waiting for a failed relay until the timeout."""
 
     async def call():
-        caller = _make_caller(FakeCaller(503), lambda caller, call: None)
+        peers = relay_peers.RelayPeers(lambda: ['peer'])
+        peers.set_exchange(FakeExchange(lambda peer, call: None))
+        caller = relay.RelayingCaller(FakeCaller(503), peers)
         task = asyncio.ensure_future(caller.call(REQUEST))
         await asyncio.sleep(0.01)
-        caller.handle_peer_failure('peer')
+        peers.handle_peer_failure('peer')
         started = asyncio.get_running_loop().time()
         with pytest.raises(errors.CallError) as caught:
             await task
