Let a read pass all entries that can't reach the store

Cause: a read asked two peers at most. A direct call that had hung in an earlier round was repeated before the second of them, though the one of this round was still in progress, and the second peer waited for it.

Change: a read asks up to eight peers; those that can't reach the store say so within milliseconds. A direct call is repeated only once one has hung during this read, and beside the next peer. Writes still ask two.

Evidence: test_read_passes_all_peers_that_do_not_reach_the_store fails before (six of seven peers refused).

--- a/damaskpin/runtime/hedging.py
+++ b/damaskpin/runtime/hedging.py
@@ -13,33 +13,38 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
+
 
 T = TypeVar('T')
 
 
 async def call_first(
-    ways: Iterable[Callable[[], Awaitable[T]]], patience: float, limit: float
+    groups: Iterable[Sequence[Callable[[], Awaitable[T]]]],
+    patience: float,
+    limit: float,
 ) -> T:
     """Make a call over several ways and return the first answer.
 
-    The next way is tried as soon as one has failed, and beside the others
+    The next ways are tried as soon as one has failed, and beside the others
     after a time without an answer. Ways that are still in use at the end are
     cancelled.
 
-    :param ways: functions that make the call; each is taken when it is due.
-    :param patience: seconds without an answer until the next way is tried.
+    :param groups: functions that make the call, in groups that are tried at
+        the same time; each group is taken when it is due.
+    :param patience: seconds without an answer until the next group is tried.
     :param limit: seconds after which the call is given up.
     :raises damaskpin.errors.CallError: no way has given an answer; see
         :func:`join_failures`.
     """
     deadline = clocks.get_monotonic_time() + limit
-    unused_ways = iter(ways)
+    unused_groups = iter(groups)
     failures: list[errors.CallError] = []
     tasks: set[asyncio.Task[T]] = set()
     try:
         while True:
-            way = next(unused_ways, None)
-            if way is not None:
+            group = next(unused_groups, None)
+            for way in group or ():
                 tasks.add(asyncio.ensure_future(way()))
             time_left = deadline - clocks.get_monotonic_time()
             if tasks and time_left <= 0:
@@ -48,7 +53,9 @@
                 raise join_failures(failures)
             done, tasks = await asyncio.wait(
                 tasks,
-                timeout=time_left if way is None else min(patience, time_left),
+                timeout=time_left
+                if group is None
+                else min(patience, time_left),
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -39,6 +39,12 @@
 # Seconds added to the timeout of a call that another entry relays.
 relay_peers.EXTRA_TIMEOUT_S = 0.4
 
+# Maximum number of entries that are tried as relays for one write, and for one
+# read. Entries that can't reach the store themselves say so at once, so that a
+# read passes many of them; a write may take effect late over each.
+MAX_RELAYS = 2
+MAX_READ_RELAYS = 8
+
 _REQUEST_DECODER = msgspec.msgpack.Decoder(transport.HttpRequest)
 
 
@@ -75,6 +81,7 @@
         '_direct_call_allowed',
         '_direct_caller',
         '_direct_hung',
+        '_hung_direct_calls',
         '_last_answer_time',
         '_last_direct_answer_time',
         '_peers',
@@ -94,6 +101,7 @@
         self._direct_blocked_until = 0.0
         self._direct_call_allowed = False
         self._direct_hung = False
+        self._hung_direct_calls = 0
         self.counts: collections.Counter[str] = collections.Counter()
         self.on_return: Callable[[], None] = lambda: None
 
@@ -120,11 +128,12 @@
         :raises damaskpin.errors.CallError: neither the direct call nor a
             relay got an answer.
         """
-        ways = self._list_ways()
+        is_read = request.method == 'GET'
+        ways = self._list_ways(MAX_READ_RELAYS if is_read else MAX_RELAYS)
         if not ways:
             raise errors.CallError('no entry to relay the call', False)
         try:
-            if request.method == 'GET':
+            if is_read:
                 answered = await self._call_hedged(ways, request)
             else:
                 answered = await self._call_in_turn(ways, request)
@@ -183,25 +192,27 @@
 
     def _iterate_reads(
         self, ways: list[str], request: transport.HttpRequest
-    ) -> Iterator[Callable[[], Awaitable[Answered]]]:
+    ) -> Iterator[list[Callable[[], Awaitable[Answered]]]]:
         """Yield the calls of a read over the given ways.
 
-        A direct call that hung is made once more: its connection may be dead
-        while new ones work.
+        Once a direct call has hung, it is made once more beside the next
+        relayed call: its connection may be dead while new ones work.
         """
-        repeat = functools.partial(self._call_over, DIRECT_WAY, request)
+        hung_before = self._hung_direct_calls
         may_repeat = DIRECT_WAY in ways
-        for position, way in enumerate(ways):
-            if position > 1 and may_repeat and self._direct_hung:
+        repeat = functools.partial(self._call_over, DIRECT_WAY, request)
+        for way in ways:
+            group = [functools.partial(self._call_over, way, request)]
+            if may_repeat and self._hung_direct_calls > hung_before:
                 may_repeat = False
-                yield repeat
-            yield functools.partial(self._call_over, way, request)
-        if may_repeat and self._direct_hung:
-            yield repeat
+                group.append(repeat)
+            yield group
+        if may_repeat and self._hung_direct_calls > hung_before:
+            yield [repeat]
 
-    def _list_ways(self) -> list[str]:
+    def _list_ways(self, max_relays: int) -> list[str]:
         """Return the ways of a call, in the order in which to try them."""
-        relays = self._peers.list_usable()
+        relays = self._peers.list_usable()[:max_relays]
         return [DIRECT_WAY, *relays] if self._may_call_directly() else relays
 
     async def _call_over(
@@ -224,6 +235,7 @@
         except errors.CallError as error:
             if way == DIRECT_WAY:
                 self._direct_hung = error.sent
+                self._hung_direct_calls += error.sent
                 self._record_direct_failure(str(error))
             else:
                 self._peers.record_failure(way, str(error))
--- a/damaskpin/runtime/relay_peers.py
+++ b/damaskpin/runtime/relay_peers.py
@@ -31,9 +31,6 @@
 # Seconds added to the timeout of a call that another entry relays.
 EXTRA_TIMEOUT_S = 0.4
 
-# Maximum number of entries that are tried as relays for one call.
-MAX_RELAYS = 2
-
 # Number of random bits of a process's first call id.
 CALL_ID_BITS = 48
 
@@ -85,7 +82,7 @@
             if self._blocked_peers.get(peer, 0.0) <= now:
                 relays.append(peer)
         relays.sort(key=lambda peer: self._blocked_peers.get(peer, 0.0))
-        return relays[:MAX_RELAYS]
+        return relays
 
     async def call(
         self, peer: str, request: transport.HttpRequest
--- a/tests/test_runtime/test_runtime_silence.py
+++ b/tests/test_runtime/test_runtime_silence.py
@@ -76,3 +76,20 @@
             await followers.wait_for_version(version, MAX_APPLY_TIME_S)
 
     silence.play_scenario(play)
+
+
+def test_read_passes_all_peers_that_do_not_reach_the_store():
+    """Guards against a read that gives up after the first refused peers.
+
+    The entry has just lost its own way, which the watch of the first second
+    still had, and knows nothing of its peers.
+    """
+
+    async def play(followers, store):
+        store.refused_peers = set(silence.PEERS[:-1])
+        store.direct_silent = True
+        await asyncio.sleep(1.2)
+        version = store.write_version()
+        await followers.wait_for_version(version, MAX_APPLY_TIME_S)
+
+    silence.play_scenario(play)
