Pause the direct way after a refused relayed call

By reading, after reads may ask eight peers: a peer that is refused itself made a refused, priced call for each call that it was to relay, as only its own calls set the pause of 0.3 s.

Change: a relayed call sets and ends the pause of the direct way as the peer's own calls do. test_refused_relayed_calls_pause_the_direct_way fails before (three calls, now one).

--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -155,7 +155,9 @@
             return orders.StoreAnswer(call.id, 0, False, b'')
         try:
             request = _REQUEST_DECODER.decode(call.request)
-            answer = await self._direct_caller.call(request)
+            answered = await self._call_over(DIRECT_WAY, request)
+        except errors.CallRefusedError as error:
+            return orders.StoreAnswer(call.id, error.status, True, b'')
         except errors.CallError as error:
             return orders.StoreAnswer(call.id, 0, error.sent, b'')
         except msgspec.DecodeError as error:
@@ -163,6 +165,8 @@
                 'request to relay malformed', extra={'error': str(error)}
             )
             return orders.StoreAnswer(call.id, 0, False, b'')
+        self._record_direct_answer()
+        answer = answered.answer
         return orders.StoreAnswer(call.id, answer.status, True, answer.body)
 
     async def _call_in_turn(
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -208,3 +208,19 @@
         return answer, direct_caller.calls - made
 
     assert asyncio.run(call()) == (orders.StoreAnswer(7, 0, False, b''), 0)
+
+
+def test_refused_relayed_calls_pause_the_direct_way():
+    """Guards against a refused call of a peer for each call that it relays.
+
+    Refused calls are priced, and many entries ask in an outage.
+    """
+
+    async def call():
+        direct_caller = FakeCaller(503)
+        caller = _make_caller(direct_caller)
+        relayed = orders.StoreCall(7, msgspec.msgpack.encode(REQUEST))
+        statuses = [(await caller.serve_call(relayed)).status for _ in 'abc']
+        return statuses, direct_caller.calls
+
+    assert asyncio.run(call()) == ([503, 0, 0], 1)
