Retrieve the error of each way that ends beside the answer

Found in the read-through: of two ways that end at the same time, the second one's error may never be retrieved, which asyncio logs as a fault. Tests of the module without the network are added; they pass before, too, as the line comes with the garbage collection only. The line of the store's return has no seconds if there was no answer before.

--- a/damaskpin/runtime/hedging.py
+++ b/damaskpin/runtime/hedging.py
@@ -15,7 +15,6 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
-
 T = TypeVar('T')
 
 
@@ -58,11 +57,17 @@
                 else min(patience, time_left),
                 return_when=asyncio.FIRST_COMPLETED,
             )
+            answered = None
             for task in done:
-                try:
-                    return task.result()
-                except errors.CallError as error:
-                    failures.append(error)
+                error = task.exception()
+                if error is None:
+                    answered = task
+                    continue
+                if not isinstance(error, errors.CallError):
+                    raise error
+                failures.append(error)
+            if answered is not None:
+                return answered.result()
     finally:
         for task in tasks:
             task.cancel()
--- a/damaskpin/runtime/mirror_follower.py
+++ b/damaskpin/runtime/mirror_follower.py
@@ -73,13 +73,15 @@
                 if not await self._follow_once():
                     continue
                 self.last_contact_time = clocks.get_monotonic_time()
-                silence = self.last_contact_time - last_contact_time
+                silence = None
+                if last_contact_time:
+                    silence = self.last_contact_time - last_contact_time
                 if unreachable:
                     LOG.info(
                         'store answers again',
                         extra={
                             'prefix': self._mirror.prefix,
-                            'seconds': round(silence, 3),
+                            'seconds': silence and round(silence, 3),
                         },
                     )
                 unreachable = False
