Check in constant time whether a start may join a suspect

Found in the read-through: placement went over all runs of each worker for each work item that waits. A worker keeps the times of its latest start and of its latest start of a suspect instead. The limits move to model/crash_limits.py, as two modules were called crashes.

--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -50,8 +50,7 @@
     :ivar reason: why the run will not execute; empty if it may.
     :ivar may_have_been_sent: whether a start call without an answer may have
         reached the worker.
-    :ivar called_at: time in seconds of the latest start call that may have
-        reached the worker; 0 for none.
+    :ivar called_at: time in seconds of the latest start call; 0 for none.
     :ivar next_call_at: earliest time of the next call in seconds.
     :ivar stop_acknowledged_at: time in seconds at which the worker
         acknowledged the stop call.
--- a/damaskpin/agent/crash_log.py
+++ b/damaskpin/agent/crash_log.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from damaskpin.model import crashes
+from damaskpin.model import crash_limits
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
@@ -51,7 +51,7 @@
         if lists is not None:
             runs |= {row.run for row in lists.running}
             runs -= {row.run for row in lists.ended}
-        earliest = last_answer_time - crashes.RECENT_START_S
+        earliest = last_answer_time - crash_limits.RECENT_START_S
         recent = {run for run in runs if called.get(run, 0.0) >= earliest}
         LOG.warning(
             'worker crashed',
--- a/damaskpin/coordinator/candidates.py
+++ b/damaskpin/coordinator/candidates.py
@@ -128,7 +128,9 @@
         unit = self._unit
         if not may_run_another_item(unit, worker, self._chosen_counts):
             return
-        if not crashes.may_share_worker(self._allocation.now, unit, worker):
+        if not crashes.may_share_worker(
+            self._allocation.now, self._is_suspect, worker
+        ):
             return
         demand = unit.step.get_reservation()
         option = self._allocation.find_capacity(worker, demand)
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -11,18 +11,17 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import events
-from damaskpin.model import crashes
+from damaskpin.model import crash_limits
 from damaskpin.model import work
 
 if TYPE_CHECKING:
-    from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import worker_state
     from damaskpin.peer import orders
 
 # Time after a start in which a crash is blamed on it, in seconds: that of the
 # agent and the way of the order.
-PROBATION_S = crashes.RECENT_START_S + 0.5
+PROBATION_S = crash_limits.RECENT_START_S + 0.5
 
 
 def record_crash(
@@ -59,25 +58,23 @@
         run had been started shortly before.
     """
     suspected = sum(counted.values())
-    if suspected >= crashes.MAX_SUSPECTED_CRASHES:
+    if suspected >= crash_limits.MAX_SUSPECTED_CRASHES:
         return f'{suspected} workers crashed soon after they had started it'
-    if len(counted) >= crashes.MAX_CRASHES:
+    if len(counted) >= crash_limits.MAX_CRASHES:
         return f'{len(counted)} workers crashed while they ran it'
     return ''
 
 
 def may_share_worker(
-    now: float, unit: jobs.Unit, worker: worker_state.Worker
+    now: float, suspect: bool, worker: worker_state.Worker
 ) -> bool:
     """Return whether a crash after a start on a worker could be attributed.
 
     A suspect unit needs a worker without another recent start, and a worker
     with a recent start of a suspect unit takes no other.
+
+    :param suspect: whether the unit to start is a suspect.
     """
-    suspect = unit.is_suspect()
-    for placed in worker.runs.values():
-        if now - placed.placed_at >= PROBATION_S or placed.placed_at < 0:
-            continue
-        if suspect or placed.suspect:
-            return False
-    return True
+    if now - worker.last_suspect_start < PROBATION_S:
+        return False
+    return not suspect or now - worker.last_start >= PROBATION_S
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from damaskpin.model import work
@@ -206,6 +207,9 @@
         lists of runs.
     :ivar orders_due: whether new orders should be sent to the agent now.
     :ivar last_end_serial: serial of the latest end that was recorded.
+    :ivar last_start: time of the latest placement of a run.
+    :ivar last_suspect_start: time of the latest placement of a run whose work
+        item may crash its worker.
     :ivar lease_extension: seconds after ``latest_run_end`` for which the lease
         of a restarted worker may still last; 0 for other workers.
     :ivar pending_ends: recorded ends that may not be stored yet, in the order
@@ -227,7 +231,9 @@
         'has_run_lists',
         'last_end_serial',
         'last_report_time',
+        'last_start',
         'last_success',
+        'last_suspect_start',
         'latest_run_end',
         'lease_extension',
         'lifetime',
@@ -256,6 +262,8 @@
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
         self.last_end_serial = 0
+        self.last_start = -math.inf
+        self.last_suspect_start = -math.inf
         self.silence = 0.0
         self.pending_ends: collections.deque[PendingEnd] = collections.deque()
         self.failed_jobs: set[str] = set()
@@ -275,6 +283,9 @@
     def add_run(self, placed: PlacedRun) -> None:
         """Add a run and subtract its capacity from the free capacity."""
         self.runs[placed.run] = placed
+        self.last_start = max(self.last_start, placed.placed_at)
+        if placed.suspect:
+            self.last_suspect_start = placed.placed_at
         self.free_capacity = self.free_capacity.minus(placed.reserved)
 
     def remove_run(self, run: work.Run) -> PlacedRun | None:
--- a/tests/test_coordinator/test_coordinator_crashes.py
+++ b/tests/test_coordinator/test_coordinator_crashes.py
@@ -6,7 +6,7 @@
 
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import records
-from damaskpin.model import crashes as limits
+from damaskpin.model import crash_limits as limits
 from damaskpin.model import work
 from damaskpin.peer import orders
 from tests.test_coordinator import builders
