Decode malformed data in one place

Found in the read-through of the odd entry: the body decoder and that of stored records translated the errors of msgspec alike, each for itself, and a relayed request knew only one of them. decoding.decode serves the three. The address of an entry was decoded and an odd one logged in two places; addresses.decode_address does both now. The test of the view takes the job that the tests of outages have.

--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
-
 import msgspec
 
-from damaskpin import errors
+from damaskpin import decoding
 from damaskpin.model import work
 
-RecordT = TypeVar('RecordT')
-
 
 class ActiveRun(msgspec.Struct, array_like=True, frozen=True):
     """A run that may exist on a worker.
@@ -92,7 +88,7 @@
 
     :raises damaskpin.errors.MalformedError: the data is malformed.
     """
-    return _decode(_DECODER, data)
+    return decoding.decode(_DECODER.decode, data)
 
 
 def encode_submission(submission: work.Submission) -> bytes:
@@ -105,13 +101,4 @@
 
     :raises damaskpin.errors.MalformedError: the data is malformed.
     """
-    return _decode(_SUBMISSIONS, data)
-
-
-def _decode(decoder: msgspec.json.Decoder[RecordT], data: bytes) -> RecordT:
-    try:
-        return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise errors.MalformedError(str(error)) from error
-    except RecursionError as error:
-        raise errors.MalformedError('nested too deeply') from error
+    return decoding.decode(_SUBMISSIONS.decode, data)
--- a/damaskpin/entry/view.py
+++ b/damaskpin/entry/view.py
@@ -112,19 +112,17 @@
         name = change.key[len(layout.ENTRIES_PREFIX) :]
         match change:
             case transactions.StoredItem():
-                self._add_entry(name, change)
+                address = addresses.decode_address(change.key, change.value)
+                self._set_entry(name, address)
             case transactions.Removal():
-                self.entries.pop(name, None)
+                self._set_entry(name, '')
 
-    def _add_entry(self, name: str, item: transactions.StoredItem) -> None:
-        try:
-            self.entries[name] = addresses.decode_address(item.value)
-        except errors.MalformedError as error:
+    def _set_entry(self, name: str, address: str) -> None:
+        """Set the address of an entry; an empty one removes the entry."""
+        if address:
+            self.entries[name] = address
+        else:
             self.entries.pop(name, None)
-            LOG.error(
-                'entry without a usable address ignored',
-                extra={'key': item.key, 'error': str(error)},
-            )
 
     def _apply_job(
         self, prefix: str, job_id: str, change: transactions.Change
--- a/damaskpin/peer/addresses.py
+++ b/damaskpin/peer/addresses.py
@@ -2,21 +2,27 @@
 
 from __future__ import annotations
 
+import logging
 import re
 
-from damaskpin import errors
+LOG = logging.getLogger(__name__)
 
 MAX_PORT = 65535
 _PATTERN = re.compile(r'tcp://[0-9A-Za-z.-]{1,255}:([0-9]{1,5})')
 
 
-def decode_address(data: bytes) -> str:
-    """Return the pynng URL of a process from its stored form.
+def decode_address(key: str, data: bytes) -> str:
+    """Return the pynng URL of an entry from its stored form.
 
-    :raises damaskpin.errors.MalformedError: not a URL that can be dialled.
+    :param key: key of the entry, named in the log if its address is odd.
+    :returns: an empty string if the data is no URL that can be dialled.
     """
     text = data.decode('utf-8', 'replace')
     match = _PATTERN.fullmatch(text)
-    if match is None or int(match.group(1)) > MAX_PORT:
-        raise errors.MalformedError(f'not an address: {text[:80]!r}')
-    return text
+    if match is not None and int(match.group(1)) <= MAX_PORT:
+        return text
+    LOG.error(
+        'entry without a usable address ignored',
+        extra={'key': key, 'error': f'not an address: {text[:80]!r}'},
+    )
+    return ''
--- a/damaskpin/platform/wire.py
+++ b/damaskpin/platform/wire.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import base64
+import functools
 from typing import Annotated
 from typing import TypeVar
 
 import msgspec
 
+from damaskpin import decoding
 from damaskpin import errors
 
 T = TypeVar('T')
@@ -338,12 +340,10 @@
     :param body_type: type of the struct.
     :raises damaskpin.errors.MalformedError: not valid JSON of that type.
     """
-    try:
-        return msgspec.json.decode(data, type=body_type, strict=True)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise errors.MalformedError(str(error)) from error
-    except RecursionError as error:
-        raise errors.MalformedError('nested too deeply') from error
+    decoder = functools.partial(
+        msgspec.json.decode, type=body_type, strict=True
+    )
+    return decoding.decode(decoder, data)
 
 
 def decode_value(text: str) -> bytes:
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -261,13 +261,9 @@
             return
         entries = []
         for item in page.items:
-            try:
-                entries.append(addresses.decode_address(item.value))
-            except errors.MalformedError as error:
-                LOG.error(
-                    'entry without a usable address ignored',
-                    extra={'key': item.key, 'error': str(error)},
-                )
+            address = addresses.decode_address(item.key, item.value)
+            if address:
+                entries.append(address)
         if entries:
             self.agent.entries = tuple(entries)
 
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from damaskpin import decoding
 from damaskpin import errors
 from damaskpin import transport
 from damaskpin.peer import orders
@@ -154,13 +155,13 @@
         if is_blocked or self._direct_hung:
             return orders.StoreAnswer(call.id, 0, False, b'')
         try:
-            request = _REQUEST_DECODER.decode(call.request)
+            request = decoding.decode(_REQUEST_DECODER.decode, call.request)
             answered = await self._call_over(DIRECT_WAY, request)
         except errors.CallRefusedError as error:
             return orders.StoreAnswer(call.id, error.status, True, b'')
         except errors.CallError as error:
             return orders.StoreAnswer(call.id, 0, error.sent, b'')
-        except msgspec.DecodeError as error:
+        except errors.MalformedError as error:
             LOG.warning(
                 'request to relay malformed', extra={'error': str(error)}
             )
--- a/tests/test_entry/test_entry_view.py
+++ b/tests/test_entry/test_entry_view.py
@@ -6,19 +6,11 @@
 
 from damaskpin.coordinator import records
 from damaskpin.entry import view as views
-from damaskpin.model import work
 from damaskpin.store import layout
 from damaskpin.store import transactions
+from tests.test_runtime import outages
 
 NESTED = b'{"unknown": %s}' % (b'[' * 100_000 + b']' * 100_000)
-SUBMISSION = work.Submission(
-    'a' * 16,
-    'account',
-    'content',
-    (work.Step(count=1, demand=work.Resources(1, 1, 0)),),
-    work.Terms('q', 's', 1, 2),
-    5.0,
-)
 
 
 def _apply(view, key, value, revision=1):
@@ -54,6 +46,6 @@
     """Guards against a record that ends the loop that follows the store."""
     view = views.JobView()
     _apply(view, prefix + 'b' * 16, value)
-    key = layout.make_job_key(SUBMISSION.id)
-    _apply(view, key, records.encode_submission(SUBMISSION), 2)
-    assert view.get(SUBMISSION.id) is not None
+    key = layout.make_job_key(outages.JOB.id)
+    _apply(view, key, records.encode_submission(outages.JOB), 2)
+    assert view.get(outages.JOB.id) is not None
