--- a/damaskpin/agent/crash_log.py
+++ b/damaskpin/agent/crash_log.py
@@ -52,17 +52,20 @@
             runs |= {row.run for row in lists.running}
             runs -= {row.run for row in lists.ended}
         earliest = last_answer_time - crash_limits.RECENT_START_S
-        recent = {run for run in runs if called.get(run, 0.0) >= earliest}
+        crash = orders.Crash(
+            lifetime,
+            _sort_runs(runs),
+            _sort_runs({r for r in runs if called.get(r, 0.0) >= earliest}),
+        )
         LOG.warning(
             'worker crashed',
             extra={
                 'worker': lifetime.worker,
                 'silent': round(now - last_answer_time, 3),
                 'runs': len(runs),
-                'recent': [_format_run(run) for run in sorted_runs(recent)],
+                'recent': [_format_run(run) for run in crash.recent],
             },
         )
-        crash = orders.Crash(lifetime, sorted_runs(runs), sorted_runs(recent))
         self._crashes.append((now, crash))
         del self._crashes[:-MAX_REPORTED_CRASHES]
 
@@ -75,7 +78,7 @@
         )
 
 
-def sorted_runs(runs: set[work.Run]) -> tuple[work.Run, ...]:
+def _sort_runs(runs: set[work.Run]) -> tuple[work.Run, ...]:
     """Return runs in the order of their names."""
     return tuple(sorted(runs, key=_format_run))
 
--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -31,12 +31,7 @@
     LOG.info(
         message,
         extra={
-            'job': run.item.job,
-            'occurrence': run.item.occurrence,
-            'step': run.item.step,
-            'index': run.item.index,
-            'number': run.number,
-            'worker': worker.lifetime.worker,
+            **_describe_run(run, worker.lifetime),
             'reason': reason,
             **more,
         },
@@ -57,12 +52,7 @@
     LOG.warning(
         'worker crashed under a run',
         extra={
-            'job': run.item.job,
-            'occurrence': run.item.occurrence,
-            'step': run.item.step,
-            'index': run.item.index,
-            'number': run.number,
-            'worker': lifetime.worker,
+            **_describe_run(run, lifetime),
             'recent': recent,
             'crashes': len(counted),
             'recent_crashes': sum(counted.values()),
@@ -92,3 +82,15 @@
             'runs': runs,
         },
     )
+
+
+def _describe_run(run: work.Run, lifetime: work.Lifetime) -> dict[str, object]:
+    """Return the log fields that name a run and its worker."""
+    return {
+        'job': run.item.job,
+        'occurrence': run.item.occurrence,
+        'step': run.item.step,
+        'index': run.item.index,
+        'number': run.number,
+        'worker': lifetime.worker,
+    }
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -238,7 +238,8 @@
         ):
             return {}
         crashes = progress.crashes.setdefault(slot, {})
-        if crashes.get(run.number, False) >= recent and run.number in crashes:
+        known = crashes.get(run.number)
+        if known is not None and known >= recent:
             return {}
         crashes[run.number] = recent
         self.mark_changed()
--- a/tests/test_coordinator/test_coordinator_crashes.py
+++ b/tests/test_coordinator/test_coordinator_crashes.py
@@ -28,28 +28,13 @@
     return simulation.coordinator.jobs[job_id].progress.state
 
 
-def _make_crash(ledger, *runs, recent=True):
-    """Return the crash of the worker that has the first of the runs."""
-    worker = next(w for w in ledger.workers.values() if runs[0] in w.runs)
-    return orders.Crash(worker.lifetime, runs, runs if recent else ())
-
-
-def _list_placed(ledger, job):
-    return [
-        placed
-        for worker in ledger.workers.values()
-        for placed in worker.runs.values()
-        if placed.job is job
-    ]
-
-
-def _lose_worker_of(ledger, job, now, recent=True):
+def _lose_worker_of(ledger, job, recent=True):
     """Crash the worker of a job's only run; the run is gone."""
-    (placed,) = _list_placed(ledger, job)
-    crash = _make_crash(ledger, placed.run, recent=recent)
+    ((run, active),) = job.iterate_active()
+    crash = orders.Crash(active.lifetime, (run,), (run,) if recent else ())
     crashes.record_crash(WALL, ledger, crash)
     worker = ledger.workers[crash.lifetime]
-    ledger.remove_lost_run(worker, placed.run, 'crashed')
+    ledger.remove_lost_run(worker, run, 'crashed')
     return crash
 
 
@@ -118,7 +103,7 @@
     ledger = builders.make_ledger()
     job = builders.submit(ledger, 'j', builders.make_step())
     builders.decide(ledger)
-    crash = _lose_worker_of(ledger, job, builders.NOW)
+    crash = _lose_worker_of(ledger, job)
     crashes.record_crash(WALL, ledger, crash)
     assert not job.is_final()
     assert job.progress.occurrences[0][0].crashes == {0: {1: True}}
@@ -130,7 +115,7 @@
     job = builders.submit(ledger, 'j', builders.make_step())
     builders.decide(ledger)
     version = job.progress.version
-    _lose_worker_of(ledger, job, builders.NOW)
+    _lose_worker_of(ledger, job)
     stored = records.decode_progress(records.encode_progress(job.progress))
     assert stored.occurrences[0][0].crashes == {0: {1: True}}
     assert stored.version > version
@@ -141,7 +126,7 @@
     ledger = builders.make_ledger(workers=2)
     job = builders.submit(ledger, 'j', builders.make_step())
     builders.decide(ledger)
-    _lose_worker_of(ledger, job, builders.NOW)
+    _lose_worker_of(ledger, job)
     builders.decide(ledger)
     (suspect,) = builders.list_runs(ledger, job).values()
     other = builders.submit(ledger, 'k', builders.make_step(count=4))
@@ -160,10 +145,10 @@
     now = builders.NOW
     for _ in range(limits.MAX_CRASHES - 1):
         builders.decide(ledger, now)
-        _lose_worker_of(ledger, job, now, recent=False)
+        _lose_worker_of(ledger, job, recent=False)
         now += 10.0
     assert not job.is_final()
     builders.decide(ledger, now)
-    _lose_worker_of(ledger, job, now, recent=False)
+    _lose_worker_of(ledger, job, recent=False)
     assert job.progress.state is work.JobState.FAILED
     assert '5 workers crashed' in job.progress.reason
