--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -109,12 +109,26 @@
         previous = self.profile
         if previous is not None and previous.lifetime != profile.lifetime:
             if profile.lifetime.born < previous.lifetime.born:
-                LOG.info('delayed heartbeat of a previous worker ignored')
+                LOG.info(
+                    'delayed heartbeat of a previous worker ignored',
+                    extra={
+                        'worker': profile.lifetime.worker,
+                        'born': profile.lifetime.born,
+                        'current': previous.lifetime.worker,
+                        'current_born': previous.lifetime.born,
+                    },
+                )
                 return
             self._record_crash(now)
             self._discard_worker_state()
         if previous is None or previous.lifetime != profile.lifetime:
-            LOG.info('worker found', extra={'worker': profile.lifetime.worker})
+            LOG.info(
+                'worker found',
+                extra={
+                    'worker': profile.lifetime.worker,
+                    'born': profile.lifetime.born,
+                },
+            )
             self.report_requested = True
         elif previous.draining != profile.draining:
             LOG.info(
@@ -249,7 +263,15 @@
             case calls.Lists(born=born) if born not in (0, call.lifetime.born):
                 # The worker was restarted with the same id; a heartbeat
                 # of the new process follows.
-                LOG.info('worker restarted', extra={'born': born})
+                LOG.info(
+                    'worker restarted',
+                    extra={
+                        'worker': call.lifetime.worker,
+                        'born': born,
+                        'former_born': call.lifetime.born,
+                        'running': len(result.running),
+                    },
+                )
                 self._record_crash(now)
                 self._discard_worker_state()
             case calls.Lists():
@@ -411,4 +433,5 @@
         )
         if lists.ended and lists.ended[-1].serial > last_serial:
             self.report_requested = True
+        self._attempts.log_contradictions(lists)
         self._attempts.confirm_stops(now, sent, lists)
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -4,17 +4,15 @@
 
 import dataclasses
 import enum
-import logging
 from typing import TYPE_CHECKING
 
 from damaskpin.agent import calls
+from damaskpin.agent import events
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
     from damaskpin.model import work
 
-LOG = logging.getLogger(__name__)
-
 # Seconds before a start or stop call is repeated after a failed call.
 RETRY_INTERVAL_S = 0.15
 
@@ -56,6 +54,8 @@
         acknowledged the stop call.
     :ivar last_ordered_at: time in seconds of the coordinator's latest order to
         start or stop the run, or of the expiry of the worker's lease.
+    :ivar is_contradicted: whether the worker has listed the run after it was
+        reported as refused.
     """
 
     run: work.Run
@@ -67,6 +67,7 @@
     next_call_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     last_ordered_at: float = 0.0
+    is_contradicted: bool = False
 
 
 class Attempts:
@@ -207,6 +208,7 @@
         """Update the attempt for a run from the result of its start call."""
         attempt = self._attempts_by_run.get(call.order.run)
         if attempt is None or attempt.state is not State.CALLING:
+            events.log_late_start_result(call, attempt, result)
             return
         match result:
             case calls.Accepted():
@@ -221,7 +223,7 @@
                 attempt.state = State.PENDING
                 attempt.may_have_been_sent |= result.sent
                 attempt.next_call_at = now + RETRY_INTERVAL_S
-        log_start_result(call.order.run, result)
+        events.log_start_result(now, attempt, call, result)
 
     def handle_stop_result(
         self, now: float, call: calls.StopCall, result: calls.Result
@@ -262,6 +264,22 @@
             elif attempt.run in running and attempt.next_call_at <= now:
                 attempt.state = State.STOPPING
 
+    def log_contradictions(self, lists: calls.Lists) -> None:
+        """Log the refused runs that the worker lists all the same.
+
+        Such a run shows that a refusal was reported without proof.
+        """
+        for row in lists.running:
+            attempt = self._attempts_by_run.get(row.run)
+            if (
+                attempt is None
+                or attempt.state is not State.REFUSED
+                or attempt.is_contradicted
+            ):
+                continue
+            attempt.is_contradicted = True
+            events.log_contradiction(row.run, attempt.reason, lists.born)
+
     def forget_settled(self, now: float, listed: set[work.Run]) -> None:
         """Remove accepted and refused attempts that are no longer ordered.
 
@@ -323,18 +341,3 @@
             return
         attempt.state = State.REFUSED
         self.report_needed = True
-
-
-def log_start_result(run: work.Run, result: calls.Result) -> None:
-    """Log the result of a start call."""
-    LOG.info(
-        'start call finished',
-        extra={
-            'job': run.item.job,
-            'step': run.item.step,
-            'index': run.item.index,
-            'number': run.number,
-            'result': type(result).__name__,
-            'reason': getattr(result, 'reason', ''),
-        },
-    )
--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -93,4 +93,5 @@
         'index': run.item.index,
         'number': run.number,
         'worker': lifetime.worker,
+        'born': lifetime.born,
     }
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -214,6 +214,13 @@
         """
         placed = worker.remove_run(ended.run)
         if placed is None:
+            self.counts[f'unrecorded {ended.ending}'] += 1
+            events.log_run(
+                'end of an unrecorded run',
+                ended.run,
+                worker,
+                str(ended.ending),
+            )
             worker.pending_ends.append(
                 worker_state.PendingEnd(ended.serial, None, 0)
             )
@@ -280,6 +287,7 @@
         step = job.submission.steps[run.item.step]
         reserved = step.get_reservation()
         placed = worker_state.PlacedRun(run, job, step, reserved, 0, True, 0.0)
+        self.counts['unrecorded'] += 1
         worker.add_run(placed)
         self.stop_run(worker, placed, 'the run is in no record')
 
