Show that a late report of silence undoes a predecessor's grant

A new coordinator has answered no report yet and so takes any report of a silent worker as newer than the latest grant. The grant that its predecessor gave after that report lets the agent renew the lease longer.

pytest tests/test_coordinator/test_coordinator_late_reports.py::test_late_report_of_silence_does_not_undo_a_predecessors_grant on:

E AssertionError: the run is free at 107.6 s and has a lease until 111.6 s E assert (False or 111.6 <= 107.6) FAILED tests/test_coordinator/test_coordinator_late_reports.py::test_late_report_of_silence_does_not_undo_a_predecessors_grant

--- a/tests/test_coordinator/test_coordinator_late_reports.py
+++ b/tests/test_coordinator/test_coordinator_late_reports.py
@@ -9,6 +9,7 @@
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
 from damaskpin.coordinator import coordinator as coordinators
+from damaskpin.coordinator import ledger as ledgers
 from damaskpin.model import work
 from tests.test_coordinator import builders
 
@@ -80,3 +81,48 @@
 
     coordinator.handle_report(NOW + 2.3, WALL, late_report, 'address')
     assert run in worker.runs, 'the run is free to start elsewhere'
+
+
+def test_late_report_of_silence_does_not_undo_a_predecessors_grant():
+    """Guards against a run that executes twice.
+
+    After an agent has reported that its worker is silent, the worker answers
+    again and the coordinator renews the grant. A new coordinator that gets
+    only the report of the silence must not count on the end of that lease.
+    """
+    predecessor, worker, run = _make_coordinator_with_run()
+    agent = _start_agent(worker, NOW)
+    answer = _report(predecessor, agent.make_report(NOW + 0.1), NOW + 0.1)
+    agent.handle_orders(NOW + 0.1, answer)
+    _poll(agent, NOW + 0.1)
+    (call,) = agent.collect_due_calls(NOW + 0.1)
+    agent.handle_start_result(NOW + 0.1, call, calls.Accepted(100_100))
+    _poll(agent, NOW + 0.2, running=(run,))
+    for step in range(1, 15):
+        now = NOW + 0.2 + step * 0.2
+        agent.collect_due_calls(now)
+        unanswered = calls.Unanswered('timeout')
+        agent.handle_poll_result(now, now, agent.make_poll(now), unanswered)
+    late_report = agent.make_report(NOW + 3.2)
+    assert late_report.silence
+    _poll(agent, NOW + 3.3, running=(run,))
+    answer = _report(predecessor, agent.make_report(NOW + 3.4), NOW + 3.4)
+    agent.handle_orders(NOW + 3.4, answer)
+
+    started = NOW + 3.5
+    ledger = ledgers.RunLedger(started, builders.GRANT_S, builders.STOP_S)
+    successor = coordinators.Coordinator('d', FENCE + 1, ledger, None)
+    successor.add_job(started, predecessor.jobs['job'])
+    successor.handle_report(NOW + 3.6, WALL, late_report, 'address')
+
+    lease_end = 0.0
+    for step in range(10):
+        now = NOW + 3.6 + step
+        until = agent.make_poll(now).until
+        _poll(agent, now, running=(run,))
+        lease_end = max(lease_end, (until or 0) / 1000)
+        successor.decide(now, WALL)
+        is_kept = any(run in w.runs for w in ledger.workers.values())
+        assert is_kept or lease_end <= now, (
+            f'the run is free at {now} s and has a lease until {lease_end} s'
+        )
