Show that an echo of a former agent process renews the lease

The agent compares the echo of orders only with its own start, and does so before it looks at the process of the worker. After a power cut the steady clock starts anew: an echo of the former process ends the grant of the new one hours later, and a cut then leaves the run on two workers.

pytest tests/test_agent/test_agent_former_processes.py::test_orders_that_answer_a_former_agent_process_renew_no_lease on:

E AssertionError: the lease is renewed at 4 s E assert 7000 is None FAILED tests/test_agent/test_agent_former_processes.py::test_orders_that_answer_a_former_agent_process_renew_no_lease

--- /dev/null
+++ b/tests/test_agent/test_agent_former_processes.py
@@ -0,0 +1,60 @@
+"""Tests of what reaches an agent from or for former processes."""
+
+from __future__ import annotations
+
+from damaskpin.agent import agent as agents
+from damaskpin.agent import calls
+from damaskpin.model import work
+from damaskpin.peer import orders
+
+FENCE = 5
+GRANT_S = 9.0
+LEASE_S = 4.0
+STOP_S = 0.5
+NOW = 50.0
+LIFETIME = work.Lifetime('w1', 1000)
+RUN = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
+
+
+def _make_profile(lifetime=LIFETIME):
+    capacity = work.Resources(1000, 1000, 8)
+    return orders.WorkerProfile(
+        lifetime, 's', 'dc', 'r1', ('a', 'r1'), capacity, False, 0.0
+    )
+
+
+def _make_orders(sequence, echo, lifetime=LIFETIME):
+    return orders.Orders(FENCE, sequence, 'c', lifetime, echo, 0, (), (), ())
+
+
+def _start_agent(now, lifetime=LIFETIME):
+    """Return an agent that has just started and heard from its worker."""
+    agent = agents.Agent('agent-1', GRANT_S, LEASE_S, STOP_S)
+    agent.start(now)
+    agent.handle_heartbeat(now, _make_profile(lifetime), 1000)
+    return agent
+
+
+def _poll(agent, now, result):
+    poll = agent.make_poll(now)
+    agent.handle_poll_result(now, now, poll, result)
+    return poll
+
+
+def test_orders_that_answer_a_former_agent_process_renew_no_lease():
+    """Guards against a run that executes twice.
+
+    The steady clock of a machine that lost power starts anew, so that the
+    time of a report of the former agent process may be far ahead. Orders that
+    answer such a report must not let the agent renew the lease for ever,
+    while the coordinator counts on the end of the grant.
+    """
+    agent = _start_agent(now=2.0)
+    late = _make_orders(7, echo=5000.0, lifetime=work.Lifetime('w0', 900))
+    agent.handle_orders(3.0, late)
+    clock = 3000
+    for now in range(4, 60):
+        clock += 1000
+        lists = calls.Lists(clock, LIFETIME.born, (), ())
+        until = _poll(agent, float(now), lists).until
+        assert until is None, f'the lease is renewed at {now} s'
