Show that a late notice of a former worker takes the new one for gone

Agent.handle_leave compares the id alone. The notice of a former process, which an agent that stood still may read after the heartbeat of the next one, reports the living process as gone, and the coordinator frees its runs without any proof.

--- a/tests/test_agent/test_agent_former_processes.py
+++ b/tests/test_agent/test_agent_former_processes.py
@@ -58,3 +58,22 @@
         lists = calls.Lists(clock, LIFETIME.born, (), ())
         until = _poll(agent, float(now), lists).until
         assert until is None, f'the lease is renewed at {now} s'
+
+
+def test_delayed_notice_of_a_former_worker_leaves_the_new_one_in_use():
+    """Guards against a run that executes twice.
+
+    A worker leaves and starts again under its id. Its notice, read only
+    after the new process has registered, must not report the new process as
+    gone: the coordinator would start its runs elsewhere.
+    """
+    agent = _start_agent(NOW)
+    agent.handle_orders(NOW, _make_orders(1, NOW))
+    newer = work.Lifetime(LIFETIME.worker, LIFETIME.born + 3000)
+    agent.handle_heartbeat(NOW + 3.0, _make_profile(newer), 100)
+    running = (work.RunningRun(RUN, '', 5.0),)
+    lists = calls.Lists(200, newer.born, running, ())
+    _poll(agent, NOW + 3.1, lists)
+    agent.handle_leave(LIFETIME.worker)
+    report = agent.make_report(NOW + 3.2)
+    assert report.left != newer
