Show that a late heartbeat brings back a former worker process

After a list has shown a newer process, the agent forgets which process has ended, and a heartbeat of that process registers it again. Orders for it pass, and their calls reach the new process, which has the same id.

--- a/tests/test_agent/test_agent_former_processes.py
+++ b/tests/test_agent/test_agent_former_processes.py
@@ -77,3 +77,19 @@
     agent.handle_leave(LIFETIME.worker)
     report = agent.make_report(NOW + 3.2)
     assert report.left != newer
+
+
+def test_delayed_heartbeat_does_not_bring_back_a_restarted_process():
+    """Guards against work that is started for a process that has ended.
+
+    A list shows that the worker was restarted under its id. A heartbeat of
+    the former process that arrives before the first one of the new process
+    must not make the agent use the former process again.
+    """
+    agent = _start_agent(NOW)
+    agent.handle_orders(NOW, _make_orders(1, NOW))
+    born = LIFETIME.born + 3000
+    _poll(agent, NOW + 3.1, calls.Lists(200, born, (), ()))
+    assert agent.profile is None
+    agent.handle_heartbeat(NOW + 3.2, _make_profile(), 4100)
+    assert agent.profile is None
