Show that an agent keeps to a crashed worker after a clock step

A heartbeat with a lower born is taken for a delayed one, and a poll that is answered 421 counts as neither an answer nor a failure. The agent reports the lists of the crashed worker for ever: LOST, not TWICE.

--- a/tests/test_agent/test_agent_former_processes.py
+++ b/tests/test_agent/test_agent_former_processes.py
@@ -93,3 +93,23 @@
     assert agent.profile is None
     agent.handle_heartbeat(NOW + 3.2, _make_profile(), 4100)
     assert agent.profile is None
+
+
+def test_worker_born_after_the_time_of_day_was_set_back_is_used():
+    """Guards against an agent that keeps to a crashed worker for ever.
+
+    The next worker on the machine has a lower ``born`` if the time of day was
+    set back meanwhile. It refuses calls to the former one with 421.
+    """
+    agent = _start_agent(NOW)
+    agent.handle_orders(NOW, _make_orders(1, NOW))
+    running = (work.RunningRun(RUN, '', 5.0),)
+    _poll(agent, NOW, calls.Lists(1000, LIFETIME.born, running, ()))
+    next_lifetime = work.Lifetime('w2', LIFETIME.born - 400)
+    for step in range(10):
+        now = NOW + 1.0 + step
+        _poll(agent, now, calls.Refused('another lifetime'))
+        agent.handle_heartbeat(now, _make_profile(next_lifetime), 100)
+    report = agent.make_report(NOW + 12.0)
+    assert report.profile.lifetime == next_lifetime
+    assert not report.running
