Show that a suspension lets a lease outlast the grant

The agent extrapolates the worker's clock over the time of a suspension, in which that clock may have stood still, and the coordinator's bound knows no suspension. The lapse that agents report does allow for it.

pytest tests/test_agent/test_agent_lease_bounds.py::test_lease_of_a_suspended_machine_ends_before_the_coordinator_counts on:

E assert 66.0 <= 65.17 FAILED tests/test_agent/test_agent_lease_bounds.py::test_lease_of_a_suspended_machine_ends_before_the_coordinator_counts

--- /dev/null
+++ b/tests/test_agent/test_agent_lease_bounds.py
@@ -0,0 +1,74 @@
+"""Tests of the lease that a worker may have against the agent's books."""
+
+from __future__ import annotations
+
+from damaskpin.agent import agent as agents
+from damaskpin.agent import calls
+from damaskpin.coordinator import ledger as ledgers
+from damaskpin.model import work
+from damaskpin.peer import orders
+
+FENCE = 5
+GRANT_S = 13.5
+LEASE_S = 7.0
+STOP_S = 0.9
+HOLD_MAX_S = 10.0
+NOW = 50.0
+LIFETIME = work.Lifetime('w1', 1000)
+RUN = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
+RUNNING = (work.RunningRun(RUN, '', 5.0),)
+
+
+def _make_agent(clock):
+    """Return an agent whose worker is known and whose grant begins at NOW."""
+    agent = agents.Agent('agent-1', GRANT_S, LEASE_S, STOP_S)
+    agent.handle_heartbeat(NOW, _make_profile(LIFETIME), clock)
+    agent.handle_orders(NOW, _make_orders(1, NOW, LIFETIME))
+    return agent
+
+
+def _make_profile(lifetime):
+    capacity = work.Resources(1000, 1000, 8)
+    return orders.WorkerProfile(
+        lifetime, 's', 'dc', 'r1', ('a', 'r1'), capacity, False, 0.0
+    )
+
+
+def _make_orders(sequence, echo, lifetime):
+    return orders.Orders(FENCE, sequence, 'c', lifetime, echo, 0, (), (), ())
+
+
+def _poll(agent, now, result):
+    agent.collect_due_calls(now)
+    poll = agent.make_poll(now)
+    agent.handle_poll_result(now, now, poll, result)
+    return poll
+
+
+def _get_lease_end(now, clock, until):
+    """Return when a lease ends that a worker takes over at a time."""
+    return now + min((until - clock) / 1000, HOLD_MAX_S)
+
+
+def test_lease_of_a_suspended_machine_ends_before_the_coordinator_counts():
+    """Guards against a run that executes twice.
+
+    The machine of agent and worker is suspended for 6 s, for which the
+    worker's clock stands still, and then cut off. The lease that the agent
+    renews afterwards must end before the coordinator frees the runs.
+    """
+    agent = _make_agent(1000)
+    _poll(agent, NOW, calls.Lists(1000, LIFETIME.born, RUNNING, ()))
+    ledger = ledgers.RunLedger(0.0, GRANT_S, STOP_S)
+    latest_run_end = ledger.get_latest_run_end(NOW)
+    lease_end = 0.0
+    clock = 1000
+    for step in range(20):
+        now = NOW + 6.0 + step * 0.5
+        lists = calls.Lists(clock, LIFETIME.born, RUNNING, ())
+        until = _poll(agent, now, lists).until
+        if until is not None:
+            end = _get_lease_end(now, clock, until)
+            lease_end = max(lease_end, end)
+        clock += 500
+    assert lease_end <= latest_run_end
