Show that a late renewal outlasts the lapse that an agent reports

The coordinator's bound is extended by 22 s after a restart under the same id; the agent's own end of a silent worker's lease, which frees the runs at once, is not. A call with a time of the former clock sets holdMaxMs there.

--- a/tests/test_agent/test_agent_lease_bounds.py
+++ b/tests/test_agent/test_agent_lease_bounds.py
@@ -72,3 +72,32 @@
             lease_end = max(lease_end, end)
         clock += 500
     assert lease_end <= latest_run_end
+
+
+def test_late_call_of_a_former_process_does_not_outlast_the_lapse():
+    """Guards against a run that executes twice.
+
+    A renewal that was sent to a worker's former process reaches its next
+    process of the same id. It carries a time of the former clock and sets the
+    longest lease there. When the worker then falls silent, the agent must not
+    report the runs as gone before that lease has ended.
+    """
+    agent = _make_agent(500_000)
+    late_call = agent.make_poll(NOW)
+    newer = work.Lifetime(LIFETIME.worker, LIFETIME.born + 90_000)
+    agent.handle_heartbeat(NOW + 1.0, _make_profile(newer), 0)
+    now = NOW + 1.0
+    for step in range(7):
+        now = NOW + 1.0 + step * 0.5
+        echo = agent.make_report(now - 0.1).time
+        agent.handle_orders(now, _make_orders(step + 2, echo, newer))
+        clock = int((now - NOW - 1.0) * 1000)
+        _poll(agent, now, calls.Lists(clock, newer.born, RUNNING, ()))
+    clock = int((now - NOW - 1.0) * 1000)
+    lease_end = _get_lease_end(now, clock, late_call.until)
+    while now < lease_end:
+        assert not agent.make_report(now).refused, (
+            f'the run counts as gone {lease_end - now:.1f} s before its end'
+        )
+        now += 0.2
+        _poll(agent, now, calls.Unanswered('timeout'))
