Show that a late report of a former worker removes the current one

The coordinator orders the processes of one agent's worker by born, a time of day. After a clock step a former process has the higher one, and a late report about it removes the living worker and frees its runs.

pytest tests/test_coordinator/test_coordinator_removal_proofs.py::test_late_report_of_a_former_worker_does_not_remove_the_current_one on:

E AssertionError: the run is free to start elsewhere E assert Run(item=Item(job='job', occurrence=0, step=0, index=0), number=1) in {} E + where {} = <damaskpin.coordinator.worker_state.Worker object at 0xffffb17e8c70>.runs FAILED tests/test_coordinator/test_coordinator_removal_proofs.py::test_late_report_of_a_former_worker_does_not_remove_the_current_one

--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_removal_proofs.py
@@ -0,0 +1,53 @@
+"""Tests of the proofs with which the coordinator removes a run."""
+
+from __future__ import annotations
+
+import msgspec
+
+from damaskpin.coordinator import coordinator as coordinators
+from damaskpin.model import work
+from damaskpin.peer import orders
+from tests.test_coordinator import builders
+
+NOW = builders.NOW
+FENCE = 4
+
+
+def _make_report(worker, profile, **more):
+    report = orders.Report(
+        worker.agent, 1.0, 1, profile, None, FENCE, FENCE, (), (), (), ()
+    )
+    return msgspec.structs.replace(report, **more)
+
+
+def _make_coordinator_with_run():
+    """Return a coordinator with one run, and the run and its worker."""
+    ledger = builders.make_ledger(workers=1)
+    coordinator = coordinators.Coordinator('c', FENCE, ledger, None)
+    builders.submit(ledger, 'job', builders.make_step())
+    builders.decide(ledger)
+    (worker,) = ledger.workers.values()
+    (run,) = worker.runs
+    return coordinator, worker, run
+
+
+def test_late_report_of_a_former_worker_does_not_remove_the_current_one():
+    """Guards against a run that executes twice.
+
+    The current worker of an agent was born while the time of day was set
+    back. A late report about the former worker, which has left, must not pass
+    for one about a newer worker.
+    """
+    coordinator, worker, run = _make_coordinator_with_run()
+    row = work.RunningRun(run, '', 5.0)
+    report = _make_report(
+        worker, worker.profile, running=(row,), time=9.0, sequence=9
+    )
+    coordinator.handle_report(NOW, builders.WALL, report, 'address')
+    former = msgspec.structs.replace(
+        worker.profile, lifetime=work.Lifetime('former', 9000)
+    )
+    late_report = _make_report(worker, former, list_fence=0)
+    coordinator.handle_report(NOW + 1, builders.WALL, late_report, 'address')
+    assert run in worker.runs, 'the run is free to start elsewhere'
+    assert worker.lifetime in coordinator.workers
