Show that a list cut short at 500 ends counts as complete

A new coordinator takes a run that the first lists lack for one that was never started, though the worker may list its end only after the first 500 were acknowledged.

pytest tests/test_coordinator/test_coordinator_removal_proofs.py::test_list_that_may_be_cut_short_does_not_prove_that_a_run_is_absent on:

E AssertionError: the run is free to start elsewhere E assert Run(item=Item(job='job', occurrence=0, step=0, index=0), number=1) in {} E + where {} = <damaskpin.coordinator.worker_state.Worker object at 0xffff8cddcfb0>.runs FAILED tests/test_coordinator/test_coordinator_removal_proofs.py::test_list_that_may_be_cut_short_does_not_prove_that_a_run_is_absent

--- a/tests/test_coordinator/test_coordinator_removal_proofs.py
+++ b/tests/test_coordinator/test_coordinator_removal_proofs.py
@@ -51,3 +51,21 @@
     coordinator.handle_report(NOW + 1, builders.WALL, late_report, 'address')
     assert run in worker.runs, 'the run is free to start elsewhere'
     assert worker.lifetime in coordinator.workers
+
+
+def test_list_that_may_be_cut_short_does_not_prove_that_a_run_is_absent():
+    """Guards against a work item that starts after it has ended.
+
+    A worker lists 500 ends at a time. The end of a run may be among those
+    that a new coordinator has not seen yet.
+    """
+    coordinator, worker, run = _make_coordinator_with_run()
+    worker.has_run_lists = False
+    other = work.Item('another', 0, 0, 0)
+    ended = tuple(
+        work.EndedRun(n, work.Run(other, n), work.Ending.FAILED, '')
+        for n in range(1, 501)
+    )
+    report = _make_report(worker, worker.profile, ended=ended)
+    coordinator.handle_report(NOW, builders.WALL, report, 'address')
+    assert run in worker.runs, 'the run is free to start elsewhere'
