Show that a refusal removes a run which the same report lists

The coordinator applies refusals after the lists without comparing them. The run is free to start elsewhere, and the capacity that it takes counts as free in every later report as well.

pytest tests/test_coordinator/test_coordinator_removal_proofs.py::test_run_that_is_listed_is_not_removed_by_a_refusal on:

E AssertionError: the run is free to start elsewhere E assert Run(item=Item(job='job', occurrence=0, step=0, index=0), number=1) in {} E + where {} = <damaskpin.coordinator.worker_state.Worker object at 0xffffa95f6a80>.runs FAILED tests/test_coordinator/test_coordinator_removal_proofs.py::test_run_that_is_listed_is_not_removed_by_a_refusal

--- a/tests/test_coordinator/test_coordinator_removal_proofs.py
+++ b/tests/test_coordinator/test_coordinator_removal_proofs.py
@@ -69,3 +69,22 @@
     report = _make_report(worker, worker.profile, ended=ended)
     coordinator.handle_report(NOW, builders.WALL, report, 'address')
     assert run in worker.runs, 'the run is free to start elsewhere'
+
+
+def test_run_that_is_listed_is_not_removed_by_a_refusal():
+    """Guards against a run that executes twice, and an overcommitted worker.
+
+    A new agent process repeats a start that its predecessor has made. An
+    unhealthy worker refuses the repeat, but lists the run as running.
+    """
+    coordinator, worker, run = _make_coordinator_with_run()
+    free_capacity = worker.free_capacity
+    row = work.RunningRun(run, '', 5.0)
+    refused = orders.RefusedRun(run, 'status 503')
+    for _ in range(3):
+        report = _make_report(
+            worker, worker.profile, running=(row,), refused=(refused,)
+        )
+        coordinator.handle_report(NOW, builders.WALL, report, 'address')
+        assert run in worker.runs, 'the run is free to start elsewhere'
+        assert worker.free_capacity == free_capacity
