Show that a run once reported as refused is never stopped

Attempts.order_stop leaves a refused attempt alone, so that no stop call is made. A run that was wrongly given up, for whatever cause, runs on to its end beside its successor, on capacity that counts as free.

--- a/tests/test_agent/test_agent_refused_runs.py
+++ b/tests/test_agent/test_agent_refused_runs.py
@@ -50,3 +50,17 @@
     _refuse_start(agent, NOW)
     _poll(agent, NOW + 0.1)
     assert agent.make_report(NOW + 0.2).refused == ()
+
+
+def test_refused_run_that_the_worker_lists_can_be_stopped():
+    """Guards against a run that goes on beside its successor.
+
+    Once the worker lists a run that was reported as refused, an order to stop
+    it must reach the worker.
+    """
+    agent = _make_agent()
+    _refuse_start(agent, NOW)
+    _poll(agent, NOW + 0.1)
+    agent.handle_orders(NOW + 0.3, _make_orders(2, stops=(RUN,)))
+    due_calls = agent.collect_due_calls(NOW + 0.4)
+    assert [call.run for call in due_calls] == [RUN]
