Show that a restart after a clock step back is not seen as one

The coordinator drops reports about a process with a lower born until the former one expires by its lease. Its runs are then freed without a stop on the new process, which a late start call may still reach.

pytest tests/test_coordinator/test_coordinator_removal_proofs.py::test_worker_restarted_with_a_lower_birth_has_its_runs_stopped on:

E AssertionError: the report is taken for an old one E assert None is not None FAILED tests/test_coordinator/test_coordinator_removal_proofs.py::test_worker_restarted_with_a_lower_birth_has_its_runs_stopped

--- a/tests/test_coordinator/test_coordinator_removal_proofs.py
+++ b/tests/test_coordinator/test_coordinator_removal_proofs.py
@@ -88,3 +88,23 @@
         coordinator.handle_report(NOW, builders.WALL, report, 'address')
         assert run in worker.runs, 'the run is free to start elsewhere'
         assert worker.free_capacity == free_capacity
+
+
+def test_worker_restarted_with_a_lower_birth_has_its_runs_stopped():
+    """Guards against a late start that brings a run to life again.
+
+    A worker is started again under its id after the time of day was set back.
+    The agent's later report is about the new process, on which the runs of
+    the former one must be stopped, as after any restart.
+    """
+    coordinator, worker, run = _make_coordinator_with_run()
+    report = _make_report(worker, worker.profile, time=2.0, sequence=2)
+    coordinator.handle_report(NOW, builders.WALL, report, 'address')
+    lifetime = work.Lifetime(worker.lifetime.worker, worker.lifetime.born - 1)
+    profile = msgspec.structs.replace(worker.profile, lifetime=lifetime)
+    report = _make_report(worker, profile, time=3.0, sequence=3)
+    restarted = coordinator.handle_report(
+        NOW + 1.0, builders.WALL, report, 'address'
+    )
+    assert restarted is not None, 'the report is taken for an old one'
+    assert run in coordinator.make_orders(restarted).stops
