Show that a good end of a removed run is acknowledged and lost

RunLedger.end_run acknowledges the end of a run that it no longer has without recording it. The work item starts again after an end that was taken note of, whatever the reason for which the run had been removed.

--- a/tests/test_coordinator/test_coordinator_removal_proofs.py
+++ b/tests/test_coordinator/test_coordinator_removal_proofs.py
@@ -108,3 +108,22 @@
     )
     assert restarted is not None, 'the report is taken for an old one'
     assert run in coordinator.make_orders(restarted).stops
+
+
+def test_end_of_a_removed_run_is_recorded_before_it_is_acknowledged():
+    """Guards against a work item that starts after it has ended.
+
+    A run was given up on a wrong proof and ends well. Its end must not be
+    acknowledged, and so forgotten by the worker, while the work item is due
+    to start again.
+    """
+    coordinator, worker, run = _make_coordinator_with_run()
+    refused = orders.RefusedRun(run, 'status 503')
+    report = _make_report(worker, worker.profile, refused=(refused,))
+    coordinator.handle_report(NOW, builders.WALL, report, 'address')
+    ended = work.EndedRun(1, run, work.Ending.DONE, '')
+    report = _make_report(worker, worker.profile, ended=(ended,))
+    coordinator.handle_report(NOW + 1, builders.WALL, report, 'address')
+    job = coordinator.jobs['job']
+    is_acknowledged = coordinator.make_orders(worker).observed >= 1
+    assert job.progress.state is work.JobState.COMPLETED or not is_acknowledged
