--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -33,14 +33,24 @@
         slowest allowed.
     :param on_start: called when a run begins.
     :param on_end: called when a run ends.
+    :param on_noted: called when a listed end is acknowledged, unless the lease
+        has lapsed since the end.
+    :ivar draining: whether the worker has announced its end.
+    :ivar busy: whether the worker is unhealthy and refuses to start runs.
     """
 
-    def __init__(self, name, born, capacity, clock_rate, on_start, on_end):
+    def __init__(
+        self, name, born, capacity, clock_rate, on_start, on_end, on_noted
+    ):
         self.lifetime = work.Lifetime(name, born)
         self.capacity = capacity
         self.clock_rate = clock_rate
         self.on_start = on_start
         self.on_end = on_end
+        self.on_noted = on_noted
+        self.draining = False
+        self.busy = False
+        self.unnoted = {}
         self.clock_origin = 0.0
         self.fence = 0
         self.lease_end = 0
@@ -56,9 +66,10 @@
 
     def advance(self, now):
         """End runs whose lease has lapsed or whose stop time has come."""
-        if self.running and self.get_clock(now) >= self.lease_end:
+        if self.get_clock(now) >= self.lease_end:
             for run in list(self.running):
                 self._end(run, work.Ending.LAPSED)
+            self.unnoted.clear()
         for run, active_run in list(self.running.items()):
             if active_run.stopping is not None and now >= active_run.stopping:
                 self._end(run, work.Ending.STOPPED)
@@ -81,6 +92,9 @@
         if call.until is not None:
             self._extend_lease(now, call.until)
         self.observed = max(self.observed, call.observed)
+        for serial in sorted(self.unnoted):
+            if serial <= self.observed:
+                self.on_noted(self, self.unnoted.pop(serial))
         self.ended = [r for r in self.ended if r.serial > self.observed]
         rows = tuple(
             work.RunningRun(run, self._get_checkpoint(active_run, now), 10.0)
@@ -95,6 +109,8 @@
         if refusal is not None:
             return refusal
         run = call.order.run
+        if self.busy:
+            return calls.Refused('status 503')
         if run in self.running:
             return calls.Accepted(self.get_clock(now))
         self._extend_lease(now, call.until)
@@ -144,4 +160,5 @@
         self.highest_numbers[run.item] = max(known, run.number)
         self.serial += 1
         self.ended.append(work.EndedRun(self.serial, run, ending, ''))
+        self.unnoted[self.serial] = self.ended[-1]
         self.on_end(self, run, ending)
--- /dev/null
+++ b/tests/test_coordinator/random_plays.py
@@ -0,0 +1,95 @@
+"""Random sequences of actions and faults against the simulation."""
+
+from __future__ import annotations
+
+import random
+
+from damaskpin.model import work
+from tests.test_coordinator import simulation as simulations
+
+ACTIONS = 60
+
+# Faults that a play may mix, by name.
+FAULTS = (
+    'agent restarts',
+    'busy workers',
+    'cancellations',
+    'coordinators',
+    'cuts',
+    'drains',
+    'late calls',
+    'lost messages',
+    'new processes',
+    'silence',
+)
+
+DEMANDS = [
+    work.Resources(1000, 500, 1),
+    work.Resources(2000, 1000, 2),
+    work.Resources(4000, 500, 0),
+]
+
+
+def play(seed, faults, actions=ACTIONS):
+    """Play random actions, then remove all faults and wait for all jobs.
+
+    :param faults: names of the faults that the play may use.
+    :raises AssertionError: the simulation has seen a broken promise.
+    """
+    rng = random.Random(seed)
+    simulation = simulations.Simulation(seed)
+    simulation.run(1.0)
+    for _ in range(actions):
+        _act(rng, simulation, faults)
+    simulation.heal_and_finish()
+    return simulation
+
+
+def _act(rng, simulation, faults):
+    action = rng.choice((*faults, 'submit', 'submit', 'end', 'wait', 'wait'))
+    instance = rng.choice(simulation.instances)
+    worker = instance.worker
+    match action:
+        case 'submit':
+            simulation.submit(_make_steps(rng))
+        case 'end':
+            ending = rng.choice([work.Ending.DONE, work.Ending.FAILED])
+            simulation.end_run(rng.randrange(50), ending)
+        case 'agent restarts':
+            simulation.restart_agent(instance)
+        case 'busy workers':
+            worker.busy = not worker.busy
+        case 'cancellations':
+            if simulation.submissions:
+                simulation.cancel(rng.choice(sorted(simulation.submissions)))
+        case 'coordinators':
+            simulation.replace_coordinator()
+        case 'cuts':
+            instance.disconnected = not instance.disconnected
+        case 'drains':
+            worker.draining = True
+        case 'late calls':
+            simulation.delay_rate = rng.choice([0.0, 0.2, 0.5])
+        case 'lost messages':
+            simulation.loss_rate = rng.choice([0.0, 0.2, 0.6])
+        case 'new processes':
+            simulation.restart_worker(instance)
+        case 'silence':
+            instance.unresponsive = not instance.unresponsive
+    simulation.run(rng.choice([0.1, 0.3, 1.0, 4.0, 9.0]))
+
+
+def _make_steps(rng):
+    steps = []
+    for index in range(rng.randint(1, 2)):
+        steps.append(
+            work.Step(
+                count=rng.randint(1, 3),
+                demand=rng.choice(DEMANDS),
+                estimate=rng.choice([0.5, 3.0]),
+                after=(0,) if index else (),
+                checkpoints=rng.random() < 0.5,
+                gang=rng.random() < 0.5,
+            )
+        )
+    return tuple(steps)
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -20,6 +20,8 @@
 STOP_S = 0.5
 TICK_S = 0.1
 WALL = 1_000_000.0
+# Longest delay of a call that its sender sees unanswered, in seconds.
+MAX_CALL_DELAY_S = 12.0
 CAPACITY = work.Resources(4000, 4000, 4)
 
 
@@ -48,6 +50,10 @@
     predecessors, the number of failed runs is within its limit, and the
     worker has enough capacity.
 
+    :ivar late_start_s: seconds after which each start call is carried out,
+        without an answer; ``None`` for no such delay.
+    :ivar late_report_s: seconds by which each report is delayed; ``None`` for
+        no such delay.
     :ivar crashing_jobs: ids of jobs whose work items crash their workers.
     """
 
@@ -64,12 +70,16 @@
         self.delayed_calls = []
         self.delayed_messages = []
         self.running_runs = {}
+        self.done_items = set()
+        self.later_starts = collections.defaultdict(set)
         self.start_count = 0
         self.starts_by_item = collections.Counter()
         self.crashing_jobs = set()
         self.crashing_workers = []
         self.loss_rate = 0.0
         self.delay_rate = 0.0
+        self.late_start_s = None
+        self.late_report_s = None
         for instance in self.instances:
             self.restart_worker(instance)
             self.restart_agent(instance)
@@ -77,8 +87,8 @@
 
     # Faults and actions
 
-    def restart_worker(self, instance):
-        """Replace a worker, which may keep its id.
+    def restart_worker(self, instance, may_keep_id=True):
+        """Replace a worker.
 
         The first heartbeat of the new worker is delayed by up to a second.
         """
@@ -86,7 +96,7 @@
         name = f'w{self.worker_count}'
         if instance.worker is not None:
             instance.worker.crash()
-            if self.random.random() < 0.5:
+            if may_keep_id and self.random.random() < 0.5:
                 name = instance.worker.lifetime.worker
         instance.worker = fakeworker.FakeWorker(
             name,
@@ -95,6 +105,7 @@
             self.random.choice([0.98, 1.0]),
             self._check_start,
             self._record_end,
+            self._record_noted,
         )
         instance.worker.clock_origin = self.now
         instance.next_heartbeat = self.now + self.random.uniform(0.0, 1.0)
@@ -154,6 +165,9 @@
         for instance in self.instances:
             instance.disconnected = False
             instance.unresponsive = False
+            instance.worker.busy = False
+            if instance.worker.draining:
+                self.restart_worker(instance, may_keep_id=False)
         for _ in range(900):
             self.now += TICK_S
             self._advance()
@@ -225,6 +239,10 @@
 
     def _deliver(self, instance, message):
         """Deliver a report or orders, sometimes late and out of order."""
+        if self.late_report_s and isinstance(message, orders.Report):
+            due = self.now + self.late_report_s
+            self.delayed_messages.append((due, instance, message))
+            return
         if self.random.random() < self.delay_rate:
             due = self.now + self.random.uniform(0.2, 3.0)
             self.delayed_messages.append((due, instance, message))
@@ -252,8 +270,12 @@
             if self.random.random() < 0.5:
                 self._apply_call(instance.worker, call)
             return calls.Unanswered('cut off')
+        if self.late_start_s and isinstance(call, calls.StartCall):
+            due = self.now + self.late_start_s
+            self.delayed_calls.append((due, instance.worker, call))
+            return calls.Unanswered('late')
         if self.random.random() < self.delay_rate:
-            due = self.now + self.random.uniform(0.5, 5.0)
+            due = self.now + self.random.uniform(0.5, MAX_CALL_DELAY_S)
             self.delayed_calls.append((due, instance.worker, call))
             return calls.Unanswered('late')
         result = self._apply_call(instance.worker, call)
@@ -289,7 +311,14 @@
     def _send_heartbeat(self, instance):
         worker = instance.worker
         profile = orders.WorkerProfile(
-            worker.lifetime, 's', 'dc', 'r1', ('a', 'r1'), CAPACITY, False, 0.0
+            worker.lifetime,
+            's',
+            'dc',
+            'r1',
+            ('a', 'r1'),
+            CAPACITY,
+            worker.draining,
+            0.0,
         )
         clock = worker.get_clock(self.now)
         instance.agent.handle_heartbeat(self.now, profile, clock)
@@ -341,6 +370,10 @@
         others = self.running_runs.setdefault(run.item, set())
         assert not others, f'{run} starts beside {others}'
         others.add(run)
+        assert run.item not in self.done_items, (
+            f'{run} starts after an end that was taken note of'
+        )
+        self.later_starts[run.item].add(run)
         progress = records.Progress()
         if run.item.job in self.store:
             progress = records.decode_progress(self.store[run.item.job])
@@ -368,3 +401,27 @@
 
     def _record_end(self, worker, run, ending):
         self.running_runs[run.item].discard(run)
+
+    def _record_noted(self, worker, row):
+        """Check an end that the agent has acknowledged.
+
+        The end counts from then on, so no run may have started after it.
+        """
+        if row.ending is not work.Ending.DONE:
+            return
+        item = row.run.item
+        step = self.submissions[item.job].steps[item.step]
+        items = [item]
+        if step.gang:
+            items = [
+                work.Item(item.job, item.occurrence, item.step, index)
+                for index in range(step.count)
+            ]
+        for member in items:
+            later = {
+                run
+                for run in self.later_starts[member]
+                if run.number > row.run.number
+            }
+            assert not later, f'{later} started after the end of {row.run}'
+            self.done_items.add(member)
