Ignore orders and reports of a former agent process

The coordinator repeats the start of an unconfirmed run to each agent process. A report in which a former process had refused the run, delayed until its successor had started it, still removed the run: its work item started again elsewhere and its capacity was given away twice. In the same way orders that answered a report of a former process renewed the lease of its successor's worker, for ever if the machine's clock had started anew.

Reports carry a random id of the process, and orders return it. The coordinator admits reports of the current process in their order only, and an agent ignores orders for another process. A living process whose former one is heard later, by a delayed first report, is told so and goes on under a new id. Orders and reports of builds without the field are handled as before.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import secrets
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -50,6 +51,7 @@
         worker's latest lists of runs; 0 without lists.
     :ivar coordinator: address of the coordinator; empty until it is known.
     :ivar entries: addresses of all entries.
+    :ivar process: random id under which this process reports.
     :ivar last_report_time: time of the last report to the coordinator.
     :ivar report_requested: whether a report is due at once.
     """
@@ -69,6 +71,7 @@
         'fence',
         'last_report_time',
         'lists_fencing_token',
+        'process',
         'profile',
         'report_requested',
     )
@@ -77,6 +80,7 @@
         self, instance: str, grant: float, lease: float, stop_time: float
     ) -> None:
         self._instance = instance
+        self.process = make_process_id()
         self.profile: orders.WorkerProfile | None = None
         self._shut_down_lifetime: work.Lifetime | None = None
         self.fence = 0
@@ -160,6 +164,11 @@
         :returns: ``False`` if the orders come from a previous coordinator,
             which has a lower fencing token.
         """
+        if message.process not in ('', self.process):
+            # The orders answer a report of a former process. Their starts may
+            # be known there as refused, and their grant counts from its clock.
+            LOG.info('orders for a former process of the agent ignored')
+            return True
         if message.fence < self.fence:
             return False
         if message.fence > self.fence:
@@ -176,7 +185,7 @@
             return True
         self._order_sequence = message.sequence
         self.entries = message.entries
-        self._lease_tracker.record_grant(message.echo)
+        self._lease_tracker.record_grant(now, message.echo)
         if self.profile is None or message.lifetime != self.profile.lifetime:
             return True
         self._recorded_serial = max(self._recorded_serial, message.observed)
@@ -190,6 +199,23 @@
         self._attempts.forget_settled(now, listed)
         return True
 
+    def handle_superseded(self, process: str) -> None:
+        """Report under a new id from now on, unless it is done already.
+
+        The coordinator has received an old report of a former process later
+        than one of this process, and takes this process for the former one.
+
+        :param process: id that the coordinator does not accept.
+        """
+        if process != self.process:
+            return
+        self.process = make_process_id()
+        self.report_requested = True
+        LOG.warning(
+            'reports were refused; going on under a new process id',
+            extra={'process': self.process, 'former': process},
+        )
+
     def collect_due_calls(
         self, now: float
     ) -> list[calls.StartCall | calls.StopCall]:
@@ -337,6 +363,7 @@
             silence,
             lapse,
             self._crash_log.list_reported(now),
+            self.process,
         )
 
     def _record_crash(self, now: float) -> None:
@@ -435,3 +462,8 @@
             self.report_requested = True
         self._attempts.log_contradictions(lists)
         self._attempts.confirm_stops(now, sent, lists)
+
+
+def make_process_id() -> str:
+    """Return a new random id for a process of an agent."""
+    return secrets.token_hex(8)
--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -153,13 +153,16 @@
         self._min_echo_time = now
         return (silence, self.get_lease_remaining())
 
-    def record_grant(self, echo: float) -> None:
+    def record_grant(self, now: float, echo: float) -> None:
         """Record the coordinator's permission to renew the worker's lease.
 
+        A time that lies ahead was read by a former process of the agent,
+        before the machine's clock started anew, and grants nothing.
+
         :param echo: time in seconds of the report that the coordinator
             answered.
         """
-        if echo > self._min_echo_time:
+        if self._min_echo_time < echo <= now:
             self._grant_deadline = max(
                 self._grant_deadline, echo + self._grant
             )
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import advice
+from damaskpin.coordinator import agent_processes
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
@@ -41,6 +42,7 @@
     """
 
     __slots__ = (
+        '_agent_processes',
         '_installation',
         '_instance',
         '_ledger',
@@ -60,6 +62,7 @@
         self._instance = instance
         self.fence = fence
         self._ledger = ledger
+        self._agent_processes = agent_processes.AgentProcesses()
         self._installation = installation
         self._sequence = 0
         self._next_check = 0.0
@@ -132,6 +135,10 @@
             job for job in self.jobs.values() if job.has_unstored_changes()
         ]
 
+    def is_superseded(self, report: orders.Report) -> bool:
+        """Return whether a later process of the agent has reported."""
+        return self._agent_processes.is_superseded(report)
+
     def handle_report(
         self, now: float, wall: float, report: orders.Report, address: str
     ) -> worker_state.Worker | None:
@@ -141,6 +148,12 @@
         :returns: the worker that the report is about; ``None`` if there is
             none or the report is outdated.
         """
+        if not self._agent_processes.admit(report):
+            LOG.info(
+                'overtaken report ignored',
+                extra={'agent': report.agent, 'sequence': report.sequence},
+            )
+            return None
         for crash in report.crashes:
             crashes.record_crash(wall, self._ledger, crash)
         if report.left is not None:
@@ -232,6 +245,7 @@
             worker.granted_report_time = max(
                 worker.granted_report_time, worker.report_time
             )
+        process = self._agent_processes.get_process(worker.agent)
         starts = []
         stops = []
         for placed in worker.runs.values():
@@ -257,6 +271,7 @@
             tuple(starts),
             tuple(stops),
             self.entries,
+            process,
         )
 
     def pop_due_workers(self) -> list[worker_state.Worker]:
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -89,6 +89,8 @@
     :ivar starts: runs to start whose start was not confirmed yet.
     :ivar stops: runs to stop.
     :ivar entries: addresses of all entry processes.
+    :ivar process: process of the agent that the orders are for; empty from a
+        coordinator that does not tell.
     """
 
     fence: int
@@ -100,6 +102,7 @@
     starts: tuple[StartOrder, ...]
     stops: tuple[work.Run, ...]
     entries: tuple[str, ...]
+    process: str = ''
 
 
 class Report(bases.Message):
@@ -128,6 +131,8 @@
         later report.
     :ivar crashes: latest crashes of workers; they are repeated, as a cut or a
         new coordinator may hide a report.
+    :ivar process: random id of the agent's process; empty from an agent that
+        does not tell.
     """
 
     agent: str
@@ -144,6 +149,18 @@
     silence: float = 0.0
     lapse: float = 0.0
     crashes: tuple[Crash, ...] = ()
+    process: str = ''
+
+
+class Superseded(bases.Message):
+    """Answer to a report of a process that another one has replaced.
+
+    A living process that gets it reports under a new id from then on.
+
+    :ivar process: process of the agent that made the report.
+    """
+
+    process: str
 
 
 class Redirect(bases.Message):
@@ -182,7 +199,7 @@
     body: bytes
 
 
-Message = Orders | Report | Redirect | StoreCall | StoreAnswer
+Message = Orders | Report | Redirect | Superseded | StoreCall | StoreAnswer
 
 
 class Frame(bases.Frame):
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -198,6 +198,8 @@
                 asyncio.get_running_loop().call_soon(self.send_due)
             case orders.Redirect():
                 self._handle_redirect(frame, message)
+            case orders.Superseded(process=process):
+                self.agent.handle_superseded(process)
         return None
 
     def _handle_redirect(
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -188,6 +188,8 @@
             leader = leaderships.parse_leader(self._view.leader)
             entries = tuple(self._view.entries.values())
             return orders.Redirect(leader[0], leader[1], entries)
+        if coordinator.is_superseded(report):
+            return orders.Superseded(report.process)
         worker = coordinator.handle_report(
             clocks.get_monotonic_time(),
             clocks.get_wall_time(),
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -255,7 +255,13 @@
         match message:
             case orders.Orders():
                 instance.agent.handle_orders(self.now, message)
+            case orders.Superseded(process=process):
+                instance.agent.handle_superseded(process)
             case orders.Report(fence=fence) if fence <= self.coordinator.fence:
+                if self.coordinator.is_superseded(message):
+                    answer = orders.Superseded(message.process)
+                    self._deliver(instance, answer)
+                    return
                 worker = self.coordinator.handle_report(
                     self.now, WALL + self.now, message, instance.name
                 )
