--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -213,7 +213,7 @@
         self.report_requested = True
         LOG.warning(
             'reports were refused; going on under a new process id',
-            extra={'process': self.process, 'former': process},
+            extra={'agent_process': self.process, 'former_process': process},
         )
 
     def collect_due_calls(
--- a/damaskpin/coordinator/agent_processes.py
+++ b/damaskpin/coordinator/agent_processes.py
@@ -66,8 +66,8 @@
                 'agent has a new process',
                 extra={
                     'agent': report.agent,
-                    'process': report.process,
-                    'former': agent.process,
+                    'agent_process': report.process,
+                    'former_process': agent.process,
                 },
             )
             agent.former.add(agent.process)
