Prove a refusal at the worker if a former agent process was asked

Callers could see a work item run twice (TWICE). An agent process that begins anew is told to start the unconfirmed runs of its predecessor. If the worker drained or answered 503 then, it reported the run as refused at once, as it had made no call without an answer itself; a call of its predecessor was carried out later, beside the next run.

The coordinator remembers to which agent process it ordered a start first and tells the next one that the order is repeated. The agent then treats the run like one with an unanswered call: it stops the run, which voids a late start, and reports the refusal after a list without the run.

--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -97,7 +97,12 @@
         """Record an order to start a run unless the run is known already."""
         attempt = self._attempts_by_run.get(order.run)
         if attempt is None:
-            attempt = Attempt(order.run, order, State.PENDING)
+            attempt = Attempt(
+                order.run,
+                order,
+                State.PENDING,
+                may_have_been_sent=order.repeated,
+            )
             self._attempts_by_run[order.run] = attempt
         attempt.last_ordered_at = now
 
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -260,7 +260,7 @@
             ticket = self._ledger.tickets.get(
                 placed.placed_at, key, worker.lifetime
             )
-            starts.append(make_start(placed, ticket))
+            starts.append(make_start(placed, ticket, process))
         return orders.Orders(
             self.fence,
             self._sequence,
@@ -343,12 +343,14 @@
 
 
 def make_start(
-    placed: worker_state.PlacedRun, ticket: str
+    placed: worker_state.PlacedRun, ticket: str, process: str
 ) -> orders.StartOrder:
     """Return the start order for a placed run.
 
     :param ticket: permission from the advisor; empty if none is needed.
+    :param process: process of the agent to which the order goes.
     """
+    placed.ordered_to = placed.ordered_to or process
     item = placed.run.item
     slot = placed.step.get_slot(item.index)
     progress = placed.job.get_step_progress(item.occurrence, item.step)
@@ -357,4 +359,5 @@
         placed.job.submission.content,
         progress.checkpoints.get(slot, ''),
         ticket,
+        placed.ordered_to != process,
     )
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -60,6 +60,8 @@
         a former coordinator has placed.
     :ivar suspect: whether a worker has crashed soon after an earlier start of
         the work item.
+    :ivar ordered_to: process of the agent to which the start was first
+        ordered; empty before.
     :ivar first_listed: time at which the worker first listed the run; 0
         before.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
@@ -85,6 +87,7 @@
     confirmed: bool
     placed_at: float
     suspect: bool = False
+    ordered_to: str = ''
     first_listed: float = 0.0
     stop_reason: str = ''
     checkpoint: str = ''
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -40,12 +40,15 @@
     :ivar content: input text that is passed to the work item.
     :ivar checkpoint: progress to resume from; empty for none.
     :ivar ticket: permission that the advisor issued; empty for none.
+    :ivar repeated: whether the run was ordered to a former process of the
+        agent, which may have called the worker.
     """
 
     run: work.Run
     content: str
     checkpoint: str
     ticket: str = ''
+    repeated: bool = False
 
 
 class RefusedRun(bases.Value):
--- a/tests/test_coordinator/test_coordinator_fuzz.py
+++ b/tests/test_coordinator/test_coordinator_fuzz.py
@@ -88,6 +88,17 @@
         instance = self.simulation.instances[index]
         instance.unresponsive = not instance.unresponsive
 
+    @stateful.rule(index=st.integers(0, 2))
+    def drain(self, index):
+        """Announce the end of a worker, which goes on for a while."""
+        self.simulation.instances[index].worker.draining = True
+
+    @stateful.rule(index=st.integers(0, 2))
+    def toggle_busy(self, index):
+        """Toggle whether a worker refuses starts, as an unhealthy one."""
+        worker = self.simulation.instances[index].worker
+        worker.busy = not worker.busy
+
     @stateful.rule(
         loss_rate=st.sampled_from([0.0, 0.2, 0.6]),
         delay_rate=st.sampled_from([0.0, 0.2, 0.5]),
