Let a worker's list outrank the refusal of a run

Callers could see a work item run twice and its worker overcommitted (TWICE, LIMIT). A report that lists a run as running and as refused removed it, so that its work item started elsewhere and its capacity counted as free; and the agent never stopped a run that it had once reported as refused, even when ordered to.

The coordinator keeps a run that the same report lists as running, and the agent stops a refused run as soon as its worker lists it.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -460,7 +460,7 @@
         )
         if lists.ended and lists.ended[-1].serial > last_serial:
             self.report_requested = True
-        self._attempts.log_contradictions(lists)
+        self._attempts.stop_listed(now, lists)
         self._attempts.confirm_stops(now, sent, lists)
 
 
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -54,8 +54,6 @@
         acknowledged the stop call.
     :ivar last_ordered_at: time in seconds of the coordinator's latest order to
         start or stop the run, or of the expiry of the worker's lease.
-    :ivar is_contradicted: whether the worker has listed the run after it was
-        reported as refused.
     """
 
     run: work.Run
@@ -67,7 +65,6 @@
     next_call_at: float = 0.0
     stop_acknowledged_at: float = 0.0
     last_ordered_at: float = 0.0
-    is_contradicted: bool = False
 
 
 class Attempts:
@@ -269,21 +266,18 @@
             elif attempt.run in running and attempt.next_call_at <= now:
                 attempt.state = State.STOPPING
 
-    def log_contradictions(self, lists: calls.Lists) -> None:
-        """Log the refused runs that the worker lists all the same.
+    def stop_listed(self, now: float, lists: calls.Lists) -> None:
+        """Stop the refused runs that the worker lists all the same.
 
-        Such a run shows that a refusal was reported without proof.
+        A former process of the agent may have started them.
         """
         for row in lists.running:
             attempt = self._attempts_by_run.get(row.run)
-            if (
-                attempt is None
-                or attempt.state is not State.REFUSED
-                or attempt.is_contradicted
-            ):
+            if attempt is None or attempt.state is not State.REFUSED:
                 continue
-            attempt.is_contradicted = True
             events.log_contradiction(row.run, attempt.reason, lists.born)
+            attempt.state = State.STOPPING
+            attempt.next_call_at = now
 
     def forget_settled(self, now: float, listed: set[work.Run]) -> None:
         """Remove accepted and refused attempts that are no longer ordered.
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -304,8 +304,9 @@
             placed = worker.runs.get(run)
             if placed is not None:
                 placed.confirmed = True
+        running = {row.run for row in report.running}
+        listed_runs |= running
         for row in report.running:
-            listed_runs.add(row.run)
             placed = worker.runs.get(row.run)
             if placed is None:
                 ledger.stop_unrecorded_run(worker, row.run)
@@ -313,6 +314,9 @@
             placed.update_from_list(row, now)
         for refused in report.refused:
             listed_runs.add(refused.run)
+            if refused.run in running:
+                # The worker's list is the better witness.
+                continue
             ledger.record_refusal(worker, refused)
         for run, placed in list(worker.runs.items()):
             if placed.is_missing(now, run in listed_runs):
