Hold back a work item while a worker lists a run of it

Callers could see a second run of a work item beside one that the coordinator knew of (TWICE). A listed run that no job has recorded was ordered to stop, but its work item could start elsewhere before it ended, and a good end of it was acknowledged and not recorded.

The item of such a run waits until the run has ended; if it ends well and no other run of the item exists, the item is done. The end of a run that is in no record is logged as such also where the run had been listed before, and counted only if the item is not done.

--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import records
+from damaskpin.coordinator import unrecorded_runs
 from damaskpin.model import work
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
     :ivar failed_worker_ids: ids of the workers on which runs of the job have
         failed.
     :ivar cancelled: whether the job was cancelled.
+    :ivar unrecorded: runs that a worker lists and the progress lacks.
     :ivar move_counts: how often each work item was moved off a worker on
         which it was stalled or slow.
     """
@@ -84,6 +86,7 @@
         'revision',
         'stored_version',
         'submission',
+        'unrecorded',
     )
 
     def __init__(
@@ -98,6 +101,7 @@
         self.move_counts: dict[work.Item, int] = {}
         self.avoided_workers: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
+        self.unrecorded = unrecorded_runs.UnrecordedRuns()
 
     @property
     def id(self) -> str:
@@ -108,6 +112,13 @@
         """Return whether the state of the job is final."""
         return self.progress.state.is_final()
 
+    def is_done(self, item: work.Item) -> bool:
+        """Return whether a work item has ended well or its job has ended."""
+        steps = self.progress.occurrences.get(item.occurrence)
+        if self.is_final() or steps is None or item.step >= len(steps):
+            return True
+        return item.index in steps[item.step].done
+
     def mark_changed(self) -> None:
         """Increment the version after a change that must be stored."""
         self.progress.version += 1
@@ -187,7 +198,7 @@
         if item.step >= len(self.submission.steps):
             return False
         step = self.submission.steps[item.step]
-        if not self.remove_run(run):
+        if not self.remove_run(run) and not self._is_only_run(run):
             return False
         progress = self.get_step_progress(item.occurrence, item.step)
         slot = step.get_slot(item.index)
@@ -258,6 +269,14 @@
         self.progress.reason = reason
         self.mark_changed()
 
+    def _is_only_run(self, run: work.Run) -> bool:
+        """Return whether an unrecorded run is the only one of its item."""
+        if run not in self.unrecorded:
+            return False
+        return all(
+            other.item != run.item for other, _ in self.iterate_active()
+        )
+
     def _list_due_occurrences(self, wall: float) -> Iterator[int]:
         schedule = self.submission.schedule
         finished = self.progress.finished
@@ -286,14 +305,19 @@
         if len(progress.done) >= step.count:
             return
         if step.gang:
-            if not progress.active:
-                indexes = tuple(range(step.count))
-                yield self._make_unit(now, occurrence, index, indexes, 0)
+            indexes = tuple(range(step.count))
+            if progress.active or self.unrecorded.holds_back(
+                occurrence, index, indexes
+            ):
+                return
+            yield self._make_unit(now, occurrence, index, indexes, 0)
             return
         active = {run.index for run in progress.active}
         for number in range(step.count):
             if number in progress.done or number in active:
                 continue
+            if self.unrecorded.holds_back(occurrence, index, (number,)):
+                continue
             yield self._make_unit(now, occurrence, index, (number,), number)
 
     def _make_unit(
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -196,6 +196,7 @@
             slot = placed.step.get_slot(run.item.index)
             step.checkpoints[slot] = placed.checkpoint
         job.remove_run(run)
+        job.unrecorded.discard(run)
         events.log_run('run removed', run, worker, reason)
         if placed.step.gang:
             self.stop_gang(placed, reason)
@@ -214,13 +215,7 @@
         """
         placed = worker.remove_run(ended.run)
         if placed is None:
-            self.counts[f'unrecorded {ended.ending}'] += 1
-            events.log_run(
-                'end of an unrecorded run',
-                ended.run,
-                worker,
-                str(ended.ending),
-            )
+            self._log_unrecorded_end(worker, ended)
             worker.pending_ends.append(
                 worker_state.PendingEnd(ended.serial, None, 0)
             )
@@ -230,7 +225,9 @@
         worker.orders_due = True
         self.counts[str(ended.ending)] += 1
         was_final = job.is_final()
-        job.end_run(ended.run, ended.ending, ended.checkpoint, wall)
+        if not job.end_run(ended.run, ended.ending, ended.checkpoint, wall):
+            self._log_unrecorded_end(worker, ended)
+        job.unrecorded.discard(ended.run)
         worker.pending_ends.append(
             worker_state.PendingEnd(ended.serial, job, job.progress.version)
         )
@@ -288,6 +285,7 @@
         reserved = step.get_reservation()
         placed = worker_state.PlacedRun(run, job, step, reserved, 0, True, 0.0)
         self.counts['unrecorded'] += 1
+        job.unrecorded.add(run)
         worker.add_run(placed)
         self.stop_run(worker, placed, 'the run is in no record')
 
@@ -360,6 +358,25 @@
         placed.job.move_counts[item] = moves
         return moves <= MAX_MOVES
 
+    def _log_unrecorded_end(
+        self, worker: worker_state.Worker, ended: work.EndedRun
+    ) -> None:
+        """Log the end of a run that no job has recorded as active.
+
+        A former coordinator may have recorded the end.
+        """
+        job = self.jobs.get(ended.run.item.job)
+        is_done = job is None or job.is_done(ended.run.item)
+        if not is_done:
+            self.counts[f'unrecorded {ended.ending}'] += 1
+        events.log_run(
+            'end of an unrecorded run',
+            ended.run,
+            worker,
+            str(ended.ending),
+            item_done=is_done,
+        )
+
     def _transfer_runs_to_new_lifetime(
         self, now: float, former: worker_state.Worker, lifetime: work.Lifetime
     ) -> None:
