Shorten a worker's time only by reports that know the coordinator

Callers could see a work item run twice (TWICE): a report that a worker was silent, delayed over a change of the coordinator, made the new one count on the end of a lease that its predecessor had renewed since.

An agent that knows the coordinator's fencing token takes no grant of a former one.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -180,9 +180,15 @@
             )
             self._ledger.changed = True
         worker.silence = report.silence
-        if report.silence and report.time > worker.granted_report_time:
+        if (
+            report.silence
+            and report.fence == self.fence
+            and report.time > worker.granted_report_time
+        ):
             # Only a report newer than the one whose answer last renewed the
-            # agent's grant may shorten the time for which runs are kept.
+            # agent's grant may shorten the time for which runs are kept. An
+            # agent that does not know this coordinator yet may have had a
+            # later grant from the former one.
             self._ledger.cap_latest_run_end(now, worker, report.lapse)
         draining = worker.profile is not None and worker.profile.draining
         worker.set_profile(profile)
