Take a worker for gone only by a notice that follows its drain

Callers could see a work item run twice (TWICE): the notice of leaving names the worker's id only, so that one of a former process, read after the next process of that id had registered, freed the runs of the living one.

A worker says that it drains seconds before it leaves, so a notice without that proves no end; an end that follows it is still not blamed on the work.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -68,6 +68,7 @@
         '_report_sequence',
         '_shut_down_lifetime',
         '_token',
+        '_unproved_leave',
         '_worker_lists',
         'coordinator',
         'entries',
@@ -91,6 +92,7 @@
         self.process = make_process_id()
         self.profile: orders.WorkerProfile | None = None
         self._shut_down_lifetime: work.Lifetime | None = None
+        self._unproved_leave: work.Lifetime | None = None
         self.fence = 0
         self._token = fencing.CallToken()
         self.lists_fencing_token = 0
@@ -162,6 +164,15 @@
         """Record that the worker has announced its shutdown."""
         if self.profile is None or self.profile.lifetime.worker != worker:
             return
+        if not self.profile.draining:
+            # The notice names no process. A worker that leaves has said before
+            # that it drains, so this one may be about a former process: it
+            # proves no end, but an end that follows is no crash.
+            LOG.info(
+                'notice of leaving without a drain', extra={'worker': worker}
+            )
+            self._unproved_leave = self.profile.lifetime
+            return
         LOG.info('worker left', extra={'worker': worker})
         self._shut_down_lifetime = self.profile.lifetime
         self._discard_worker_state()
@@ -404,6 +415,8 @@
         """
         if self.profile is None or self.profile.draining:
             return
+        if self.profile.lifetime == self._unproved_leave:
+            return
         self._crash_log.record(
             now,
             self._lease_tracker.get_last_answer_time(),
