Show that the refusal of a resent start hides the first one

libcurl makes a start again by itself when a kept connection ends without an answer. A worker that has read the first start and answers the second with 503 leaves the agent with one refused call: it reports the run as gone without stopping it, while the first call may still be carried out.

pytest tests/test_runtime/test_runtime_resent_call.py::test_refusal_of_a_repeated_start_does_not_vouch_for_the_first on:

E AssertionError: assert not True E + where True = isinstance(Refused(reason='status 503', outranked=False), <class 'damaskpin.agent.calls.Refused'>) E + where <class 'damaskpin.agent.calls.Refused'> = calls.Refused FAILED tests/test_runtime/test_runtime_resent_call.py::test_refusal_of_a_repeated_start_does_not_vouch_for_the_first

--- a/tests/test_runtime/test_runtime_resent_call.py
+++ b/tests/test_runtime/test_runtime_resent_call.py
@@ -1,4 +1,4 @@
-"""Test of a call that libcurl sends again over a new connection."""
+"""Tests of calls that libcurl sends again over a new connection."""
 
 from __future__ import annotations
 
@@ -8,6 +8,10 @@
 
 from damaskpin import errors
 from damaskpin import transport
+from damaskpin.agent import calls
+from damaskpin.model import work
+from damaskpin.peer import orders
+from damaskpin.platform import worker as workers
 
 
 async def _call_server_that_ends() -> list[bytes]:
@@ -43,3 +47,67 @@
     start, or the acceptance of a job, may then count as certainly not made.
     """
     asyncio.run(_call_server_that_ends())
+
+
+class _ResettingWorker:
+    """Worker that reads the first start and ends the connection.
+
+    It refuses the second start with 503.
+
+    :ivar starts: number of starts that it has read.
+    """
+
+    def __init__(self):
+        self.starts = 0
+
+    async def serve(self, reader, writer):
+        try:
+            while await self._answer(reader, writer):
+                pass
+        except asyncio.IncompleteReadError:
+            pass
+        writer.close()
+
+    async def _answer(self, reader, writer):
+        headers = await reader.readuntil(b'\r\n\r\n')
+        length = headers.lower().partition(b'content-length: ')[2].split()[0]
+        await reader.readexactly(int(length))
+        status = '200 OK'
+        if b'run-start' in headers:
+            self.starts += 1
+            if self.starts == 1:
+                return False
+            status = '503 Service Unavailable'
+        answer = f'HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\n{{}}'
+        writer.write(answer.encode())
+        return True
+
+
+async def _start_run(worker) -> calls.Result:
+    """Return the result of a start over a connection that was kept."""
+    server = await asyncio.start_server(worker.serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    caller = transport.HttpCaller(f'127.0.0.1:{port}')
+    client = workers.WorkerClient(caller)
+    lifetime = work.Lifetime('w1', 1000)
+    run = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
+    order = orders.StartOrder(run, 'content', '')
+    try:
+        await client.renew_lease(calls.PollCall(lifetime, 5, 0, None, 0.0))
+        return await client.start(calls.StartCall(lifetime, 5, 9000, order))
+    finally:
+        caller.close()
+        server.close()
+        await asyncio.sleep(0.05)
+
+
+def test_refusal_of_a_repeated_start_does_not_vouch_for_the_first():
+    """Guards against a run that executes twice.
+
+    A worker that answers 503 has done nothing for this call. It says nothing
+    about the first one, which it has read and may carry out.
+    """
+    worker = _ResettingWorker()
+    result = asyncio.run(_start_run(worker))
+    assert worker.starts, 'the worker has not read the start'
+    assert not isinstance(result, calls.Refused)
