Send each write to a server only once

A call whose kept connection ended without an answer was sent again by libcurl over another connection, unknown to our code. "Connection refused" or 503 to the second copy counted as "not sent" or "refused", though the server may have carried out the first: a run could start twice, and a job that was answered 503 could run.

Cause: libcurl resends a request if a reused connection has brought no byte of an answer, and reports only the last attempt.

Fix: PREREQFUNCTION, which libcurl calls on each ready connection before it sends a request, allows the first sending and aborts the second. A call that was allowed once counts as sent, whatever error follows. This covers POST and DELETE without a body (lease renewals and ends) as well, which a refusal to rewind the body would not, as there is nothing to rewind. An answer is never lost: libcurl does not resend once a byte of it has arrived.

--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -10,6 +11,7 @@
 from tornado import curl_httpclient
 from tornado import httpclient
 
+from damaskpin import connections
 from damaskpin import errors
 from damaskpin.runtime import clocks
 
@@ -30,7 +32,11 @@
 # Each waiting watch and each pending request to a worker takes a connection.
 MAX_CONNECTIONS = 64
 
-# Errors of libcurl that occur before any part of the request was sent.
+# Methods of calls without effect on the server, which may be sent repeatedly.
+READ_METHODS = ('GET',)
+
+# Errors of libcurl at connecting, before it sends any part of the request over
+# that connection.
 UNSENT_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 
 
@@ -84,6 +90,7 @@
             time.
         """
         self.calls += 1
+        sending = connections.Sending()
         headers = dict(request.headers)
         if request.body is not None:
             headers['Content-Type'] = 'application/json'
@@ -97,7 +104,9 @@
             allow_nonstandard_methods=True,
             decompress_response=False,
             follow_redirects=False,
-            prepare_curl_callback=self._avoid_old_connections,
+            prepare_curl_callback=functools.partial(
+                self._prepare_curl, request.method, sending
+            ),
         )
         fetch = self._client.fetch(prepared, raise_error=False)
         try:
@@ -110,9 +119,9 @@
         except curl_httpclient.CurlError as error:
             # ``raise_error`` affects only answers of the server; a timeout or
             # a broken connection is always raised.
-            sent = error.errno not in UNSENT_ERRORS
+            sent = sending.has_begun or error.errno not in UNSENT_ERRORS
             self._record_error(error)
-            raise errors.CallError(error.message, sent) from error
+            raise errors.CallError(describe_error(error), sent) from error
         return HttpAnswer(answer.code, answer.body or b'')
 
     def close(self) -> None:
@@ -133,6 +142,13 @@
         if isinstance(error, curl_httpclient.CurlError):
             self._record_error(error)
 
+    def _prepare_curl(
+        self, method: str, sending: connections.Sending, curl: pycurl.Curl
+    ) -> None:
+        self._avoid_old_connections(curl)
+        if method not in READ_METHODS:
+            curl.setopt(pycurl.PREREQFUNCTION, sending.begin)
+
     def _avoid_old_connections(self, curl: pycurl.Curl) -> None:
         """Use only connections that are younger than the last timeout.
 
@@ -143,3 +159,10 @@
         # libcurl compares whole seconds and takes 0 for no limit.
         curl.setopt(pycurl.FRESH_CONNECT, age < 1)
         curl.setopt(pycurl.MAXLIFETIME_CONN, int(age))
+
+
+def describe_error(error: curl_httpclient.CurlError) -> str:
+    """Return the reason why a call got no answer."""
+    if error.errno == pycurl.E_ABORTED_BY_CALLBACK:
+        return 'the connection ended without an answer'
+    return str(error.message)
--- a/tests/test_runtime/test_runtime_resent_call.py
+++ b/tests/test_runtime/test_runtime_resent_call.py
@@ -37,6 +37,8 @@
         assert caught.value.sent
     finally:
         caller.close()
+        server.close()
+        await asyncio.sleep(0.05)
 
 
 def test_call_that_a_server_has_read_is_marked_sent():
@@ -111,3 +113,102 @@
     result = asyncio.run(_start_run(worker))
     assert worker.starts, 'the worker has not read the start'
     assert not isinstance(result, calls.Refused)
+
+
+class _Server:
+    """Server that ends some of its connections.
+
+    :param answers: what each request gets, in order of arrival: whether it
+        is answered, and whether the connection is ended afterwards. Further
+        requests are answered.
+    :ivar received: method of each request that was read.
+    """
+
+    def __init__(self, answers):
+        self._answers = iter(answers)
+        self.received = []
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                headers = await reader.readuntil(b'\r\n\r\n')
+                if b'application/json' in headers:
+                    await reader.readexactly(2)
+                self.received.append(headers.split()[0].decode())
+                is_answered, is_ended = next(self._answers, (True, False))
+                if is_answered:
+                    writer.write(
+                        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+                    )
+                if is_ended:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+async def _make_calls(server, requests, pause=0.0) -> list[object]:
+    """Make calls in turn and return their statuses or errors.
+
+    :param pause: seconds after each call.
+    """
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    port = listener.sockets[0].getsockname()[1]
+    caller = transport.HttpCaller(f'127.0.0.1:{port}')
+    results = []
+    for request in requests:
+        try:
+            results.append((await caller.call(request)).status)
+        except errors.CallError as error:
+            results.append(error)
+        await asyncio.sleep(pause)
+    caller.close()
+    listener.close()
+    await asyncio.sleep(0.05)
+    return results
+
+
+READ = transport.HttpRequest('GET', '/', None, 2.0)
+WRITES = [
+    transport.HttpRequest('POST', '/', b'{}', 2.0),
+    transport.HttpRequest('POST', '/', None, 2.0),
+    transport.HttpRequest('DELETE', '/', None, 2.0),
+]
+
+
+@pytest.mark.parametrize('write', WRITES)
+def test_write_without_an_answer_is_sent_only_once(write):
+    """Guards against a write that takes effect twice, with or without body."""
+    server = _Server([(True, False), (False, True), (True, False)])
+    status, error = asyncio.run(_make_calls(server, [READ, write]))
+    assert status == 200
+    assert server.received == ['GET', write.method]
+    assert isinstance(error, errors.CallError)
+    assert error.sent
+    assert str(error) == 'the connection ended without an answer'
+
+
+def test_caller_works_on_after_a_write_without_an_answer():
+    """Guards against a refusal to send that outlasts the call.
+
+    The next calls take the handle and the connections of the failed one.
+    """
+    server = _Server([(True, False), (False, True)] + [(True, False)] * 5)
+    requests = [READ, WRITES[0], READ, *WRITES, READ]
+    results = asyncio.run(_make_calls(server, requests))
+    assert [results[0], *results[2:]] == [200] * 6
+
+
+def test_read_is_sent_again_when_its_connection_ends():
+    """Guards against reads that fail whenever the server ends a connection."""
+    server = _Server([(True, False), (False, True), (True, False)])
+    assert asyncio.run(_make_calls(server, [READ, READ])) == [200, 200]
+    assert len(server.received) == 3
+
+
+def test_answer_counts_though_the_connection_ends_with_it():
+    """Guards against an answer that is taken for a connection without one."""
+    server = _Server([(True, False), (True, True)])
+    results = asyncio.run(_make_calls(server, [WRITES[0]] * 2))
+    assert results == [200, 200]
