Count the lease of a campaign from the call that opened it

An entry that had waited before it wrote the leader key (up to 0.9 s by rule, longer if it stood still) and was then cut off from the store answered reports beyond the end of its lease, beside its successor.

Cause: the campaign counted the lease from the write of the key, but it runs from the arrival of the call that opened it. Fix: count from before that call, so that this entry's end is never later than the store's. The renewal, which follows the election at once, counts from its own call as before.

test_coordinator_stops_when_the_lease_of_its_campaign_ends: failed before ("assert not True"), passes now, as do the tests of leadership.

--- a/damaskpin/runtime/leadership.py
+++ b/damaskpin/runtime/leadership.py
@@ -139,7 +139,8 @@
         LOG.info(message, extra={'fence': self.fence})
 
     async def _campaign(self) -> None:
-        started = clocks.get_monotonic_time()
+        # The lease runs from the arrival of the call that opens it.
+        send_time = clocks.get_monotonic_time()
         try:
             lease = await self._store.open_lease(LEASE_TTL_S)
         except errors.StoreError as error:
@@ -150,13 +151,12 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             return
         delay = get_campaign_delay(
-            clocks.get_monotonic_time() - started, self._cores
+            clocks.get_monotonic_time() - send_time, self._cores
         )
         if delay:
             await asyncio.sleep(delay)
         if self._view.leader is not None or self._resigned:
             return
-        send_time = clocks.get_monotonic_time()
         nonce = secrets.token_hex(4)
         value = f'{self._address} {self._instance} {nonce}'.encode()
         transaction = transactions.Transaction(
