Take only the named statuses of a worker for a refusal

Any status but 200 counted as a refusal without effect. After a 500, 502 or 404 to a start that was carried out, the agent reported the run as refused without a stop, and the coordinator could start it elsewhere beside the first.

Any other status now leaves the call undecided (Unanswered, sent): the agent repeats the start, or stops it before it reports it as gone.

A status seen in this way from a worker of the platform is not on record; the fault was found by reading.

--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -38,6 +38,9 @@
 TIMEOUT_S = 0.5
 
 PATH_PREFIX = '/damaskpin'
+# HTTP statuses of calls that the worker has not carried out. Status 421, of
+# another lifetime, is one more.
+REFUSAL_STATUSES = (400, 409, 429, 503)
 
 
 class WorkerClient:
@@ -107,6 +110,8 @@
         if answer.status == 200:
             return calls.Accepted(decoded.clock_ms)
         reason = decoded.reason or f'status {answer.status}'
+        if answer.status not in REFUSAL_STATUSES:
+            return calls.Unanswered(reason)
         return calls.Refused(reason, outranked=reason == 'fence')
 
 
