Send a write over another connection if its own has ended

Since a write is sent only once, each connection that a server had ended within a second of its last use cost one failed write, which counted as sent. An entry would answer 504 instead of 503 when the store goes away, and a start or stop to a worker that ends idle connections would be repeated only after a pause.

Fix: the socket is polled at the moment at which libcurl would send. If the server has ended the connection, nothing is sent, and the call is made once more over a new connection. If that is refused, the call counts as unsent, as before the change. An end that arrives after the check still counts as sent.

--- a/damaskpin/connections.py
+++ b/damaskpin/connections.py
@@ -2,30 +2,101 @@
 
 from __future__ import annotations
 
+import select
+import socket
+
 import pycurl
 
 
+class Connections:
+    """Sockets of a client's connections, found by their local port."""
+
+    __slots__ = ('_descriptors', '_new_descriptors')
+
+    def __init__(self) -> None:
+        self._descriptors: dict[int, int] = {}
+        self._new_descriptors: list[int] = []
+
+    def add(self, descriptor: int, _purpose: int) -> int:
+        """Add the socket of a connection that libcurl opens (SOCKOPTFUNCTION).
+
+        An earlier socket with the same file descriptor has been closed.
+        """
+        self._descriptors = {
+            port: other
+            for port, other in self._descriptors.items()
+            if other != descriptor
+        }
+        self._new_descriptors.append(descriptor)
+        return pycurl.SOCKOPT_OK
+
+    def has_ended(self, port: int) -> bool:
+        """Return whether the server has ended a connection without requests.
+
+        :param port: local port of the connection.
+        """
+        self._resolve_ports()
+        descriptor = self._descriptors.get(port)
+        if descriptor is None:
+            return False
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
+    def _resolve_ports(self) -> None:
+        """Find the ports of new sockets, which have one once they connect."""
+        for descriptor in self._new_descriptors:
+            try:
+                connection = socket.socket(fileno=descriptor)
+            except OSError:
+                continue  # closed before it was used
+            if connection.family in (socket.AF_INET, socket.AF_INET6):
+                port = connection.getsockname()[1]
+                self._descriptors[port] = descriptor
+            connection.detach()
+        self._new_descriptors.clear()
+
+
 class Sending:
-    """Lets libcurl send a request only once.
+    """Lets libcurl send a request only once, over a connection that works.
 
     When a kept connection ends without an answer, libcurl sends the request
     again over another one, though the server may have carried out the first.
+    Connections used within the last second are not checked by libcurl before
+    it sends, so that this is done here.
 
+    :param connections: connections of the client.
+    :param is_fresh: whether to open a new connection.
     :ivar has_begun: whether a connection was ready and sending has begun.
+    :ivar has_found_end: whether the connection had ended before.
     """
 
-    __slots__ = ('has_begun',)
+    __slots__ = ('_connections', 'has_begun', 'has_found_end', 'is_fresh')
 
-    def __init__(self) -> None:
+    def __init__(
+        self, connections: Connections, is_fresh: bool = False
+    ) -> None:
+        self._connections = connections
+        self.is_fresh = is_fresh
         self.has_begun = False
+        self.has_found_end = False
 
-    def begin(self, *_addresses: str | int) -> int:
-        """Begin to send the request; refuse to begin again.
+    def begin(
+        self,
+        _server_address: str,
+        _local_address: str,
+        _server_port: int,
+        local_port: int,
+    ) -> int:
+        """Begin to send the request; refuse to begin again (PREREQFUNCTION).
 
         libcurl calls this each time that a connection is ready, before it
         sends any part of the request.
         """
         if self.has_begun:
             return pycurl.PREREQFUNC_ABORT
+        self.has_found_end = self._connections.has_ended(local_port)
+        if self.has_found_end:
+            return pycurl.PREREQFUNC_ABORT
         self.has_begun = True
         return pycurl.PREREQFUNC_OK
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -35,9 +35,13 @@
 # Methods of calls without effect on the server, which may be sent repeatedly.
 READ_METHODS = ('GET',)
 
-# Errors of libcurl at connecting, before it sends any part of the request over
-# that connection.
-UNSENT_ERRORS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
+# Errors of libcurl before it sends any part of the request over the last
+# connection that it has tried.
+UNSENT_ERRORS = (
+    pycurl.E_ABORTED_BY_CALLBACK,
+    pycurl.E_COULDNT_CONNECT,
+    pycurl.E_COULDNT_RESOLVE_HOST,
+)
 
 
 class HttpRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -72,13 +76,14 @@
     :ivar calls: number of calls that were made.
     """
 
-    __slots__ = ('_base', '_client', '_last_timeout', 'calls')
+    __slots__ = ('_base', '_client', '_connections', '_last_timeout', 'calls')
 
     def __init__(self, address: str) -> None:
         self._base = f'http://{address}'
         self._client = curl_httpclient.CurlAsyncHTTPClient(
             force_instance=True, max_clients=MAX_CONNECTIONS
         )
+        self._connections = connections.Connections()
         self._last_timeout = 0.0
         self.calls = 0
 
@@ -90,7 +95,23 @@
             time.
         """
         self.calls += 1
-        sending = connections.Sending()
+        sending = connections.Sending(self._connections)
+        try:
+            return await self._send(request, sending)
+        except errors.CallError:
+            if not sending.has_found_end:
+                raise
+        # The connection had ended before any part of the request was sent.
+        sending = connections.Sending(self._connections, is_fresh=True)
+        return await self._send(request, sending)
+
+    def close(self) -> None:
+        """Close all connections to the server."""
+        self._client.close()
+
+    async def _send(
+        self, request: HttpRequest, sending: connections.Sending
+    ) -> HttpAnswer:
         headers = dict(request.headers)
         if request.body is not None:
             headers['Content-Type'] = 'application/json'
@@ -124,10 +145,6 @@
             raise errors.CallError(describe_error(error), sent) from error
         return HttpAnswer(answer.code, answer.body or b'')
 
-    def close(self) -> None:
-        """Close all connections to the server."""
-        self._client.close()
-
     def _record_error(self, error: curl_httpclient.CurlError) -> None:
         if error.errno == pycurl.E_OPERATION_TIMEDOUT:
             self._last_timeout = clocks.get_monotonic_time()
@@ -146,6 +163,9 @@
         self, method: str, sending: connections.Sending, curl: pycurl.Curl
     ) -> None:
         self._avoid_old_connections(curl)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._connections.add)
+        if sending.is_fresh:
+            curl.setopt(pycurl.FRESH_CONNECT, True)
         if method not in READ_METHODS:
             curl.setopt(pycurl.PREREQFUNCTION, sending.begin)
 
--- a/tests/test_runtime/test_runtime_resent_call.py
+++ b/tests/test_runtime/test_runtime_resent_call.py
@@ -207,6 +207,42 @@
     assert len(server.received) == 3
 
 
+@pytest.mark.parametrize('write', WRITES)
+def test_write_does_not_use_an_idle_connection_that_has_ended(write):
+    """Guards against writes that fail because a server ends idle connections.
+
+    The connection is seen to have ended before the write is sent. libcurl
+    itself does not look at one that was used within the last second.
+    """
+    server = _Server([(True, True)] * 10)
+    results = asyncio.run(_make_calls(server, [write] * 10, 0.02))
+    assert results == [200] * 10
+
+
+def test_write_to_a_server_that_is_gone_counts_as_unsent():
+    """Guards against a refusal that counts as unknown after an outage.
+
+    The server has ended the connection, and new ones are refused.
+    """
+
+    async def call():
+        server = _Server([(True, True)])
+        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+        port = listener.sockets[0].getsockname()[1]
+        caller = transport.HttpCaller(f'127.0.0.1:{port}')
+        await caller.call(WRITES[0])
+        listener.close()
+        await asyncio.sleep(0.05)
+        try:
+            await caller.call(WRITES[0])
+        finally:
+            caller.close()
+
+    with pytest.raises(errors.CallError) as caught:
+        asyncio.run(call())
+    assert not caught.value.sent
+
+
 def test_answer_counts_though_the_connection_ends_with_it():
     """Guards against an answer that is taken for a connection without one."""
     server = _Server([(True, False), (True, True)])
