Take only a 4xx or 503 of the store for a refusal

Any status but 200 to a write counted as "nothing was written". After a 500, 502 or 504 to a write that took effect, a client would get 503 for a job that runs. Other statuses than 200 outside 4xx now raise StoreUncertainError, which entries settle by repeating the write.

--- a/damaskpin/platform/store.py
+++ b/damaskpin/platform/store.py
@@ -205,10 +205,12 @@
             raise errors.StoreUnavailableError(
                 f'the store refused the call: {answer.status}'
             )
-        if answer.status != 200:
-            raise errors.StoreRefusedError(
-                f'the store answered {answer.status}'
-            )
+        if answer.status == 200:
+            return
+        reason = f'the store answered {answer.status}'
+        if answer.status // 100 == 4:
+            raise errors.StoreRefusedError(reason)
+        raise errors.StoreUncertainError(reason)
 
     def _decode(
         self, answer: transport.HttpAnswer, body_type: type[wire.T]
