Go by the worker's answers and not by births to tell its processes apart

Callers could see a work item run twice (TWICE) or not at all (LOST) after the time of day was set back: a worker's next process had a lower birth, its heartbeats were taken for delayed ones, and the agent kept the lists of the crashed process, whose id every call was refused with 421. With the same id the coordinator dropped the reports of the new process and freed the runs without stopping them there.

A poll answered by another process ends the known one, whose late heartbeats are ignored from then on, and the coordinator accepts a process with a lower birth once it has listed its runs.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -61,6 +61,7 @@
     __slots__ = (
         '_attempts',
         '_crash_log',
+        '_ended_lifetime',
         '_instance',
         '_lease_tracker',
         '_order_sequence',
@@ -93,6 +94,7 @@
         self.profile: orders.WorkerProfile | None = None
         self._shut_down_lifetime: work.Lifetime | None = None
         self._unproved_leave: work.Lifetime | None = None
+        self._ended_lifetime: work.Lifetime | None = None
         self.fence = 0
         self._token = fencing.CallToken()
         self.lists_fencing_token = 0
@@ -121,6 +123,9 @@
 
         :param clock: milliseconds on the worker's clock.
         """
+        if profile.lifetime == self._ended_lifetime:
+            LOG.info('heartbeat of an ended worker process ignored')
+            return
         previous = self.profile
         if previous is not None and previous.lifetime != profile.lifetime:
             if profile.lifetime.born < previous.lifetime.born:
@@ -323,10 +328,15 @@
                         'running': len(result.running),
                     },
                 )
-                self._record_crash(now)
-                self._discard_worker_state()
+                self._end_lifetime(now)
             case calls.Lists():
                 self._record_lists(now, sent, call, result)
+            case calls.Refused(reason=calls.OTHER_LIFETIME):
+                LOG.info(
+                    'another worker answers; waiting for its heartbeat',
+                    extra={'worker': call.lifetime.worker},
+                )
+                self._end_lifetime(now)
             case calls.Refused(outranked=True):
                 LOG.warning('worker has seen a higher fencing token')
                 self.report_requested = True
@@ -394,6 +404,17 @@
             self.process,
         )
 
+    def _end_lifetime(self, now: float) -> None:
+        """Discard the state of a process that another has replaced.
+
+        The answer of the other one proves the end. Heartbeats of the ended
+        process that arrive later are ignored.
+        """
+        if self.profile is not None:
+            self._ended_lifetime = self.profile.lifetime
+        self._record_crash(now)
+        self._discard_worker_state()
+
     def _outrank(
         self,
         call: calls.PollCall | calls.StartCall | calls.StopCall,
--- a/damaskpin/agent/calls.py
+++ b/damaskpin/agent/calls.py
@@ -15,6 +15,9 @@
 from damaskpin.model import work
 from damaskpin.peer import orders
 
+# Reason of a call that reached a worker with another id.
+OTHER_LIFETIME = 'another lifetime'
+
 
 class PollCall(msgspec.Struct, frozen=True):
     """Request to renew the worker's lease and to list its runs.
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -161,7 +161,12 @@
         profile = report.profile
         if profile is None or profile.lifetime == report.left:
             return None
-        worker = self._ledger.find_worker(now, report.agent, profile.lifetime)
+        worker = self._ledger.find_worker(
+            now,
+            report.agent,
+            profile.lifetime,
+            report.list_fence == self.fence,
+        )
         if worker is None:
             return None
         worker.address = address
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -100,7 +100,7 @@
         except errors.CallError as error:
             return calls.Unanswered(str(error), error.sent)
         if answer.status == 421:
-            return calls.Refused('another lifetime')
+            return calls.Refused(calls.OTHER_LIFETIME)
         try:
             decoded = wire.decode(answer.body or b'{}', wire.WorkerAnswer)
         except errors.MalformedError as error:
