--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -6,13 +6,12 @@
 import secrets
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from damaskpin.agent import attempts
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
 from damaskpin.agent import fencing
 from damaskpin.agent import lease_tracker as lease_trackers
+from damaskpin.agent import run_lists
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
@@ -49,8 +48,6 @@
     :ivar profile: profile in the worker's latest heartbeat; ``None`` without a
         known worker.
     :ivar fence: fencing token of the coordinator; 0 before its first orders.
-    :ivar lists_fencing_token: fencing token in the poll that returned the
-        worker's latest lists of runs; 0 without lists.
     :ivar coordinator: address of the coordinator; empty until it is known.
     :ivar entries: addresses of all entries.
     :ivar process: random id under which this process reports.
@@ -65,17 +62,15 @@
         '_instance',
         '_lease_tracker',
         '_order_sequence',
-        '_recorded_serial',
         '_report_sequence',
+        '_run_lists',
         '_shut_down_lifetime',
         '_token',
         '_unproved_leave',
-        '_worker_lists',
         'coordinator',
         'entries',
         'fence',
         'last_report_time',
-        'lists_fencing_token',
         'process',
         'profile',
         'report_requested',
@@ -97,16 +92,14 @@
         self._ended_lifetime: work.Lifetime | None = None
         self.fence = 0
         self._token = fencing.CallToken()
-        self.lists_fencing_token = 0
         self.coordinator = ''
         self.entries: tuple[str, ...] = ()
         self._order_sequence = 0
         self._report_sequence = 0
-        self._recorded_serial = 0
         self._lease_tracker = lease_trackers.LeaseTracker(
             grant, lease, stop_time, longest_lease
         )
-        self._worker_lists: calls.Lists | None = None
+        self._run_lists = run_lists.RunLists()
         self._attempts = attempts.Attempts()
         self._crash_log = crash_log.CrashLog()
         self.last_report_time = 0.0
@@ -214,12 +207,14 @@
         self._lease_tracker.record_grant(now, message.echo)
         if self.profile is None or message.lifetime != self.profile.lifetime:
             return True
-        self._recorded_serial = max(self._recorded_serial, message.observed)
+        self._run_lists.recorded_serial = max(
+            self._run_lists.recorded_serial, message.observed
+        )
         for order in message.starts:
             self._attempts.order_start(now, order)
         for run in message.stops:
             self._attempts.order_stop(now, run)
-        listed = self._list_runs()
+        listed = self._run_lists.list_runs()
         ordered = {order.run for order in message.starts}
         self._attempts.withdraw_starts(now, ordered, listed)
         self._attempts.forget_settled(now, listed)
@@ -283,12 +278,12 @@
         if self.profile is None or not self.fence:
             return None
         wait = POLL_WAIT_S
-        if self._has_unrecorded_end():
+        if self._run_lists.has_unrecorded_end():
             # The worker answers at once while it lists ended runs that the
             # coordinator has not recorded.
             wait = 0.0
         if (
-            self.lists_fencing_token != self.fence
+            self._run_lists.fence != self.fence
             or self._attempts.has_unconfirmed_stop()
         ):
             wait = 0.0
@@ -374,18 +369,12 @@
         self._attempts.report_needed = False
         running: tuple[work.RunningRun, ...] = ()
         ended: tuple[work.EndedRun, ...] = ()
-        lists_fencing_token = 0
-        if (
-            self._worker_lists is not None
-            and self.lists_fencing_token == self.fence
-        ):
-            lists_fencing_token = self.lists_fencing_token
-            running = self._worker_lists.running
-            ended = tuple(
-                row
-                for row in self._worker_lists.ended
-                if row.serial > self._recorded_serial
-            )
+        lists_fence = 0
+        lists = self._run_lists
+        if lists.latest is not None and lists.fence == self.fence:
+            lists_fence = lists.fence
+            running = lists.latest.running
+            ended = lists.list_unrecorded_ends()
         return orders.Report(
             self._instance,
             now,
@@ -393,7 +382,7 @@
             self.profile,
             self._shut_down_lifetime,
             self.fence,
-            lists_fencing_token,
+            lists_fence,
             running,
             ended,
             self._attempts.list_accepted(),
@@ -423,9 +412,8 @@
         """Raise the token above a call that may still be carried out."""
         if not isinstance(result, calls.Unanswered) or not result.sent:
             return
-        self._token.outrank(call.token)
-        if self._token.is_exhausted():
-            # The next session has a token that can rise again.
+        if self._token.outrank(call.token):
+            # The token can't rise again in this session.
             self.handle_superseded(self.process)
 
     def _record_crash(self, now: float) -> None:
@@ -442,7 +430,7 @@
             now,
             self._lease_tracker.get_last_answer_time(),
             self.profile.lifetime,
-            self._worker_lists,
+            self._run_lists.latest,
             self._attempts.list_calls(),
         )
 
@@ -450,32 +438,18 @@
         # The next process has seen no token yet.
         self._token.outrank(self._token.value)
         self.profile = None
-        self._worker_lists = None
-        self.lists_fencing_token = 0
-        self._recorded_serial = 0
+        self._run_lists = run_lists.RunLists()
         self._lease_tracker.reset()
         self._attempts.clear()
 
-    def _list_runs(self) -> set[work.Run]:
-        if self._worker_lists is None:
-            return set()
-        listed = {row.run for row in self._worker_lists.running}
-        return listed | {row.run for row in self._worker_lists.ended}
-
     def _refuse_runs_of_expired_lease(self, now: float) -> None:
         """Mark all runs of a worker whose lease has expired as refused.
 
         The next report tells the coordinator that the runs do not run and
         never will, so that it may start them on another worker.
         """
-        running: tuple[work.RunningRun, ...] = ()
-        if self._worker_lists is not None:
-            running = self._worker_lists.running
-            self._worker_lists = msgspec.structs.replace(
-                self._worker_lists, running=()
-            )
         newly_refused_count = self._attempts.mark_all_refused(
-            now, [row.run for row in running], 'the lease has ended'
+            now, self._run_lists.remove_running(), 'the lease has ended'
         )
         if newly_refused_count:
             LOG.warning(
@@ -490,22 +464,13 @@
     def _get_acknowledged_serial(self) -> int:
         """Return the serial up to which the worker may forget ended runs.
 
-        A serial is the sequence number of an ended run in a worker process.
-        Only listed ended runs are acknowledged, and only to a worker that has
-        answered the latest poll. Otherwise a worker that has just been
-        restarted with the same id would forget runs that end in its new
-        process, where serials start from 1 again.
+        A worker that has not answered the latest poll may have a new process,
+        in which the serials of the former one would let it forget its own
+        ends.
         """
-        if self._worker_lists is None or not self._worker_lists.ended:
-            return 0
         if self._lease_tracker.has_failed_poll():
             return 0
-        return min(self._recorded_serial, self._worker_lists.ended[-1].serial)
-
-    def _has_unrecorded_end(self) -> bool:
-        if self._worker_lists is None or not self._worker_lists.ended:
-            return False
-        return self._worker_lists.ended[-1].serial > self._recorded_serial
+        return self._run_lists.get_acknowledged_serial()
 
     def _record_lists(
         self,
@@ -519,15 +484,7 @@
             # coordinator has answered a new report.
             self.report_requested = True
         self._lease_tracker.record_answer(now, lists.clock)
-        previous = self._worker_lists
-        self._worker_lists = lists
-        if self.lists_fencing_token != call.fence:
-            self.lists_fencing_token = call.fence
-            self.report_requested = True
-        last_serial = (
-            previous.ended[-1].serial if previous and previous.ended else 0
-        )
-        if lists.ended and lists.ended[-1].serial > last_serial:
+        if self._run_lists.update(call.fence, lists):
             self.report_requested = True
         self._attempts.stop_listed(now, lists)
         self._attempts.confirm_stops(now, sent, lists)
--- a/damaskpin/agent/fencing.py
+++ b/damaskpin/agent/fencing.py
@@ -52,14 +52,14 @@
         self.session = session
         self.epoch = 0
 
-    def outrank(self, token: int) -> None:
+    def outrank(self, token: int) -> bool:
         """Raise the token above that of an earlier call.
 
         :param token: token of the call that may still be carried out.
+        :returns: whether the token has just reached its last value in this
+            session.
         """
-        if token == self.value and self.epoch < MAX_EPOCH:
-            self.epoch += 1
-
-    def is_exhausted(self) -> bool:
-        """Return whether the token can't rise again in this session."""
-        return self.epoch >= MAX_EPOCH
+        if token != self.value or self.epoch >= MAX_EPOCH:
+            return False
+        self.epoch += 1
+        return self.epoch == MAX_EPOCH
--- /dev/null
+++ b/damaskpin/agent/run_lists.py
@@ -0,0 +1,83 @@
+"""Latest lists of runs of an agent's worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from damaskpin.agent import calls
+    from damaskpin.model import work
+
+
+class RunLists:
+    """Lists of one worker process and what the coordinator knows of them.
+
+    :ivar latest: latest lists; ``None`` without lists.
+    :ivar fence: fencing token of the coordinator in the poll that returned
+        them; 0 without lists.
+    :ivar recorded_serial: serial of the last ended run that the coordinator
+        has recorded.
+    """
+
+    __slots__ = ('fence', 'latest', 'recorded_serial')
+
+    def __init__(self) -> None:
+        self.latest: calls.Lists | None = None
+        self.fence = 0
+        self.recorded_serial = 0
+
+    def update(self, fence: int, lists: calls.Lists) -> bool:
+        """Replace the lists by those of a later poll.
+
+        :returns: whether the coordinator should hear of them at once.
+        """
+        is_new = self.fence != fence
+        if lists.ended:
+            is_new |= lists.ended[-1].serial > self._get_last_serial()
+        self.fence = fence
+        self.latest = lists
+        return is_new
+
+    def list_runs(self) -> set[work.Run]:
+        """Return all listed runs, running or ended."""
+        if self.latest is None:
+            return set()
+        listed = {row.run for row in self.latest.running}
+        return listed | {row.run for row in self.latest.ended}
+
+    def remove_running(self) -> list[work.Run]:
+        """Remove the running runs from the lists and return them."""
+        if self.latest is None:
+            return []
+        running = [row.run for row in self.latest.running]
+        self.latest = msgspec.structs.replace(self.latest, running=())
+        return running
+
+    def list_unrecorded_ends(self) -> tuple[work.EndedRun, ...]:
+        """Return the ended runs that the coordinator has not recorded."""
+        if self.latest is None:
+            return ()
+        return tuple(
+            row
+            for row in self.latest.ended
+            if row.serial > self.recorded_serial
+        )
+
+    def has_unrecorded_end(self) -> bool:
+        """Return whether the coordinator has not recorded all ended runs."""
+        return self._get_last_serial() > self.recorded_serial
+
+    def get_acknowledged_serial(self) -> int:
+        """Return the serial up to which the worker may forget ended runs.
+
+        Only listed ended runs are acknowledged, because the serials of a
+        worker that was restarted with the same id start from 1 again.
+        """
+        return min(self.recorded_serial, self._get_last_serial())
+
+    def _get_last_serial(self) -> int:
+        if self.latest is None or not self.latest.ended:
+            return 0
+        return self.latest.ended[-1].serial
