Blame no work item for a start that nothing confirms

Where start calls come late or without an answer, the agent named each run that it had called for as one that the worker had when it crashed.

The agent now tells which runs the worker had accepted or listed. A crash under one of these counts as before. A start without an answer is counted apart and proves nothing alone, yet a killer may crash its worker before the answer leaves: four crashes after starts, answered or not, end the job. The rule allows five starts (three crashes, then at most two more); one is left for a crash that no agent reported. From two unanswered starts on a work item starts apart from others.

The log names the work item that is given up and the runs that were counted, and the line of each crash tells whether the run had begun. Progress has a new stored field, unanswered; crashes keeps its name and meaning.

--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -48,6 +48,7 @@
     :ivar reason: why the run will not execute; empty if it may.
     :ivar may_have_been_sent: whether a start call without an answer may have
         reached the worker.
+    :ivar was_accepted: whether the worker has accepted a start call.
     :ivar called_at: time in seconds of the latest start call; 0 for none.
     :ivar next_call_at: earliest time of the next call in seconds.
     :ivar stop_acknowledged_at: time in seconds at which the worker
@@ -63,6 +64,7 @@
     state: State
     reason: str = ''
     may_have_been_sent: bool = False
+    was_accepted: bool = False
     called_at: float = 0.0
     next_call_at: float = 0.0
     stop_acknowledged_at: float = 0.0
@@ -207,6 +209,8 @@
     ) -> None:
         """Update the attempt for a run from the result of its start call."""
         attempt = self._attempts_by_run.get(call.order.run)
+        if attempt is not None:
+            attempt.was_accepted |= isinstance(result, calls.Accepted)
         if attempt is None or attempt.state is not State.CALLING:
             events.log_late_start_result(call, attempt, result)
             return
@@ -318,10 +322,10 @@
             if attempt.state is State.REFUSED
         )
 
-    def list_calls(self) -> dict[work.Run, float]:
-        """Return when each run that may have started was last called."""
+    def list_calls(self) -> dict[work.Run, Attempt]:
+        """Return the attempts whose run may have started."""
         return {
-            attempt.run: attempt.called_at
+            attempt.run: attempt
             for attempt in self._attempts_by_run.values()
             if attempt.called_at
             and attempt.state is not State.REFUSED
--- a/damaskpin/agent/crash_log.py
+++ b/damaskpin/agent/crash_log.py
@@ -9,6 +9,7 @@
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
+    from damaskpin.agent import attempts
     from damaskpin.agent import calls
     from damaskpin.model import work
 
@@ -39,23 +40,29 @@
         last_answer_time: float,
         lifetime: work.Lifetime,
         lists: calls.Lists | None,
-        called: dict[work.Run, float],
+        called: dict[work.Run, attempts.Attempt],
     ) -> None:
         """Record that a worker process ended without notice.
 
         :param last_answer_time: time of the worker's last answer.
         :param lists: last lists of the worker; ``None`` without lists.
-        :param called: times of the start calls that may have reached it.
+        :param called: attempts whose start call may have reached it.
         """
         runs = set(called)
+        begun = {run for run in runs if called[run].was_accepted}
         if lists is not None:
-            runs |= {row.run for row in lists.running}
+            listed = {row.run for row in lists.running}
+            begun |= listed
+            runs |= listed
             runs -= {row.run for row in lists.ended}
         earliest = last_answer_time - crash_limits.RECENT_START_S
         crash = orders.Crash(
             lifetime,
             _sort_runs(runs),
-            _sort_runs({r for r in runs if called.get(r, 0.0) >= earliest}),
+            _sort_runs(
+                {r for r in called if called[r].called_at >= earliest} & runs
+            ),
+            _sort_runs(begun & runs),
         )
         LOG.warning(
             'worker crashed',
@@ -64,6 +71,7 @@
                 'silent': round(now - last_answer_time, 3),
                 'runs': len(runs),
                 'recent': [_format_run(run) for run in crash.recent],
+                'begun': [_format_run(run) for run in crash.begun],
             },
         )
         self._crashes.append((now, crash))
--- /dev/null
+++ b/damaskpin/coordinator/crash_counts.py
@@ -0,0 +1,135 @@
+"""Crashes of workers under the runs of one work item."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from damaskpin.model import crash_limits
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import records
+    from damaskpin.model import work
+
+# Number of starts without an answer before a crash from which a work item is
+# started apart from others. A single one is common where answers get lost.
+MIN_SUSPECT_UNANSWERED = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashCounts:
+    """Numbers of the runs of a work item under which a worker has crashed.
+
+    :ivar recent: runs that had begun, shortly before the crash.
+    :ivar older: runs that had begun earlier.
+    :ivar unanswered: runs whose start call had no answer, so that they may
+        not have begun.
+    """
+
+    recent: tuple[int, ...] = ()
+    older: tuple[int, ...] = ()
+    unanswered: tuple[int, ...] = ()
+
+    def is_suspect(self) -> bool:
+        """Return whether the work item may crash its worker."""
+        return (
+            bool(self.recent) or len(self.unanswered) >= MIN_SUSPECT_UNANSWERED
+        )
+
+    def explain_giving_up(self) -> str:
+        """Return why the work item is given up, empty if it is not."""
+        recent = len(self.recent)
+        if recent >= crash_limits.MAX_SUSPECTED_CRASHES:
+            return f'{recent} workers crashed soon after they had started it'
+        begun = recent + len(self.older)
+        if begun >= crash_limits.MAX_CRASHES:
+            return f'{begun} workers crashed while they ran it'
+        possible = recent + len(self.unanswered)
+        if possible >= crash_limits.MAX_POSSIBLE_CRASHES:
+            return (
+                f'{possible} workers crashed when they had started it or '
+                'were called to'
+            )
+        return ''
+
+
+NO_CRASHES = CrashCounts()
+
+
+def get_counts(progress: records.StepProgress, key: int) -> CrashCounts:
+    """Return the crashes under a work item or gang.
+
+    :param key: slot of the work item or gang.
+    """
+    crashes = progress.crashes.get(key)
+    unanswered = progress.unanswered.get(key)
+    if not crashes and not unanswered:
+        return NO_CRASHES
+    begun = sorted((crashes or {}).items())
+    return CrashCounts(
+        tuple(number for number, recent in begun if recent),
+        tuple(number for number, recent in begun if not recent),
+        tuple(sorted(unanswered or ())),
+    )
+
+
+def record(
+    job: jobs.Job, run: work.Run, recent: bool, begun: bool
+) -> CrashCounts | None:
+    """Record that a worker has crashed under a run.
+
+    :param recent: whether the run had been started shortly before.
+    :param begun: whether the worker had accepted or listed the run.
+    :returns: the crashes under the work item or gang; ``None`` if this one was
+        known or the work item is done.
+    """
+    item = run.item
+    steps = job.progress.occurrences.get(item.occurrence)
+    if steps is None or item.step >= len(steps):
+        return None
+    progress = steps[item.step]
+    slot = job.submission.steps[item.step].get_slot(item.index)
+    if (
+        item.index in progress.done
+        or not 0 < run.number <= progress.numbers.get(slot, 0)
+    ):
+        return None
+    if begun:
+        changed = _record_begun(progress, slot, run.number, recent)
+    else:
+        changed = _record_unanswered(progress, slot, run.number)
+    if not changed:
+        return None
+    job.mark_changed()
+    return get_counts(progress, slot)
+
+
+def _record_begun(
+    progress: records.StepProgress, key: int, number: int, recent: bool
+) -> bool:
+    """Record a crash under a run that had begun.
+
+    :returns: whether it was not known.
+    """
+    crashes = progress.crashes.setdefault(key, {})
+    known = crashes.get(number)
+    if known is not None and known >= recent:
+        return False
+    crashes[number] = recent
+    progress.unanswered.get(key, set()).discard(number)
+    return True
+
+
+def _record_unanswered(
+    progress: records.StepProgress, key: int, number: int
+) -> bool:
+    """Record a crash under a run that may not have begun.
+
+    :returns: whether it was not known.
+    """
+    unanswered = progress.unanswered.setdefault(key, set())
+    if number in unanswered or number in progress.crashes.get(key, {}):
+        return False
+    unanswered.add(number)
+    return True
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -3,18 +3,21 @@
 A work item may crash each worker that starts it. Two starts that were each
 followed by a crash tell it from its bystanders, as after the first one it is
 started where no other run is new, and nothing else is started there for a
-while.
+while. A start call without an answer proves no start: the worker may have
+crashed for another reason before it carried the call out.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import crash_counts
 from damaskpin.coordinator import events
 from damaskpin.model import crash_limits
 from damaskpin.model import work
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import worker_state
     from damaskpin.peer import orders
@@ -36,33 +39,35 @@
         if job is None or job.is_final():
             continue
         recent = run in crash.recent
-        counted = job.record_crash(run, recent)
-        if not counted:
+        begun = run in crash.begun
+        counts = crash_counts.record(job, run, recent, begun)
+        if counts is None:
             continue
         ledger.changed = True
-        ledger.counts['crashed'] += 1
-        events.log_crash(run, crash.lifetime, recent, counted)
-        reason = explain_giving_up(counted)
-        if not reason:
-            continue
-        job.finish(work.JobState.FAILED, wall, reason)
-        ledger.counts['given up after crashes'] += 1
-        events.log_job_end(job)
-        ledger.stop_job(job, reason)
-
-
-def explain_giving_up(counted: dict[int, bool]) -> str:
-    """Return why a work item is given up, empty if it is not.
+        ledger.counts['crashed' if begun else 'crashed unanswered'] += 1
+        events.log_crash(run, crash.lifetime, recent, begun, counts)
+        reason = counts.explain_giving_up()
+        if reason:
+            _give_up(wall, ledger, job, run, reason, counts)
+
+
+def _give_up(
+    wall: float,
+    ledger: ledgers.RunLedger,
+    job: jobs.Job,
+    run: work.Run,
+    reason: str,
+    counts: crash_counts.CrashCounts,
+) -> None:
+    """End the job of a work item that has crashed too many workers.
 
-    :param counted: crashes of the work item by run number, and whether the
-        run had been started shortly before.
+    :param run: run of the work item under which a worker has crashed.
     """
-    suspected = sum(counted.values())
-    if suspected >= crash_limits.MAX_SUSPECTED_CRASHES:
-        return f'{suspected} workers crashed soon after they had started it'
-    if len(counted) >= crash_limits.MAX_CRASHES:
-        return f'{len(counted)} workers crashed while they ran it'
-    return ''
+    job.finish(work.JobState.FAILED, wall, reason)
+    ledger.counts['given up after crashes'] += 1
+    events.log_giving_up(run.item, reason, counts)
+    events.log_job_end(job)
+    ledger.stop_job(job, reason)
 
 
 def may_share_worker(
--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -8,6 +8,7 @@
 from damaskpin.coordinator import ranking
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import crash_counts
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import worker_state
     from damaskpin.model import work
@@ -42,20 +43,47 @@
     run: work.Run,
     lifetime: work.Lifetime,
     recent: bool,
-    counted: dict[int, bool],
+    begun: bool,
+    counts: crash_counts.CrashCounts,
 ) -> None:
     """Log that a worker has crashed under a run.
 
     :param recent: whether the run had been started shortly before.
-    :param counted: crashes of the work item by run number.
+    :param begun: whether the worker had accepted or listed the run.
+    :param counts: crashes of the work item, this one included.
     """
     LOG.warning(
         'worker crashed under a run',
         extra={
             **_describe_run(run, lifetime),
             'recent': recent,
-            'crashes': len(counted),
-            'recent_crashes': sum(counted.values()),
+            'begun': begun,
+            'crashes': len(counts.recent) + len(counts.older),
+            'recent_crashes': len(counts.recent),
+            'unanswered': len(counts.unanswered),
+        },
+    )
+
+
+def log_giving_up(
+    item: work.Item, reason: str, counts: crash_counts.CrashCounts
+) -> None:
+    """Log which crashes were counted against a work item.
+
+    The fields name runs by their numbers; the log has a line of each crash
+    with its worker.
+    """
+    LOG.warning(
+        'work item given up after crashes',
+        extra={
+            'job': item.job,
+            'occurrence': item.occurrence,
+            'step': item.step,
+            'index': item.index,
+            'reason': reason,
+            'recent_runs': list(counts.recent),
+            'older_runs': list(counts.older),
+            'unanswered_runs': list(counts.unanswered),
         },
     )
 
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import crash_counts
 from damaskpin.coordinator import records
 from damaskpin.model import work
 
@@ -47,9 +48,10 @@
         return 0 < failures >= self.job.submission.terms.attempts - 1
 
     def is_suspect(self) -> bool:
-        """Return whether a worker has crashed soon after a start of it."""
-        crashes = self.get_progress().crashes.get(self.slot, {})
-        return any(crashes.values())
+        """Return whether a start of it may have crashed a worker."""
+        return crash_counts.get_counts(
+            self.get_progress(), self.slot
+        ).is_suspect()
 
     def get_item(self, index: int) -> work.Item:
         """Return the identity of one work item of the unit.
@@ -219,32 +221,6 @@
                 return True
         return False
 
-    def record_crash(self, run: work.Run, recent: bool) -> dict[int, bool]:
-        """Record that a worker has crashed under a run.
-
-        :param recent: whether the run had been started shortly before.
-        :returns: the crashes of the work item or gang by run number; empty if
-            this one was known or the work item is done.
-        """
-        item = run.item
-        steps = self.progress.occurrences.get(item.occurrence)
-        if steps is None or item.step >= len(steps):
-            return {}
-        progress = steps[item.step]
-        slot = self.submission.steps[item.step].get_slot(item.index)
-        if (
-            item.index in progress.done
-            or not 0 < run.number <= progress.numbers.get(slot, 0)
-        ):
-            return {}
-        crashes = progress.crashes.setdefault(slot, {})
-        known = crashes.get(run.number)
-        if known is not None and known >= recent:
-            return {}
-        crashes[run.number] = recent
-        self.mark_changed()
-        return crashes
-
     def finish(
         self, state: work.JobState, wall: float, reason: str = ''
     ) -> None:
--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -40,6 +40,8 @@
     :ivar active: runs that may exist on workers.
     :ivar crashes: numbers of the runs under which a worker has crashed by
         slot, and whether the run had been started shortly before.
+    :ivar unanswered: numbers of the runs by slot whose start call had no
+        answer when its worker crashed.
     """
 
     done: set[int] = msgspec.field(default_factory=set)
@@ -48,6 +50,7 @@
     checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
     active: list[ActiveRun] = msgspec.field(default_factory=list)
     crashes: dict[int, dict[int, bool]] = msgspec.field(default_factory=dict)
+    unanswered: dict[int, set[int]] = msgspec.field(default_factory=dict)
 
 
 class Progress(msgspec.Struct, omit_defaults=True):
--- a/damaskpin/model/crash_limits.py
+++ b/damaskpin/model/crash_limits.py
@@ -10,5 +10,11 @@
 # Number of recent starts before a crash after which a work item is given up.
 MAX_SUSPECTED_CRASHES = 2
 
+# Number of crashes after which a work item is given up though the answers to
+# some or all of its recent start calls are missing. A work item may not be
+# started three times more after three crashes, so that five starts are the
+# limit; one is left for a crash that no agent has reported.
+MAX_POSSIBLE_CRASHES = 4
+
 # Number of crashes under runs of any age after which a work item is given up.
 MAX_CRASHES = 5
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -65,13 +65,16 @@
     """A worker process that ended without notice while its agent lived.
 
     :ivar lifetime: identity of the worker process.
-    :ivar runs: runs that the worker had when it crashed.
+    :ivar runs: runs that the worker had, or may have had, when it crashed.
     :ivar recent: those of them that had been started shortly before.
+    :ivar begun: those of them that the worker had accepted or listed. A start
+        call without an answer may not have been carried out.
     """
 
     lifetime: work.Lifetime
     runs: tuple[work.Run, ...]
     recent: tuple[work.Run, ...]
+    begun: tuple[work.Run, ...] = ()
 
 
 class Orders(bases.Message):
