Count the crashes under a gang by work item

All members of a gang share one slot of the stored progress, and the crashes were counted in it.

Crashes under a member of a gang are now kept by its index, in the new stored field member_crashes. crashes keeps its meaning for single work items; old entries of gangs in it can't be told apart and count no more (at most one recent crash each, as the second one ended the job).

--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -57,13 +57,15 @@
 NO_CRASHES = CrashCounts()
 
 
-def get_counts(progress: records.StepProgress, key: int) -> CrashCounts:
-    """Return the crashes under a work item or gang.
+def get_counts(
+    progress: records.StepProgress, step: work.Step, index: int
+) -> CrashCounts:
+    """Return the crashes under a work item.
 
-    :param key: slot of the work item or gang.
+    :param index: index of the work item within its step.
     """
-    crashes = progress.crashes.get(key)
-    unanswered = progress.unanswered.get(key)
+    crashes = _get_begun(progress, step).get(index)
+    unanswered = progress.unanswered.get(index)
     if not crashes and not unanswered:
         return NO_CRASHES
     begun = sorted((crashes or {}).items())
@@ -81,55 +83,64 @@
 
     :param recent: whether the run had been started shortly before.
     :param begun: whether the worker had accepted or listed the run.
-    :returns: the crashes under the work item or gang; ``None`` if this one was
-        known or the work item is done.
+    :returns: the crashes under the work item; ``None`` if this one was known
+        or the work item is done.
     """
     item = run.item
     steps = job.progress.occurrences.get(item.occurrence)
     if steps is None or item.step >= len(steps):
         return None
     progress = steps[item.step]
-    slot = job.submission.steps[item.step].get_slot(item.index)
-    if (
-        item.index in progress.done
-        or not 0 < run.number <= progress.numbers.get(slot, 0)
-    ):
+    step = job.submission.steps[item.step]
+    latest = progress.numbers.get(step.get_slot(item.index), 0)
+    if item.index in progress.done or not 0 < run.number <= latest:
         return None
+    crashes = _get_begun(progress, step).setdefault(item.index, {})
+    unanswered = progress.unanswered.setdefault(item.index, set())
     if begun:
-        changed = _record_begun(progress, slot, run.number, recent)
+        changed = _record_begun(crashes, unanswered, run.number, recent)
     else:
-        changed = _record_unanswered(progress, slot, run.number)
+        changed = _record_unanswered(crashes, unanswered, run.number)
     if not changed:
         return None
     job.mark_changed()
-    return get_counts(progress, slot)
+    return get_counts(progress, step, item.index)
+
+
+def _get_begun(
+    progress: records.StepProgress, step: work.Step
+) -> dict[int, dict[int, bool]]:
+    """Return the crashes under runs that had begun, by work item.
+
+    The members of a gang share a slot, and crashes under different members
+    are not those of one work item.
+    """
+    return progress.member_crashes if step.gang else progress.crashes
 
 
 def _record_begun(
-    progress: records.StepProgress, key: int, number: int, recent: bool
+    crashes: dict[int, bool], unanswered: set[int], number: int, recent: bool
 ) -> bool:
     """Record a crash under a run that had begun.
 
     :returns: whether it was not known.
     """
-    crashes = progress.crashes.setdefault(key, {})
     known = crashes.get(number)
     if known is not None and known >= recent:
         return False
     crashes[number] = recent
-    progress.unanswered.get(key, set()).discard(number)
+    unanswered.discard(number)
     return True
 
 
 def _record_unanswered(
-    progress: records.StepProgress, key: int, number: int
+    crashes: dict[int, bool], unanswered: set[int], number: int
 ) -> bool:
     """Record a crash under a run that may not have begun.
 
     :returns: whether it was not known.
     """
-    unanswered = progress.unanswered.setdefault(key, set())
-    if number in unanswered or number in progress.crashes.get(key, {}):
+    if number in unanswered or number in crashes:
         return False
     unanswered.add(number)
     return True
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -49,9 +49,11 @@
 
     def is_suspect(self) -> bool:
         """Return whether a start of it may have crashed a worker."""
-        return crash_counts.get_counts(
-            self.get_progress(), self.slot
-        ).is_suspect()
+        progress = self.get_progress()
+        return any(
+            crash_counts.get_counts(progress, self.step, index).is_suspect()
+            for index in self.indexes
+        )
 
     def get_item(self, index: int) -> work.Item:
         """Return the identity of one work item of the unit.
--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -39,9 +39,11 @@
     :ivar checkpoints: latest checkpoint by slot.
     :ivar active: runs that may exist on workers.
     :ivar crashes: numbers of the runs under which a worker has crashed by
-        slot, and whether the run had been started shortly before.
-    :ivar unanswered: numbers of the runs by slot whose start call had no
-        answer when its worker crashed.
+        slot, and whether the run had been started shortly before. Those of
+        gangs were counted together here; they are in ``member_crashes`` now.
+    :ivar member_crashes: the same for the members of gangs, by their indexes.
+    :ivar unanswered: numbers of the runs whose start call had no answer when
+        its worker crashed, by the index of the work item.
     """
 
     done: set[int] = msgspec.field(default_factory=set)
@@ -50,6 +52,9 @@
     checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
     active: list[ActiveRun] = msgspec.field(default_factory=list)
     crashes: dict[int, dict[int, bool]] = msgspec.field(default_factory=dict)
+    member_crashes: dict[int, dict[int, bool]] = msgspec.field(
+        default_factory=dict
+    )
     unanswered: dict[int, set[int]] = msgspec.field(default_factory=dict)
 
 
--- a/tests/test_coordinator/test_coordinator_crashes.py
+++ b/tests/test_coordinator/test_coordinator_crashes.py
@@ -159,6 +159,50 @@
     assert '5 workers crashed' in job.progress.reason
 
 
+def _crash_under_member(ledger, job, index):
+    """Crash the worker of one member of a job's gang; all runs are gone."""
+    for run, active in list(job.iterate_active()):
+        if run.item.index == index:
+            crash = orders.Crash(active.lifetime, (run,), (run,), (run,))
+            crashes.record_crash(WALL, ledger, crash)
+        worker = ledger.workers[active.lifetime]
+        ledger.remove_lost_run(worker, run, 'crashed')
+
+
+def test_crashes_under_different_members_of_a_gang_are_not_added():
+    """Guards against giving up a gang none of whose work items kills."""
+    ledger = builders.make_ledger()
+    step = builders.make_step(count=3, gang=True)
+    job = builders.submit(ledger, 'j', step)
+    now = builders.NOW
+    for index in (1, 0, 2):
+        builders.decide(ledger, now)
+        _crash_under_member(ledger, job, index)
+        assert not job.is_final()
+        now += 10.0
+
+
+def test_two_crashes_under_one_member_of_a_gang_are_enough():
+    """Guards against a killer that is the member of a gang."""
+    ledger = builders.make_ledger()
+    step = builders.make_step(count=3, gang=True)
+    job = builders.submit(ledger, 'j', step)
+    for now in (builders.NOW, builders.NOW + 10.0):
+        assert not job.is_final()
+        builders.decide(ledger, now)
+        _crash_under_member(ledger, job, 2)
+    assert job.progress.state is work.JobState.FAILED
+
+
+def test_progress_of_an_earlier_release_is_decoded():
+    """Guards against a job that is lost when the coordinator is upgraded."""
+    stored = b'{"occurrences":{"0":[{"crashes":{"0":{"1":true,"2":false}}}]}}'
+    step = records.decode_progress(stored).occurrences[0][0]
+    assert step.crashes == {0: {1: True, 2: False}}
+    assert not step.member_crashes
+    assert not step.unanswered
+
+
 def test_unanswered_starts_are_no_proof():
     """Guards against giving up work that no worker has begun.
 
