Tell work that crashes its workers from the victims of chance

With a tenth, or four tenths, of the workers crashing at a time, two such crashes are chance, or a killer beside the first start and chance beside the second.

A crash of a worker on which no run is known to have begun in the last 2 s has another cause than a start, and killers leave none. Crashes under 5% of the workers or more are a sign of chance for 6 s. A work item is given up after its third crash soon after a start, 1 s later, as reports of others may be on their way, and only without such a sign. The third start waits for the signs to end, 12 s at most. The bounds hold in any case: four crashes after starts with or without an answer, five under runs of any age.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -142,7 +142,7 @@
             none or the report is outdated.
         """
         for crash in report.crashes:
-            crashes.record_crash(wall, self._ledger, crash)
+            crashes.record_crash(now, wall, self._ledger, crash)
         if report.left is not None:
             self._ledger.remove_worker(now, report.left, 'the worker has left')
         profile = report.profile
@@ -183,6 +183,7 @@
         """Place ready units, and stop expired, faulty and preempted runs."""
         ledger = self._ledger
         ledger.remove_expired_workers(now)
+        crashes.review_crashes(now, wall, ledger)
         if not ledger.changed and now < self._next_check:
             return
         ledger.changed = False
--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -12,9 +12,14 @@
     from damaskpin.coordinator import records
     from damaskpin.model import work
 
-# Number of starts without an answer before a crash from which a work item is
-# started apart from others. A single one is common where answers get lost.
-MIN_SUSPECT_UNANSWERED = 2
+# Number of crashes soon after a start from which the next start of a work item
+# waits until chance is unlikely: the last one before it is given up.
+MIN_SHELTERED_RECENT = crash_limits.MAX_SUSPECTED_CRASHES - 1
+
+# Number of crashes of any kind from which the next start of a work item waits
+# until chance is unlikely. Without it, work that lasts long could meet the
+# limits in a series of chance crashes.
+MIN_SHELTERED_CRASHES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,15 +38,29 @@
 
     def is_suspect(self) -> bool:
         """Return whether the work item may crash its worker."""
+        return bool(self.recent or self.unanswered)
+
+    def needs_shelter(self) -> bool:
+        """Return whether its next start waits until chance is unlikely."""
+        crashes = len(self.recent) + len(self.older) + len(self.unanswered)
         return (
-            bool(self.recent) or len(self.unanswered) >= MIN_SUSPECT_UNANSWERED
+            len(self.recent) >= MIN_SHELTERED_RECENT
+            or crashes >= MIN_SHELTERED_CRASHES
         )
 
-    def explain_giving_up(self) -> str:
-        """Return why the work item is given up, empty if it is not."""
+    def explain_blame(self) -> str:
+        """Return why the work item is the likely cause, empty if it is not.
+
+        It is given up for that unless workers crash for other reasons, too.
+        """
+        recent = len(self.recent)
+        if recent < crash_limits.MAX_SUSPECTED_CRASHES:
+            return ''
+        return f'{recent} workers crashed soon after they had started it'
+
+    def explain_limit(self) -> str:
+        """Return why the work item is given up in any case, or empty."""
         recent = len(self.recent)
-        if recent >= crash_limits.MAX_SUSPECTED_CRASHES:
-            return f'{recent} workers crashed soon after they had started it'
         begun = recent + len(self.older)
         if begun >= crash_limits.MAX_CRASHES:
             return f'{begun} workers crashed while they ran it'
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -1,9 +1,10 @@
 """Crashes of workers, and the work items that are given up for them.
 
-A work item may crash each worker that starts it. Two starts that were each
-followed by a crash tell it from its bystanders, as after the first one it is
+A work item may crash each worker that starts it. After the first crash it is
 started where no other run is new, and nothing else is started there for a
-while. A start call without an answer proves no start: the worker may have
+while, which tells it from its bystanders. Its third start also waits until no
+workers crash for which no start is to blame, which tells it from chance.
+A start call without an answer proves no start: the worker may have
 crashed for another reason before it carried the call out.
 """
 
@@ -27,13 +28,20 @@
 PROBATION_S = crash_limits.RECENT_START_S + 0.5
 
 
+# Longest time in seconds for which the start of a work item is put off because
+# workers crash by chance. The limits of its crashes hold beyond it.
+MAX_SHELTER_WAIT_S = 12.0
+
+
 def record_crash(
-    wall: float, ledger: ledgers.RunLedger, crash: orders.Crash
+    now: float, wall: float, ledger: ledgers.RunLedger, crash: orders.Crash
 ) -> None:
     """Count a crash for the runs that the worker had; repeats are ignored.
 
+    :param now: steady time in seconds.
     :param wall: Unix time in seconds.
     """
+    ledger.crash_watch.record(now, crash)
     for run in crash.runs:
         job = ledger.jobs.get(run.item.job)
         if job is None or job.is_final():
@@ -46,9 +54,62 @@
         ledger.changed = True
         ledger.counts['crashed' if begun else 'crashed unanswered'] += 1
         events.log_crash(run, crash.lifetime, recent, begun, counts)
-        reason = counts.explain_giving_up()
+        reason = counts.explain_limit()
         if reason:
             _give_up(wall, ledger, job, run, reason, counts)
+        elif counts.explain_blame():
+            ledger.crash_watch.schedule_review(now, run)
+
+
+def review_crashes(now: float, wall: float, ledger: ledgers.RunLedger) -> None:
+    """Give up the likely causes of crashes, unless chance explains these.
+
+    :param now: steady time in seconds.
+    :param wall: Unix time in seconds.
+    """
+    watch = ledger.crash_watch
+    for run in watch.pop_due_reviews(now):
+        ledger.changed = True
+        job = ledger.jobs.get(run.item.job)
+        if job is None or job.is_final():
+            continue
+        item = run.item
+        counts = crash_counts.get_counts(
+            job.get_step_progress(item.occurrence, item.step),
+            job.submission.steps[item.step],
+            item.index,
+        )
+        if watch.is_chance_likely(now, len(ledger.workers)):
+            events.log_excuse(item, watch.count_signs(now), counts)
+            continue
+        _give_up(wall, ledger, job, run, counts.explain_blame(), counts)
+
+
+def is_held_back(
+    now: float, ledger: ledgers.RunLedger, unit: jobs.Unit
+) -> bool:
+    """Return whether a unit must not start yet.
+
+    It waits for the review of its crashes. If these may be due to chance, its
+    further try waits until no workers crash by chance, so that another crash
+    would be its own.
+    """
+    progress = unit.get_progress()
+    if not (
+        progress.crashes or progress.member_crashes or progress.unanswered
+    ):
+        return False
+    needs_shelter = False
+    for index in unit.indexes:
+        counts = crash_counts.get_counts(progress, unit.step, index)
+        if not counts.needs_shelter():
+            continue
+        needs_shelter = True
+        if ledger.crash_watch.has_review(unit.get_item(index)):
+            return True
+    if not needs_shelter or now - unit.ready_since > MAX_SHELTER_WAIT_S:
+        return False
+    return ledger.crash_watch.is_chance_likely(now, len(ledger.workers))
 
 
 def _give_up(
--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -88,6 +88,26 @@
     )
 
 
+def log_excuse(
+    item: work.Item, signs: int, counts: crash_counts.CrashCounts
+) -> None:
+    """Log that crashes are not blamed on a work item, as chance is likely.
+
+    :param signs: number of other crashes that no start explains.
+    """
+    LOG.info(
+        'crashes may be due to chance',
+        extra={
+            'job': item.job,
+            'occurrence': item.occurrence,
+            'step': item.step,
+            'index': item.index,
+            'recent_runs': list(counts.recent),
+            'unexplained': signs,
+        },
+    )
+
+
 def log_job_end(job: jobs.Job) -> None:
     """Log the end of a job beside the objective that it had.
 
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import advice
+from damaskpin.coordinator import crash_watch
 from damaskpin.coordinator import events
 from damaskpin.coordinator import worker_state
 from damaskpin.model import leases
@@ -67,6 +68,7 @@
         '_stop_time',
         'changed',
         'counts',
+        'crash_watch',
         'jobs',
         'tickets',
         'workers',
@@ -78,6 +80,7 @@
         self._stop_time = stop_time
         self.changed = True
         self.counts: collections.Counter[str] = collections.Counter()
+        self.crash_watch = crash_watch.CrashWatch()
         self.tickets = advice.Tickets()
         self.jobs: dict[str, jobs.Job] = {}
         self.workers: dict[work.Lifetime, worker_state.Worker] = {}
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import crashes
 from damaskpin.coordinator import planning
 from damaskpin.coordinator import ranking
 from damaskpin.coordinator import worker_state
@@ -241,7 +242,11 @@
     """
     units: list[jobs.Unit] = []
     for job in ledger.jobs.values():
-        units.extend(job.iterate_ready(now, wall))
+        units.extend(
+            unit
+            for unit in job.iterate_ready(now, wall)
+            if not crashes.is_held_back(now, ledger, unit)
+        )
     units.sort(key=lambda unit: ranking.get_sort_key(unit, wall, guaranteed))
     return units
 
