Bound the crashes of all kinds under a work item together

Crashes soon after a start, later ones and those of unanswered starts had two limits that overlapped only in part: a work item whose crashes were counted as of all three kinds could be started six times (assert 6 <= 5 in test_crashes_of_all_kinds_are_bounded_together without the change). Five crashes of any kind now end its job.

--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -61,10 +61,12 @@
     def explain_limit(self) -> str:
         """Return why the work item is given up in any case, or empty."""
         recent = len(self.recent)
-        begun = recent + len(self.older)
-        if begun >= crash_limits.MAX_CRASHES:
-            return f'{begun} workers crashed while they ran it'
         possible = recent + len(self.unanswered)
+        if possible + len(self.older) >= crash_limits.MAX_CRASHES:
+            return (
+                f'{possible + len(self.older)} workers crashed while they ran '
+                'it or were called to'
+            )
         if possible >= crash_limits.MAX_POSSIBLE_CRASHES:
             return (
                 f'{possible} workers crashed when they had started it or '
--- a/damaskpin/model/crash_limits.py
+++ b/damaskpin/model/crash_limits.py
@@ -18,5 +18,6 @@
 # limit; one is left for a crash that no agent has reported.
 MAX_POSSIBLE_CRASHES = 4
 
-# Number of crashes under runs of any age after which a work item is given up.
+# Number of crashes under runs of any age, begun or not, after which a work
+# item is given up.
 MAX_CRASHES = 5
--- a/tests/test_coordinator/test_coordinator_crashes.py
+++ b/tests/test_coordinator/test_coordinator_crashes.py
@@ -246,6 +246,23 @@
     assert starts <= 5
 
 
+def test_crashes_of_all_kinds_are_bounded_together():
+    """Guards against a killer whose crashes are counted as of three kinds."""
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    now = builders.NOW
+    kinds = [(True, True), (False, True), (False, True), (True, False)] * 2
+    starts = 0
+    while not job.is_final():
+        builders.decide(ledger, now)
+        recent, begun = kinds[starts]
+        _lose_worker_of(ledger, job, recent, begun, now)
+        _review(ledger, now)
+        starts += 1
+        now += 20.0
+    assert starts <= 5
+
+
 def test_confirmed_report_replaces_an_unanswered_start():
     """Guards against counting one crash twice when a report knows more."""
     ledger = builders.make_ledger()
