Hold a start back only if another crash could end the job

A start also waited for calm after three crashes of any kind, though five of them are the limit. It now waits only before the crash that could end its job.

--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -12,15 +12,6 @@
     from damaskpin.coordinator import records
     from damaskpin.model import work
 
-# Number of crashes soon after a start from which the next start of a work item
-# waits until chance is unlikely: the last one before it is given up.
-MIN_SHELTERED_RECENT = crash_limits.MAX_SUSPECTED_CRASHES - 1
-
-# Number of crashes of any kind from which the next start of a work item waits
-# until chance is unlikely. Without it, work that lasts long could meet the
-# limits in a series of chance crashes.
-MIN_SHELTERED_CRASHES = 3
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashCounts:
@@ -41,11 +32,15 @@
         return bool(self.recent or self.unanswered)
 
     def needs_shelter(self) -> bool:
-        """Return whether its next start waits until chance is unlikely."""
-        crashes = len(self.recent) + len(self.older) + len(self.unanswered)
+        """Return whether its next start waits until chance is unlikely.
+
+        That is so if another crash could end the job.
+        """
+        possible = len(self.recent) + len(self.unanswered)
         return (
-            len(self.recent) >= MIN_SHELTERED_RECENT
-            or crashes >= MIN_SHELTERED_CRASHES
+            len(self.recent) >= crash_limits.MAX_SUSPECTED_CRASHES - 1
+            or possible >= crash_limits.MAX_POSSIBLE_CRASHES - 1
+            or possible + len(self.older) >= crash_limits.MAX_CRASHES - 1
         )
 
     def explain_blame(self) -> str:
