Give up no work under which one worker at most has crashed

The limit of four now asks for two crashes under runs that had begun; with fewer, five crashes of any kind end the job, which is the bound on starts. test_work_is_not_given_up_for_one_crash_that_it_had_begun_before fails without the change.

--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -62,7 +62,8 @@
                 f'{possible + len(self.older)} workers crashed while they ran '
                 'it or were called to'
             )
-        if possible >= crash_limits.MAX_POSSIBLE_CRASHES:
+        proved = recent + len(self.older) >= crash_limits.MIN_PROVED_CRASHES
+        if proved and possible >= crash_limits.MAX_POSSIBLE_CRASHES:
             return (
                 f'{possible} workers crashed when they had started it or '
                 'were called to'
--- a/damaskpin/model/crash_limits.py
+++ b/damaskpin/model/crash_limits.py
@@ -18,6 +18,11 @@
 # limit; one is left for a crash that no agent has reported.
 MAX_POSSIBLE_CRASHES = 4
 
+# Number of those crashes under runs that had certainly begun. By the rules a
+# work item under which two workers have crashed may be given up. With fewer,
+# only ``MAX_CRASHES`` ends it.
+MIN_PROVED_CRASHES = 2
+
 # Number of crashes under runs of any age, begun or not, after which a work
 # item is given up.
 MAX_CRASHES = 5
--- a/tests/test_coordinator/test_coordinator_crashes.py
+++ b/tests/test_coordinator/test_coordinator_crashes.py
@@ -246,6 +246,19 @@
     assert starts <= 5
 
 
+def test_work_is_not_given_up_for_one_crash_that_it_had_begun_before():
+    """Guards against unanswered starts that fill up a limit of four."""
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    now = builders.NOW
+    for begun in (True, False, False, False):
+        builders.decide(ledger, now)
+        _lose_worker_of(ledger, job, begun=begun, now=now)
+        _review(ledger, now)
+        now += 20.0
+    assert not job.is_final()
+
+
 def test_crashes_of_all_kinds_are_bounded_together():
     """Guards against a killer whose crashes are counted as of three kinds."""
     ledger = builders.make_ledger()
