Let work that has ended meanwhile pass the review of its crashes

A crash that is reported late may meet a later run of the same work item that is under way. If that run ended successfully in the second before the review, the review failed the job all the same (found by reading; test_work_that_ends_before_the_review_is_not_given_up fails without the change).

--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -74,10 +74,14 @@
         if job is None or job.is_final():
             continue
         item = run.item
+        if item.occurrence in job.progress.finished:
+            continue
+        progress = job.get_step_progress(item.occurrence, item.step)
+        if item.index in progress.done:
+            # A later run was under way when the crash was reported.
+            continue
         counts = crash_counts.get_counts(
-            job.get_step_progress(item.occurrence, item.step),
-            job.submission.steps[item.step],
-            item.index,
+            progress, job.submission.steps[item.step], item.index
         )
         if watch.is_chance_likely(now, len(ledger.workers)):
             events.log_excuse(item, watch.count_signs(now), counts)
--- a/tests/test_coordinator/test_coordinator_crash_watch.py
+++ b/tests/test_coordinator/test_coordinator_crash_watch.py
@@ -100,6 +100,20 @@
         builders.decide(ledger, now)
 
 
+def test_work_that_ends_before_the_review_is_not_given_up():
+    """Guards against failing work whose later run has ended successfully.
+
+    A crash may be reported late, when the next run is under way.
+    """
+    ledger = builders.make_ledger()
+    steps = builders.make_step(), builders.make_step(after=(0,))
+    job = builders.submit(ledger, 'j', *steps)
+    now = _crash_repeatedly(ledger, job, limits.MAX_SUSPECTED_CRASHES)
+    job.get_step_progress(0, 0).done.add(0)
+    _review(ledger, now)
+    assert not job.is_final()
+
+
 def test_few_crashes_on_a_large_site_excuse_nothing():
     """Guards against a killer that rare crashes elsewhere protect."""
     ledger = builders.make_ledger(workers=60)
