Pair the time and the process of a report, and keep a drain

Found by the review, by reading and by scratch tests there: orders could carry the current process of an agent beside the time of a report of its former one, whose clock may have had another origin, and so grant a lease that the coordinator did not count; a delayed report could take back that a worker drains; and a run that was ordered to an agent without a process id did not count as repeated for the next one.

--- a/damaskpin/coordinator/agent_processes.py
+++ b/damaskpin/coordinator/agent_processes.py
@@ -37,8 +37,8 @@
 
     The first report of a process makes it the current one. If that report was
     overtaken by one of its successor, the successor is told so and reports
-    under a new id. The delayed report does no harm, as it holds no lists that
-    were read for this coordinator.
+    under a new id. Such a delayed report holds no lists that were read for
+    this coordinator, and does not know its fencing token.
     """
 
     __slots__ = ('_agents',)
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -172,6 +172,7 @@
         worker.address = address
         worker.last_report_time = now
         worker.report_time = report.time
+        worker.process = report.process
         if bool(report.silence) != bool(worker.silence):
             LOG.info(
                 'worker does not answer'
@@ -272,13 +273,17 @@
             ticket = self._ledger.tickets.get(
                 placed.placed_at, key, worker.lifetime
             )
+            if placed.ordered_to is None:
+                placed.ordered_to = process
             starts.append(make_start(placed, ticket, process))
         return orders.Orders(
             self.fence,
             self._sequence,
             self._instance,
             worker.lifetime,
-            worker.report_time,
+            # A time of a former process was read on a clock that may have
+            # started anew.
+            worker.report_time if worker.process == process else 0.0,
             worker.get_acknowledged_end_serial(),
             tuple(starts),
             tuple(stops),
@@ -367,7 +372,6 @@
     :param ticket: permission from the advisor; empty if none is needed.
     :param process: process of the agent to which the order goes.
     """
-    placed.ordered_to = placed.ordered_to or process
     item = placed.run.item
     slot = placed.step.get_slot(item.index)
     progress = placed.job.get_step_progress(item.occurrence, item.step)
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -7,6 +7,8 @@
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from damaskpin.model import work
 
 if TYPE_CHECKING:
@@ -61,7 +63,7 @@
     :ivar suspect: whether a worker has crashed soon after an earlier start of
         the work item.
     :ivar ordered_to: process of the agent to which the start was first
-        ordered; empty before.
+        ordered, empty if it does not tell its id; ``None`` before.
     :ivar first_listed: time at which the worker first listed the run; 0
         before.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
@@ -87,7 +89,7 @@
     confirmed: bool
     placed_at: float
     suspect: bool = False
-    ordered_to: str = ''
+    ordered_to: str | None = None
     first_listed: float = 0.0
     stop_reason: str = ''
     checkpoint: str = ''
@@ -218,6 +220,7 @@
     :ivar pending_ends: recorded ends that may not be stored yet, in the order
         of their serials.
     :ivar report_time: time of the latest report, by the agent's clock.
+    :ivar process: process of the agent that made that report.
     :ivar granted_report_time: time of the latest report whose answer renewed
         the agent's grant, by the agent's clock.
     :ivar silence: seconds since the worker last answered its agent; 0 while
@@ -242,6 +245,7 @@
         'lifetime',
         'orders_due',
         'pending_ends',
+        'process',
         'profile',
         'report_time',
         'runs',
@@ -261,6 +265,7 @@
         self.has_run_lists = False
         self.last_report_time = 0.0
         self.report_time = 0.0
+        self.process = ''
         self.granted_report_time = 0.0
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
@@ -281,6 +286,10 @@
             self.free_capacity = profile.capacity
             for placed in self.runs.values():
                 self.free_capacity = self.free_capacity.minus(placed.reserved)
+        if self.profile is not None and self.profile.draining:
+            # A worker that drains never takes work again; the report that says
+            # otherwise is a delayed one.
+            profile = msgspec.structs.replace(profile, draining=True)
         self.profile = profile
 
     def add_run(self, placed: PlacedRun) -> None:
