Keep tokens from falling and stop only runs that need it

* A start that was ordered to a former agent process could be refused, and stopped, before the worker's lists had shown that it runs.
It waits for the first lists, and a listed run counts as accepted.
* Ends were acknowledged although the agent had stood still for seconds, in which its worker may have restarted.
* An exhausted token changed the process id with each further call.
* Orders of a deposed coordinator for a former process counted as contact.

Calls now need their token, so that none is sent without by mistake. The test of a late refusal polls first, as the agent does now.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -23,6 +23,10 @@
 # runs. Each poll renews the lease, so this also bounds the renewal interval.
 POLL_WAIT_S = 0.5
 
+# Seconds since the worker's last answer after which ends are acknowledged only
+# by a later poll. It is longer than a poll and the pause after it.
+MAX_ANSWER_AGE_S = 1.0
+
 # Seconds of lease that must remain for a start call to be sent.
 MIN_START_LEASE_S = 0.5
 
@@ -182,13 +186,13 @@
         :returns: ``False`` if the orders come from a previous coordinator,
             which has a lower fencing token.
         """
+        if message.fence < self.fence:
+            return False
         if message.process not in ('', self.process):
             # The orders answer a report of a former process. Their starts may
             # be known there as refused, and their grant counts from its clock.
             LOG.info('orders for a former process of the agent ignored')
             return True
-        if message.fence < self.fence:
-            return False
         if message.fence > self.fence:
             LOG.info(
                 'coordinator changed',
@@ -228,14 +232,8 @@
 
         :param process: id that the coordinator does not accept.
         """
-        if process != self.process:
-            return
-        self.process = make_process_id()
-        self.report_requested = True
-        LOG.warning(
-            'reports were refused; going on under a new process id',
-            extra={'agent_process': self.process, 'former_process': process},
-        )
+        if process == self.process:
+            self._begin_session('the coordinator knows a later process')
 
     def collect_due_calls(
         self, now: float
@@ -254,8 +252,9 @@
                 now, profile.lifetime, self._token
             )
         )
+        has_lists = self._run_lists.fence == self.fence
         if profile.draining:
-            self._attempts.refuse_pending(now, 'draining')
+            self._attempts.refuse_pending(now, 'draining', has_lists)
             return due_calls
         until = self._lease_tracker.extend_lease(now)
         if (
@@ -265,7 +264,7 @@
             return due_calls
         due_calls.extend(
             self._attempts.collect_due_starts(
-                now, profile.lifetime, self._token, until
+                now, profile.lifetime, self._token, until, has_lists
             )
         )
         return due_calls
@@ -290,7 +289,7 @@
         return calls.PollCall(
             self.profile.lifetime,
             self.fence,
-            self._get_acknowledged_serial(),
+            self._get_acknowledged_serial(now),
             self._lease_tracker.extend_lease(now),
             wait,
             self._token.value,
@@ -333,8 +332,7 @@
                 )
                 self._end_lifetime(now)
             case calls.Refused(outranked=True):
-                LOG.warning('worker has seen a higher fencing token')
-                self.report_requested = True
+                self._handle_outranked_poll(call)
             case calls.Unanswered():
                 self._lease_tracker.record_failure()
                 self._outrank(call, result)
@@ -393,6 +391,23 @@
             self.process,
         )
 
+    def _begin_session(self, reason: str) -> None:
+        """Report under a new id, for which the coordinator has a new number.
+
+        :param reason: why the former id can't be used any more.
+        """
+        former = self.process
+        self.process = make_process_id()
+        self.report_requested = True
+        LOG.warning(
+            'agent goes on under a new process id',
+            extra={
+                'reason': reason,
+                'agent_process': self.process,
+                'former_process': former,
+            },
+        )
+
     def _end_lifetime(self, now: float) -> None:
         """Discard the state of a process that another has replaced.
 
@@ -404,6 +419,22 @@
         self._record_crash(now)
         self._discard_worker_state()
 
+    def _handle_outranked_poll(self, call: calls.PollCall) -> None:
+        """Report that the worker has seen a higher token, if that persists.
+
+        A poll may be overtaken by a call with a token that has risen since.
+        """
+        if call.token != self._token.value:
+            return
+        LOG.warning(
+            'worker has seen a higher fencing token',
+            extra={'worker': call.lifetime.worker, 'token': call.token},
+        )
+        self._token.catch_up(call.token)
+        # Until a poll is answered the agent knows nothing of the runs.
+        self._lease_tracker.record_failure()
+        self.report_requested = True
+
     def _outrank(
         self,
         call: calls.PollCall | calls.StartCall | calls.StopCall,
@@ -414,7 +445,7 @@
             return
         if self._token.outrank(call.token):
             # The token can't rise again in this session.
-            self.handle_superseded(self.process)
+            self._begin_session('the token has reached its last value')
 
     def _record_crash(self, now: float) -> None:
         """Record that the known worker has ended without leaving.
@@ -461,14 +492,14 @@
                 },
             )
 
-    def _get_acknowledged_serial(self) -> int:
+    def _get_acknowledged_serial(self, now: float) -> int:
         """Return the serial up to which the worker may forget ended runs.
 
-        A worker that has not answered the latest poll may have a new process,
-        in which the serials of the former one would let it forget its own
-        ends.
+        A worker that has not answered of late may have a new process, in which
+        the serials of the former one would let it forget its own ends.
         """
-        if self._lease_tracker.has_failed_poll():
+        age = now - self._lease_tracker.get_last_answer_time()
+        if self._lease_tracker.has_failed_poll() or age > MAX_ANSWER_AGE_S:
             return 0
         return self._run_lists.get_acknowledged_serial()
 
@@ -486,7 +517,7 @@
         self._lease_tracker.record_answer(now, lists.clock)
         if self._run_lists.update(call.fence, lists):
             self.report_requested = True
-        self._attempts.stop_listed(now, lists)
+        self._attempts.apply_running(now, lists)
         self._attempts.confirm_stops(now, sent, lists)
 
 
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -69,6 +69,16 @@
     stop_acknowledged_at: float = 0.0
     last_ordered_at: float = 0.0
 
+    def needs_lists(self, has_lists: bool) -> bool:
+        """Return whether the worker's lists must be read before a call.
+
+        They show whether a former process of the agent has started the run,
+        which a refused call would stop.
+
+        :param has_lists: whether this process has read the worker's lists.
+        """
+        return self.order is not None and self.order.repeated and not has_lists
+
 
 class Attempts:
     """Start and stop attempts for one worker process and one coordinator.
@@ -164,17 +174,19 @@
         lifetime: work.Lifetime,
         token: fencing.CallToken,
         until: int,
+        has_lists: bool,
     ) -> list[calls.StartCall]:
         """Return the start calls that are due and mark them as being sent.
 
         :param until: expiry of the lease in milliseconds on the worker's
             clock.
+        :param has_lists: whether this process has read the worker's lists.
         """
         due_calls = []
         for attempt in self._attempts_by_run.values():
             if attempt.state is not State.PENDING or attempt.order is None:
                 continue
-            if attempt.next_call_at > now:
+            if attempt.next_call_at > now or attempt.needs_lists(has_lists):
                 continue
             attempt.state = State.CALLING
             attempt.called_at = now
@@ -185,10 +197,15 @@
             )
         return due_calls
 
-    def refuse_pending(self, now: float, reason: str) -> None:
-        """Abandon the pending starts, for example on a draining worker."""
+    def refuse_pending(self, now: float, reason: str, has_lists: bool) -> None:
+        """Abandon the pending starts, for example on a draining worker.
+
+        :param has_lists: whether this process has read the worker's lists.
+        """
         for attempt in self._attempts_by_run.values():
-            if attempt.state is State.PENDING:
+            if attempt.state is not State.PENDING:
+                continue
+            if not attempt.needs_lists(has_lists):
                 self._abandon_start(now, attempt, reason)
 
     def mark_all_refused(
@@ -279,18 +296,25 @@
             elif attempt.run in running and attempt.next_call_at <= now:
                 attempt.state = State.STOPPING
 
-    def stop_listed(self, now: float, lists: calls.Lists) -> None:
-        """Stop the refused runs that the worker lists all the same.
+    def apply_running(self, now: float, lists: calls.Lists) -> None:
+        """Update the attempts of the runs that the worker lists as running.
 
-        A former process of the agent may have started them.
+        A former process of the agent may have started a run that is pending
+        here, or that is refused; the latter is stopped.
         """
         for row in lists.running:
             attempt = self._attempts_by_run.get(row.run)
-            if attempt is None or attempt.state is not State.REFUSED:
+            if attempt is None:
                 continue
-            events.log_contradiction(row.run, attempt.reason, lists.born)
-            attempt.state = State.STOPPING
-            attempt.next_call_at = now
+            match attempt.state:
+                case State.PENDING:
+                    attempt.state = State.ACCEPTED
+                case State.REFUSED:
+                    events.log_contradiction(
+                        row.run, attempt.reason, lists.born
+                    )
+                    attempt.state = State.STOPPING
+                    attempt.next_call_at = now
 
     def forget_settled(self, now: float, listed: set[work.Run]) -> None:
         """Remove accepted and refused attempts that are no longer ordered.
--- a/damaskpin/agent/calls.py
+++ b/damaskpin/agent/calls.py
@@ -39,7 +39,7 @@
     observed: int
     until: int | None
     wait: float
-    token: int = 0
+    token: int
 
 
 class StartCall(msgspec.Struct, frozen=True):
@@ -55,7 +55,7 @@
     fence: int
     until: int
     order: orders.StartOrder
-    token: int = 0
+    token: int
 
 
 class StopCall(msgspec.Struct, frozen=True):
@@ -69,7 +69,7 @@
     lifetime: work.Lifetime
     fence: int
     run: work.Run
-    token: int = 0
+    token: int
 
 
 class Lists(msgspec.Struct, frozen=True):
--- a/damaskpin/agent/fencing.py
+++ b/damaskpin/agent/fencing.py
@@ -63,3 +63,15 @@
             return False
         self.epoch += 1
         return self.epoch == MAX_EPOCH
+
+    def catch_up(self, token: int) -> None:
+        """Raise the token after a refusal, where a former process was higher.
+
+        Only sessions with numbers of their own are certainly above those of
+        former processes.
+
+        :param token: token of the refused call.
+        """
+        if token != self.value or 0 < self.session < MAX_SESSION:
+            return
+        self.epoch = min(2 * self.epoch + 1, MAX_EPOCH)
--- a/tests/test_coordinator/test_coordinator_late_reports.py
+++ b/tests/test_coordinator/test_coordinator_late_reports.py
@@ -73,6 +73,7 @@
     agent = _start_agent(worker, NOW + 2.0)
     answer = _report(coordinator, agent.make_report(NOW + 2.1), NOW + 2.1)
     agent.handle_orders(NOW + 2.1, answer)
+    _poll(agent, NOW + 2.1)
     (call,) = agent.collect_due_calls(NOW + 2.1)
     assert call.order.run == run
     agent.handle_start_result(NOW + 2.1, call, calls.Accepted(102_100))
--- a/tests/test_platform/test_platform_worker_statuses.py
+++ b/tests/test_platform/test_platform_worker_statuses.py
@@ -26,7 +26,7 @@
 def _start_run(status, body=b'{}') -> calls.Result:
     run = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
     call = calls.StartCall(
-        work.Lifetime('w1', 1000), 5, 9000, orders.StartOrder(run, 's', '')
+        work.Lifetime('w1', 1000), 5, 9000, orders.StartOrder(run, 's', ''), 5
     )
     client = workers.WorkerClient(_Caller(status, body))
     return asyncio.run(client.start(call))
--- a/tests/test_runtime/test_runtime_resent_call.py
+++ b/tests/test_runtime/test_runtime_resent_call.py
@@ -95,8 +95,8 @@
     run = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
     order = orders.StartOrder(run, 'content', '')
     try:
-        await client.renew_lease(calls.PollCall(lifetime, 5, 0, None, 0.0))
-        return await client.start(calls.StartCall(lifetime, 5, 9000, order))
+        await client.renew_lease(calls.PollCall(lifetime, 5, 0, None, 0.0, 5))
+        return await client.start(calls.StartCall(lifetime, 5, 9000, order, 5))
     finally:
         caller.close()
         server.close()
