--- a/damaskpin/agent/events.py
+++ b/damaskpin/agent/events.py
@@ -5,6 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+from damaskpin.model import log_fields
+
 if TYPE_CHECKING:
     from damaskpin.agent import attempts
     from damaskpin.agent import calls
@@ -27,7 +29,7 @@
     LOG.info(
         'start call finished',
         extra={
-            **_describe_run(call.order.run),
+            **log_fields.describe_run(call.order.run),
             'result': type(result).__name__,
             'reason': getattr(result, 'reason', ''),
             'worker': call.lifetime.worker,
@@ -48,7 +50,7 @@
     LOG.info(
         'answer to a start that is no longer wanted',
         extra={
-            **_describe_run(call.order.run),
+            **log_fields.describe_run(call.order.run),
             'result': type(result).__name__,
             'state': attempt and str(attempt.state),
         },
@@ -63,16 +65,5 @@
     """
     LOG.warning(
         'refused run is listed by the worker',
-        extra={**_describe_run(run), 'reason': reason, 'born': born},
+        extra={**log_fields.describe_run(run), 'reason': reason, 'born': born},
     )
-
-
-def _describe_run(run: work.Run) -> dict[str, object]:
-    """Return the log fields that name a run."""
-    return {
-        'job': run.item.job,
-        'occurrence': run.item.occurrence,
-        'step': run.item.step,
-        'index': run.item.index,
-        'number': run.number,
-    }
--- a/damaskpin/coordinator/events.py
+++ b/damaskpin/coordinator/events.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import ranking
+from damaskpin.model import log_fields
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import crash_counts
@@ -76,10 +77,7 @@
     LOG.warning(
         'work item given up after crashes',
         extra={
-            'job': item.job,
-            'occurrence': item.occurrence,
-            'step': item.step,
-            'index': item.index,
+            **log_fields.describe_item(item),
             'reason': reason,
             'recent_runs': list(counts.recent),
             'older_runs': list(counts.older),
@@ -98,10 +96,7 @@
     LOG.info(
         'crashes may be due to chance',
         extra={
-            'job': item.job,
-            'occurrence': item.occurrence,
-            'step': item.step,
-            'index': item.index,
+            **log_fields.describe_item(item),
             'recent_runs': list(counts.recent),
             'unexplained': signs,
         },
@@ -135,11 +130,7 @@
 def _describe_run(run: work.Run, lifetime: work.Lifetime) -> dict[str, object]:
     """Return the log fields that name a run and its worker."""
     return {
-        'job': run.item.job,
-        'occurrence': run.item.occurrence,
-        'step': run.item.step,
-        'index': run.item.index,
-        'number': run.number,
+        **log_fields.describe_run(run),
         'worker': lifetime.worker,
         'born': lifetime.born,
     }
