Hold ends back while an earlier call may be carried out

What callers saw: a work item that had ended ran again (TWICE), where a worker came back under its id while calls were late.

Cause: an acknowledgement of ends can't be taken back, yet it went out with the next poll. Without an answer it may be carried out by the worker's next process of the same id, before the agent's first call voids it. That process then hides ends that nobody has read, and their work items start again. The same holds for a start whose end has been acknowledged while a copy of it was under way.

Change: ends are acknowledged only if no call without an answer is younger than 15 s (late calls act within 12 s), and from 250 listed ends on in any case. A process that follows an undecided acknowledgement under the same id, or that an agent process finds restarted, has its runs stopped until it lists an end: the list shows that later ends are not hidden, as earlier calls are void by then.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -6,6 +6,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from damaskpin.agent import acknowledgements
 from damaskpin.agent import attempts
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
@@ -23,10 +24,6 @@
 # runs. Each poll renews the lease, so this also bounds the renewal interval.
 POLL_WAIT_S = 0.5
 
-# Seconds since the worker's last answer after which ends are acknowledged only
-# by a later poll. It is longer than a poll and the pause after it.
-MAX_ANSWER_AGE_S = 1.0
-
 # Seconds of lease that must remain for a start call to be sent.
 MIN_START_LEASE_S = 0.5
 
@@ -60,6 +57,7 @@
     """
 
     __slots__ = (
+        '_acknowledgements',
         '_attempts',
         '_crash_log',
         '_ended_lifetime',
@@ -105,6 +103,7 @@
         )
         self._run_lists = run_lists.RunLists()
         self._attempts = attempts.Attempts()
+        self._acknowledgements = acknowledgements.Acknowledgements()
         self._crash_log = crash_log.CrashLog()
         self.last_report_time = 0.0
         self.report_requested = False
@@ -112,6 +111,7 @@
     def start(self, now: float) -> None:
         """Start the agent; ignore orders that answer earlier reports."""
         self._lease_tracker.ignore_earlier_grants(now)
+        self._acknowledgements.start(now)
 
     def handle_heartbeat(
         self, now: float, profile: orders.WorkerProfile, clock: int | None
@@ -136,8 +136,7 @@
                     },
                 )
                 return
-            self._record_crash(now)
-            self._discard_worker_state()
+            self._replace_lifetime(now, profile.lifetime.worker)
         if previous is None or previous.lifetime != profile.lifetime:
             LOG.info(
                 'worker found',
@@ -211,6 +210,8 @@
         self._lease_tracker.record_grant(now, message.echo)
         if self.profile is None or message.lifetime != self.profile.lifetime:
             return True
+        if message.restarted:
+            self._acknowledgements.record_restart()
         self._run_lists.recorded_serial = max(
             self._run_lists.recorded_serial, message.observed
         )
@@ -277,19 +278,24 @@
         if self.profile is None or not self.fence:
             return None
         wait = POLL_WAIT_S
-        if self._run_lists.has_unrecorded_end():
-            # The worker answers at once while it lists ended runs that the
-            # coordinator has not recorded.
-            wait = 0.0
         if (
-            self._run_lists.fence != self.fence
+            # The worker answers at once while it lists ended runs.
+            self._run_lists.count_ends()
+            or self._run_lists.fence != self.fence
             or self._attempts.has_unconfirmed_stop()
         ):
             wait = 0.0
+        acknowledged = 0
+        if not self._lease_tracker.has_failed_poll():
+            acknowledged = self._acknowledgements.get_serial(
+                now,
+                self._lease_tracker.get_last_answer_time(),
+                self._run_lists,
+            )
         return calls.PollCall(
             self.profile.lifetime,
             self.fence,
-            self._get_acknowledged_serial(now),
+            acknowledged,
             self._lease_tracker.extend_lease(now),
             wait,
             self._token.value,
@@ -307,7 +313,7 @@
         :param sent: time in seconds at which the call was sent.
         """
         if self.profile is None or call.lifetime != self.profile.lifetime:
-            self._outrank(call, result)
+            self._outrank(now, call, result)
             return
         match result:
             case calls.Lists(born=born) if born not in (0, call.lifetime.born):
@@ -322,7 +328,7 @@
                         'running': len(result.running),
                     },
                 )
-                self._end_lifetime(now)
+                self._end_lifetime(now, call.lifetime.worker, call.observed)
             case calls.Lists():
                 self._record_lists(now, sent, call, result)
             case calls.Refused(reason=calls.OTHER_LIFETIME):
@@ -330,26 +336,30 @@
                     'another worker answers; waiting for its heartbeat',
                     extra={'worker': call.lifetime.worker},
                 )
-                self._end_lifetime(now)
+                self._end_lifetime(now, '')
             case calls.Refused(outranked=True):
                 self._handle_outranked_poll(call)
             case calls.Unanswered():
                 self._lease_tracker.record_failure()
-                self._outrank(call, result)
+                self._outrank(now, call, result)
 
     def handle_start_result(
         self, now: float, call: calls.StartCall, result: calls.Result
     ) -> None:
         """Handle the result of a start call."""
-        self._outrank(call, result)
-        if call.fence == self.fence:
-            self._attempts.handle_start_result(now, call, result)
+        self._outrank(now, call, result)
+        if call.fence != self.fence:
+            return
+        self._attempts.handle_start_result(now, call, result)
+        if self._acknowledgements.may_hide_ends:
+            # The end of a stopped run shows whether the process lists ends.
+            self._attempts.order_stop(now, call.order.run)
 
     def handle_stop_result(
         self, now: float, call: calls.StopCall, result: calls.Result
     ) -> None:
         """Handle the result of a stop call."""
-        self._outrank(call, result)
+        self._outrank(now, call, result)
         if call.fence == self.fence:
             self._attempts.handle_stop_result(now, call, result)
 
@@ -408,14 +418,29 @@
             },
         )
 
-    def _end_lifetime(self, now: float) -> None:
+    def _end_lifetime(
+        self, now: float, worker: str, observed: int = 0
+    ) -> None:
         """Discard the state of a process that another has replaced.
 
         The answer of the other one proves the end. Heartbeats of the ended
         process that arrive later are ignored.
+
+        :param worker: id of the worker that the other process belongs to;
+            empty if only known to be another one.
+        :param observed: serial that the answered call has acknowledged.
         """
         if self.profile is not None:
             self._ended_lifetime = self.profile.lifetime
+        self._replace_lifetime(now, worker, observed)
+
+    def _replace_lifetime(
+        self, now: float, worker: str, observed: int = 0
+    ) -> None:
+        if self.profile is not None:
+            self._acknowledgements.record_replacement(
+                now, self.profile.lifetime, worker, observed
+            )
         self._record_crash(now)
         self._discard_worker_state()
 
@@ -437,12 +462,15 @@
 
     def _outrank(
         self,
+        now: float,
         call: calls.PollCall | calls.StartCall | calls.StopCall,
         result: calls.Result,
     ) -> None:
         """Raise the token above a call that may still be carried out."""
         if not isinstance(result, calls.Unanswered) or not result.sent:
             return
+        lifetime = self.profile.lifetime if self.profile is not None else None
+        self._acknowledgements.record_unanswered(now, call, lifetime)
         if self._token.outrank(call.token):
             # The token can't rise again in this session.
             self._begin_session('the token has reached its last value')
@@ -492,17 +520,6 @@
                 },
             )
 
-    def _get_acknowledged_serial(self, now: float) -> int:
-        """Return the serial up to which the worker may forget ended runs.
-
-        A worker that has not answered of late may have a new process, in which
-        the serials of the former one would let it forget its own ends.
-        """
-        age = now - self._lease_tracker.get_last_answer_time()
-        if self._lease_tracker.has_failed_poll() or age > MAX_ANSWER_AGE_S:
-            return 0
-        return self._run_lists.get_acknowledged_serial()
-
     def _record_lists(
         self,
         now: float,
@@ -515,6 +532,7 @@
             # coordinator has answered a new report.
             self.report_requested = True
         self._lease_tracker.record_answer(now, lists.clock)
+        self._acknowledgements.record_lists(lists)
         if self._run_lists.update(call.fence, lists):
             self.report_requested = True
         self._attempts.apply_running(now, lists)
--- a/damaskpin/agent/run_lists.py
+++ b/damaskpin/agent/run_lists.py
@@ -65,9 +65,9 @@
             if row.serial > self.recorded_serial
         )
 
-    def has_unrecorded_end(self) -> bool:
-        """Return whether the coordinator has not recorded all ended runs."""
-        return self._get_last_serial() > self.recorded_serial
+    def count_ends(self) -> int:
+        """Return the number of listed ended runs."""
+        return len(self.latest.ended) if self.latest is not None else 0
 
     def get_acknowledged_serial(self) -> int:
         """Return the serial up to which the worker may forget ended runs.
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -290,6 +290,7 @@
             self.entries,
             process,
             self._agent_processes.get_session(worker.agent),
+            worker.is_restarted(),
         )
 
     def pop_due_workers(self) -> list[worker_state.Worker]:
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -317,6 +317,10 @@
             and self.is_reporting(now)
         )
 
+    def is_restarted(self) -> bool:
+        """Return whether the process has followed one of the same id."""
+        return self.lease_extension > 0
+
     def is_reporting(self, now: float) -> bool:
         """Return whether the agent of the worker has reported recently."""
         return now - self.last_report_time <= REPORT_TIMEOUT_S
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -99,6 +99,8 @@
         coordinator that does not tell.
     :ivar session: number of that process among those of the agent that this
         coordinator has heard of, from 1.
+    :ivar restarted: whether the worker process has followed another one of the
+        same worker id.
     """
 
     fence: int
@@ -112,6 +114,7 @@
     entries: tuple[str, ...]
     process: str = ''
     session: int = 0
+    restarted: bool = False
 
 
 class Report(bases.Message):
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -45,6 +45,45 @@
     return simulation
 
 
+def play_restarts(seed, start_time):
+    """Play with workers that come back again and again while calls are late.
+
+    :param start_time: time in seconds that a worker's process takes to start.
+    :raises AssertionError: the simulation has seen a broken promise.
+    """
+    rng = random.Random(seed)
+    simulation = simulations.Simulation(seed)
+    simulation.start_time = start_time
+    simulation.run(1.0)
+    simulation.delay_rate = rng.choice([0.1, 0.2, 0.4])
+    simulation.loss_rate = rng.choice([0.0, 0.1])
+    for _ in range(ACTIONS):
+        _act_beside_restarts(rng, simulation)
+        simulation.run(rng.uniform(0.1, 2.0))
+    simulation.heal_and_finish()
+
+
+def _act_beside_restarts(rng, simulation):
+    share = rng.random()
+    instance = rng.choice(simulation.instances)
+    if share < 0.3:
+        simulation.submit(_make_steps(rng))
+    elif share < 0.5:
+        simulation.restart_worker(instance)
+    elif share < 0.55:
+        simulation.replace_coordinator()
+    elif share < 0.6:
+        simulation.restart_agent(instance)
+    elif share < 0.75:
+        ending = work.Ending.DONE
+        choice = rng.randrange(50)
+        if rng.random() < 0.5:
+            ending = work.Ending.FAILED
+        simulation.end_run(choice, ending)
+    elif share < 0.8 and simulation.submissions:
+        simulation.cancel(rng.choice(sorted(simulation.submissions)))
+
+
 def _act(rng, simulation, faults):
     action = rng.choice((*faults, 'submit', 'submit', 'end', 'wait', 'wait'))
     instance = rng.choice(simulation.instances)
--- a/tests/test_coordinator/test_coordinator_twice.py
+++ b/tests/test_coordinator/test_coordinator_twice.py
@@ -89,3 +89,20 @@
     overcommitted worker.
     """
     random_plays.play(seed, random_plays.FAULTS)
+
+
+@pytest.mark.parametrize(
+    ('start_time', 'seed'),
+    [
+        *((0.3, seed) for seed in (28, 34, 161, 233, 256)),
+        *((0.0, seed) for seed in (17, 44, 60, 66, 105, 118, 122, 162, 168)),
+        *((0.0, seed) for seed in (195, 218, 229, 234, 241, 258, 277, 290)),
+    ],
+)
+def test_random_plays_with_workers_that_come_back(start_time, seed):
+    """Guards against ends that a late acknowledgement has hidden.
+
+    Workers come back at once under their id while calls are up to 12 s late.
+    Each seed once had a second run, or a start after an end.
+    """
+    random_plays.play_restarts(seed, start_time)
