Take no absence from a cut-short list for a proof

A worker returns at most 500 ended runs at a time. Callers could see a work item start again after it had ended well: a new coordinator removed each run that the first list lacked, although its end was still to follow, and an agent reported a stopped run as refused on such a list. A confirmed run that the lists lacked for 5 s was stopped as missing.

The lists did not say whether they were whole, so that each reader took them to be. Whether they are is now decided once, where the worker's answer is decoded (a full page may be a part), and is a property of calls.Lists and of the report. The coordinator removes runs and uses the worker, and the agent confirms stops and repeats starts of a former process, only with complete lists. Until then the agent polls without a wait, so that the listed ends are recorded and acknowledged and the next ones follow.

Reports have a new last field, lists_complete, true by default. A report of an older agent, which lacks it, counts as cut short if it holds as many ends as a worker returns; with fewer, because some were recorded already, it can't be told, as before.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -252,7 +252,7 @@
                 now, profile.lifetime, self._token
             )
         )
-        has_lists = self._run_lists.fence == self.fence
+        has_lists = self._run_lists.is_complete(self.fence)
         if profile.draining:
             self._attempts.refuse_pending(now, 'draining', has_lists)
             return due_calls
@@ -282,7 +282,7 @@
             # coordinator has not recorded.
             wait = 0.0
         if (
-            self._run_lists.fence != self.fence
+            not self._run_lists.is_complete(self.fence)
             or self._attempts.has_unconfirmed_stop()
         ):
             wait = 0.0
@@ -368,11 +368,13 @@
         running: tuple[work.RunningRun, ...] = ()
         ended: tuple[work.EndedRun, ...] = ()
         lists_fence = 0
+        lists_complete = True
         lists = self._run_lists
         if lists.latest is not None and lists.fence == self.fence:
             lists_fence = lists.fence
             running = lists.latest.running
             ended = lists.list_unrecorded_ends()
+            lists_complete = lists.latest.complete
         return orders.Report(
             self._instance,
             now,
@@ -389,6 +391,7 @@
             lapse,
             self._crash_log.list_reported(now),
             self.process,
+            lists_complete,
         )
 
     def _begin_session(self, reason: str) -> None:
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -75,7 +75,8 @@
         They show whether a former process of the agent has started the run,
         which a refused call would stop.
 
-        :param has_lists: whether this process has read the worker's lists.
+        :param has_lists: whether this process has read the worker's complete
+            lists.
         """
         return self.order is not None and self.order.repeated and not has_lists
 
@@ -180,7 +181,8 @@
 
         :param until: expiry of the lease in milliseconds on the worker's
             clock.
-        :param has_lists: whether this process has read the worker's lists.
+        :param has_lists: whether this process has read the worker's complete
+            lists.
         """
         due_calls = []
         for attempt in self._attempts_by_run.values():
@@ -200,7 +202,8 @@
     def refuse_pending(self, now: float, reason: str, has_lists: bool) -> None:
         """Abandon the pending starts, for example on a draining worker.
 
-        :param has_lists: whether this process has read the worker's lists.
+        :param has_lists: whether this process has read the worker's complete
+            lists.
         """
         for attempt in self._attempts_by_run.values():
             if attempt.state is not State.PENDING:
@@ -278,7 +281,9 @@
         """Mark stopped runs as refused once the worker no longer lists them.
 
         Lists that were requested before the stop was acknowledged are ignored.
-        A stop is repeated if the run is still listed as running.
+        Incomplete lists may lack the end of a run, which does not run then but
+        may have ended well. A stop is repeated if the run is still listed as
+        running.
 
         :param sent: time in seconds at which the lists were requested.
         """
@@ -291,8 +296,9 @@
             ):
                 continue
             if attempt.run not in listed:
-                attempt.state = State.REFUSED
-                self.report_needed = True
+                if lists.complete:
+                    attempt.state = State.REFUSED
+                    self.report_needed = True
             elif attempt.run in running and attempt.next_call_at <= now:
                 attempt.state = State.STOPPING
 
--- a/damaskpin/agent/calls.py
+++ b/damaskpin/agent/calls.py
@@ -78,12 +78,16 @@
     :ivar clock: milliseconds on the worker's clock.
     :ivar born: start of the worker process in Unix milliseconds; 0 if the
         worker did not tell it.
+    :ivar ended: ended runs, those with the lowest serials first.
+    :ivar complete: whether all unacknowledged ends are listed. A run that is
+        absent from incomplete lists is not running, but it may have ended.
     """
 
     clock: int
     born: int
     running: tuple[work.RunningRun, ...]
     ended: tuple[work.EndedRun, ...]
+    complete: bool = True
 
 
 class Accepted(msgspec.Struct, frozen=True):
--- a/damaskpin/agent/run_lists.py
+++ b/damaskpin/agent/run_lists.py
@@ -33,13 +33,25 @@
 
         :returns: whether the coordinator should hear of them at once.
         """
-        is_new = self.fence != fence
+        is_new = self.is_complete(fence) != lists.complete
+        is_new |= self.fence != fence
         if lists.ended:
             is_new |= lists.ended[-1].serial > self._get_last_serial()
         self.fence = fence
         self.latest = lists
         return is_new
 
+    def is_complete(self, fence: int) -> bool:
+        """Return whether a run that is not listed certainly does not exist.
+
+        :param fence: fencing token of the current coordinator. The worker
+            refuses starts that former coordinators ordered once it has
+            answered a poll with this token.
+        """
+        if self.latest is None or self.fence != fence:
+            return False
+        return self.latest.complete
+
     def list_runs(self) -> set[work.Run]:
         """Return all listed runs, running or ended."""
         if self.latest is None:
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -336,6 +336,10 @@
                 # The worker's list is the better witness.
                 continue
             ledger.record_refusal(worker, refused)
+        if not report.has_all_runs():
+            # A run that is not listed may have ended. Its end follows once the
+            # listed ones are acknowledged.
+            return
         for run, placed in list(worker.runs.items()):
             if placed.is_missing(now, run in listed_runs):
                 # The missing run is stopped and not removed at once: the
--- a/damaskpin/model/work.py
+++ b/damaskpin/model/work.py
@@ -292,6 +292,11 @@
     percent: float
 
 
+# Number of ended runs that a worker returns at a time. The others follow once
+# these are acknowledged.
+MAX_LISTED_ENDS = 500
+
+
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
     """An ended run as listed by its worker.
 
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -142,6 +142,8 @@
         new coordinator may hide a report.
     :ivar process: random id of the agent's process; empty from an agent that
         does not tell.
+    :ivar lists_complete: whether the worker returned all its unacknowledged
+        ends; see :meth:`has_all_runs`. An older agent does not tell.
     """
 
     agent: str
@@ -159,6 +161,16 @@
     lapse: float = 0.0
     crashes: tuple[Crash, ...] = ()
     process: str = ''
+    lists_complete: bool = True
+
+    def has_all_runs(self) -> bool:
+        """Return whether a run that the lists lack is absent from the worker.
+
+        An agent that does not tell whether its lists are complete has passed
+        on as many ends as a worker returns at a time, if there are more.
+        """
+        is_full = len(self.ended) >= work.MAX_LISTED_ENDS
+        return self.lists_complete and not is_full
 
 
 class Superseded(bases.Message):
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -194,10 +194,14 @@
 
 
 def decode_lists(answer: wire.WorkerAnswer) -> calls.Lists:
-    """Decode a worker's lists of runs; malformed rows are left out."""
+    """Decode a worker's lists of runs; malformed rows are left out.
+
+    As many ends as a worker returns at a time may be a part of the list.
+    """
     return calls.Lists(
         answer.clock_ms,
         answer.born,
         parse_rows(answer.running, parse_running),
         parse_rows(answer.finished, parse_ended),
+        len(answer.finished) < work.MAX_LISTED_ENDS,
     )
--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -96,12 +96,17 @@
             if serial <= self.observed:
                 self.on_noted(self, self.unnoted.pop(serial))
         self.ended = [r for r in self.ended if r.serial > self.observed]
+        ended = tuple(self.ended[: work.MAX_LISTED_ENDS])
         rows = tuple(
             work.RunningRun(run, self._get_checkpoint(active_run, now), 10.0)
             for run, active_run in self.running.items()
         )
         return calls.Lists(
-            self.get_clock(now), self.lifetime.born, rows, tuple(self.ended)
+            self.get_clock(now),
+            self.lifetime.born,
+            rows,
+            ended,
+            len(ended) < work.MAX_LISTED_ENDS,
         )
 
     def start(self, now, call):
--- a/tests/test_platform/test_platform_documents.py
+++ b/tests/test_platform/test_platform_documents.py
@@ -70,3 +70,14 @@
     lists = worker.decode_lists(answer)
     assert [row.run.number for row in lists.running] == [3]
     assert lists.ended == ()
+
+
+@pytest.mark.parametrize(('ends', 'complete'), [(499, True), (500, False)])
+def test_full_list_of_ends_may_be_incomplete(ends, complete):
+    """Guards against a run that is taken for gone while its end follows.
+
+    Also ends that can't be read count, as the worker returned them.
+    """
+    rows = [[n, f'{"0" * 16}.0.0.0', n, 'done', ''] for n in range(1, ends)]
+    answer = wire.WorkerAnswer(finished=[*rows, [ends, 'x', 1, 'done', '']])
+    assert worker.decode_lists(answer).complete is complete
