Record the end of a run that was removed on a wrong proof

Callers could see a work item start again after it had ended well, and once more than its attempts allow. If a run had been taken for gone and its end was listed nevertheless, the end was logged, acknowledged and not recorded, while the work item was due to start or ran elsewhere. The same happened if the run was listed as running beside a later one.

Whether an end counts followed from the books, which were wrong then. A good end of any run whose number the job has handed out now ends its work item (or gang, or the one occurrence), unless it has ended or its job has. Later active runs of it are stopped, and their own ends count for nothing. A failed end counts once towards the attempts: the progress keeps the numbers of the latest eight removed runs of each work item, so that neither an end that is listed again nor a new coordinator counts twice. Both are acknowledged once they are stored.

Two more ends were acknowledged before they were stored: that of a listed run in no record, because its change did not raise the version, and one that was listed again by a worker that had been given up for a while.

It counts here too: the coordinator can't tell a lapse from a wrong proof of one, an active run's end has always counted in that case, and no start follows it.

Weighed: holding back the acknowledgement instead (all later ends of that worker wait with it, and the work is done twice); counting each failed end of an unknown run (ends that are listed again after a takeover count twice); keeping removed runs in memory only (a takeover forgets them).

--- a/bench/load.py
+++ b/bench/load.py
@@ -17,6 +17,7 @@
 import fire
 
 from bench import loadmixes
+from damaskpin.coordinator import ends
 from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
@@ -283,8 +284,12 @@
             self._wasted_core_seconds += (
                 worked_seconds * active.placed.step.get_core_equivalents()
             )
-        self._ledger.end_run(
-            self._now, UNIX_TIME_OFFSET + self._now, active.worker, ended_run
+        ends.record_end(
+            self._now,
+            UNIX_TIME_OFFSET + self._now,
+            self._ledger,
+            active.worker,
+            ended_run,
         )
         active.worker.pending_ends.clear()
 
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -8,6 +8,7 @@
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import agent_processes
 from damaskpin.coordinator import crashes
+from damaskpin.coordinator import ends
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
 from damaskpin.coordinator import supervision
@@ -317,7 +318,7 @@
             if row.serial <= worker.last_end_serial:
                 continue
             worker.last_end_serial = row.serial
-            ledger.end_run(now, wall, worker, row)
+            ends.record_end(now, wall, ledger, worker, row)
         for run in report.accepted:
             placed = worker.runs.get(run)
             if placed is not None:
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -189,34 +189,6 @@
         self.mark_changed()
         return runs
 
-    def end_run(
-        self, run: work.Run, ending: work.Ending, checkpoint: str, wall: float
-    ) -> bool:
-        """Record the end of a run that a worker has listed.
-
-        :param checkpoint: last checkpoint of the run; empty if there is none.
-        :param wall: Unix time in seconds.
-        :returns: whether the run was known; unknown runs are ignored.
-        """
-        item = run.item
-        if item.step >= len(self.submission.steps):
-            return False
-        step = self.submission.steps[item.step]
-        if not self.remove_run(run) and not self._is_only_run(run):
-            return False
-        progress = self.get_step_progress(item.occurrence, item.step)
-        slot = step.get_slot(item.index)
-        if checkpoint:
-            progress.checkpoints[slot] = checkpoint
-        if self.is_final() or step.lasting:
-            return True
-        match ending:
-            case work.Ending.DONE:
-                self._record_done(item, step, progress, wall)
-            case work.Ending.FAILED:
-                self._record_failure(slot, step, progress, wall)
-        return True
-
     def remove_run(self, run: work.Run) -> bool:
         """Remove a run that does not exist any more.
 
@@ -247,14 +219,6 @@
         self.progress.reason = reason
         self.mark_changed()
 
-    def _is_only_run(self, run: work.Run) -> bool:
-        """Return whether an unrecorded run is the only one of its item."""
-        if run not in self.unrecorded:
-            return False
-        return all(
-            other.item != run.item for other, _ in self.iterate_active()
-        )
-
     def _list_due_occurrences(self, wall: float) -> Iterator[int]:
         schedule = self.submission.schedule
         finished = self.progress.finished
@@ -311,38 +275,3 @@
         )
         step = self.submission.steps[index]
         return Unit(self, occurrence, index, step, indexes, slot, ready_since)
-
-    def _record_done(
-        self,
-        item: work.Item,
-        step: work.Step,
-        progress: records.StepProgress,
-        wall: float,
-    ) -> None:
-        if step.gang:
-            progress.done.update(range(step.count))
-        else:
-            progress.done.add(item.index)
-        steps = self.progress.occurrences[item.occurrence]
-        for submitted_step, step_progress in zip(
-            self.submission.steps, steps, strict=True
-        ):
-            if len(step_progress.done) < submitted_step.count:
-                return
-        self.progress.finished.add(item.occurrence)
-        if len(self.progress.finished) >= self.submission.count_occurrences():
-            self.finish(work.JobState.COMPLETED, wall)
-
-    def _record_failure(
-        self,
-        slot: int,
-        step: work.Step,
-        progress: records.StepProgress,
-        wall: float,
-    ) -> None:
-        failures = progress.failures.get(slot, 0) + 1
-        progress.failures[slot] = failures
-        attempts = self.submission.terms.attempts
-        if failures >= attempts:
-            reason = f'a work item failed {failures} times'
-            self.finish(work.JobState.FAILED, wall, reason)
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -1,4 +1,4 @@
-"""Ledger of all jobs, workers and runs, with the rules for ending runs."""
+"""Ledger of all jobs, workers and runs, with the rules for stopping runs."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import crash_watch
 from damaskpin.coordinator import events
+from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import worker_state
 from damaskpin.model import leases
 from damaskpin.model import work
@@ -116,11 +117,10 @@
             step = job.submission.steps[run.item.step]
             reserved = step.get_reservation()
             version = job.stored_version
-            worker.add_run(
-                worker_state.PlacedRun(
-                    run, job, step, reserved, version, False, -1.0
-                )
+            placed = worker_state.PlacedRun(
+                run, job, step, reserved, version, False, -1.0
             )
+            worker.add_run(placed)
 
     def find_worker(
         self,
@@ -205,68 +205,12 @@
             step = job.get_step_progress(run.item.occurrence, run.item.step)
             slot = placed.step.get_slot(run.item.index)
             step.checkpoints[slot] = placed.checkpoint
-        job.remove_run(run)
+        outcomes.remove_lost_run(job, run)
         job.unrecorded.discard(run)
         events.log_run('run removed', run, worker, reason)
         if placed.step.gang:
             self.stop_gang(placed, reason)
 
-    def end_run(
-        self,
-        now: float,
-        wall: float,
-        worker: worker_state.Worker,
-        ended: work.EndedRun,
-    ) -> None:
-        """Record the end of a run that a worker has listed.
-
-        :param wall: Unix time in seconds.
-        :param ended: entry of the run in the worker's list of ended runs.
-        """
-        placed = worker.remove_run(ended.run)
-        if placed is None:
-            self._log_unrecorded_end(worker, ended)
-            worker.pending_ends.append(
-                worker_state.PendingEnd(ended.serial, None, 0)
-            )
-            return
-        job = placed.job
-        self.changed = True
-        worker.orders_due = True
-        self.counts[str(ended.ending)] += 1
-        was_final = job.is_final()
-        if not job.end_run(ended.run, ended.ending, ended.checkpoint, wall):
-            self._log_unrecorded_end(worker, ended)
-        job.unrecorded.discard(ended.run)
-        worker.pending_ends.append(
-            worker_state.PendingEnd(ended.serial, job, job.progress.version)
-        )
-        events.log_run(
-            'run ended',
-            ended.run,
-            worker,
-            str(ended.ending),
-            state=str(job.progress.state),
-            seconds=round(now - placed.placed_at, 3)
-            if placed.placed_at >= 0
-            else None,
-        )
-        match ended.ending:
-            case work.Ending.DONE:
-                worker.record_success(now)
-            case work.Ending.FAILED:
-                worker.record_failure(now, job)
-                self.avoid_worker(placed, worker)
-        if job.is_final() and not was_final:
-            events.log_job_end(job)
-        if job.progress.state is work.JobState.COMPLETED:
-            # The other members of the gang end without a stop order.
-            return
-        if job.is_final():
-            self.stop_job(job, f'job {job.progress.state}')
-        elif placed.step.gang and ended.ending is not work.Ending.DONE:
-            self.stop_gang(placed, f'a gang member {ended.ending}')
-
     def record_refusal(
         self, worker: worker_state.Worker, refused: orders.RefusedRun
     ) -> None:
@@ -368,25 +312,6 @@
         placed.job.move_counts[item] = moves
         return moves <= MAX_MOVES
 
-    def _log_unrecorded_end(
-        self, worker: worker_state.Worker, ended: work.EndedRun
-    ) -> None:
-        """Log the end of a run that no job has recorded as active.
-
-        A former coordinator may have recorded the end.
-        """
-        job = self.jobs.get(ended.run.item.job)
-        is_done = job is None or job.is_done(ended.run.item)
-        if not is_done:
-            self.counts[f'unrecorded {ended.ending}'] += 1
-        events.log_run(
-            'end of an unrecorded run',
-            ended.run,
-            worker,
-            str(ended.ending),
-            item_done=is_done,
-        )
-
     def _transfer_runs_to_new_lifetime(
         self, now: float, former: worker_state.Worker, lifetime: work.Lifetime
     ) -> None:
--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -38,6 +38,8 @@
     :ivar numbers: latest run number by slot.
     :ivar checkpoints: latest checkpoint by slot.
     :ivar active: runs that may exist on workers.
+    :ivar removed: numbers of the latest runs that were removed although no
+        worker has listed their end, by the index of the work item.
     :ivar crashes: numbers of the runs under which a worker has crashed by
         slot, and whether the run had been started shortly before. Those of
         gangs were counted together here; they are in ``member_crashes`` now.
@@ -56,6 +58,7 @@
         default_factory=dict
     )
     unanswered: dict[int, set[int]] = msgspec.field(default_factory=dict)
+    removed: dict[int, list[int]] = msgspec.field(default_factory=dict)
 
 
 class Progress(msgspec.Struct, omit_defaults=True):
--- a/tests/test_coordinator/test_coordinator_failures.py
+++ b/tests/test_coordinator/test_coordinator_failures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from damaskpin.coordinator import ends
 from damaskpin.model import work
 from tests.test_coordinator import builders
 
@@ -20,7 +21,7 @@
     )
     run = next(iter(worker.runs))
     row = work.EndedRun(1, run, work.Ending.FAILED, '')
-    ledger.end_run(NOW, builders.WALL, worker, row)
+    ends.record_end(NOW, builders.WALL, ledger, worker, row)
     builders.decide(ledger, NOW + 0.1)
     assert builders.list_runs(ledger, job)[0] != first
 
@@ -35,7 +36,7 @@
             failed_workers.append(worker)
             row = work.EndedRun(worker.last_end_serial + 1, run, FAILED, '')
             worker.last_end_serial += 1
-            ledger.end_run(now, builders.WALL, worker, row)
+            ends.record_end(now, builders.WALL, ledger, worker, row)
     return failed_workers
 
 
--- a/tests/test_coordinator/test_coordinator_placement.py
+++ b/tests/test_coordinator/test_coordinator_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from damaskpin.coordinator import ends
+from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import tentative_plan
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -72,12 +74,12 @@
     worker = next(iter(ledger.workers.values()))
     for run in list(worker.runs)[:4]:
         worker.remove_run(run)
-        first.end_run(run, work.Ending.DONE, '', builders.WALL)
+        outcomes.record_end(first, run, work.Ending.DONE, '', builders.WALL)
     builders.decide(ledger, NOW + 1.0)
     assert builders.list_runs(ledger, ledger.jobs['more']) == {}
     for run in list(worker.runs):
         worker.remove_run(run)
-        first.end_run(run, work.Ending.DONE, '', builders.WALL)
+        outcomes.record_end(first, run, work.Ending.DONE, '', builders.WALL)
     builders.decide(ledger, NOW + 2.0)
     assert builders.list_runs(ledger, large) == {0: 'w0'}
 
@@ -249,7 +251,7 @@
         )
         ending = work.Ending.FAILED if serial % 2 else work.Ending.DONE
         row = work.EndedRun(serial, next(iter(worker.runs)), ending, '')
-        ledger.end_run(NOW + serial, builders.WALL, worker, row)
+        ends.record_end(NOW + serial, builders.WALL, ledger, worker, row)
     assert job.progress.state is work.JobState.RUNNING
     builders.decide(ledger, NOW + 20.0)
     assert list(builders.list_runs(ledger, job)) == [0]
--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from damaskpin.coordinator import ends
 from damaskpin.coordinator import supervision
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -92,7 +93,7 @@
                         work.Ending.STOPPED,
                         '',
                     )
-                    ledger.end_run(now, builders.WALL, worker, row)
+                    ends.record_end(now, builders.WALL, ledger, worker, row)
         now += 5.0
         builders.decide(ledger, now)
         builders.report_all_runs_begun(ledger, now)
