Stop the runs of ended work after a takeover

Callers could see runs of a cancelled job go on. The job's state is stored before the orders to stop its runs have certainly arrived, and a new coordinator, which loads these runs with the job, ordered no stop: a cancellation of a job that has ended does nothing, and agents drop the orders of the former coordinator. The same holds for a later run of a work item whose earlier run has ended well.

An active run of a work item or job that has ended is now ordered to stop when it is loaded.

Evidence: without the change test_new_coordinator_stops_the_runs_of_a_ cancelled_job and test_new_coordinator_stops_the_active_run_of_a_work_ item_that_has_ended fail with "AssertionError: assert Run(item=Item( job='job', ...), number=1) in ()", the stops of the first orders (number 2 in the other test).

--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -120,6 +120,10 @@
             placed = worker_state.PlacedRun(
                 run, job, step, reserved, version, False, -1.0
             )
+            if job.is_done(run.item):
+                # A former coordinator may not have stopped the run yet.
+                placed.stop_reason = 'the work item has ended'
+                worker.orders_due = True
             worker.add_run(placed)
 
     def find_worker(
--- a/tests/test_coordinator/test_coordinator_removed_runs.py
+++ b/tests/test_coordinator/test_coordinator_removed_runs.py
@@ -295,6 +295,41 @@
     assert answer.observed == 1
 
 
+def test_new_coordinator_stops_the_active_run_of_a_work_item_that_has_ended():
+    """Guards against a run that goes on after a good end of an earlier one.
+
+    The coordinator that has ordered the stop is replaced.
+    """
+    coordinator, ledger, job = _make_coordinator(_make_large_step())
+    run = _find_run(ledger)
+    worker = _remove(coordinator, ledger, run)
+    builders.decide(ledger, NOW + 0.5)
+    later = _find_run(ledger)
+    later_worker = _find_worker(ledger, later)
+    _list_end(coordinator, worker, run, work.Ending.DONE)
+    successor, _, _ = _replace_coordinator(coordinator, job)
+    row = work.RunningRun(later, '', 5.0)
+    answer = _report(successor, later_worker, running=(row,))
+    assert later in answer.stops
+
+
+def test_new_coordinator_stops_the_runs_of_a_cancelled_job():
+    """Guards against runs that go on after their job was cancelled.
+
+    The coordinator that has stored the state is replaced before its orders to
+    stop the runs arrive.
+    """
+    coordinator, ledger, job = _make_coordinator(_make_large_step())
+    run = _find_run(ledger)
+    worker = _find_worker(ledger, run)
+    coordinator.cancel_job(WALL, 'job')
+    successor, _, _ = _replace_coordinator(coordinator, job)
+    successor.cancel_job(WALL, 'job')
+    row = work.RunningRun(run, '', 5.0)
+    answer = _report(successor, worker, running=(row,))
+    assert run in answer.stops
+
+
 @pytest.mark.parametrize('ending', [work.Ending.DONE, work.Ending.FAILED])
 def test_end_of_a_removed_run_of_a_cancelled_job_changes_nothing(ending):
     """Guards against a cancelled job that is shown in another state."""
