Call a restarted worker as soon as it listens

What callers could see: a work item that runs twice, by the late copy of a start that a worker's next process of the same id carries out.

Cause: the first call that a process receives voids all earlier ones, but after a refused connection the agent waited 0.25 s before it called again.

Change: 0.05 s after a refused connection; a call that was sent and not answered is still followed by 0.25 s. This makes the time narrower in which the fault can happen and does not end it.

--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -37,12 +37,13 @@
 # seconds.
 ENTRIES_READ_INTERVAL_S = 1.0
 
-# Pause after a lease renewal that the worker refused, and after one that asked
-# it to answer without waiting for a run to end, in seconds.
+# Pause in seconds after a lease renewal that the worker refused, after one that
+# asked it to answer without waiting for a run to end, and after a refused
+# connection. The first call voids earlier ones, so it should reach a new
+# process of the worker as soon as that listens.
 RENEWAL_PAUSE_S = 0.05
 
-# Pause after a lease renewal without an answer, in seconds: connections to a
-# dead worker are refused at once, so an unpaused loop would spin.
+# Pause after a lease renewal that was sent and not answered, in seconds.
 UNANSWERED_PAUSE_S = 0.25
 
 
@@ -156,10 +157,7 @@
             self.counts[f'hold {type(result).__name__.lower()}'] += 1
             self.agent.handle_poll_result(now, send_time, call, result)
             self.send_due()
-            if isinstance(result, calls.Unanswered):
-                await asyncio.sleep(UNANSWERED_PAUSE_S)
-            elif not isinstance(result, calls.Lists) or not call.wait:
-                await asyncio.sleep(RENEWAL_PAUSE_S)
+            await asyncio.sleep(get_renewal_pause(call, result))
 
     async def _perform_call(
         self, call: calls.StartCall | calls.StopCall
@@ -273,3 +271,13 @@
     def _handle_peer_failure(self, address: str) -> None:
         LOG.info('peer did not answer', extra={'peer': address})
         self.agent.report_requested = True
+
+
+def get_renewal_pause(call: calls.PollCall, result: calls.Result) -> float:
+    """Return the pause before the next lease renewal, in seconds."""
+    match result:
+        case calls.Unanswered(sent=True):
+            return UNANSWERED_PAUSE_S
+        case calls.Lists() if call.wait:
+            return 0.0
+    return RENEWAL_PAUSE_S
