--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -37,8 +37,8 @@
 # seconds.
 ENTRIES_READ_INTERVAL_S = 1.0
 
-# Pause in seconds after a lease renewal that the worker refused, after one that
-# asked it to answer without waiting for a run to end, and after a refused
+# Pause in seconds after a lease renewal that the worker refused, after one
+# that asked it to answer without waiting for a run to end, and after a refused
 # connection. The first call voids earlier ones, so it should reach a new
 # process of the worker as soon as that listens.
 RENEWAL_PAUSE_S = 0.05
