Bound a lease renewal by the time from now, not from the clock reading

Cause: the agent added the time since its last reading of the worker's clock to that reading. If the worker's clock stood still while the machine was suspended, the renewal was too long by the suspension.

A renewal now expires at the reading plus the time from now to the grant's end (at most a full lease). The worker's clock shows at least the reading by then, so that no gap has to be detected. Starts wait for a new reading if the old one may leave less than 0.5 s of lease; its age counts from the poll's sending, because an answer may lie unread while the agent stands still. A poll after a standstill asks for an answer at once, or a lease that the old reading can't lengthen would run out while the worker waits for an end.

get_lease_remaining counted up to 0.25 s before a reading as elapsed after it; a reading now takes the time first. Its other parts, heartbeats that are late and get_latest_run_end err to the safe side.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -259,7 +259,7 @@
         until = self._lease_tracker.extend_lease(now)
         if (
             until is None
-            or self._lease_tracker.get_grant_remaining(now) < MIN_START_LEASE_S
+            or self._lease_tracker.get_certain_lease(now) < MIN_START_LEASE_S
         ):
             return due_calls
         due_calls.extend(
@@ -286,6 +286,9 @@
             or self._attempts.has_unconfirmed_stop()
         ):
             wait = 0.0
+        if self._lease_tracker.is_reading_old(now):
+            # After a standstill a full lease needs a new clock reading.
+            wait = 0.0
         return calls.PollCall(
             self.profile.lifetime,
             self.fence,
@@ -514,7 +517,7 @@
             # A silent worker's lease is only renewed again once the
             # coordinator has answered a new report.
             self.report_requested = True
-        self._lease_tracker.record_answer(now, lists.clock)
+        self._lease_tracker.record_answer(now, sent, lists.clock)
         if self._run_lists.update(call.fence, lists):
             self.report_requested = True
         self._attempts.apply_running(now, lists)
--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -1,4 +1,12 @@
-"""Tracking of a worker's clock, response times and lease expiry."""
+"""Tracking of a worker's clock, response times and lease expiry.
+
+A renewal at a time ``now`` expires at the last reading of the worker's clock
+plus the shorter of a full lease and the time from ``now`` to the grant's end.
+The worker's clock shows the reading or more by then, so the lease ends no
+later than the grant, plus 2% for a slow clock, as the coordinator counts. The
+time since the reading is not added: the worker's clock may have stood still
+for all of it while the machine was suspended.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +22,11 @@
 # machine was suspended, and the worker's clock may have stood still as well.
 MAX_ELAPSED_STEP_S = 0.25
 
+# Seconds after which a clock reading counts as old. It is longer than a poll
+# that waits at the worker and the pause after it, and much shorter than a
+# lease.
+MAX_READING_AGE_S = 0.8
+
 
 class LeaseTracker:
     """Tracks how long a worker has been silent and when its lease expires.
@@ -33,7 +46,7 @@
 
     __slots__ = (
         '_clock',
-        '_clock_read_time',
+        '_earliest_read_time',
         '_elapsed_time',
         '_elapsed_time_at_read',
         '_grant',
@@ -72,7 +85,7 @@
     def reset(self) -> None:
         """Discard the clock and lease state of the previous worker process."""
         self._clock: int | None = None
-        self._clock_read_time = 0.0
+        self._earliest_read_time = 0.0
         self._elapsed_time_at_read = 0.0
         self._lease_expiry = 0
         self._last_answer_time = 0.0
@@ -113,11 +126,12 @@
         # duration, so the latest possible expiry is assumed.
         self._lease_expiry = clock + int(self._longest_lease * 1000)
         self._last_answer_time = now
-        self._set_clock(now, clock)
+        self._set_clock(now, now, clock)
 
-    def record_answer(self, now: float, clock: int) -> None:
+    def record_answer(self, now: float, sent: float, clock: int) -> None:
         """Record an answered poll and the worker's clock reading in it.
 
+        :param sent: time in seconds at which the poll was sent.
         :param clock: milliseconds on the worker's clock.
         """
         if not self._has_answered_poll:
@@ -128,7 +142,7 @@
             self._lease_expiry = max(self._lease_expiry, assumed_expiry)
         self._last_answer_time = now
         self._last_poll_failed = False
-        self._set_clock(now, clock)
+        self._set_clock(now, sent, clock)
 
     def record_failure(self) -> None:
         """Record that the worker did not answer a poll."""
@@ -182,9 +196,16 @@
                 self._grant_deadline, echo + self._grant
             )
 
-    def get_grant_remaining(self, now: float) -> float:
-        """Return the seconds for which the lease may still be renewed."""
-        return self._grant_deadline - now
+    def get_certain_lease(self, now: float) -> float:
+        """Return the seconds of lease that a renewal certainly gives.
+
+        The worker's clock may have advanced by all the time since it was read.
+        """
+        return self._get_renewal_time(now) - self._get_reading_age(now)
+
+    def is_reading_old(self, now: float) -> bool:
+        """Return whether a renewal needs a new clock reading first."""
+        return self._get_reading_age(now) > MAX_READING_AGE_S
 
     def extend_lease(self, now: float) -> int | None:
         """Return the expiry time for a lease renewal and record it.
@@ -197,10 +218,10 @@
         """
         if self._clock is None or self._last_poll_failed:
             return None
-        if self._grant_deadline <= now:
+        renewal_time = self._get_renewal_time(now)
+        if renewal_time <= 0:
             return None
-        expiry = min(self._grant_deadline, now + self._lease)
-        until = self._clock + int((expiry - self._clock_read_time) * 1000)
+        until = self._clock + int(renewal_time * 1000)
         self._lease_expiry = max(self._lease_expiry, until)
         return until
 
@@ -228,7 +249,21 @@
         remaining -= self._elapsed_time - self._elapsed_time_at_read
         return remaining + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
 
-    def _set_clock(self, now: float, clock: int) -> None:
+    def _get_renewal_time(self, now: float) -> float:
+        """Return the seconds for which the lease may be renewed now."""
+        return min(self._grant_deadline - now, self._lease)
+
+    def _get_reading_age(self, now: float) -> float:
+        """Return the greatest age in seconds of the worker's clock reading."""
+        return now - self._earliest_read_time
+
+    def _set_clock(self, now: float, earliest: float, clock: int) -> None:
+        """Record a reading of the worker's clock.
+
+        :param earliest: earliest time at which the worker read its clock.
+        """
+        # The time up to now must not count as elapsed since the reading.
+        self.advance_elapsed_time(now)
         self._clock = clock
-        self._clock_read_time = now
+        self._earliest_read_time = earliest
         self._elapsed_time_at_read = self._elapsed_time
