Take a worker's notice of leaving as an announcement, not as its end

Cause: Agent.handle_leave discarded the worker and reported it as left. By the protocol a worker without an acknowledgement ends "anyway, some seconds later".

The worker has left when a connection is refused, another process answers, or the lease of a worker that does not answer has ended. A refusal is told from other errors by the system's error: libcurl's E_COULDNT_CONNECT, and with it sent=False, also stands for a network that can't be reached. Only a machine on which no process listens at the address refuses a connection; a frozen process or one with a full queue does not answer. Ends that the worker has listed are recorded before it counts as left. If the next process has the same id, the runs are stopped there as after any restart, since calls to the former one may reach it.

handle_leave now takes the time, so two tests name it. Nothing that they check has changed.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -9,6 +9,7 @@
 from damaskpin.agent import attempts
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
+from damaskpin.agent import departure as departures
 from damaskpin.agent import fencing
 from damaskpin.agent import lease_tracker as lease_trackers
 from damaskpin.agent import run_lists
@@ -62,15 +63,13 @@
     __slots__ = (
         '_attempts',
         '_crash_log',
-        '_ended_lifetime',
+        '_departure',
         '_instance',
         '_lease_tracker',
         '_order_sequence',
         '_report_sequence',
         '_run_lists',
-        '_shut_down_lifetime',
         '_token',
-        '_unproved_leave',
         'coordinator',
         'entries',
         'fence',
@@ -91,9 +90,7 @@
         self._instance = instance
         self.process = make_process_id()
         self.profile: orders.WorkerProfile | None = None
-        self._shut_down_lifetime: work.Lifetime | None = None
-        self._unproved_leave: work.Lifetime | None = None
-        self._ended_lifetime: work.Lifetime | None = None
+        self._departure = departures.Departure()
         self.fence = 0
         self._token = fencing.CallToken()
         self.coordinator = ''
@@ -120,9 +117,13 @@
 
         :param clock: milliseconds on the worker's clock.
         """
-        if profile.lifetime == self._ended_lifetime:
+        if self._departure.has_ended(profile.lifetime):
             LOG.info('heartbeat of an ended worker process ignored')
             return
+        if self._departure.is_leaving(profile):
+            # A heartbeat that was overtaken by the notice of leaving may say
+            # that the worker does not drain.
+            return
         previous = self.profile
         if previous is not None and previous.lifetime != profile.lifetime:
             if profile.lifetime.born < previous.lifetime.born:
@@ -137,6 +138,11 @@
                 )
                 return
             self._record_crash(now)
+            self._departure.record_end(
+                now,
+                departures.Proof.REPLACED,
+                previous.lifetime.worker == profile.lifetime.worker,
+            )
             self._discard_worker_state()
         if previous is None or previous.lifetime != profile.lifetime:
             LOG.info(
@@ -157,28 +163,18 @@
                 },
             )
             self.report_requested = True
-        if self._shut_down_lifetime == profile.lifetime:
-            return
         self.profile = profile
         self._lease_tracker.record_heartbeat(now, clock)
 
-    def handle_leave(self, worker: str) -> None:
-        """Record that the worker has announced its shutdown."""
+    def handle_leave(self, now: float, worker: str) -> None:
+        """Record that the worker has announced its end."""
         if self.profile is None or self.profile.lifetime.worker != worker:
             return
-        if not self.profile.draining:
-            # The notice names no process. A worker that leaves has said before
-            # that it drains, so this one may be about a former process: it
-            # proves no end, but an end that follows is no crash.
-            LOG.info(
-                'notice of leaving without a drain', extra={'worker': worker}
-            )
-            self._unproved_leave = self.profile.lifetime
-            return
-        LOG.info('worker left', extra={'worker': worker})
-        self._shut_down_lifetime = self.profile.lifetime
-        self._discard_worker_state()
-        self.report_requested = True
+        self._departure.record_notice(now, self.profile)
+
+    def is_worker_leaving(self) -> bool:
+        """Return whether the worker has given notice and may still run."""
+        return self._departure.is_leaving(self.profile)
 
     def handle_orders(self, now: float, message: orders.Orders) -> bool:
         """Apply orders of the coordinator unless they are outdated.
@@ -244,6 +240,9 @@
         if profile is None:
             return []
         if self._lease_tracker.is_lease_expired(now):
+            if self.is_worker_leaving():
+                self._end_departure(now, departures.Proof.LEASE_ENDED)
+                return []
             self._refuse_runs_of_expired_lease(now)
             return []
         due_calls: list[calls.StartCall | calls.StopCall] = []
@@ -289,11 +288,18 @@
         if self._lease_tracker.is_reading_old(now):
             # After a standstill a full lease needs a new clock reading.
             wait = 0.0
+        if self.is_worker_leaving():
+            # The poll looks for the end of the process. Its lease is left to
+            # expire, in case that nothing else proves the end.
+            wait = 0.0
+            until = None
+        else:
+            until = self._lease_tracker.extend_lease(now)
         return calls.PollCall(
             self.profile.lifetime,
             self.fence,
             self._get_acknowledged_serial(now),
-            self._lease_tracker.extend_lease(now),
+            until,
             wait,
             self._token.value,
         )
@@ -325,7 +331,7 @@
                         'running': len(result.running),
                     },
                 )
-                self._end_lifetime(now)
+                self._end_lifetime(now, keeps_id=True)
             case calls.Lists():
                 self._record_lists(now, sent, call, result)
             case calls.Refused(reason=calls.OTHER_LIFETIME):
@@ -333,12 +339,14 @@
                     'another worker answers; waiting for its heartbeat',
                     extra={'worker': call.lifetime.worker},
                 )
-                self._end_lifetime(now)
+                self._end_lifetime(now, keeps_id=False)
             case calls.Refused(outranked=True):
                 self._handle_outranked_poll(call)
             case calls.Unanswered():
                 self._lease_tracker.record_failure()
                 self._outrank(call, result)
+                if result.refused and self.is_worker_leaving():
+                    self._handle_refused_connection(now)
 
     def handle_start_result(
         self, now: float, call: calls.StartCall, result: calls.Result
@@ -381,7 +389,7 @@
             now,
             self._report_sequence,
             self.profile,
-            self._shut_down_lifetime,
+            self._departure.left,
             self.fence,
             lists_fence,
             running,
@@ -411,17 +419,39 @@
             },
         )
 
-    def _end_lifetime(self, now: float) -> None:
+    def _end_lifetime(self, now: float, keeps_id: bool) -> None:
         """Discard the state of a process that another has replaced.
 
         The answer of the other one proves the end. Heartbeats of the ended
         process that arrive later are ignored.
+
+        :param keeps_id: whether the other one has the same id.
         """
         if self.profile is not None:
-            self._ended_lifetime = self.profile.lifetime
+            self._departure.replaced = self.profile.lifetime
         self._record_crash(now)
+        self._departure.record_end(now, departures.Proof.REPLACED, keeps_id)
         self._discard_worker_state()
 
+    def _handle_refused_connection(self, now: float) -> None:
+        """Report the end of a process that has given notice.
+
+        Ends of runs that it has listed are reported first, as they would be
+        lost with its lists; if the coordinator can't be reached, until the
+        lease has ended. Lists that an earlier coordinator has asked for can't
+        be reported any more.
+        """
+        lists = self._run_lists
+        if lists.fence == self.fence and lists.has_unrecorded_end():
+            return
+        self._end_departure(now, departures.Proof.REFUSED)
+
+    def _end_departure(self, now: float, proof: departures.Proof) -> None:
+        """Report that the worker has left, and discard its state."""
+        self._departure.record_end(now, proof)
+        self._discard_worker_state()
+        self.report_requested = True
+
     def _handle_outranked_poll(self, call: calls.PollCall) -> None:
         """Report that the worker has seen a higher token, if that persists.
 
@@ -458,7 +488,7 @@
         """
         if self.profile is None or self.profile.draining:
             return
-        if self.profile.lifetime == self._unproved_leave:
+        if self._departure.is_announced(self.profile.lifetime):
             return
         self._crash_log.record(
             now,
--- a/damaskpin/agent/calls.py
+++ b/damaskpin/agent/calls.py
@@ -111,10 +111,13 @@
     The worker may have carried the call out or may still do so.
 
     :ivar sent: whether the call may have reached the worker.
+    :ivar refused: whether a connection to the worker was refused, so that no
+        process listens at its address.
     """
 
     reason: str
     sent: bool = True
+    refused: bool = False
 
 
 Result = Lists | Accepted | Refused | Unanswered
--- a/damaskpin/connections.py
+++ b/damaskpin/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 
@@ -69,9 +70,16 @@
     :param is_fresh: whether to open a new connection.
     :ivar has_begun: whether a connection was ready and sending has begun.
     :ivar has_found_end: whether the connection had ended before.
+    :ivar curl: libcurl's handle of the request; ``None`` before it has one.
     """
 
-    __slots__ = ('_connections', 'has_begun', 'has_found_end', 'is_fresh')
+    __slots__ = (
+        '_connections',
+        'curl',
+        'has_begun',
+        'has_found_end',
+        'is_fresh',
+    )
 
     def __init__(
         self, connections: Connections, is_fresh: bool = False
@@ -80,6 +88,17 @@
         self.is_fresh = is_fresh
         self.has_begun = False
         self.has_found_end = False
+        self.curl: pycurl.Curl | None = None
+
+    def was_refused(self) -> bool:
+        """Return whether the last attempt to connect was refused.
+
+        libcurl's error for a failed connection also stands for a network that
+        can't be reached, which says nothing about the server.
+        """
+        if self.curl is None:
+            return False
+        return self.curl.getinfo(pycurl.OS_ERRNO) == errno.ECONNREFUSED
 
     def begin(
         self,
--- a/damaskpin/errors.py
+++ b/damaskpin/errors.py
@@ -100,11 +100,14 @@
 
     :param reason: description of the failure.
     :param sent: whether the server may have received the call.
+    :param refused: whether the server's machine refused a connection, which
+        it does only while no process listens at the address.
     """
 
-    def __init__(self, reason: str, sent: bool) -> None:
+    def __init__(self, reason: str, sent: bool, refused: bool = False) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.refused = refused
 
 
 class CallRefusedError(CallError):
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -124,7 +124,7 @@
     :ivar profile: properties of the worker; ``None`` before the worker's
         first heartbeat.
     :ivar left: identity of the last worker process that announced its
-        shutdown, or ``None``.
+        shutdown and has certainly ended since, or ``None``.
     :ivar fence: highest fencing token that the agent knows.
     :ivar list_fence: fencing token under which the lists of runs were read
         from the worker; 0 if the report has no lists.
--- a/damaskpin/platform/control.py
+++ b/damaskpin/platform/control.py
@@ -63,8 +63,8 @@
         self._runtime = runtime
 
     def post(self, worker: str) -> None:
-        """Record that the worker has deregistered."""
-        self._runtime.agent.handle_leave(worker)
+        """Pass the worker's notice that it leaves to the agent."""
+        self._runtime.agent.handle_leave(clocks.get_monotonic_time(), worker)
         self._runtime.send_due()
         self.finish(b'{}')
 
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -98,7 +98,7 @@
         try:
             answer = await self._caller.call(request)
         except errors.CallError as error:
-            return calls.Unanswered(str(error), error.sent)
+            return calls.Unanswered(str(error), error.sent, error.refused)
         if answer.status == 421:
             return calls.Refused(calls.OTHER_LIFETIME)
         try:
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -156,10 +156,22 @@
             self.counts[f'hold {type(result).__name__.lower()}'] += 1
             self.agent.handle_poll_result(now, send_time, call, result)
             self.send_due()
-            if isinstance(result, calls.Unanswered):
-                await asyncio.sleep(UNANSWERED_PAUSE_S)
-            elif not isinstance(result, calls.Lists) or not call.wait:
-                await asyncio.sleep(RENEWAL_PAUSE_S)
+            await asyncio.sleep(self._choose_pause(call, result))
+
+    def _choose_pause(
+        self, call: calls.PollCall, result: calls.Result
+    ) -> float:
+        """Return the pause in seconds after a lease renewal."""
+        if isinstance(result, calls.Lists) and call.wait:
+            return 0.0
+        if (
+            isinstance(result, calls.Unanswered)
+            and not self.agent.is_worker_leaving()
+        ):
+            return UNANSWERED_PAUSE_S
+        # The runs of a worker that leaves are free once a connection to it is
+        # refused.
+        return RENEWAL_PAUSE_S
 
     async def _perform_call(
         self, call: calls.StartCall | calls.StopCall
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -142,7 +142,13 @@
             # a broken connection is always raised.
             sent = sending.has_begun or error.errno not in UNSENT_ERRORS
             self._record_error(error)
-            raise errors.CallError(describe_error(error), sent) from error
+            refused = (
+                error.errno == pycurl.E_COULDNT_CONNECT
+                and sending.was_refused()
+            )
+            raise errors.CallError(
+                describe_error(error), sent, refused
+            ) from error
         return HttpAnswer(answer.code, answer.body or b'')
 
     def _record_error(self, error: curl_httpclient.CurlError) -> None:
@@ -162,6 +168,7 @@
     def _prepare_curl(
         self, method: str, sending: connections.Sending, curl: pycurl.Curl
     ) -> None:
+        sending.curl = curl
         self._avoid_old_connections(curl)
         curl.setopt(pycurl.SOCKOPTFUNCTION, self._connections.add)
         if sending.is_fresh:
--- a/tests/test_agent/test_agent_crash_log.py
+++ b/tests/test_agent/test_agent_crash_log.py
@@ -121,7 +121,7 @@
 def test_announced_end_is_no_crash():
     """Guards against blaming work for a drain, with and without notice."""
     left = _make_agent(calls.Accepted(1010))
-    left.handle_leave('w1')
+    left.handle_leave(NOW + 1.0, 'w1')
     assert _replace_worker(left, NOW + 3.0) == ()
     drained = _make_agent(calls.Accepted(1010))
     drained.handle_heartbeat(NOW + 1.0, _make_profile(draining=True), 2000)
--- a/tests/test_agent/test_agent_former_processes.py
+++ b/tests/test_agent/test_agent_former_processes.py
@@ -74,7 +74,7 @@
     running = (work.RunningRun(RUN, '', 5.0),)
     lists = calls.Lists(200, newer.born, running, ())
     _poll(agent, NOW + 3.1, lists)
-    agent.handle_leave(LIFETIME.worker)
+    agent.handle_leave(NOW + 3.2, LIFETIME.worker)
     report = agent.make_report(NOW + 3.2)
     assert report.left != newer
 
--- a/tests/test_runtime/test_runtime_transport.py
+++ b/tests/test_runtime/test_runtime_transport.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+import socket
 
 import pytest
 
@@ -50,6 +52,53 @@
     assert not caught.value.sent
 
 
+async def _call_full_server() -> None:
+    """Call a server whose queue of new connections is full."""
+    server = socket.socket()
+    server.bind(('127.0.0.1', 0))
+    server.listen(0)
+    waiting = [socket.socket() for _ in range(3)]
+    for connection in waiting:
+        connection.setblocking(False)
+        connection.connect_ex(server.getsockname())
+    caller = transport.HttpCaller(f'127.0.0.1:{server.getsockname()[1]}')
+    try:
+        await caller.call(transport.HttpRequest('POST', '/', b'{}', 0.2))
+    finally:
+        caller.close()
+        server.close()
+        for connection in waiting:
+            connection.close()
+
+
+async def _call(address: str) -> None:
+    caller = transport.HttpCaller(address)
+    try:
+        await caller.call(transport.HttpRequest('POST', '/', b'{}', 0.5))
+    finally:
+        caller.close()
+
+
+@pytest.mark.parametrize(
+    ('call', 'refused'),
+    [
+        (functools.partial(_call, '127.0.0.1:9'), True),
+        (functools.partial(_call, '255.255.255.255:9'), False),
+        (_call_full_server, False),
+    ],
+    ids=['no listener', 'no network', 'full queue'],
+)
+def test_only_a_refused_connection_is_marked_refused(call, refused):
+    """Guards against a living worker that counts as one that has left.
+
+    libcurl has the same error for a refused connection and for a network that
+    can't be reached. A server with a full queue does not answer at all.
+    """
+    with pytest.raises(errors.CallError) as caught:
+        asyncio.run(call())
+    assert caught.value.refused is refused
+
+
 class _SilencedServer:
     """Answers each request; connections may go silent while new ones work."""
 
