--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -10,6 +10,7 @@
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
 from damaskpin.agent import departure as departures
+from damaskpin.agent import events
 from damaskpin.agent import fencing
 from damaskpin.agent import lease_tracker as lease_trackers
 from damaskpin.agent import run_lists
@@ -127,14 +128,8 @@
         previous = self.profile
         if previous is not None and previous.lifetime != profile.lifetime:
             if profile.lifetime.born < previous.lifetime.born:
-                LOG.info(
-                    'delayed heartbeat of a previous worker ignored',
-                    extra={
-                        'worker': profile.lifetime.worker,
-                        'born': profile.lifetime.born,
-                        'current': previous.lifetime.worker,
-                        'current_born': previous.lifetime.born,
-                    },
+                events.log_delayed_heartbeat(
+                    profile.lifetime, previous.lifetime
                 )
                 return
             self._record_crash(now)
@@ -145,23 +140,10 @@
             )
             self._discard_worker_state()
         if previous is None or previous.lifetime != profile.lifetime:
-            LOG.info(
-                'worker found',
-                extra={
-                    'worker': profile.lifetime.worker,
-                    'born': profile.lifetime.born,
-                },
-            )
+            events.log_worker(profile.lifetime)
             self.report_requested = True
         elif previous.draining != profile.draining:
-            LOG.info(
-                'worker state changed',
-                extra={
-                    'worker': profile.lifetime.worker,
-                    'draining': profile.draining,
-                    'remaining': profile.remaining,
-                },
-            )
+            events.log_worker_state(profile)
             self.report_requested = True
         self.profile = profile
         self._lease_tracker.record_heartbeat(now, clock)
@@ -322,15 +304,7 @@
             case calls.Lists(born=born) if born not in (0, call.lifetime.born):
                 # The worker was restarted with the same id; a heartbeat
                 # of the new process follows.
-                LOG.info(
-                    'worker restarted',
-                    extra={
-                        'worker': call.lifetime.worker,
-                        'born': born,
-                        'former_born': call.lifetime.born,
-                        'running': len(result.running),
-                    },
-                )
+                events.log_worker_restart(call.lifetime, result)
                 self._end_lifetime(now, keeps_id=True)
             case calls.Lists():
                 self._record_lists(now, sent, call, result)
@@ -410,14 +384,7 @@
         former = self.process
         self.process = make_process_id()
         self.report_requested = True
-        LOG.warning(
-            'agent goes on under a new process id',
-            extra={
-                'reason': reason,
-                'agent_process': self.process,
-                'former_process': former,
-            },
-        )
+        events.log_new_process_id(reason, self.process, former)
 
     def _end_lifetime(self, now: float, keeps_id: bool) -> None:
         """Discard the state of a process that another has replaced.
@@ -516,13 +483,10 @@
             now, self._run_lists.remove_running(), 'the lease has ended'
         )
         if newly_refused_count:
-            LOG.warning(
-                'lease of a silent worker expired',
-                extra={
-                    'worker': self.profile and self.profile.lifetime.worker,
-                    'silent': round(self._lease_tracker.get_silence(now), 3),
-                    'runs': newly_refused_count,
-                },
+            events.log_expired_lease(
+                self.profile,
+                self._lease_tracker.get_silence(now),
+                newly_refused_count,
             )
 
     def _get_acknowledged_serial(self, now: float) -> int:
--- a/damaskpin/agent/events.py
+++ b/damaskpin/agent/events.py
@@ -1,4 +1,4 @@
-"""Log records about the runs of an agent's worker."""
+"""Log records about an agent's worker and its runs."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
     from damaskpin.agent import attempts
     from damaskpin.agent import calls
     from damaskpin.model import work
+    from damaskpin.peer import orders
 
 LOG = logging.getLogger(__name__)
 
@@ -67,3 +68,91 @@
         'refused run is listed by the worker',
         extra={**log_fields.describe_run(run), 'reason': reason, 'born': born},
     )
+
+
+def log_worker(lifetime: work.Lifetime) -> None:
+    """Log that a process of the worker has registered."""
+    LOG.info(
+        'worker found',
+        extra={'worker': lifetime.worker, 'born': lifetime.born},
+    )
+
+
+def log_worker_state(profile: orders.WorkerProfile) -> None:
+    """Log that the worker has begun to drain, or says that it does not."""
+    LOG.info(
+        'worker state changed',
+        extra={
+            'worker': profile.lifetime.worker,
+            'draining': profile.draining,
+            'remaining': profile.remaining,
+        },
+    )
+
+
+def log_delayed_heartbeat(
+    lifetime: work.Lifetime, current: work.Lifetime
+) -> None:
+    """Log a heartbeat of a former process.
+
+    :param lifetime: process that has sent it.
+    :param current: process that is known now.
+    """
+    LOG.info(
+        'delayed heartbeat of a previous worker ignored',
+        extra={
+            'worker': lifetime.worker,
+            'born': lifetime.born,
+            'current': current.worker,
+            'current_born': current.born,
+        },
+    )
+
+
+def log_worker_restart(former: work.Lifetime, lists: calls.Lists) -> None:
+    """Log that another process with the same id answers.
+
+    :param former: process that the call was meant for.
+    """
+    LOG.info(
+        'worker restarted',
+        extra={
+            'worker': former.worker,
+            'born': lists.born,
+            'former_born': former.born,
+            'running': len(lists.running),
+        },
+    )
+
+
+def log_expired_lease(
+    profile: orders.WorkerProfile | None, silence: float, run_count: int
+) -> None:
+    """Log that the lease of a silent worker has expired.
+
+    :param silence: seconds since the worker's last answer.
+    :param run_count: number of runs that have ended with the lease.
+    """
+    LOG.warning(
+        'lease of a silent worker expired',
+        extra={
+            'worker': profile and profile.lifetime.worker,
+            'silent': round(silence, 3),
+            'runs': run_count,
+        },
+    )
+
+
+def log_new_process_id(reason: str, process: str, former: str) -> None:
+    """Log that the agent reports under a new process id.
+
+    :param reason: why the former id can't be used any more.
+    """
+    LOG.warning(
+        'agent goes on under a new process id',
+        extra={
+            'reason': reason,
+            'agent_process': process,
+            'former_process': former,
+        },
+    )
