--- a/damaskpin/agent/acknowledgements.py
+++ b/damaskpin/agent/acknowledgements.py
@@ -48,11 +48,13 @@
         '_acknowledged_until',
         '_has_listed_end',
         '_has_seen_replacement',
+        '_lifetime',
         '_undecided_until',
         'may_hide_ends',
     )
 
     def __init__(self) -> None:
+        self._lifetime: work.Lifetime | None = None
         self._undecided_until = 0.0
         self._acknowledged_until = 0.0
         self._has_seen_replacement = False
@@ -67,45 +69,38 @@
         self,
         now: float,
         call: calls.PollCall | calls.StartCall | calls.StopCall,
-        lifetime: work.Lifetime | None,
     ) -> None:
-        """Record a call that may still be carried out.
-
-        :param lifetime: current process of the worker; ``None`` if unknown.
-        """
+        """Record a call that may still be carried out by another process."""
         self._undecided_until = now + MAX_CALL_DELAY_S
-        if isinstance(call, calls.PollCall) and call.observed:
-            self._acknowledged_until = self._undecided_until
-            if lifetime is not None and lifetime != call.lifetime:
-                self.may_hide_ends |= lifetime.worker == call.lifetime.worker
-
-    def record_replacement(
-        self, now: float, former: work.Lifetime, worker: str, observed: int = 0
-    ) -> None:
-        """Record that another process of the worker has taken over.
-
-        :param worker: id of the worker to which the new process belongs.
-        :param observed: serial that a call meant for the former process has
-            acknowledged to the new one.
-        """
-        self._has_seen_replacement = True
+        if not isinstance(call, calls.PollCall) or not call.observed:
+            return
+        self._acknowledged_until = self._undecided_until
+        current = self._lifetime
+        if current is not None and current != call.lifetime:
+            self.may_hide_ends |= current.worker == call.lifetime.worker
+
+    def record_process(self, now: float, lifetime: work.Lifetime) -> None:
+        """Record that a process of the worker has registered."""
+        former = self._lifetime
+        self._lifetime = lifetime
         self._has_listed_end = False
-        if worker != former.worker:
-            # Calls to the former id are refused.
+        if former is None:
+            return
+        self._has_seen_replacement = True
+        if lifetime.worker != former.worker:
+            # The new process refuses calls to the former id.
             self._undecided_until = 0.0
             self._acknowledged_until = 0.0
             self.may_hide_ends = False
             return
-        is_undecided = now < self._acknowledged_until
-        self.may_hide_ends |= is_undecided or observed > 0
+        self.may_hide_ends |= now < self._acknowledged_until
         if self.may_hide_ends:
             LOG.warning(
                 'worker process may hide ends of runs',
                 extra={
-                    'worker': worker,
+                    'worker': lifetime.worker,
+                    'born': lifetime.born,
                     'former_born': former.born,
-                    'acknowledgement_undecided': is_undecided,
-                    'observed': observed,
                 },
             )
 
--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -10,6 +10,8 @@
 from damaskpin.agent import attempts
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
+from damaskpin.agent import departure as departures
+from damaskpin.agent import events
 from damaskpin.agent import fencing
 from damaskpin.agent import lease_tracker as lease_trackers
 from damaskpin.agent import run_lists
@@ -60,15 +62,13 @@
         '_acknowledgements',
         '_attempts',
         '_crash_log',
-        '_ended_lifetime',
+        '_departure',
         '_instance',
         '_lease_tracker',
         '_order_sequence',
         '_report_sequence',
         '_run_lists',
-        '_shut_down_lifetime',
         '_token',
-        '_unproved_leave',
         'coordinator',
         'entries',
         'fence',
@@ -89,9 +89,7 @@
         self._instance = instance
         self.process = make_process_id()
         self.profile: orders.WorkerProfile | None = None
-        self._shut_down_lifetime: work.Lifetime | None = None
-        self._unproved_leave: work.Lifetime | None = None
-        self._ended_lifetime: work.Lifetime | None = None
+        self._departure = departures.Departure()
         self.fence = 0
         self._token = fencing.CallToken()
         self.coordinator = ''
@@ -120,64 +118,46 @@
 
         :param clock: milliseconds on the worker's clock.
         """
-        if profile.lifetime == self._ended_lifetime:
+        if self._departure.has_ended(profile.lifetime):
             LOG.info('heartbeat of an ended worker process ignored')
             return
+        if self._departure.is_leaving(profile):
+            # A heartbeat that was overtaken by the notice of leaving may say
+            # that the worker does not drain.
+            return
         previous = self.profile
         if previous is not None and previous.lifetime != profile.lifetime:
             if profile.lifetime.born < previous.lifetime.born:
-                LOG.info(
-                    'delayed heartbeat of a previous worker ignored',
-                    extra={
-                        'worker': profile.lifetime.worker,
-                        'born': profile.lifetime.born,
-                        'current': previous.lifetime.worker,
-                        'current_born': previous.lifetime.born,
-                    },
+                events.log_delayed_heartbeat(
+                    profile.lifetime, previous.lifetime
                 )
                 return
-            self._replace_lifetime(now, profile.lifetime.worker)
-        if previous is None or previous.lifetime != profile.lifetime:
-            LOG.info(
-                'worker found',
-                extra={
-                    'worker': profile.lifetime.worker,
-                    'born': profile.lifetime.born,
-                },
+            self._record_crash(now)
+            self._departure.record_end(
+                now,
+                departures.Proof.REPLACED,
+                previous.lifetime.worker == profile.lifetime.worker,
             )
+            self._discard_worker_state()
+        if previous is None or previous.lifetime != profile.lifetime:
+            events.log_worker(profile.lifetime)
+            self._acknowledgements.record_process(now, profile.lifetime)
             self.report_requested = True
         elif previous.draining != profile.draining:
-            LOG.info(
-                'worker state changed',
-                extra={
-                    'worker': profile.lifetime.worker,
-                    'draining': profile.draining,
-                    'remaining': profile.remaining,
-                },
-            )
+            events.log_worker_state(profile)
             self.report_requested = True
-        if self._shut_down_lifetime == profile.lifetime:
-            return
         self.profile = profile
         self._lease_tracker.record_heartbeat(now, clock)
 
-    def handle_leave(self, worker: str) -> None:
-        """Record that the worker has announced its shutdown."""
+    def handle_leave(self, now: float, worker: str) -> None:
+        """Record that the worker has announced its end."""
         if self.profile is None or self.profile.lifetime.worker != worker:
             return
-        if not self.profile.draining:
-            # The notice names no process. A worker that leaves has said before
-            # that it drains, so this one may be about a former process: it
-            # proves no end, but an end that follows is no crash.
-            LOG.info(
-                'notice of leaving without a drain', extra={'worker': worker}
-            )
-            self._unproved_leave = self.profile.lifetime
-            return
-        LOG.info('worker left', extra={'worker': worker})
-        self._shut_down_lifetime = self.profile.lifetime
-        self._discard_worker_state()
-        self.report_requested = True
+        self._departure.record_notice(now, self.profile)
+
+    def is_worker_leaving(self) -> bool:
+        """Return whether the worker has given notice and may still run."""
+        return self._departure.is_leaving(self.profile)
 
     def handle_orders(self, now: float, message: orders.Orders) -> bool:
         """Apply orders of the coordinator unless they are outdated.
@@ -245,6 +225,9 @@
         if profile is None:
             return []
         if self._lease_tracker.is_lease_expired(now):
+            if self.is_worker_leaving():
+                self._end_departure(now, departures.Proof.LEASE_ENDED)
+                return []
             self._refuse_runs_of_expired_lease(now)
             return []
         due_calls: list[calls.StartCall | calls.StopCall] = []
@@ -260,7 +243,7 @@
         until = self._lease_tracker.extend_lease(now)
         if (
             until is None
-            or self._lease_tracker.get_grant_remaining(now) < MIN_START_LEASE_S
+            or self._lease_tracker.get_certain_lease(now) < MIN_START_LEASE_S
         ):
             return due_calls
         due_calls.extend(
@@ -277,14 +260,6 @@
         """
         if self.profile is None or not self.fence:
             return None
-        wait = POLL_WAIT_S
-        if (
-            # The worker answers at once while it lists ended runs.
-            self._run_lists.count_ends()
-            or not self._run_lists.is_complete(self.fence)
-            or self._attempts.has_unconfirmed_stop()
-        ):
-            wait = 0.0
         acknowledged = 0
         if not self._lease_tracker.has_failed_poll():
             acknowledged = self._acknowledgements.get_serial(
@@ -292,12 +267,17 @@
                 self._lease_tracker.get_last_answer_time(),
                 self._run_lists,
             )
+        until = None
+        if not self.is_worker_leaving():
+            # The lease of a worker that leaves is left to expire, in case that
+            # nothing else proves its end.
+            until = self._lease_tracker.extend_lease(now)
         return calls.PollCall(
             self.profile.lifetime,
             self.fence,
             acknowledged,
-            self._lease_tracker.extend_lease(now),
-            wait,
+            until,
+            self._choose_poll_wait(now),
             self._token.value,
         )
 
@@ -319,16 +299,9 @@
             case calls.Lists(born=born) if born not in (0, call.lifetime.born):
                 # The worker was restarted with the same id; a heartbeat
                 # of the new process follows.
-                LOG.info(
-                    'worker restarted',
-                    extra={
-                        'worker': call.lifetime.worker,
-                        'born': born,
-                        'former_born': call.lifetime.born,
-                        'running': len(result.running),
-                    },
-                )
-                self._end_lifetime(now, call.lifetime.worker, call.observed)
+                events.log_worker_restart(call.lifetime, result)
+                self._acknowledgements.record_unanswered(now, call)
+                self._end_lifetime(now, keeps_id=True)
             case calls.Lists():
                 self._record_lists(now, sent, call, result)
             case calls.Refused(reason=calls.OTHER_LIFETIME):
@@ -336,12 +309,14 @@
                     'another worker answers; waiting for its heartbeat',
                     extra={'worker': call.lifetime.worker},
                 )
-                self._end_lifetime(now, '')
+                self._end_lifetime(now, keeps_id=False)
             case calls.Refused(outranked=True):
                 self._handle_outranked_poll(call)
             case calls.Unanswered():
                 self._lease_tracker.record_failure()
                 self._outrank(now, call, result)
+                if result.refused and self.is_worker_leaving():
+                    self._handle_refused_connection(now)
 
     def handle_start_result(
         self, now: float, call: calls.StartCall, result: calls.Result
@@ -390,7 +365,7 @@
             now,
             self._report_sequence,
             self.profile,
-            self._shut_down_lifetime,
+            self._departure.left,
             self.fence,
             lists_fence,
             running,
@@ -404,6 +379,21 @@
             lists_complete,
         )
 
+    def _choose_poll_wait(self, now: float) -> float:
+        """Return the seconds for which a poll may wait for a run to end."""
+        if (
+            # The worker answers at once while it lists ended runs.
+            self._run_lists.count_ends()
+            or not self._run_lists.is_complete(self.fence)
+            or self._attempts.has_unconfirmed_stop()
+            # After a standstill a full lease needs a new clock reading.
+            or self._lease_tracker.is_reading_old(now)
+            # The poll looks for the end of the process.
+            or self.is_worker_leaving()
+        ):
+            return 0.0
+        return POLL_WAIT_S
+
     def _begin_session(self, reason: str) -> None:
         """Report under a new id, for which the coordinator has a new number.
 
@@ -412,41 +402,41 @@
         former = self.process
         self.process = make_process_id()
         self.report_requested = True
-        LOG.warning(
-            'agent goes on under a new process id',
-            extra={
-                'reason': reason,
-                'agent_process': self.process,
-                'former_process': former,
-            },
-        )
+        events.log_new_process_id(reason, self.process, former)
 
-    def _end_lifetime(
-        self, now: float, worker: str, observed: int = 0
-    ) -> None:
+    def _end_lifetime(self, now: float, keeps_id: bool) -> None:
         """Discard the state of a process that another has replaced.
 
         The answer of the other one proves the end. Heartbeats of the ended
         process that arrive later are ignored.
 
-        :param worker: id of the worker that the other process belongs to;
-            empty if only known to be another one.
-        :param observed: serial that the answered call has acknowledged.
+        :param keeps_id: whether the other one has the same id.
         """
         if self.profile is not None:
-            self._ended_lifetime = self.profile.lifetime
-        self._replace_lifetime(now, worker, observed)
-
-    def _replace_lifetime(
-        self, now: float, worker: str, observed: int = 0
-    ) -> None:
-        if self.profile is not None:
-            self._acknowledgements.record_replacement(
-                now, self.profile.lifetime, worker, observed
-            )
+            self._departure.replaced = self.profile.lifetime
         self._record_crash(now)
+        self._departure.record_end(now, departures.Proof.REPLACED, keeps_id)
         self._discard_worker_state()
 
+    def _handle_refused_connection(self, now: float) -> None:
+        """Report the end of a process that has given notice.
+
+        Ends of runs that it has listed are reported first, as they would be
+        lost with its lists; if the coordinator can't be reached, until the
+        lease has ended. Lists that an earlier coordinator has asked for can't
+        be reported any more.
+        """
+        lists = self._run_lists
+        if lists.fence == self.fence and lists.has_unrecorded_end():
+            return
+        self._end_departure(now, departures.Proof.REFUSED)
+
+    def _end_departure(self, now: float, proof: departures.Proof) -> None:
+        """Report that the worker has left, and discard its state."""
+        self._departure.record_end(now, proof)
+        self._discard_worker_state()
+        self.report_requested = True
+
     def _handle_outranked_poll(self, call: calls.PollCall) -> None:
         """Report that the worker has seen a higher token, if that persists.
 
@@ -472,8 +462,7 @@
         """Raise the token above a call that may still be carried out."""
         if not isinstance(result, calls.Unanswered) or not result.sent:
             return
-        lifetime = self.profile.lifetime if self.profile is not None else None
-        self._acknowledgements.record_unanswered(now, call, lifetime)
+        self._acknowledgements.record_unanswered(now, call)
         if self._token.outrank(call.token):
             # The token can't rise again in this session.
             self._begin_session('the token has reached its last value')
@@ -486,7 +475,7 @@
         """
         if self.profile is None or self.profile.draining:
             return
-        if self.profile.lifetime == self._unproved_leave:
+        if self._departure.is_announced(self.profile.lifetime):
             return
         self._crash_log.record(
             now,
@@ -514,13 +503,10 @@
             now, self._run_lists.remove_running(), 'the lease has ended'
         )
         if newly_refused_count:
-            LOG.warning(
-                'lease of a silent worker expired',
-                extra={
-                    'worker': self.profile and self.profile.lifetime.worker,
-                    'silent': round(self._lease_tracker.get_silence(now), 3),
-                    'runs': newly_refused_count,
-                },
+            events.log_expired_lease(
+                self.profile,
+                self._lease_tracker.get_silence(now),
+                newly_refused_count,
             )
 
     def _record_lists(
@@ -534,7 +520,7 @@
             # A silent worker's lease is only renewed again once the
             # coordinator has answered a new report.
             self.report_requested = True
-        self._lease_tracker.record_answer(now, lists.clock)
+        self._lease_tracker.record_answer(now, sent, lists.clock)
         self._acknowledgements.record_lists(lists)
         if self._run_lists.update(call.fence, lists):
             self.report_requested = True
--- a/damaskpin/agent/run_lists.py
+++ b/damaskpin/agent/run_lists.py
@@ -77,6 +77,10 @@
             if row.serial > self.recorded_serial
         )
 
+    def has_unrecorded_end(self) -> bool:
+        """Return whether the coordinator has not recorded all ended runs."""
+        return self._get_last_serial() > self.recorded_serial
+
     def count_ends(self) -> int:
         """Return the number of listed ended runs."""
         return len(self.latest.ended) if self.latest is not None else 0
--- a/damaskpin/runtime/agent.py
+++ b/damaskpin/runtime/agent.py
@@ -157,7 +157,10 @@
             self.counts[f'hold {type(result).__name__.lower()}'] += 1
             self.agent.handle_poll_result(now, send_time, call, result)
             self.send_due()
-            await asyncio.sleep(get_renewal_pause(call, result))
+            pause = get_renewal_pause(
+                call, result, self.agent.is_worker_leaving()
+            )
+            await asyncio.sleep(pause)
 
     async def _perform_call(
         self, call: calls.StartCall | calls.StopCall
@@ -273,10 +276,16 @@
         self.agent.report_requested = True
 
 
-def get_renewal_pause(call: calls.PollCall, result: calls.Result) -> float:
-    """Return the pause before the next lease renewal, in seconds."""
+def get_renewal_pause(
+    call: calls.PollCall, result: calls.Result, is_leaving: bool
+) -> float:
+    """Return the pause before the next lease renewal, in seconds.
+
+    :param is_leaving: whether the worker has given notice. Its runs are free
+        once a connection to it is refused.
+    """
     match result:
-        case calls.Unanswered(sent=True):
+        case calls.Unanswered(sent=True) if not is_leaving:
             return UNANSWERED_PAUSE_S
         case calls.Lists() if call.wait:
             return 0.0
--- a/tests/test_runtime/test_runtime_agent.py
+++ b/tests/test_runtime/test_runtime_agent.py
@@ -25,7 +25,7 @@
     The first call that it receives voids them.
     """
     refused = calls.Unanswered('connection refused', sent=False)
-    pause = agent.get_renewal_pause(_make_poll(0.5), refused)
+    pause = agent.get_renewal_pause(_make_poll(0.5), refused, False)
     assert 0 < pause <= FIRST_CALL_S
 
 
@@ -40,9 +40,9 @@
 )
 def test_renewals_that_return_at_once_are_followed_by_a_pause(wait, result):
     """Guards against a loop that uses up the processor."""
-    assert agent.get_renewal_pause(_make_poll(wait), result) > 0
+    assert agent.get_renewal_pause(_make_poll(wait), result, False) > 0
 
 
 def test_renewal_that_waited_for_an_end_is_repeated_at_once():
     """Guards against ends that are read late."""
-    assert agent.get_renewal_pause(_make_poll(0.5), LISTS) == 0
+    assert agent.get_renewal_pause(_make_poll(0.5), LISTS, False) == 0
