Split the simulation by job, and let agents and workers fail more ways

The oracle took the capacity of all workers for the same, ordered runs by their numbers alone, and did not count acknowledged failures (BUDGET).

--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -9,6 +9,8 @@
 CHECKPOINT_S = 0.5
 # Longest lease that the worker accepts, in seconds.
 MAX_LEASE_S = 4.5
+# Number of ends that one list of runs has at most.
+MAX_LISTED_ENDS = 500
 
 
 class ActiveRun:
@@ -85,6 +87,16 @@
         """End a run with the given ending."""
         self._end(run, ending)
 
+    def add_foreign_ends(self, count):
+        """Add ends of runs of a job that has been forgotten."""
+        for number in range(1, count + 1):
+            self.serial += 1
+            item = work.Item('forgotten', 0, 0, self.serial)
+            run = work.Run(item, number)
+            self.ended.append(
+                work.EndedRun(self.serial, run, work.Ending.FAILED, '')
+            )
+
     def poll(self, now, call):
         refusal = self._check_call(now, call)
         if refusal is not None:
@@ -96,12 +108,19 @@
             if serial <= self.observed:
                 self.on_noted(self, self.unnoted.pop(serial))
         self.ended = [r for r in self.ended if r.serial > self.observed]
+        return self.list_runs(now)
+
+    def list_runs(self, now):
+        """Return the lists of running and ended runs."""
         rows = tuple(
             work.RunningRun(run, self._get_checkpoint(active_run, now), 10.0)
             for run, active_run in self.running.items()
         )
         return calls.Lists(
-            self.get_clock(now), self.lifetime.born, rows, tuple(self.ended)
+            self.get_clock(now),
+            self.lifetime.born,
+            rows,
+            tuple(self.ended[:MAX_LISTED_ENDS]),
         )
 
     def start(self, now, call):
--- /dev/null
+++ b/tests/test_coordinator/instance.py
@@ -0,0 +1,49 @@
+"""Simulated machine with a worker and the agent beside it."""
+
+from __future__ import annotations
+
+
+class Instance:
+    """An instance with a worker and the agent beside it.
+
+    :ivar disconnected: whether messages to and from the instance are lost.
+    :ivar unresponsive: whether the worker does not answer its agent.
+    :ivar next_heartbeat: time of the worker's next heartbeat, in seconds.
+    :ivar down_until: time in seconds until which the worker's process starts
+        and connections to it are refused.
+    :ivar frozen_until: time in seconds until which the agent's process is
+        suspended.
+    :ivar waiting: what reached the agent's sockets while it was suspended, as
+        functions that handle it.
+    """
+
+    def __init__(self, index):
+        self.name = f'agent-{index}'
+        self.worker = None
+        self.agent = None
+        self.disconnected = False
+        self.unresponsive = False
+        self.next_heartbeat = 0.0
+        self.down_until = 0.0
+        self.frozen_until = 0.0
+        self.waiting = []
+
+    def is_frozen(self, now):
+        return now < self.frozen_until
+
+    def receive(self, now, handle):
+        """Let the agent handle a message, once it is no longer suspended."""
+        if self.is_frozen(now) or self.waiting:
+            self.waiting.append(handle)
+            return
+        handle()
+
+    def thaw(self, rng):
+        """Handle what has arrived meanwhile, in an order of the event loop.
+
+        Messages on one connection keep their order; the order of connections
+        and timers is open, so that two halves are interleaved at random.
+        """
+        while self.waiting:
+            position = rng.randrange(min(2, len(self.waiting)))
+            self.waiting.pop(position)()
--- /dev/null
+++ b/tests/test_coordinator/oracle.py
@@ -0,0 +1,143 @@
+"""Oracle of the simulation: the promises that each run must keep."""
+
+from __future__ import annotations
+
+import collections
+
+from damaskpin.coordinator import records
+from damaskpin.model import work
+
+
+class Oracle:
+    """Checks starts and ends of runs, as the workers carry them out.
+
+    A work item has no second run at the same time and none after its recorded
+    end, steps wait for their predecessors, the number of failed runs is within
+    its limit, and the worker has enough capacity.
+
+    :param submissions: submitted jobs by id.
+    :param store: stored progress by id of the job.
+    :ivar done_items: work items with a good end that was acknowledged.
+    """
+
+    def __init__(self, submissions, store):
+        self._submissions = submissions
+        self._store = store
+        self._running_runs = {}
+        self._later_starts = collections.defaultdict(set)
+        # Numbers of the events of each work item, which order them in time.
+        self._event_count = 0
+        self._starts = collections.defaultdict(list)
+        self._ends = {}
+        self._noted_failures = collections.defaultdict(list)
+        self.done_items = set()
+        self.start_count = 0
+        self.starts_by_item = collections.Counter()
+
+    def check_start(self, worker, run):
+        """Check a run that a worker has just started."""
+        self.start_count += 1
+        self.starts_by_item[run.item] += 1
+        submission = self._submissions[run.item.job]
+        step = submission.steps[run.item.step]
+        others = self._running_runs.setdefault(run.item, set())
+        assert not others, f'{run} starts beside {others}'
+        others.add(run)
+        assert run.item not in self.done_items, (
+            f'{run} starts after an end that was taken note of'
+        )
+        self._later_starts[run.item].add(run)
+        self._starts[run.item].append((self._count_event(), run))
+        self._check_record(run, step)
+        self._check_failures(run.item)
+        self._check_capacity(worker)
+
+    def record_end(self, run):
+        """Record that a run has ended, in whichever way."""
+        self._running_runs[run.item].discard(run)
+        self._ends[run] = self._count_event()
+
+    def record_noted(self, row):
+        """Check an end that the agent has acknowledged.
+
+        The end counts from then on, so no run may have started after it.
+        """
+        match row.ending:
+            case work.Ending.FAILED:
+                noted = self._noted_failures[row.run.item]
+                noted.append(self._ends[row.run])
+                self._check_failures(row.run.item)
+            case work.Ending.DONE:
+                self._record_done(row)
+
+    def _record_done(self, row):
+        item = row.run.item
+        step = self._submissions[item.job].steps[item.step]
+        items = [item]
+        if step.gang:
+            items = [
+                work.Item(item.job, item.occurrence, item.step, index)
+                for index in range(step.count)
+            ]
+        for member in items:
+            later = {
+                run
+                for run in self._later_starts[member]
+                if run.number > row.run.number
+            }
+            later |= {
+                run
+                for event, run in self._starts[member]
+                if event > self._ends[row.run]
+            }
+            assert not later, f'{later} started after the end of {row.run}'
+            self.done_items.add(member)
+
+    def _check_record(self, run, step):
+        """Check a start against the stored progress of its job."""
+        submission = self._submissions[run.item.job]
+        progress = records.Progress()
+        if run.item.job in self._store:
+            progress = records.decode_progress(self._store[run.item.job])
+        steps = progress.occurrences.get(0)
+        assert steps is not None, 'a run starts that no job has recorded'
+        numbers = steps[run.item.step].numbers
+        slot = 0 if step.gang else run.item.index
+        assert run.number <= numbers.get(slot, 0)
+        done = steps[run.item.step].done
+        assert run.item.index not in done, f'{run} starts after its end'
+        for predecessor in step.after:
+            count = submission.steps[predecessor].count
+            assert len(steps[predecessor].done) >= count, (
+                f'{run} starts before its predecessor has ended'
+            )
+        failures = steps[run.item.step].failures.get(slot, 0)
+        assert failures < submission.terms.attempts
+
+    def _check_failures(self, item):
+        """Check that no run has started after the last allowed failure.
+
+        An end counts if it is acknowledged, before the start or after it.
+        """
+        attempts = self._submissions[item.job].terms.attempts
+        failures = sorted(self._noted_failures[item])
+        if len(failures) < attempts:
+            return
+        last_failure = failures[attempts - 1]
+        later = [
+            run for event, run in self._starts[item] if event > last_failure
+        ]
+        assert not later, f'{later} started after {attempts} failures'
+
+    def _check_capacity(self, worker):
+        used = work.Resources()
+        for other in worker.running:
+            step = self._submissions[other.item.job].steps[other.item.step]
+            used = used.plus(step.get_reservation())
+        assert worker.capacity.can_fit(used), (
+            f'{worker.lifetime} is overcommitted'
+        )
+
+    def _count_event(self):
+        self._event_count += 1
+        return self._event_count
--- /dev/null
+++ b/tests/test_coordinator/worker_calls.py
@@ -0,0 +1,89 @@
+"""Simulated calls of the agents to their workers, each carried out at once."""
+
+from __future__ import annotations
+
+from damaskpin.agent import calls
+
+# Longest delay of a call that its sender sees unanswered, in seconds.
+MAX_CALL_DELAY_S = 12.0
+
+
+class WorkerCalls:
+    """Carries calls that have an answer, or none, at the moment of sending.
+
+    A call without an answer may be carried out later.
+
+    :param simulation: simulation whose processes call each other; it holds
+        the rates of the faults.
+    :param send: function that sends a call and returns its result.
+    """
+
+    def __init__(self, simulation, send):
+        self._simulation = simulation
+        self._send = send
+        self._delayed = []
+
+    def step(self, instance):
+        """Make the calls that are due at an agent."""
+        agent = instance.agent
+        now = self._simulation.now
+        for call in agent.collect_due_calls(now):
+            result = self._send(instance, call)
+            match call:
+                case calls.StartCall():
+                    agent.handle_start_result(now, call, result)
+                case calls.StopCall():
+                    agent.handle_stop_result(now, call, result)
+        poll = agent.make_poll(now)
+        if poll is not None:
+            result = self._send(instance, poll)
+            agent.handle_poll_result(now, now, poll, result)
+
+    def advance(self):
+        """Carry out the delayed calls that are due.
+
+        A call also reaches a later process of the worker, which carries it out
+        if it has the same id.
+        """
+        now = self._simulation.now
+        for item in list(self._delayed):
+            due, instance, call = item
+            if due <= now:
+                self._delayed.remove(item)
+                if now >= instance.down_until:
+                    apply_call(now, instance.worker, call)
+
+    def send(self, instance, call):
+        """Apply a call now, later, or with a lost answer."""
+        simulation = self._simulation
+        now = simulation.now
+        if now < instance.down_until:
+            return calls.Unanswered('connection refused', sent=False)
+        if instance.unresponsive:
+            # Either the call or only its answer is lost.
+            if simulation.random.random() < 0.5:
+                apply_call(now, instance.worker, call)
+            return calls.Unanswered('cut off')
+        if simulation.late_start_s and isinstance(call, calls.StartCall):
+            due = now + simulation.late_start_s
+            self._delayed.append((due, instance, call))
+            return calls.Unanswered('late')
+        if simulation.random.random() < simulation.delay_rate:
+            due = now + simulation.random.uniform(0.5, MAX_CALL_DELAY_S)
+            self._delayed.append((due, instance, call))
+            return calls.Unanswered('late')
+        result = apply_call(now, instance.worker, call)
+        if simulation.is_lost():
+            return calls.Unanswered('answer lost')
+        return result
+
+
+def apply_call(now, worker, call):
+    """Let a worker carry out a call and return its result."""
+    match call:
+        case calls.PollCall():
+            return worker.poll(now, call)
+        case calls.StartCall():
+            return worker.start(now, call)
+        case calls.StopCall():
+            return worker.stop(now, call)
