Let simulated calls overlap

Each call was carried out and answered at once, so that no poll, start or stop of an agent met another one under way. Calls now arrive after some time, their answers later, and both overtake each other; a call without an answer in time may still be carried out. The mode is off unless a play asks for it.

--- /dev/null
+++ b/tests/test_coordinator/overlapping_calls.py
@@ -0,0 +1,178 @@
+"""Simulated calls of agents to workers that take time and overlap."""
+
+from __future__ import annotations
+
+from damaskpin.agent import calls
+from tests.test_coordinator import worker_calls
+
+# Time in seconds after which a call without an answer is given up, beside the
+# time for which it asks the worker to wait.
+TIMEOUT_S = 0.5
+# Usual and longest time in seconds of a call or an answer on its way.
+USUAL_WAY_S = 0.02
+LONGEST_WAY_S = 0.45
+# Interval in seconds of an agent's periodic step.
+TICK_S = 0.05
+# Pauses after a poll in seconds, as those of the agent's runtime.
+RENEWAL_PAUSE_S = 0.05
+UNANSWERED_PAUSE_S = 0.25
+
+
+class Exchange:
+    """One call of an agent.
+
+    :ivar agent: process of the agent that has sent the call.
+    :ivar sent: time in seconds at which it was sent.
+    :ivar settled: whether the agent has an answer or has given up.
+    """
+
+    def __init__(self, instance, call, sent):
+        self.instance = instance
+        self.agent = instance.agent
+        self.call = call
+        self.sent = sent
+        self.settled = False
+
+
+class OverlappingCalls:
+    """Carries calls of which several of one agent are under way at once.
+
+    A call is carried out when it arrives, and its answer arrives later. Calls
+    and answers on different connections overtake each other. Polls and other
+    calls of an agent are made as by its runtime: one poll at a time, and
+    starts and stops beside it.
+
+    :param simulation: simulation whose processes call each other; it holds
+        the rates of the faults.
+    :ivar slow_rate: share of calls and of answers that are slow.
+    """
+
+    def __init__(self, simulation):
+        self._simulation = simulation
+        self._polls = {}
+        self._next_polls = {}
+        self._waiting_polls = []
+        self.slow_rate = 0.2
+
+    def step(self, instance):
+        """Make the calls that are due at an agent."""
+        agent = instance.agent
+        now = self._simulation.now
+        for call in agent.collect_due_calls(now):
+            self._send(instance, call)
+        poll = self._polls.get(instance)
+        if poll is not None and poll.agent is agent and not poll.settled:
+            return
+        if poll is not None and poll.agent is not agent:
+            self._next_polls[instance] = now
+        if now < self._next_polls.get(instance, 0.0):
+            return
+        call = agent.make_poll(now)
+        if call is not None:
+            self._polls[instance] = self._send(instance, call)
+
+    def advance(self):
+        """Answer the polls whose wait has ended."""
+        now = self._simulation.now
+        for item in list(self._waiting_polls):
+            exchange, worker, until = item
+            if not worker.alive:
+                self._waiting_polls.remove(item)
+                continue
+            worker.advance(now)
+            if worker.ended or now >= until:
+                self._waiting_polls.remove(item)
+                self._answer(exchange, worker.list_runs(now))
+
+    def _send(self, instance, call):
+        simulation = self._simulation
+        exchange = Exchange(instance, call, simulation.now)
+        timeout = TIMEOUT_S
+        if isinstance(call, calls.PollCall):
+            timeout += call.wait
+        if simulation.now < instance.down_until:
+            refused = calls.Unanswered('connection refused', sent=False)
+            simulation.schedule(0.001, lambda: self._settle(exchange, refused))
+            return exchange
+        result = calls.Unanswered('timeout')
+        simulation.schedule(timeout, lambda: self._settle(exchange, result))
+        if instance.unresponsive and simulation.random.random() < 0.5:
+            return exchange
+        delay = self._draw_way()
+        if simulation.late_start_s and isinstance(call, calls.StartCall):
+            delay = simulation.late_start_s
+        elif simulation.random.random() < simulation.delay_rate:
+            delay = simulation.random.uniform(
+                TIMEOUT_S, worker_calls.MAX_CALL_DELAY_S
+            )
+        simulation.schedule(delay, lambda: self._arrive(exchange))
+        return exchange
+
+    def _arrive(self, exchange):
+        """Let the worker carry out a call.
+
+        The call also reaches a later process of the worker, which carries it
+        out if it has the same id.
+        """
+        now = self._simulation.now
+        instance = exchange.instance
+        call = exchange.call
+        if now < instance.down_until:
+            return
+        worker = instance.worker
+        result = worker_calls.apply_call(now, worker, call)
+        match result:
+            case calls.Lists(ended=()) if call.wait:
+                self._waiting_polls.append((exchange, worker, now + call.wait))
+            case _:
+                self._answer(exchange, result)
+
+    def _answer(self, exchange, result):
+        if exchange.instance.unresponsive or self._simulation.is_lost():
+            return
+        self._simulation.schedule(
+            self._draw_way(), lambda: self._settle(exchange, result)
+        )
+
+    def _settle(self, exchange, result):
+        """Pass an answer to the agent, or that there was none in time."""
+        if exchange.agent is not exchange.instance.agent:
+            return
+        exchange.instance.receive(
+            self._simulation.now, lambda: self._handle(exchange, result)
+        )
+
+    def _handle(self, exchange, result):
+        instance = exchange.instance
+        agent = exchange.agent
+        if exchange.settled or agent is not instance.agent:
+            return
+        exchange.settled = True
+        now = self._simulation.now
+        call = exchange.call
+        match call:
+            case calls.StartCall():
+                agent.handle_start_result(now, call, result)
+            case calls.StopCall():
+                agent.handle_stop_result(now, call, result)
+            case calls.PollCall():
+                agent.handle_poll_result(now, exchange.sent, call, result)
+                self._next_polls[instance] = now + get_pause(call, result)
+        self.step(instance)
+
+    def _draw_way(self):
+        """Return the time that a call or an answer is on its way."""
+        rng = self._simulation.random
+        if rng.random() < self.slow_rate:
+            return rng.uniform(USUAL_WAY_S, LONGEST_WAY_S)
+        return rng.uniform(0.001, USUAL_WAY_S)
+
+
+def get_pause(call, result):
+    """Return the pause in seconds after a poll, as the runtime makes it."""
+    match result:
+        case calls.Unanswered():
+            return UNANSWERED_PAUSE_S
+        case calls.Lists() if call.wait:
+            return 0.0
+    return RENEWAL_PAUSE_S
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -16,6 +16,7 @@
 from tests.test_coordinator import instance as instances_module
 from tests.test_coordinator import links
 from tests.test_coordinator import oracle
+from tests.test_coordinator import overlapping_calls
 from tests.test_coordinator import worker_calls
 from tests.test_coordinator import worker_processes
 
@@ -36,6 +37,8 @@
 
     Each start and end of a run is checked by an oracle.
 
+    :param has_overlapping_calls: whether calls to workers take time, so that
+        several of one agent are under way at once.
     :ivar late_start_s: seconds after which each start call is carried out,
         without an answer; ``None`` for no such delay.
     :ivar late_report_s: seconds by which each report is delayed; ``None`` for
@@ -43,7 +46,7 @@
     :ivar crashing_jobs: ids of jobs whose work items crash their workers.
     """
 
-    def __init__(self, seed, instances=3):
+    def __init__(self, seed, instances=3, has_overlapping_calls=False):
         self.random = random.Random(seed)
         self.now = 100.0
         self.fence = 0
@@ -62,6 +65,10 @@
         self._calls = worker_calls.WorkerCalls(self, self._send)
         self._events = []
         self._event_numbers = itertools.count()
+        self._has_overlapping_calls = has_overlapping_calls
+        if has_overlapping_calls:
+            self.tick_s = overlapping_calls.TICK_S
+            self._calls = overlapping_calls.OverlappingCalls(self)
         self.crashing_jobs = set()
         self.crashing_workers = []
         self.loss_rate = 0.0
@@ -102,6 +109,10 @@
                 name = instance.worker.lifetime.worker
         self.processes.start(instance, name, CAPACITY)
 
+    def set_slow_rate(self, rate):
+        """Set the share of slow calls and answers where calls overlap."""
+        self._calls.slow_rate = rate
+
     def freeze_agent(self, instance, seconds):
         """Suspend an agent's process; its machine and its worker go on."""
         instance.frozen_until = self.now + seconds
@@ -112,6 +123,8 @@
         instance.agent = agents.Agent(
             instance.name, GRANT_S, LEASE_S, STOP_S, fakeworker.MAX_LEASE_S
         )
+        if self._has_overlapping_calls:
+            instance.agent.start(self.now)
         instance.next_heartbeat = max(
             instance.down_until, self.now + self.random.uniform(0.0, 1.0)
         )
