--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -23,6 +23,25 @@
     'silence',
 )
 
+# Faults of workers and agents that change their state at bad moments.
+NEW_FAULTS = (
+    'clock steps',
+    'late heartbeats',
+    'leaves',
+    'smaller workers',
+    'standstills',
+)
+
+# Calls that take time. The rest of a play is drawn as without them.
+OVERLAPPING_CALLS = 'overlapping calls'
+
+# Faults that are known to break a promise (KNOWN-RED.txt).
+UNHEARD_LEAVES = 'unheard leaves'
+MANY_ENDS = 'many ends'
+
+# Number of ends that are listed in addition; a list has at most 500.
+MANY_ENDS_COUNT = 600
+
 DEMANDS = [
     work.Resources(1000, 500, 1),
     work.Resources(2000, 1000, 2),
@@ -37,7 +56,9 @@
     :raises AssertionError: the simulation has seen a broken promise.
     """
     rng = random.Random(seed)
-    simulation = simulations.Simulation(seed)
+    simulation = simulations.Simulation(
+        seed, has_overlapping_calls=OVERLAPPING_CALLS in faults
+    )
     simulation.run(1.0)
     for _ in range(actions):
         _act(rng, simulation, faults)
@@ -62,6 +83,8 @@
         case 'cancellations':
             if simulation.submissions:
                 simulation.cancel(rng.choice(sorted(simulation.submissions)))
+        case 'clock steps':
+            simulation.processes.set_time_of_day_back()
         case 'coordinators':
             simulation.replace_coordinator()
         case 'cuts':
@@ -70,12 +93,28 @@
             worker.draining = True
         case 'late calls':
             simulation.delay_rate = rng.choice([0.0, 0.2, 0.5])
+        case 'late heartbeats':
+            simulation.processes.late_heartbeat_rate = rng.choice(
+                [0.0, 0.3, 0.6]
+            )
+        case 'leaves':
+            simulation.processes.leave(instance)
         case 'lost messages':
             simulation.loss_rate = rng.choice([0.0, 0.2, 0.6])
+        case 'many ends':
+            worker.add_foreign_ends(MANY_ENDS_COUNT)
         case 'new processes':
             simulation.restart_worker(instance)
+        case 'overlapping calls':
+            simulation.set_slow_rate(rng.choice([0.1, 0.3, 0.7]))
         case 'silence':
             instance.unresponsive = not instance.unresponsive
+        case 'smaller workers':
+            simulation.processes.shrink(instance)
+        case 'standstills':
+            simulation.freeze_agent(instance, rng.uniform(1.0, 20.0))
+        case 'unheard leaves':
+            simulation.processes.leave(instance, is_heard=False)
     simulation.run(rng.choice([0.1, 0.3, 1.0, 4.0, 9.0]))
 
 
