Show that a heartbeat of a former worker ends a living one

A heartbeat with a later birth is taken for proof that the known process has ended. After the time of day was set back it may be a delayed one.

--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_twice_births.py
@@ -0,0 +1,39 @@
+"""Tests of work items that must not run twice when births of workers fall."""
+
+from __future__ import annotations
+
+from damaskpin.model import work
+from tests.test_coordinator import simulation as simulations
+from tests.test_coordinator import worker_processes
+
+STEP = work.Step(count=1, demand=work.Resources(1000, 500, 1), estimate=5.0)
+
+
+def test_delayed_heartbeat_with_a_higher_birth_proves_no_end():
+    """Guards against a run that executes twice.
+
+    The time of day was set back before the current worker started, so that a
+    heartbeat of the former one, which is delayed, names a later birth. The
+    agent has begun anew and does not know that the former worker has ended.
+    """
+    simulation = simulations.Simulation(
+        1, instances=2, has_overlapping_calls=True
+    )
+    simulation.run(2.0)
+    former = {
+        instance.name: worker_processes.make_profile(instance.worker)
+        for instance in simulation.instances
+    }
+    simulation.processes.set_time_of_day_back()
+    for instance in simulation.instances:
+        simulation.restart_worker(instance, may_keep_id=False)
+        simulation.restart_agent(instance)
+    simulation.run(9.0)
+    simulation.submit((STEP,))
+    simulation.run(1.0)
+    (instance,) = [i for i in simulation.instances if i.worker.running]
+    clock = instance.worker.get_clock(simulation.now)
+    instance.agent.handle_heartbeat(
+        simulation.now, former[instance.name], clock
+    )
+    simulation.run(4.0)
