--- a/tests/test_coordinator/links.py
+++ b/tests/test_coordinator/links.py
@@ -43,14 +43,13 @@
             return
         match message:
             case orders.Orders() | orders.Superseded():
-                instance.receive(
-                    self._simulation.now,
-                    lambda: self._pass_to_agent(instance, message),
+                self._simulation.pass_to_agent(
+                    instance, lambda: self._handle(instance, message)
                 )
             case orders.Report():
                 self._pass_to_coordinator(instance, message)
 
-    def _pass_to_agent(self, instance, message):
+    def _handle(self, instance, message):
         match message:
             case orders.Orders():
                 instance.agent.handle_orders(self._simulation.now, message)
--- a/tests/test_coordinator/overlapping_calls.py
+++ b/tests/test_coordinator/overlapping_calls.py
@@ -138,8 +138,8 @@
         """Pass an answer to the agent, or that there was none in time."""
         if exchange.agent is not exchange.instance.agent:
             return
-        exchange.instance.receive(
-            self._simulation.now, lambda: self._handle(exchange, result)
+        self._simulation.pass_to_agent(
+            exchange.instance, lambda: self._handle(exchange, result)
         )
 
     def _handle(self, exchange, result):
@@ -158,7 +158,6 @@
             case calls.PollCall():
                 agent.handle_poll_result(now, exchange.sent, call, result)
                 self._next_polls[instance] = now + get_pause(call, result)
-        self.step(instance)
 
     def _draw_way(self):
         """Return the time that a call or an answer is on its way."""
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -230,18 +230,30 @@
             action()
         self.now = former_time
 
+    def pass_to_agent(self, instance, handle):
+        """Let an agent handle a message or an answer.
+
+        An agent whose calls take time makes its next calls at once.
+        """
+        instance.receive(self.now, handle)
+        if self._has_overlapping_calls and not instance.is_frozen(self.now):
+            self._step_agent(instance)
+
     def _advance_agent(self, instance):
-        agent = instance.agent
         if self.now >= instance.next_heartbeat:
             instance.next_heartbeat = self.now + 1.0
             self.processes.send_heartbeat(instance)
         if instance.is_frozen(self.now):
             return
         instance.thaw(self.random)
+        self._step_agent(instance)
+
+    def _step_agent(self, instance):
+        """Make the calls and the report that are due at an agent."""
         self._calls.step(instance)
-        if instance.disconnected or not agent.is_report_due(self.now):
+        if instance.disconnected or not instance.agent.is_report_due(self.now):
             return
-        report = agent.make_report(self.now)
+        report = instance.agent.make_report(self.now)
         if self.is_lost():
             return
         self._links.deliver(instance, report)
--- a/tests/test_coordinator/worker_processes.py
+++ b/tests/test_coordinator/worker_processes.py
@@ -82,7 +82,7 @@
         clock = instance.worker.get_clock(simulation.now)
 
         def arrive():
-            instance.receive(simulation.now, handle)
+            simulation.pass_to_agent(instance, handle)
 
         def handle():
             instance.agent.handle_heartbeat(simulation.now, profile, clock)
@@ -104,8 +104,8 @@
             simulation.restart_worker(instance)
             return
         if not is_heard:
-            instance.receive(
-                simulation.now, lambda: instance.agent.handle_leave(name)
+            simulation.pass_to_agent(
+                instance, lambda: instance.agent.handle_leave(name)
             )
         simulation.schedule(
             simulation.random.uniform(1.0, 8.0),
