Show that a report without lists ends a living worker

A new coordinator takes a report about a worker of a later birth for proof that the agent's current one has ended, although the report has no lists of it. After the time of day was set back it may be a delayed one.

--- a/tests/test_coordinator/test_coordinator_twice_births.py
+++ b/tests/test_coordinator/test_coordinator_twice_births.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import msgspec
+
+from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.model import work
+from damaskpin.peer import orders
+from tests.test_coordinator import builders
 from tests.test_coordinator import simulation as simulations
 from tests.test_coordinator import worker_processes
 
@@ -37,3 +42,29 @@
         simulation.now, former[instance.name], clock
     )
     simulation.run(4.0)
+
+
+def test_delayed_report_with_a_higher_birth_proves_no_end():
+    """Guards against a run that executes twice.
+
+    A new coordinator first hears of an agent by a delayed report of before
+    the time of day was set back. It names a worker with a later birth than
+    the current one, and holds no lists that were read for this coordinator.
+    """
+    ledger = builders.make_ledger(workers=1)
+    coordinator = coordinators.Coordinator('c', 4, ledger, None)
+    builders.submit(ledger, 'job', builders.make_step())
+    builders.decide(ledger)
+    (worker,) = ledger.workers.values()
+    (run,) = worker.runs
+    former = msgspec.structs.replace(
+        worker.profile, lifetime=work.Lifetime('former', 9000)
+    )
+    report = orders.Report(
+        worker.agent, 1.0, 1, former, None, 3, 3, (), (), (), ()
+    )
+    coordinator.handle_report(builders.NOW, builders.WALL, report, 'address')
+    workers = coordinator.workers.values()
+    assert any(run in other.runs for other in workers), (
+        'the run is free to start elsewhere'
+    )
