--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -85,6 +85,16 @@
         """End a run with the given ending."""
         self._end(run, ending)
 
+    def add_foreign_ends(self, count):
+        """Add ends of runs of a job that has been forgotten."""
+        for number in range(1, count + 1):
+            self.serial += 1
+            item = work.Item('forgotten', 0, 0, self.serial)
+            run = work.Run(item, number)
+            self.ended.append(
+                work.EndedRun(self.serial, run, work.Ending.FAILED, '')
+            )
+
     def poll(self, now, call):
         refusal = self._check_call(now, call)
         if refusal is not None:
@@ -96,6 +106,10 @@
             if serial <= self.observed:
                 self.on_noted(self, self.unnoted.pop(serial))
         self.ended = [r for r in self.ended if r.serial > self.observed]
+        return self.list_runs(now)
+
+    def list_runs(self, now):
+        """Return the lists of running and ended runs."""
         ended = tuple(self.ended[: work.MAX_LISTED_ENDS])
         rows = tuple(
             work.RunningRun(run, self._get_checkpoint(active_run, now), 10.0)
