Take a heartbeat of another process for no proof of an end

Cause: a heartbeat with a later birth replaced the known process at once, and the coordinator freed its runs. Births fall when the time of day is set back, and a heartbeat may arrive after its sender has ended, so the later birth may be the older process. The coordinator likewise removed a worker by the first report that it heard of the agent, also by a delayed one.

Change: the heartbeat makes its process a candidate, and the next poll, sent at once, decides: an answer of the known process drops it; an answer of another process, a refused connection or the end of the lease lets it in. In the coordinator only a report with lists that were read for it ends the agent's former worker; another one adds its worker beside it.

Tests that let a heartbeat alone replace a process now let the new one refuse a call.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -15,6 +15,7 @@
 from damaskpin.agent import fencing
 from damaskpin.agent import lease_tracker as lease_trackers
 from damaskpin.agent import run_lists
+from damaskpin.agent import successor
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
@@ -61,6 +62,7 @@
     __slots__ = (
         '_acknowledgements',
         '_attempts',
+        '_candidate',
         '_crash_log',
         '_departure',
         '_instance',
@@ -90,6 +92,7 @@
         self.process = make_process_id()
         self.profile: orders.WorkerProfile | None = None
         self._departure = departures.Departure()
+        self._candidate: successor.Candidate | None = None
         self.fence = 0
         self._token = fencing.CallToken()
         self.coordinator = ''
@@ -132,14 +135,12 @@
                     profile.lifetime, previous.lifetime
                 )
                 return
-            self._record_crash(now)
-            self._departure.record_end(
-                now,
-                departures.Proof.REPLACED,
-                previous.lifetime.worker == profile.lifetime.worker,
-            )
-            self._discard_worker_state()
-        if previous is None or previous.lifetime != profile.lifetime:
+            self._candidate = successor.Candidate(now, profile, clock)
+            if not self.fence or self._lease_tracker.is_lease_expired(now):
+                # No poll is sent yet, or the known process has no runs left.
+                self._replace_process(now)
+            return
+        if previous is None:
             events.log_worker(profile.lifetime)
             self._acknowledgements.record_process(now, profile.lifetime)
             self.report_requested = True
@@ -229,6 +230,8 @@
                 self._end_departure(now, departures.Proof.LEASE_ENDED)
                 return []
             self._refuse_runs_of_expired_lease(now)
+            if self._candidate is not None:
+                self._replace_process(now)
             return []
         due_calls: list[calls.StartCall | calls.StopCall] = []
         due_calls.extend(
@@ -302,14 +305,19 @@
                 events.log_worker_restart(call.lifetime, result)
                 self._acknowledgements.record_unanswered(now, call)
                 self._end_lifetime(now, keeps_id=True)
-            case calls.Lists():
+                self._register_candidate(now)
+            case calls.Lists(born=born):
+                self._drop_delayed_candidate(sent, is_certain=born > 0)
                 self._record_lists(now, sent, call, result)
+                if self._candidate is not None and not born:
+                    self._replace_process(now)
             case calls.Refused(reason=calls.OTHER_LIFETIME):
                 LOG.info(
                     'another worker answers; waiting for its heartbeat',
                     extra={'worker': call.lifetime.worker},
                 )
                 self._end_lifetime(now, keeps_id=False)
+                self._register_candidate(now)
             case calls.Refused(outranked=True):
                 self._handle_outranked_poll(call)
             case calls.Unanswered():
@@ -317,6 +325,8 @@
                 self._outrank(now, call, result)
                 if result.refused and self.is_worker_leaving():
                     self._handle_refused_connection(now)
+                elif result.refused and self._candidate is not None:
+                    self._replace_process(now)
 
     def handle_start_result(
         self, now: float, call: calls.StartCall, result: calls.Result
@@ -390,6 +400,7 @@
             or self._lease_tracker.is_reading_old(now)
             # The poll looks for the end of the process.
             or self.is_worker_leaving()
+            or self._candidate is not None
         ):
             return 0.0
         return POLL_WAIT_S
@@ -418,6 +429,39 @@
         self._departure.record_end(now, departures.Proof.REPLACED, keeps_id)
         self._discard_worker_state()
 
+    def _drop_delayed_candidate(self, sent: float, is_certain: bool) -> None:
+        """Drop the heartbeat of another process, as the known one answers.
+
+        :param sent: time in seconds of the call that it has answered.
+        :param is_certain: whether the answer tells the process, not only its
+            worker id.
+        """
+        candidate = self._candidate
+        if candidate is None or self.profile is None:
+            return
+        known = self.profile.lifetime
+        is_same_worker = candidate.profile.lifetime.worker == known.worker
+        if sent < candidate.received_at or (is_same_worker and not is_certain):
+            return
+        events.log_delayed_heartbeat(candidate.profile.lifetime, known)
+        self._candidate = None
+
+    def _replace_process(self, now: float) -> None:
+        """Take the candidate for the worker's process from now on."""
+        if self.profile is None or self._candidate is None:
+            return
+        new_worker = self._candidate.profile.lifetime.worker
+        keeps_id = self.profile.lifetime.worker == new_worker
+        self._end_lifetime(now, keeps_id)
+        self._register_candidate(now)
+
+    def _register_candidate(self, now: float) -> None:
+        """Register the process that has sent a heartbeat meanwhile."""
+        candidate = self._candidate
+        self._candidate = None
+        if candidate is not None:
+            self.handle_heartbeat(now, candidate.profile, candidate.clock)
+
     def _handle_refused_connection(self, now: float) -> None:
         """Report the end of a process that has given notice.
 
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -136,17 +136,19 @@
         """Return the worker that a report is about, and add it if it is new.
 
         :param lifetime: lifetime of the worker that the report names.
-        :param is_listed: whether the report has lists of this worker, which
-            prove that it lives even if the time of day was set back and its
-            start time is lower than that of its predecessor.
+        :param is_listed: whether the report has lists of this worker that were
+            read for this coordinator. They prove that its predecessor has
+            ended; a report without them may be a delayed one.
         :returns: ``None`` if the agent has already reported a worker that
             was started later.
         """
         for other in list(self.workers.values()):
             if other.agent != agent or other.lifetime == lifetime:
                 continue
-            if other.lifetime.born > lifetime.born and not is_listed:
-                return None
+            if not is_listed:
+                if other.lifetime.born > lifetime.born:
+                    return None
+                continue
             if other.lifetime.worker == lifetime.worker:
                 self._transfer_runs_to_new_lifetime(now, other, lifetime)
                 continue
--- a/tests/test_agent/test_agent_acknowledgements.py
+++ b/tests/test_agent/test_agent_acknowledgements.py
@@ -223,6 +223,7 @@
     _poll(agent, NOW + 0.1, UNANSWERED)
     lifetime = msgspec.structs.replace(NEXT_LIFETIME, worker='w2')
     agent.handle_heartbeat(NOW + 0.6, _make_profile(lifetime), 0)
+    _poll(agent, NOW + 0.6, calls.Refused(calls.OTHER_LIFETIME))
     _poll(agent, NOW + 0.7, _make_lists(lifetime, 1))
     _give_orders(agent, 3, lifetime, NOW + 0.7, observed=1)
     assert agent.make_poll(NOW + 0.8).observed == 1
--- a/tests/test_agent/test_agent_crash_log.py
+++ b/tests/test_agent/test_agent_crash_log.py
@@ -47,7 +47,12 @@
 
 
 def _replace_worker(agent, now):
+    """Let the next process register and refuse a call to the former one."""
     agent.handle_heartbeat(now, _make_profile(NEXT_LIFETIME), 10)
+    poll = agent.make_poll(now)
+    if poll is not None and poll.lifetime == LIFETIME:
+        refused = calls.Refused(calls.OTHER_LIFETIME)
+        agent.handle_poll_result(now, now, poll, refused)
     return agent.make_report(now).crashes
 
 
--- a/tests/test_coordinator/test_coordinator_restart_takeover.py
+++ b/tests/test_coordinator/test_coordinator_restart_takeover.py
@@ -54,10 +54,13 @@
     _exchange(predecessor, agent, NOW)
     late_call = agent.make_poll(NOW + 1.0)
     assert late_call.until
-    agent.handle_heartbeat(NOW + 1.5, _make_profile(2000), 0)
-    _exchange(predecessor, agent, NOW + 1.5)
     worker = fakeworker.FakeWorker('w1', 2000, None, 1.0, *[_ignore] * 3)
     worker.clock_origin = NOW + 1.5
+    agent.handle_heartbeat(NOW + 1.5, _make_profile(2000), 0)
+    poll = agent.make_poll(NOW + 1.5)
+    lists = worker.poll(NOW + 1.5, poll)
+    agent.handle_poll_result(NOW + 1.5, NOW + 1.5, poll, lists)
+    _exchange(predecessor, agent, NOW + 1.5)
     worker.poll(NOW + 1.6, agent.make_poll(NOW + 1.6))
 
     ledger, successor = _make_coordinator(5, NOW + 2.0)
