Count acknowledgements that other agent processes or answers have shown

- A poll that the worker's next process has answered after its heartbeat left no trace, although that process has carried its acknowledgement out.
- A new agent process did not count the acknowledgements of its predecessor if the worker was restarted after it.
- Where ends may be hidden, runs that a former agent process had started, or whose start was answered after an election, were not stopped.
- The coordinator told a new agent process of a worker's restart without an end, so that sound work was stopped; it now does until the process has listed an end.

--- a/damaskpin/agent/acknowledgements.py
+++ b/damaskpin/agent/acknowledgements.py
@@ -64,18 +64,21 @@
     def start(self, now: float) -> None:
         """Hold back while calls of a former agent process may be undecided."""
         self._undecided_until = now + MAX_CALL_DELAY_S
+        self._acknowledged_until = self._undecided_until
 
-    def record_unanswered(
+    def record_undecided(
         self,
         now: float,
         call: calls.PollCall | calls.StartCall | calls.StopCall,
     ) -> None:
-        """Record a call that may still be carried out by another process."""
+        """Record a call that another process may carry out, or has."""
         self._undecided_until = now + MAX_CALL_DELAY_S
         if not isinstance(call, calls.PollCall) or not call.observed:
             return
         self._acknowledged_until = self._undecided_until
         current = self._lifetime
+        if self._has_listed_end:
+            return
         if current is not None and current != call.lifetime:
             self.may_hide_ends |= current.worker == call.lifetime.worker
 
--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -296,14 +296,14 @@
         :param sent: time in seconds at which the call was sent.
         """
         if self.profile is None or call.lifetime != self.profile.lifetime:
-            self._outrank(now, call, result)
+            self._handle_former_poll(now, call, result)
             return
         match result:
             case calls.Lists(born=born) if born not in (0, call.lifetime.born):
                 # The worker was restarted with the same id; a heartbeat
                 # of the new process follows.
                 events.log_worker_restart(call.lifetime, result)
-                self._acknowledgements.record_unanswered(now, call)
+                self._acknowledgements.record_undecided(now, call)
                 self._end_lifetime(now, keeps_id=True)
                 self._register_candidate(now)
             case calls.Lists(born=born):
@@ -337,7 +337,6 @@
             return
         self._attempts.handle_start_result(now, call, result)
         if self._acknowledgements.may_hide_ends:
-            # The end of a stopped run shows whether the process lists ends.
             self._attempts.order_stop(now, call.order.run)
 
     def handle_stop_result(
@@ -429,6 +428,16 @@
         self._departure.record_end(now, departures.Proof.REPLACED, keeps_id)
         self._discard_worker_state()
 
+    def _handle_former_poll(
+        self, now: float, call: calls.PollCall, result: calls.Result
+    ) -> None:
+        """Handle the result of a poll that was meant for a former process."""
+        match result:
+            case calls.Lists(born=born) if born not in (0, call.lifetime.born):
+                # Another process has carried it out.
+                self._acknowledgements.record_undecided(now, call)
+        self._outrank(now, call, result)
+
     def _drop_delayed_candidate(self, sent: float, is_certain: bool) -> None:
         """Drop the heartbeat of another process, as the known one answers.
 
@@ -506,7 +515,7 @@
         """Raise the token above a call that may still be carried out."""
         if not isinstance(result, calls.Unanswered) or not result.sent:
             return
-        self._acknowledgements.record_unanswered(now, call)
+        self._acknowledgements.record_undecided(now, call)
         if self._token.outrank(call.token):
             # The token can't rise again in this session.
             self._begin_session('the token has reached its last value')
@@ -569,6 +578,10 @@
         if self._run_lists.update(call.fence, lists):
             self.report_requested = True
         self._attempts.apply_running(now, lists)
+        if self._acknowledgements.may_hide_ends:
+            # The end of a stopped run shows whether the process lists ends.
+            for row in lists.running:
+                self._attempts.order_stop(now, row.run)
         self._attempts.confirm_stops(now, sent, lists)
 
 
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -318,8 +318,11 @@
         )
 
     def is_restarted(self) -> bool:
-        """Return whether the process has followed one of the same id."""
-        return self.lease_extension > 0
+        """Return whether the process has followed one of the same id.
+
+        A process that has listed an end counts as any other.
+        """
+        return self.lease_extension > 0 and not self.last_end_serial
 
     def is_reporting(self, now: float) -> bool:
         """Return whether the agent of the worker has reported recently."""
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -100,7 +100,7 @@
     :ivar session: number of that process among those of the agent that this
         coordinator has heard of, from 1.
     :ivar restarted: whether the worker process has followed another one of the
-        same worker id.
+        same worker id and has listed no end yet.
     """
 
     fence: int
--- a/tests/test_agent/test_agent_acknowledgements.py
+++ b/tests/test_agent/test_agent_acknowledgements.py
@@ -30,6 +30,15 @@
     return agent
 
 
+def _make_new_agent(lifetime):
+    """Return an agent that was restarted beside a process of its worker."""
+    agent = agents.Agent('agent-1', 60.0, 4.0, 0.5)
+    agent.start(NOW - 1.0)
+    _give_orders(agent, 1, lifetime, NOW - 0.1)
+    agent.handle_heartbeat(NOW, _make_profile(lifetime), 1000)
+    return agent
+
+
 def _make_profile(lifetime):
     capacity = work.Resources(1000, 1000, 8)
     return orders.WorkerProfile(
@@ -41,6 +50,19 @@
     return work.Run(work.Item('0' * 16, 0, 0, 0), number)
 
 
+def _make_order(number, repeated=False):
+    return orders.StartOrder(_make_run(number), 'content', '', '', repeated)
+
+
+def _make_running(number):
+    return (work.RunningRun(_make_run(number), '', 1.0),)
+
+
+def _list_due_stops(agent, now):
+    due_calls = agent.collect_due_calls(now)
+    return [c.run for c in due_calls if isinstance(c, calls.StopCall)]
+
+
 def _make_lists(lifetime, count, running=()):
     """Return lists with a number of ends, whose serials count from 1."""
     ended = tuple(
@@ -51,10 +73,17 @@
 
 
 def _give_orders(
-    agent, sequence, lifetime, now, observed=0, starts=(), restarted=False
+    agent,
+    sequence,
+    lifetime,
+    now,
+    observed=0,
+    starts=(),
+    restarted=False,
+    fence=FENCE,
 ):
     message = orders.Orders(
-        FENCE,
+        fence,
         sequence,
         'c',
         lifetime,
@@ -79,7 +108,7 @@
 
 def _start_run(agent, now, sequence, number):
     """Order a start that the worker accepts; return the calls due then."""
-    order = orders.StartOrder(_make_run(number), 'content', '', '', False)
+    order = _make_order(number)
     _give_orders(agent, sequence, NEXT_LIFETIME, now, starts=(order,))
     (call,) = agent.collect_due_calls(now)
     agent.handle_start_result(now, call, calls.Accepted(1000))
@@ -120,7 +149,7 @@
     the next process of the same id.
     """
     agent = _make_agent()
-    order = orders.StartOrder(_make_run(7), 'content', '', '', False)
+    order = _make_order(7)
     _give_orders(agent, 3, LIFETIME, NOW, observed=1, starts=(order,))
     (call,) = agent.collect_due_calls(NOW)
     agent.handle_start_result(NOW, call, UNANSWERED)
@@ -194,10 +223,8 @@
     Worker and agent were both restarted after an acknowledgement without an
     answer.
     """
-    agent = agents.Agent('agent-1', 60.0, 4.0, 0.5)
-    agent.start(NOW - 1.0)
-    _give_orders(agent, 1, NEXT_LIFETIME, NOW - 0.1)
-    _replace_process(agent, NOW)
+    agent = _make_new_agent(NEXT_LIFETIME)
+    _poll(agent, NOW, _make_lists(NEXT_LIFETIME, 0))
     _give_orders(agent, 2, NEXT_LIFETIME, NOW, restarted=True)
     (stop,) = _start_run(agent, NOW + 0.1, 3, 8)
     assert isinstance(stop, calls.StopCall)
@@ -206,6 +233,63 @@
     assert not _start_run(agent, NOW + 0.6, 5, 9)
 
 
+def test_acknowledgement_that_is_answered_after_a_heartbeat_may_hide_ends():
+    """Guards against ends hidden by a poll that the next process answered.
+
+    The heartbeat of that process arrives before the answer.
+    """
+    agent = _make_agent()
+    poll = agent.make_poll(NOW + 0.1)
+    assert poll.observed == 1
+    agent.handle_heartbeat(NOW + 0.2, _make_profile(NEXT_LIFETIME), 0)
+    lists = _make_lists(NEXT_LIFETIME, 0)
+    _poll(agent, NOW + 0.2, lists)
+    agent.handle_poll_result(NOW + 0.3, NOW + 0.1, poll, lists)
+    _poll(agent, NOW + 0.4, lists)
+    (stop,) = _start_run(agent, NOW + 0.8, 3, 8)
+    assert isinstance(stop, calls.StopCall)
+
+
+def test_acknowledgement_of_a_former_agent_process_may_hide_ends():
+    """Guards against ends hidden by a call of a former agent process.
+
+    The agent is restarted shortly before its worker, so that it has seen the
+    worker's former process, but not the acknowledgement sent to that.
+    """
+    agent = _make_new_agent(LIFETIME)
+    _replace_process(agent, NOW + 0.5)
+    _poll(agent, NOW + 0.6, _make_lists(NEXT_LIFETIME, 0))
+    (stop,) = _start_run(agent, NOW + 0.8, 3, 8)
+    assert isinstance(stop, calls.StopCall)
+
+
+def test_run_of_a_former_agent_process_is_stopped_where_ends_may_be_hidden():
+    """Guards against a hidden end of a run that this process did not start."""
+    agent = _make_new_agent(NEXT_LIFETIME)
+    starts = (_make_order(8, repeated=True),)
+    _give_orders(agent, 2, NEXT_LIFETIME, NOW, starts=starts, restarted=True)
+    lists = _make_lists(NEXT_LIFETIME, 0, _make_running(8))
+    _poll(agent, NOW + 0.1, lists)
+    assert _list_due_stops(agent, NOW + 0.2) == [_make_run(8)]
+
+
+def test_run_is_stopped_where_ends_may_be_hidden_after_an_election():
+    """Guards against a hidden end of a run whose start was answered late.
+
+    The coordinator changes between the start call and its answer.
+    """
+    agent = _make_new_agent(NEXT_LIFETIME)
+    _poll(agent, NOW, _make_lists(NEXT_LIFETIME, 0))
+    starts = (_make_order(7),)
+    _give_orders(agent, 2, NEXT_LIFETIME, NOW, starts=starts, restarted=True)
+    (call,) = agent.collect_due_calls(NOW + 0.1)
+    _give_orders(agent, 1, NEXT_LIFETIME, NOW, fence=FENCE + 1)
+    agent.handle_start_result(NOW + 0.3, call, calls.Accepted(1000))
+    lists = _make_lists(NEXT_LIFETIME, 0, _make_running(7))
+    _poll(agent, NOW + 0.4, lists)
+    assert _list_due_stops(agent, NOW + 0.5) == [_make_run(7)]
+
+
 def test_process_without_an_undecided_acknowledgement_is_trusted():
     """Guards against work that is stopped without need after a restart."""
     agent = _make_agent()
--- a/tests/test_coordinator/test_coordinator_restart_takeover.py
+++ b/tests/test_coordinator/test_coordinator_restart_takeover.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from damaskpin.agent import agent as agents
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import ledger as ledgers
@@ -75,5 +77,27 @@
     assert builders.list_runs(ledger, job) == {0: 'w1'}
 
 
+def test_orders_tell_of_a_restart_until_the_process_lists_an_end():
+    """Guards against hidden ends that a new agent process does not expect.
+
+    Work of a process that has listed an end is not stopped without need.
+    """
+    ledger, coordinator = _make_coordinator(4, NOW)
+    former = orders.Report(
+        'agent-1', 1.0, 1, _make_profile(1000), None, 4, 4, (), (), (), ()
+    )
+    coordinator.handle_report(NOW, WALL, former, 'address')
+    report = msgspec.structs.replace(
+        former, time=2.0, sequence=2, profile=_make_profile(2000)
+    )
+    worker = coordinator.handle_report(NOW + 1.0, WALL, report, 'address')
+    assert coordinator.make_orders(worker).restarted
+    run = work.Run(work.Item('0' * 16, 0, 0, 0), 1)
+    ended = (work.EndedRun(1, run, work.Ending.DONE, ''),)
+    report = msgspec.structs.replace(report, time=3.0, sequence=3, ended=ended)
+    worker = coordinator.handle_report(NOW + 2.0, WALL, report, 'address')
+    assert not coordinator.make_orders(worker).restarted
+
+
 def _ignore(*_):
     """Ignore an event of the simulated worker."""
