Pause workers that refuse starts

Cause: avoid_worker only orders the candidates of one work item. It has no effect if the refusing worker alone has free capacity, as that worker keeps its room by refusing; other work items try it as well, so that many of them outrun it; once all workers are avoided they are equal again; and racks for a gang were compared by cost and room alone, so that a gang returned to the rack of the refusing worker. Guaranteed work found this free capacity in each pass and never preempted other work.

Then it gets one unit at a time until a start that was placed after the refusal is accepted or listed. Other workers and racks go first. Work that prefers a rack waits for its paused workers as long as that is expected to end sooner than work far away.

--- a/damaskpin/coordinator/candidates.py
+++ b/damaskpin/coordinator/candidates.py
@@ -114,6 +114,7 @@
         """Return whether other workers than this one are preferred."""
         if (
             worker.has_failed_since_success()
+            or worker.start_pause.is_unproven()
             or worker.lifetime.worker in self._avoided_workers
         ):
             return True
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -11,6 +11,7 @@
 from damaskpin.coordinator import ends
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
+from damaskpin.coordinator import refusals
 from damaskpin.coordinator import supervision
 from damaskpin.model import work
 from damaskpin.peer import orders
@@ -314,6 +315,7 @@
         report: orders.Report,
     ) -> None:
         ledger = self._ledger
+        refusals.apply_report(now, ledger, worker, report)
         listed_runs = {row.run for row in report.ended}
         for row in report.ended:
             if row.serial <= worker.last_end_serial:
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -8,6 +8,7 @@
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import planning
 from damaskpin.coordinator import ranking
+from damaskpin.coordinator import tentative_plan
 from damaskpin.coordinator import worker_state
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
     from damaskpin.coordinator import advice
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.model import work
 
 LOG = logging.getLogger(__name__)
 
@@ -35,6 +37,7 @@
         '_ledger',
         '_now',
         '_planner',
+        '_recovery_planner',
         '_reserved_units',
         '_wall',
     )
@@ -56,7 +59,18 @@
             for worker in ledger.workers.values()
             if worker.is_usable(now) and worker.suspect_until <= now
         ]
-        self._planner = planning.Planner(now, usable, ledger.tickets)
+        unpaused = [w for w in usable if not w.start_pause.is_active(now)]
+        reservations: dict[
+            work.Lifetime, list[tentative_plan.Reservation]
+        ] = {}
+        self._planner = planning.Planner(
+            now, unpaused, ledger.tickets, guaranteed, reservations, False
+        )
+        self._recovery_planner: planning.Planner | None = None
+        if any(w.start_pause.is_unproven() for w in usable):
+            self._recovery_planner = planning.Planner(
+                now, usable, ledger.tickets, guaranteed, reservations, True
+            )
 
     def place(self, unit: jobs.Unit) -> bool:
         """Start a unit, preempt runs for it or reserve capacity for it.
@@ -64,16 +78,42 @@
         :returns: whether more units of the same step should be tried in this
             pass.
         """
-        if not self._planner.has_local_workers(unit):
-            return self._place_or_reserve(unit, local=False)
-        if self._start_or_preempt(unit, local=True):
+        if self._planner.has_local_workers(unit):
+            if self._start_or_preempt(unit, local=True):
+                return True
+            wait = self._planner.find_waiting(unit, local=True)
+            if wait is not None and ranking.is_worth_waiting_for_local(
+                unit, wait.cost, self._now, self._guaranteed
+            ):
+                return self._reserve_capacity(unit, wait)
+        if self._reserve_for_recovery(unit):
             return True
-        wait = self._planner.find_waiting(unit, local=True)
-        if wait is None or not ranking.is_worth_waiting_for_local(
-            unit, wait.cost, self._now, self._guaranteed
+        return self._place_or_reserve(unit, local=False)
+
+    def _reserve_for_recovery(self, unit: jobs.Unit) -> bool:
+        """Reserve local workers that refuse starts, if these recover soon.
+
+        :returns: whether capacity was reserved.
+        """
+        if (
+            self._recovery_planner is None
+            or unit.job.id in self._guaranteed
+            or not planning.prefers_local_workers(unit)
         ):
-            return self._place_or_reserve(unit, local=False)
-        return self._reserve_capacity(unit, wait)
+            return False
+        plan = self._recovery_planner.find_immediate(unit, local=True)
+        if plan is None:
+            return False
+        wait = max(
+            worker.start_pause.estimate_wait(self._now)
+            for worker in plan.workers
+        )
+        if not ranking.is_worth_waiting_for_local(
+            unit, wait, self._now, self._guaranteed
+        ):
+            return False
+        self._recovery_planner.reserve(unit, plan, self._now + wait)
+        return True
 
     def _place_or_reserve(self, unit: jobs.Unit, local: bool) -> bool:
         """Start a unit, preempt runs for it or reserve capacity for it.
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -10,6 +10,7 @@
 
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import candidates as candidate_queues
+from damaskpin.coordinator import refusals
 from damaskpin.coordinator import tentative_plan
 
 if TYPE_CHECKING:
@@ -43,9 +44,10 @@
     cost: float
     unused_share: float
 
-    def get_sort_key(self) -> tuple[float, float]:
+    def get_sort_key(self) -> tuple[float, bool, float]:
         """Return the key for sorting plans; the smallest is the best plan."""
-        return (self.cost, self.unused_share)
+        unproven = any(w.start_pause.is_unproven() for w in self.workers)
+        return (self.cost, unproven, self.unused_share)
 
 
 class Planner:
@@ -53,12 +55,18 @@
 
     :param workers: workers that may take new work.
     :param tickets: permissions of the advisor to run steps on workers.
+    :param guaranteed: ids of the jobs that draw on their account's guarantee.
+    :param reservations: reserved capacity by worker, which is extended.
+    :param includes_refusing: whether the plans may use workers that can't get
+        a unit now because they have refused starts.
     """
 
     __slots__ = (
-        '_eligible',
+        '_guaranteed',
+        '_limits_units',
         '_now',
         '_reservations',
+        '_suitable',
         '_tickets',
         '_workers',
         '_workers_by_gang',
@@ -69,14 +77,19 @@
         now: float,
         workers: list[worker_state.Worker],
         tickets: advice.Tickets,
+        guaranteed: set[str],
+        reservations: dict[work.Lifetime, list[tentative_plan.Reservation]],
+        includes_refusing: bool,
     ) -> None:
         self._now = now
+        self._guaranteed = guaranteed
+        self._limits_units = not includes_refusing and any(
+            worker.start_pause.is_unproven() for worker in workers
+        )
         self._tickets = tickets
         self._workers = workers
-        self._reservations: dict[
-            work.Lifetime, list[tentative_plan.Reservation]
-        ] = {}
-        self._eligible: dict[
+        self._reservations = reservations
+        self._suitable: dict[
             tuple[object, ...], list[worker_state.Worker]
         ] = {}
         self._workers_by_gang: (
@@ -147,6 +160,19 @@
         return self._choose_best_plan(unit, groups, policy)
 
     def _list_eligible(self, unit: jobs.Unit) -> list[worker_state.Worker]:
+        """Return the workers on which a unit may be planned now."""
+        eligible = self._list_suitable(unit)
+        if self._limits_units:
+            eligible = [w for w in eligible if refusals.may_take_unit(w)]
+        if unit.job.id not in self._guaranteed:
+            return eligible
+        preferred = refusals.list_for_guaranteed(self._now, eligible)
+        reserved = unit.step.get_reservation()
+        if count_fitting_items(preferred, reserved) < len(unit.indexes):
+            return eligible
+        return preferred
+
+    def _list_suitable(self, unit: jobs.Unit) -> list[worker_state.Worker]:
         """Return the workers that may run a unit, cached during a pass."""
         terms = unit.job.submission.terms
         key: tuple[object, ...] = (
@@ -155,16 +181,16 @@
             unit.step.get_reservation(),
             advice.make_step_key(unit) if terms.advice is not None else None,
         )
-        cached = self._eligible.get(key)
+        cached = self._suitable.get(key)
         if cached is None:
-            cached = self._find_eligible(unit)
-            self._eligible[key] = cached
+            cached = self._find_suitable(unit)
+            self._suitable[key] = cached
         return cached
 
-    def _find_eligible(self, unit: jobs.Unit) -> list[worker_state.Worker]:
+    def _find_suitable(self, unit: jobs.Unit) -> list[worker_state.Worker]:
         terms = unit.job.submission.terms
         reserved = unit.step.get_reservation()
-        eligible = []
+        suitable = []
         for worker in self._workers:
             profile = worker.profile
             if profile is None or profile.service != terms.service:
@@ -177,8 +203,8 @@
                 self._now, advice.make_step_key(unit), worker.lifetime
             ):
                 continue
-            eligible.append(worker)
-        return eligible
+            suitable.append(worker)
+        return suitable
 
     def _choose_best_plan(
         self,
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from damaskpin.coordinator import refusals
 from damaskpin.model import work
 
 if TYPE_CHECKING:
@@ -225,6 +226,7 @@
         the agent's grant, by the agent's clock.
     :ivar silence: seconds since the worker last answered its agent; 0 while
         the two are in contact.
+    :ivar start_pause: pause after starts that the worker has refused.
     """
 
     __slots__ = (
@@ -250,6 +252,7 @@
         'report_time',
         'runs',
         'silence',
+        'start_pause',
         'suspect_until',
     )
 
@@ -278,6 +281,7 @@
         self.failed_runs = 0
         self.last_success = -TRUST_PERIOD_S
         self.suspect_until = 0.0
+        self.start_pause = refusals.StartPause()
         self.orders_due = False
 
     def set_profile(self, profile: orders.WorkerProfile) -> None:
