--- a/tests/test_coordinator/test_coordinator_restart_takeover.py
+++ b/tests/test_coordinator/test_coordinator_restart_takeover.py
@@ -82,7 +82,7 @@
 
     Work of a process that has listed an end is not stopped without need.
     """
-    ledger, coordinator = _make_coordinator(4, NOW)
+    _, coordinator = _make_coordinator(4, NOW)
     former = orders.Report(
         'agent-1', 1.0, 1, _make_profile(1000), None, 4, 4, (), (), (), ()
     )
