Free no run whose start the next process may carry out

What callers could see: a work item that runs twice, where a worker falls silent or leaves while a start has no answer, and comes back under its id.

Cause: the end of a lease and a departure are proofs about one process. The clock of the next process starts anew, so that a start call from before is in time there, up to 12 s after it was sent; an agent freed the run about 8.5 s after its worker's last answer.

Change: a run with a start call without an answer is not reported as refused by the end of the lease, nor is its worker reported as left, for 15 s from that call; the lapse that a report gives covers it as well. Other runs are freed as before.

--- a/damaskpin/agent/acknowledgements.py
+++ b/damaskpin/agent/acknowledgements.py
@@ -20,10 +20,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Time in seconds after which a call without an answer is not carried out any
-# more.
-MAX_CALL_DELAY_S = 15.0
-
 # Number of listed ends from which on they are acknowledged in any case, so
 # that new ends do not exceed the length of a worker's list.
 MAX_HELD_ENDS = 250
@@ -63,7 +59,7 @@
 
     def start(self, now: float) -> None:
         """Hold back while calls of a former agent process may be undecided."""
-        self._undecided_until = now + MAX_CALL_DELAY_S
+        self._undecided_until = now + calls.MAX_CALL_DELAY_S
         self._acknowledged_until = self._undecided_until
 
     def record_undecided(
@@ -72,7 +68,7 @@
         call: calls.PollCall | calls.StartCall | calls.StopCall,
     ) -> None:
         """Record a call that another process may carry out, or has."""
-        self._undecided_until = now + MAX_CALL_DELAY_S
+        self._undecided_until = now + calls.MAX_CALL_DELAY_S
         if not isinstance(call, calls.PollCall) or not call.observed:
             return
         self._acknowledged_until = self._undecided_until
--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -227,7 +227,8 @@
             return []
         if self._lease_tracker.is_lease_expired(now):
             if self.is_worker_leaving():
-                self._end_departure(now, departures.Proof.LEASE_ENDED)
+                if self._attempts.get_undecided_time(now) <= 0:
+                    self._end_departure(now, departures.Proof.LEASE_ENDED)
                 return []
             self._refuse_runs_of_expired_lease(now)
             if self._candidate is not None:
@@ -356,6 +357,8 @@
         """Return a report on the worker for the coordinator."""
         self._report_sequence += 1
         silence, lapse = self._lease_tracker.report_silence(now)
+        if silence:
+            lapse = max(lapse, self._attempts.get_undecided_time(now))
         self.last_report_time = now
         self.report_requested = False
         self._attempts.report_needed = False
@@ -482,6 +485,9 @@
         lists = self._run_lists
         if lists.fence == self.fence and lists.has_unrecorded_end():
             return
+        if self._attempts.get_undecided_time(now) > 0:
+            # The next process of the same id may carry a start out.
+            return
         self._end_departure(now, departures.Proof.REFUSED)
 
     def _end_departure(self, now: float, proof: departures.Proof) -> None:
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -49,6 +49,8 @@
     :ivar reason: why the run will not execute; empty if it may.
     :ivar may_have_been_sent: whether a start call without an answer may have
         reached the worker.
+    :ivar undecided_until: time in seconds until which a start call without an
+        answer may be carried out by the next process of the same id.
     :ivar was_accepted: whether the worker has accepted a start call.
     :ivar called_at: time in seconds of the latest start call; 0 for none.
     :ivar next_call_at: earliest time of the next call in seconds.
@@ -63,6 +65,7 @@
     state: State
     reason: str = ''
     may_have_been_sent: bool = False
+    undecided_until: float = 0.0
     was_accepted: bool = False
     called_at: float = 0.0
     next_call_at: float = 0.0
@@ -114,6 +117,8 @@
                 State.PENDING,
                 may_have_been_sent=order.repeated,
             )
+            if order.repeated:
+                attempt.undecided_until = now + calls.MAX_CALL_DELAY_S
             self._attempts_by_run[order.run] = attempt
         attempt.last_ordered_at = now
 
@@ -214,7 +219,10 @@
     def mark_all_refused(
         self, now: float, running: list[work.Run], reason: str
     ) -> int:
-        """Mark all runs as refused once the worker's lease has expired.
+        """Mark runs as refused once the worker's lease has expired.
+
+        Left out are runs with an undecided start call: the clock of the next
+        process starts anew, so that it takes the call for one in time.
 
         :param running: runs that the worker listed last as running.
         :param reason: reason to report to the coordinator.
@@ -227,6 +235,8 @@
         for attempt in self._attempts_by_run.values():
             if attempt.state is State.REFUSED:
                 continue
+            if now < attempt.undecided_until:
+                continue
             attempt.state = State.REFUSED
             attempt.reason = reason
             attempt.last_ordered_at = now
@@ -242,6 +252,8 @@
         attempt = self._attempts_by_run.get(call.order.run)
         if attempt is not None:
             attempt.was_accepted |= isinstance(result, calls.Accepted)
+            if isinstance(result, calls.Unanswered) and result.sent:
+                attempt.undecided_until = now + calls.MAX_CALL_DELAY_S
         if attempt is None or attempt.state is not State.CALLING:
             events.log_late_start_result(call, attempt, result)
             return
@@ -337,6 +349,17 @@
             if settled or run in listed:
                 del self._attempts_by_run[run]
 
+    def get_undecided_time(self, now: float) -> float:
+        """Return the seconds for which a start call may be carried out."""
+        return max(
+            (
+                attempt.undecided_until - now
+                for attempt in self._attempts_by_run.values()
+                if attempt.state is not State.REFUSED
+            ),
+            default=0.0,
+        )
+
     def has_unconfirmed_stop(self) -> bool:
         """Return whether lists must still confirm an acknowledged stop."""
         for attempt in self._attempts_by_run.values():
--- a/damaskpin/agent/calls.py
+++ b/damaskpin/agent/calls.py
@@ -15,6 +15,10 @@
 from damaskpin.model import work
 from damaskpin.peer import orders
 
+# Time in seconds after which a call without an answer is not carried out any
+# more.
+MAX_CALL_DELAY_S = 15.0
+
 # Reason of a call that reached a worker with another id.
 OTHER_LIFETIME = 'another lifetime'
 
--- a/tests/test_agent/test_agent_acknowledgements.py
+++ b/tests/test_agent/test_agent_acknowledgements.py
@@ -134,7 +134,7 @@
     """
     agent = _make_agent()
     _poll(agent, NOW + 0.1, UNANSWERED)
-    over = NOW + 0.1 + acknowledgements.MAX_CALL_DELAY_S
+    over = NOW + 0.1 + calls.MAX_CALL_DELAY_S
     for now in (NOW + 0.2, over - 0.2):
         _poll(agent, now, _make_lists(LIFETIME, 1))
         assert agent.make_poll(now + 0.1).observed == 0
--- a/tests/test_agent/test_agent_fencing.py
+++ b/tests/test_agent/test_agent_fencing.py
@@ -4,7 +4,6 @@
 
 import msgspec
 
-from damaskpin.agent import acknowledgements
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
 from damaskpin.agent import fencing
@@ -133,7 +132,7 @@
         1, work.Run(work.Item('0' * 16, 0, 0, 0), 1), work.Ending.DONE, ''
     )
     # No call of a former process of the agent can be late any more.
-    now = NOW + acknowledgements.MAX_CALL_DELAY_S
+    now = NOW + calls.MAX_CALL_DELAY_S
     _poll(agent, now, calls.Lists(1000, LIFETIME.born, (), (ended,)))
     message = _make_orders(agent, 2, now)
     agent.handle_orders(now, msgspec.structs.replace(message, observed=1))
