--- a/tests/test_coordinator/test_coordinator_twice.py
+++ b/tests/test_coordinator/test_coordinator_twice.py
@@ -94,9 +94,12 @@
 @pytest.mark.parametrize(
     ('start_time', 'seed'),
     [
-        *((0.3, seed) for seed in (28, 34, 161, 233, 256)),
+        *((0.3, seed) for seed in (28, 34, 122, 161, 233, 256)),
         *((0.0, seed) for seed in (17, 44, 60, 66, 105, 118, 122, 162, 168)),
-        *((0.0, seed) for seed in (195, 218, 229, 234, 241, 258, 277, 290)),
+        *(
+            (0.0, seed)
+            for seed in (195, 218, 229, 234, 236, 241, 258, 277, 290)
+        ),
     ],
 )
 def test_random_plays_with_workers_that_come_back(start_time, seed):
