Register the process that was heard of during a departure

What callers could see: a worker that gets no work until it is restarted.

Cause: the heartbeat of another process is kept as a candidate, and only three of the four ways by which a process ends took it up. After a refused connection during a departure it stayed, and the next refused connection ended the process that it had named, whose heartbeats were ignored from then on.

Evidence: test_next_process_that_registers_during_a_departure_stays_in_use fails before.

Change: each end of a process registers the candidate, in the two places that record an end instead of beside their callers.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -306,19 +306,15 @@
                 events.log_worker_restart(call.lifetime, result)
                 self._acknowledgements.record_undecided(now, call)
                 self._end_lifetime(now, keeps_id=True)
-                self._register_candidate(now)
             case calls.Lists(born=born):
-                self._drop_delayed_candidate(sent, is_certain=born > 0)
                 self._record_lists(now, sent, call, result)
-                if self._candidate is not None and not born:
-                    self._replace_process(now)
+                self._judge_candidate(now, sent, born)
             case calls.Refused(reason=calls.OTHER_LIFETIME):
                 LOG.info(
                     'another worker answers; waiting for its heartbeat',
                     extra={'worker': call.lifetime.worker},
                 )
                 self._end_lifetime(now, keeps_id=False)
-                self._register_candidate(now)
             case calls.Refused(outranked=True):
                 self._handle_outranked_poll(call)
             case calls.Unanswered():
@@ -421,7 +417,8 @@
         """Discard the state of a process that another has replaced.
 
         The answer of the other one proves the end. Heartbeats of the ended
-        process that arrive later are ignored.
+        process that arrive later are ignored. The other one is registered if
+        it has sent a heartbeat.
 
         :param keeps_id: whether the other one has the same id.
         """
@@ -430,6 +427,7 @@
         self._record_crash(now)
         self._departure.record_end(now, departures.Proof.REPLACED, keeps_id)
         self._discard_worker_state()
+        self._register_candidate(now)
 
     def _handle_former_poll(
         self, now: float, call: calls.PollCall, result: calls.Result
@@ -441,22 +439,23 @@
                 self._acknowledgements.record_undecided(now, call)
         self._outrank(now, call, result)
 
-    def _drop_delayed_candidate(self, sent: float, is_certain: bool) -> None:
-        """Drop the heartbeat of another process, as the known one answers.
+    def _judge_candidate(self, now: float, sent: float, born: int) -> None:
+        """Drop the candidate, or register it, as the known process answers.
 
-        :param sent: time in seconds of the call that it has answered.
-        :param is_certain: whether the answer tells the process, not only its
-            worker id.
+        :param sent: time in seconds of the call that was answered.
+        :param born: birth of the process in the answer; 0 if it is not told.
         """
         candidate = self._candidate
         if candidate is None or self.profile is None:
             return
         known = self.profile.lifetime
-        is_same_worker = candidate.profile.lifetime.worker == known.worker
-        if sent < candidate.received_at or (is_same_worker and not is_certain):
-            return
-        events.log_delayed_heartbeat(candidate.profile.lifetime, known)
-        self._candidate = None
+        keeps_id = candidate.profile.lifetime.worker == known.worker
+        if keeps_id and not born:
+            # Either of the two may have answered.
+            self._replace_process(now)
+        elif sent >= candidate.received_at:
+            events.log_delayed_heartbeat(candidate.profile.lifetime, known)
+            self._candidate = None
 
     def _replace_process(self, now: float) -> None:
         """Take the candidate for the worker's process from now on."""
@@ -465,10 +464,9 @@
         new_worker = self._candidate.profile.lifetime.worker
         keeps_id = self.profile.lifetime.worker == new_worker
         self._end_lifetime(now, keeps_id)
-        self._register_candidate(now)
 
     def _register_candidate(self, now: float) -> None:
-        """Register the process that has sent a heartbeat meanwhile."""
+        """Register the process that has sent a heartbeat meanwhile, if any."""
         candidate = self._candidate
         self._candidate = None
         if candidate is not None:
@@ -494,6 +492,7 @@
         """Report that the worker has left, and discard its state."""
         self._departure.record_end(now, proof)
         self._discard_worker_state()
+        self._register_candidate(now)
         self.report_requested = True
 
     def _handle_outranked_poll(self, call: calls.PollCall) -> None:
--- a/tests/test_agent/test_agent_departure.py
+++ b/tests/test_agent/test_agent_departure.py
@@ -271,3 +271,22 @@
         now += 0.25
         _poll(agent, now, REFUSED)
         assert now < NOW + 8.0, 'the runs are kept for ever'
+
+
+def test_next_process_that_registers_during_a_departure_stays_in_use():
+    """Guards against a worker that is taken for ended as soon as it is known.
+
+    The heartbeat of the next process arrives before the former one has ended,
+    and is repeated after that.
+    """
+    agent = _make_agent()
+    agent.handle_leave(NOW + 1.0, LIFETIME.worker)
+    next_profile = _make_profile(NEXT_LIFETIME, draining=False)
+    agent.handle_heartbeat(NOW + 1.1, next_profile, 10)
+    _poll(agent, NOW + 1.2, REFUSED)
+    agent.handle_heartbeat(NOW + 2.0, next_profile, 900)
+    _poll(agent, NOW + 2.1, REFUSED)
+    report = agent.make_report(NOW + 2.2)
+    assert report.left == LIFETIME
+    assert report.profile is not None
+    assert report.profile.lifetime == NEXT_LIFETIME
