Derive whether a start may have been sent from its undecided time

Both were set in the same places. mark_all_refused leaves runs out since and is named refuse_lapsed; two doc comments said more than holds for the next process of a worker. Behaviour is unchanged.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -552,12 +552,13 @@
         self._attempts.clear()
 
     def _refuse_runs_of_expired_lease(self, now: float) -> None:
-        """Mark all runs of a worker whose lease has expired as refused.
+        """Mark the runs of a worker whose lease has expired as refused.
 
         The next report tells the coordinator that the runs do not run and
-        never will, so that it may start them on another worker.
+        never will, so that it may start them on another worker. Runs with an
+        undecided start follow later.
         """
-        newly_refused_count = self._attempts.mark_all_refused(
+        newly_refused_count = self._attempts.refuse_lapsed(
             now, self._run_lists.remove_running(), 'the lease has ended'
         )
         if newly_refused_count:
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -47,10 +47,9 @@
 
     :ivar order: order to start the run; ``None`` if only a stop was ordered.
     :ivar reason: why the run will not execute; empty if it may.
-    :ivar may_have_been_sent: whether a start call without an answer may have
-        reached the worker.
     :ivar undecided_until: time in seconds until which a start call without an
-        answer may be carried out by the next process of the same id.
+        answer may be carried out by the next process of the same id; 0 if no
+        such call may have reached the worker.
     :ivar was_accepted: whether the worker has accepted a start call.
     :ivar called_at: time in seconds of the latest start call; 0 for none.
     :ivar next_call_at: earliest time of the next call in seconds.
@@ -64,7 +63,6 @@
     order: orders.StartOrder | None
     state: State
     reason: str = ''
-    may_have_been_sent: bool = False
     undecided_until: float = 0.0
     was_accepted: bool = False
     called_at: float = 0.0
@@ -72,6 +70,11 @@
     stop_acknowledged_at: float = 0.0
     last_ordered_at: float = 0.0
 
+    @property
+    def may_have_been_sent(self) -> bool:
+        """Return whether an unanswered start call may have been received."""
+        return self.undecided_until > 0
+
     def needs_lists(self, has_lists: bool) -> bool:
         """Return whether the worker's lists must be read before a call.
 
@@ -115,7 +118,6 @@
                 order.run,
                 order,
                 State.PENDING,
-                may_have_been_sent=order.repeated,
             )
             if order.repeated:
                 attempt.undecided_until = now + calls.MAX_CALL_DELAY_S
@@ -216,7 +218,7 @@
             if not attempt.needs_lists(has_lists):
                 self._abandon_start(now, attempt, reason)
 
-    def mark_all_refused(
+    def refuse_lapsed(
         self, now: float, running: list[work.Run], reason: str
     ) -> int:
         """Mark runs as refused once the worker's lease has expired.
@@ -268,7 +270,6 @@
                 self._abandon_start(now, attempt, reason)
             case calls.Unanswered():
                 attempt.state = State.PENDING
-                attempt.may_have_been_sent |= result.sent
                 attempt.next_call_at = now + RETRY_INTERVAL_S
         events.log_start_result(now, attempt, call, result)
 
--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -229,7 +229,8 @@
         """Return whether the worker is silent and its lease has expired.
 
         After that, no run ordered earlier is still running on the worker, and
-        a start call that arrives late is refused.
+        this process refuses a start call that arrives late. The clock of the
+        next process starts anew.
         """
         return bool(self.get_silence(now)) and self.get_lease_remaining() <= 0
 
