Compare workers for guaranteed work only if one has refused starts

Each guaranteed unit of a pass listed all suitable workers again and counted what they could hold. Only a worker that has refused starts can be left out, so nothing changes where none has.

--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -161,9 +161,10 @@
 
     def _list_eligible(self, unit: jobs.Unit) -> list[worker_state.Worker]:
         """Return the workers on which a unit may be planned now."""
-        eligible = self._list_suitable(unit)
-        if self._limits_units:
-            eligible = [w for w in eligible if refusals.may_take_unit(w)]
+        suitable = self._list_suitable(unit)
+        if not self._limits_units:
+            return suitable
+        eligible = [w for w in suitable if refusals.may_take_unit(w)]
         if unit.job.id not in self._guaranteed:
             return eligible
         preferred = refusals.list_for_guaranteed(self._now, eligible)
