--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -38,7 +38,7 @@
     job = placed.job
     was_final = job.is_final()
     was_done = job.is_done(ended.run.item)
-    counts = outcomes.record_end(
+    counts = outcomes.apply_end(
         job, ended.run, ended.ending, ended.checkpoint, wall
     )
     job.unrecorded.discard(ended.run)
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -211,7 +211,7 @@
             step = job.get_step_progress(run.item.occurrence, run.item.step)
             slot = placed.step.get_slot(run.item.index)
             step.checkpoints[slot] = placed.checkpoint
-        outcomes.remove_lost_run(job, run)
+        outcomes.record_removal(job, run)
         job.unrecorded.discard(run)
         events.log_run('run removed', run, worker, reason)
         if placed.step.gang:
--- a/damaskpin/coordinator/outcomes.py
+++ b/damaskpin/coordinator/outcomes.py
@@ -15,8 +15,8 @@
 MAX_REMOVED_RUNS = 8
 
 
-def remove_lost_run(job: jobs.Job, run: work.Run) -> None:
-    """Remove a run that is taken for gone without a listed end.
+def record_removal(job: jobs.Job, run: work.Run) -> None:
+    """Record that a run is taken for gone without a listed end.
 
     Its number is kept, so that its failure counts once if its end is listed
     nevertheless.
@@ -30,14 +30,14 @@
     del numbers[:-MAX_REMOVED_RUNS]
 
 
-def record_end(
+def apply_end(
     job: jobs.Job,
     run: work.Run,
     ending: work.Ending,
     checkpoint: str,
     wall: float,
 ) -> bool:
-    """Record the end of a run that a worker has listed.
+    """Apply the end of a run that a worker has listed to its job.
 
     The end of a run that was removed counts too, because the proof of its
     removal may have been wrong: the worker forgets an end that is
--- a/tests/test_coordinator/test_coordinator_placement.py
+++ b/tests/test_coordinator/test_coordinator_placement.py
@@ -74,12 +74,12 @@
     worker = next(iter(ledger.workers.values()))
     for run in list(worker.runs)[:4]:
         worker.remove_run(run)
-        outcomes.record_end(first, run, work.Ending.DONE, '', builders.WALL)
+        outcomes.apply_end(first, run, work.Ending.DONE, '', builders.WALL)
     builders.decide(ledger, NOW + 1.0)
     assert builders.list_runs(ledger, ledger.jobs['more']) == {}
     for run in list(worker.runs):
         worker.remove_run(run)
-        outcomes.record_end(first, run, work.Ending.DONE, '', builders.WALL)
+        outcomes.apply_end(first, run, work.Ending.DONE, '', builders.WALL)
     builders.decide(ledger, NOW + 2.0)
     assert builders.list_runs(ledger, large) == {0: 'w0'}
 
