Test conditions that the review could undo unnoticed

The age of an answer with which ends are acknowledged (1.0 s instead of 0.25 s), the short pause while a worker leaves, and that the last ends of a long list are acknowledged in the end.

--- a/tests/test_agent/test_agent_acknowledgements.py
+++ b/tests/test_agent/test_agent_acknowledgements.py
@@ -127,6 +127,15 @@
     assert agent.make_poll(NOW + 0.1).observed == 1
 
 
+def test_ends_are_acknowledged_only_right_after_an_answer():
+    """Guards against an acknowledgement that a new process carries out.
+
+    A process may be replaced between two polls.
+    """
+    agent = _make_agent()
+    assert agent.make_poll(NOW + 0.5).observed == 0
+
+
 def test_ends_are_held_back_while_an_earlier_call_may_be_carried_out():
     """Guards against ends that the worker's next process forgets unread.
 
--- a/tests/test_coordinator/test_coordinator_long_lists.py
+++ b/tests/test_coordinator/test_coordinator_long_lists.py
@@ -122,6 +122,14 @@
     return list(known.runs)
 
 
+def _check_all_acknowledged(fleet, now):
+    """Check that the ends are acknowledged once no call can be late."""
+    now += calls.MAX_CALL_DELAY_S
+    for step in range(4):
+        fleet.advance(now + step * 0.1)
+    assert not fleet.worker.ended
+
+
 def test_new_coordinator_reads_all_ends_before_it_removes_a_run():
     """Guards against a work item that starts after it has ended.
 
@@ -145,6 +153,7 @@
     assert known.last_end_serial == EARLIER_ENDS + 1
     assert len(fleet.worker.ended) < work.MAX_LISTED_ENDS, 'still cut short'
     assert fleet.coordinator.counts['lost'] == 0
+    _check_all_acknowledged(fleet, now)
 
 
 def test_new_agent_process_reads_all_ends_before_it_refuses_a_run():
@@ -172,6 +181,7 @@
     assert known.last_end_serial == EARLIER_ENDS + 1
     assert len(fleet.worker.ended) < work.MAX_LISTED_ENDS, 'still cut short'
     assert fleet.coordinator.counts['lost'] == 0
+    _check_all_acknowledged(fleet, NOW + 2.0)
 
 
 def test_end_that_is_not_listed_yet_does_not_stop_the_run_as_missing():
--- a/tests/test_runtime/test_runtime_agent.py
+++ b/tests/test_runtime/test_runtime_agent.py
@@ -11,7 +11,7 @@
 LISTS = calls.Lists(1000, 1, (), ())
 
 # Time in seconds within which a new process of the worker is called once it
-# listens.
+# listens, or one that leaves is called again.
 FIRST_CALL_S = 0.1
 
 
@@ -29,6 +29,13 @@
     assert 0 < pause <= FIRST_CALL_S
 
 
+def test_worker_that_leaves_is_called_again_soon():
+    """Guards against runs that are freed late after a departure."""
+    unanswered = calls.Unanswered('timeout')
+    pause = agent.get_renewal_pause(_make_poll(0.0), unanswered, True)
+    assert 0 < pause <= FIRST_CALL_S
+
+
 @pytest.mark.parametrize(
     ('wait', 'result'),
     [
