Add faults of single calls and messages to the simulation

Late or lost calls, reports, orders and store writes of one kind each, late or lost notices of leaving, lost heartbeats, reset connections, lists without a birth, and smaller workers that take time to start.

--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -36,6 +36,7 @@
     :param on_noted: called when a listed end is acknowledged, unless the lease
         has lapsed since the end.
     :ivar draining: whether the worker has announced its end.
+    :ivar tells_birth: whether the worker's lists contain its birth.
     :ivar busy: whether the worker is unhealthy and refuses to start runs.
     """
 
@@ -50,6 +51,7 @@
         self.on_noted = on_noted
         self.draining = False
         self.busy = False
+        self.tells_birth = True
         self.unnoted = {}
         self.clock_origin = 0.0
         self.fence = 0
@@ -117,7 +119,7 @@
         )
         return calls.Lists(
             self.get_clock(now),
-            self.lifetime.born,
+            self.lifetime.born if self.tells_birth else 0,
             rows,
             ended,
             len(ended) < work.MAX_LISTED_ENDS,
--- /dev/null
+++ b/tests/test_coordinator/fault_actions.py
@@ -0,0 +1,35 @@
+"""Actions of random plays that bring about faults of the fault table."""
+
+from __future__ import annotations
+
+from tests.test_coordinator import disturbances
+
+# Time in seconds that a smaller worker takes to start.
+START_TIMES = (0.05, 0.3, 1.0)
+
+
+def act(rng, simulation, instance, fault):
+    """Bring about a fault, or change its rate.
+
+    :param fault: name of the fault.
+    """
+    match fault:
+        case 'hidden births':
+            worker = instance.worker
+            worker.tells_birth = not worker.tells_birth
+        case 'late leaves':
+            delay = rng.uniform(0.5, disturbances.MAX_MESSAGE_DELAY_S)
+            simulation.processes.leave_unheard(instance, delay)
+        case 'lost heartbeats':
+            simulation.processes.lost_heartbeat_rate = rng.choice(
+                disturbances.RATES
+            )
+        case 'lost leaves':
+            simulation.processes.leave_unheard(instance, None)
+        case 'reset connections':
+            instance.reset_connections()
+        case 'smaller workers that start':
+            simulation.processes.shrink(instance, rng.choice(START_TIMES))
+        case _:
+            rate = rng.choice(disturbances.RATES)
+            simulation.disturbances.set_rate(fault, rate)
--- a/tests/test_coordinator/instance.py
+++ b/tests/test_coordinator/instance.py
@@ -6,6 +6,8 @@
 class Instance:
     """An instance with a worker and the agent beside it.
 
+    :ivar connection_epoch: number of times that all connections to the worker
+        were reset.
     :ivar channels: channels of the agent's process to the worker.
     :ivar disconnected: whether messages to and from the instance are lost.
     :ivar unresponsive: whether the worker does not answer its agent.
@@ -23,6 +25,7 @@
         self.worker = None
         self.agent = None
         self.channels = None
+        self.connection_epoch = 0
         self.disconnected = False
         self.unresponsive = False
         self.next_heartbeat = 0.0
@@ -30,6 +33,10 @@
         self.frozen_until = 0.0
         self.waiting = []
 
+    def reset_connections(self):
+        """End all connections to the worker, whose process goes on."""
+        self.connection_epoch += 1
+
     def is_frozen(self, now):
         return now < self.frozen_until
 
--- a/tests/test_coordinator/links.py
+++ b/tests/test_coordinator/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damaskpin.peer import orders
+from tests.test_coordinator import disturbances
 
 
 class Links:
@@ -32,8 +33,13 @@
             due = simulation.now + simulation.late_report_s
             self._delayed.append((due, instance, message))
             return
-        if simulation.random.random() < simulation.delay_rate:
-            due = simulation.now + simulation.random.uniform(0.2, 3.0)
+        if simulation.disturbances.draw_loss(message) is not None:
+            return
+        if simulation.disturbances.is_late(message):
+            longest = 3.0
+            if simulation.disturbances.is_kind_delayed(message):
+                longest = disturbances.MAX_MESSAGE_DELAY_S
+            due = simulation.now + simulation.random.uniform(0.2, longest)
             self._delayed.append((due, instance, message))
             return
         self._receive(instance, message)
--- a/tests/test_coordinator/overlapping_calls.py
+++ b/tests/test_coordinator/overlapping_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damaskpin.agent import calls
+from tests.test_coordinator import disturbances
 from tests.test_coordinator import worker_calls
 
 # Time in seconds after which a call without an answer is given up, beside the
@@ -40,14 +41,17 @@
     """One call of an exchange on its connection.
 
     :ivar worker: process that the connection leads to.
+    :ivar loss: what of it is lost; ``None`` for nothing.
     :ivar is_answered: whether its result has arrived or it was given up.
     """
 
     def __init__(self, exchange, sent):
         self.exchange = exchange
         self.call = exchange.steps.get_next_call()
-        self.worker = exchange.steps.channel.connection.worker
+        self.connection = exchange.steps.channel.connection
+        self.worker = self.connection.worker
         self.sent = sent
+        self.loss = None
         self.is_answered = False
 
 
@@ -137,10 +141,13 @@
         )
         if instance.unresponsive and simulation.random.random() < 0.5:
             return
+        transmission.loss = simulation.disturbances.draw_loss(call)
+        if transmission.loss is disturbances.Loss.REQUEST:
+            return
         delay = self._draw_way()
         if simulation.late_start_s and isinstance(call, calls.StartCall):
             delay = simulation.late_start_s
-        elif simulation.random.random() < simulation.delay_rate:
+        elif simulation.disturbances.is_late(call):
             delay = simulation.random.uniform(
                 TIMEOUT_S, worker_calls.MAX_CALL_DELAY_S
             )
@@ -171,6 +178,8 @@
         instance = transmission.exchange.instance
         if instance.unresponsive or self._simulation.is_lost():
             return
+        if transmission.loss is not None or transmission.connection.is_reset():
+            return
         self._simulation.schedule(
             self._draw_way(), lambda: self._receive(transmission, result)
         )
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -5,6 +5,7 @@
 import random
 
 from damaskpin.model import work
+from tests.test_coordinator import fault_actions
 from tests.test_coordinator import simulation as simulations
 
 ACTIONS = 60
@@ -53,10 +54,13 @@
 ]
 
 
-def play(seed, faults, actions=ACTIONS):
+def play(seed, faults, actions=ACTIONS, has_each_fault=False):
     """Play random actions, then remove all faults and wait for all jobs.
 
     :param faults: names of the faults that the play may use.
+    :param has_each_fault: whether each fault is brought about at least once,
+        in the order of their names and at regular intervals. The other actions
+        are drawn.
     :raises AssertionError: the simulation has seen a broken promise.
     """
     rng = random.Random(seed)
@@ -66,8 +70,15 @@
     simulation.late_calls_outlive_processes = OUTLIVING_CALLS in faults
     faults = [fault for fault in faults if fault != OUTLIVING_CALLS]
     simulation.run(1.0)
-    for _ in range(actions):
-        _act(rng, simulation, faults)
+    due_faults = {}
+    if has_each_fault:
+        interval = max(actions // (len(faults) + 1), 1)
+        due_faults = {
+            (index + 1) * interval: fault
+            for index, fault in enumerate(sorted(faults))
+        }
+    for index in range(actions):
+        _act(rng, simulation, faults, due_faults.get(index))
     simulation.heal_and_finish()
     return simulation
 
@@ -111,8 +122,11 @@
         simulation.cancel(rng.choice(sorted(simulation.submissions)))
 
 
-def _act(rng, simulation, faults):
-    action = rng.choice((*faults, 'submit', 'submit', 'end', 'wait', 'wait'))
+def _act(rng, simulation, faults, action=None):
+    if action is None:
+        action = rng.choice(
+            (*faults, 'submit', 'submit', 'end', 'wait', 'wait')
+        )
     instance = rng.choice(simulation.instances)
     worker = instance.worker
     match action:
@@ -160,6 +174,10 @@
             simulation.freeze_agent(instance, rng.uniform(1.0, 20.0))
         case 'unheard leaves':
             simulation.processes.leave(instance, is_heard=False)
+        case 'wait':
+            pass
+        case _:
+            fault_actions.act(rng, simulation, instance, action)
     simulation.run(rng.choice([0.1, 0.3, 1.0, 4.0, 9.0]))
 
 
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -13,11 +13,13 @@
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import records
 from damaskpin.model import work
+from tests.test_coordinator import disturbances
 from tests.test_coordinator import fakeworker
 from tests.test_coordinator import instance as instances_module
 from tests.test_coordinator import links
 from tests.test_coordinator import oracle
 from tests.test_coordinator import overlapping_calls
+from tests.test_coordinator import store_writes
 from tests.test_coordinator import worker_calls
 from tests.test_coordinator import worker_processes
 
@@ -66,7 +68,9 @@
         self.oracle = oracle.Oracle(self.submissions, self.store)
         self.processes = worker_processes.WorkerProcesses(self)
         self.tick_s = TICK_S
+        self.disturbances = disturbances.Disturbances(self)
         self._links = links.Links(self)
+        self._store_writes = store_writes.StoreWrites(self)
         self._calls = worker_calls.WorkerCalls(self, self._send)
         self._events = []
         self._event_numbers = itertools.count()
@@ -186,11 +190,14 @@
         self.loss_rate = 0.0
         self.delay_rate = 0.0
         self.processes.late_heartbeat_rate = 0.0
+        self.processes.lost_heartbeat_rate = 0.0
+        self.disturbances.clear()
         for instance in self.instances:
             instance.frozen_until = 0.0
             instance.disconnected = False
             instance.unresponsive = False
             instance.worker.busy = False
+            instance.worker.tells_birth = True
             if (
                 instance.worker.draining
                 or instance.worker.capacity != CAPACITY
@@ -223,7 +230,7 @@
                 self.restart_worker(instance)
         self.crashing_workers.clear()
         self.coordinator.decide(self.now, self.get_wall())
-        self._store_progress()
+        self._store_writes.advance()
         for worker in self.coordinator.pop_due_workers():
             instance = self._find_instance(worker.agent)
             if not instance.disconnected and not self.is_lost():
@@ -270,13 +277,6 @@
     def _send(self, instance, call):
         return self._calls.send(instance, call)
 
-    def _store_progress(self):
-        for job in self.coordinator.list_unstored_jobs():
-            if self.is_lost():
-                continue
-            self.store[job.id] = records.encode_progress(job.progress)
-            self.coordinator.record_stored(job.id, job.progress.version)
-
     def _add_job(self, job_id):
         progress = records.Progress()
         if job_id in self.store:
--- a/tests/test_coordinator/worker_calls.py
+++ b/tests/test_coordinator/worker_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damaskpin.agent import calls
+from tests.test_coordinator import disturbances
 
 # Longest delay of a call that its sender sees unanswered, in seconds.
 MAX_CALL_DELAY_S = 12.0
@@ -17,6 +18,7 @@
     def __init__(self, instance):
         self.instance = instance
         self.worker = None
+        self._epoch = instance.connection_epoch
 
     def open(self, now):
         """Connect to the process that listens now, unless that is done.
@@ -29,10 +31,15 @@
                     'connection refused', sent=False, refused=True
                 )
             self.worker = self.instance.worker
-        if not self.worker.alive:
+            self._epoch = self.instance.connection_epoch
+        if not self.worker.alive or self.is_reset():
             return calls.Unanswered('connection has ended', sent=False)
         return None
 
+    def is_reset(self):
+        """Return whether it has ended although its process may live."""
+        return self._epoch != self.instance.connection_epoch
+
     def close(self):
         """Close the connection; calls that it has carried may be late."""
 
@@ -108,12 +115,15 @@
             due = now + simulation.late_start_s
             self._delayed.append((due, instance, worker, call))
             return calls.Unanswered('late')
-        if simulation.random.random() < simulation.delay_rate:
+        loss = simulation.disturbances.draw_loss(call)
+        if loss is disturbances.Loss.REQUEST:
+            return calls.Unanswered('call lost')
+        if simulation.disturbances.is_late(call):
             due = now + simulation.random.uniform(0.5, MAX_CALL_DELAY_S)
             self._delayed.append((due, instance, worker, call))
             return calls.Unanswered('late')
         result = apply_call(now, worker, call)
-        if simulation.is_lost():
+        if simulation.is_lost() or loss is not None:
             return calls.Unanswered('answer lost')
         return result
 
--- a/tests/test_coordinator/worker_processes.py
+++ b/tests/test_coordinator/worker_processes.py
@@ -22,12 +22,14 @@
 
     :param simulation: simulation of the agents beside the workers.
     :ivar late_heartbeat_rate: share of heartbeats that are delayed.
+    :ivar lost_heartbeat_rate: share of heartbeats that are lost.
     """
 
     def __init__(self, simulation):
         self._simulation = simulation
         self._birth_offset = FIRST_BIRTH_MS
         self.late_heartbeat_rate = 0.0
+        self.lost_heartbeat_rate = 0.0
 
     def set_time_of_day_back(self):
         """Let later workers have lower births than earlier ones."""
@@ -54,12 +56,17 @@
             instance.down_until + simulation.random.uniform(0.0, 1.0)
         )
 
-    def shrink(self, instance):
-        """Replace a worker at once by a smaller one with the same id."""
+    def shrink(self, instance, start_time=0.0):
+        """Replace a worker by a smaller one with the same id.
+
+        :param start_time: time in seconds that the smaller one takes to start;
+            its clock is at zero when it is up.
+        """
         instance.worker.crash()
-        instance.down_until = self._simulation.now
+        instance.down_until = self._simulation.now + start_time
         name = instance.worker.lifetime.worker
         self.start(instance, name, SMALL_CAPACITY)
+        instance.worker.clock_origin = instance.down_until
 
     def leave(self, instance, is_heard=True):
         """Let a worker drain, announce that it leaves, and end.
@@ -75,6 +82,29 @@
             lambda: self._send_leave(instance, worker, is_heard),
         )
 
+    def leave_unheard(self, instance, notice_delay):
+        """Let a worker leave that hears no answer to its notice.
+
+        It goes on for some seconds after the notice.
+
+        :param notice_delay: seconds by which the notice is late, so that it
+            may arrive after the worker's end; ``None`` if it is lost.
+        """
+        simulation = self._simulation
+        worker = instance.worker
+        worker.draining = True
+        sent = simulation.random.uniform(0.3, 3.0)
+        if notice_delay is not None:
+            name = worker.lifetime.worker
+            simulation.schedule(
+                sent + notice_delay,
+                lambda: self._deliver_notice(instance, name),
+            )
+        simulation.schedule(
+            sent + simulation.random.uniform(1.0, 8.0),
+            lambda: self._end(instance, worker),
+        )
+
     def send_heartbeat(self, instance):
         """Send a heartbeat, sometimes late and out of order."""
         simulation = self._simulation
@@ -87,6 +117,9 @@
         def handle():
             instance.agent.handle_heartbeat(simulation.now, profile, clock)
 
+        rate = self.lost_heartbeat_rate
+        if rate and simulation.random.random() < rate:
+            return
         rate = self.late_heartbeat_rate
         if rate and simulation.random.random() < rate:
             delay = simulation.random.uniform(0.5, MAX_HEARTBEAT_DELAY_S)
@@ -104,15 +137,19 @@
             simulation.restart_worker(instance)
             return
         if not is_heard:
-            simulation.pass_to_agent(
-                instance,
-                lambda: instance.agent.handle_leave(simulation.now, name),
-            )
+            self._deliver_notice(instance, name)
         simulation.schedule(
             simulation.random.uniform(1.0, 8.0),
             lambda: self._end(instance, worker),
         )
 
+    def _deliver_notice(self, instance, name):
+        simulation = self._simulation
+        simulation.pass_to_agent(
+            instance,
+            lambda: instance.agent.handle_leave(simulation.now, name),
+        )
+
     def _end(self, instance, worker):
         if instance.worker is worker:
             self._simulation.restart_worker(instance)
