--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_fault_table.py
@@ -0,0 +1,40 @@
+"""Random plays of each pair of the fault table."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.test_coordinator import fault_table
+from tests.test_coordinator import random_plays
+
+ACTIONS = 24
+
+# Seed of the first pair; each pair has one of its own.
+FIRST_SEED = 60_000
+
+CASES = [
+    pytest.param(FIRST_SEED + index, row, column, id=f'{row}-{column}')
+    for index, (row, column) in enumerate(fault_table.PAIRS)
+]
+
+
+@pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
+def test_pair_proves_nothing_wrong(seed, row, column):
+    """Guards against proofs that a disturbance makes wrong.
+
+    Such a proof leads to a second run of a work item, a start after its end,
+    or an overcommitted worker.
+    """
+    mix = fault_table.make_mix(row, column)
+    random_plays.play(seed, mix, ACTIONS, has_each_fault=True)
+
+
+@pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
+def test_pair_proves_nothing_wrong_while_calls_overlap(seed, row, column):
+    """Guards against proofs that a call under way makes wrong.
+
+    Its answer, or the call itself, arrives after a later one's.
+    """
+    mix = fault_table.get_overlapping(fault_table.make_mix(row, column))
+    seed += len(fault_table.PAIRS)
+    random_plays.play(seed, mix, ACTIONS, has_each_fault=True)
