--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 # Fixed seed for hash ordering, so that every run takes the same path.
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format fuzz
+.PHONY: demo test lint format fuzz fuzz-twice
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -30,3 +30,11 @@
 # Longer random runs of the stateful fuzzers.
 fuzz: $(VENV)/.installed
 	DAMASKPIN_FUZZ=long $(BIN)/python -m pytest tests -k fuzz --timeout 3600
+
+# Random plays of each pair of the fault table, for example
+# make fuzz-twice PLAYS=10000 SEED=500000. Broken plays are printed.
+PLAYS ?= 2000
+SEED ?= 100000
+fuzz-twice: $(VENV)/.installed
+	DAMASKPIN_FUZZ_PLAYS=$(PLAYS) DAMASKPIN_FUZZ_SEED=$(SEED) \
+	  $(BIN)/python -m tests.test_coordinator.play_fault_table
