--- a/tests/test_coordinator/play_fault_table.py
+++ b/tests/test_coordinator/play_fault_table.py
@@ -41,6 +41,9 @@
             message = traceback.format_exc().splitlines()[-1]
             print(f'seed {seed}: {row} / {column}: {message}')
             print(f'  play({seed}, {mix}, {ACTIONS})', flush=True)
+        played = seed - first_seed + 1
+        if played % len(fault_table.PAIRS) == 0:
+            print(f'{played} plays, {broken} broken', flush=True)
     print(f'{plays} plays from seed {first_seed}, {broken} broken')
     return broken
 
