--- a/damaskpin/agent/channels.py
+++ b/damaskpin/agent/channels.py
@@ -79,6 +79,7 @@
     __slots__ = (
         '_connect',
         '_idle',
+        '_is_closed',
         '_last_logged_at',
         '_pause',
         '_paused_until',
@@ -88,6 +89,7 @@
     def __init__(self, connect: Callable[[], Connection]) -> None:
         self._connect = connect
         self._idle: list[Channel] = []
+        self._is_closed = False
         self._pause = 0.0
         self._paused_until = 0.0
         self._last_logged_at = -LOG_INTERVAL_S
@@ -111,7 +113,10 @@
         return Channel(self._connect())
 
     def release(self, channel: Channel) -> None:
-        """Keep a channel for a later call."""
+        """Keep a channel for a later call, unless this client is closed."""
+        if self._is_closed:
+            channel.connection.close()
+            return
         self._idle.append(channel)
         while len(self._idle) > MAX_IDLE_CHANNELS:
             self._idle.pop(0).connection.close()
@@ -151,7 +156,8 @@
         )
 
     def close(self) -> None:
-        """Close all idle channels."""
+        """Close all idle channels, and others after their calls."""
+        self._is_closed = True
         for channel in self._idle:
             channel.connection.close()
         self._idle.clear()
--- a/damaskpin/runtime/worker_channels.py
+++ b/damaskpin/runtime/worker_channels.py
@@ -61,7 +61,7 @@
         return await self._perform(call)
 
     def close(self) -> None:
-        """Close all connections that no call uses."""
+        """Close all connections, those in use after their calls."""
         self._channels.close()
 
     async def _perform(self, call: calls.Call) -> calls.Result:
--- a/tests/test_agent/test_agent_channels.py
+++ b/tests/test_agent/test_agent_channels.py
@@ -337,8 +337,12 @@
     assert worker.channels.opened == 1
 
 
-def test_close_closes_all_idle_channels(worker):
+def test_close_closes_all_channels_once_no_call_uses_them(worker):
     """Guards against descriptors that outlast the client."""
     worker.open_idle(3)
+    exchange = worker.begin(START)
+    assert exchange.get_next_call() == START
     worker.channels.close()
+    assert worker.list_open() == [2]
+    _advance(exchange, ACCEPTED)
     assert worker.list_open() == []
