--- a/tests/test_runtime/replaced_worker.py
+++ b/tests/test_runtime/replaced_worker.py
@@ -116,7 +116,8 @@
         if operation == self.ends_on:
             self.end()
         if number in self.silent:
-            await self._ended.wait()
+            await reader.read()
+            raise ConnectionAbortedError
         await self._wait(body.get('waitMs', 0))
         if self._ended.is_set():
             raise ConnectionAbortedError
--- a/tests/test_runtime/worker_calls.py
+++ b/tests/test_runtime/worker_calls.py
@@ -94,6 +94,5 @@
 
 def count_resources():
     """Return the number of open descriptors and of tornado's handlers."""
-    gc.collect()
     handlers = ioloop.IOLoop.current().handlers
     return len(os.listdir('/proc/self/fd')), len(handlers)
