Limit the starts made at once; report a lack of descriptors as unsent

Each start of a burst opened a connection of its own, and most of 300 timed out while the event loop was busy with that. Without a free descriptor libcurl's handle could not be made, and the error left the run's attempt as being called for good.

--- a/damaskpin/runtime/worker_channels.py
+++ b/damaskpin/runtime/worker_channels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Protocol
 from typing import TYPE_CHECKING
 
@@ -13,6 +14,12 @@
     from collections.abc import Callable
 
 
+# Starts and stops that are made at once; others wait. Each of them takes a
+# connection, whose opening takes about 2 ms of processor time, so that most of
+# 300 starts at once without a limit have timed out.
+MAX_CALLS = 8
+
+
 class WorkerConnection(Protocol):
     """One connection to the worker beside the agent.
 
@@ -38,10 +45,11 @@
     :param connect: returns a new connection to the worker's address.
     """
 
-    __slots__ = ('_channels',)
+    __slots__ = ('_channels', '_slots')
 
     def __init__(self, connect: Callable[[], WorkerConnection]) -> None:
         self._channels = channels.Channels(connect)
+        self._slots = asyncio.Semaphore(MAX_CALLS)
 
     @property
     def opened(self) -> int:
@@ -54,11 +62,13 @@
 
     async def start(self, call: calls.StartCall) -> calls.Result:
         """Start a run on the worker."""
-        return await self._perform(call)
+        async with self._slots:
+            return await self._perform(call)
 
     async def stop(self, call: calls.StopCall) -> calls.Result:
         """Stop a run on the worker."""
-        return await self._perform(call)
+        async with self._slots:
+            return await self._perform(call)
 
     def close(self) -> None:
         """Close all connections, those in use after their calls."""
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -190,9 +190,7 @@
 
     def __init__(self, address: str) -> None:
         self._base = f'http://{address}'
-        self._client = curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=1
-        )
+        self._client: curl_httpclient.CurlAsyncHTTPClient | None = None
         self._fetch: asyncio.Future[httpclient.HTTPResponse] | None = None
         self._sockets = connections.SingleSocket()
 
@@ -203,6 +201,8 @@
         :raises damaskpin.errors.CallError: no complete answer arrived in
             time, or the connection had ended before.
         """
+        if self._client is None:
+            self._client = make_single_client()
         sending = connections.Sending(self._sockets)
         is_first = not self._sockets.is_open
         self._fetch = self._client.fetch(
@@ -226,17 +226,23 @@
 
     def close(self) -> None:
         """Close the connection, after the call that uses it, if any."""
+        if self._client is None:
+            return
         if self._fetch is None or self._fetch.done():
             self._client.close()
             return
-        self._fetch.add_done_callback(self._close_after_call)
+        self._fetch.add_done_callback(
+            functools.partial(self._close_after_call, self._client)
+        )
 
     def _close_after_call(
-        self, fetch: asyncio.Future[httpclient.HTTPResponse]
+        self,
+        client: curl_httpclient.CurlAsyncHTTPClient,
+        fetch: asyncio.Future[httpclient.HTTPResponse],
     ) -> None:
         if not fetch.cancelled():
             fetch.exception()  # nobody waits for the result any more
-        self._client.close()
+        client.close()
 
     def _prepare_curl(
         self, sending: connections.Sending, curl: pycurl.Curl
@@ -246,6 +252,20 @@
         curl.setopt(pycurl.PREREQFUNCTION, sending.begin)
 
 
+def make_single_client() -> curl_httpclient.CurlAsyncHTTPClient:
+    """Return a client that makes one call at a time.
+
+    :raises damaskpin.errors.CallError: libcurl can't be set up, for example
+        without a free file descriptor.
+    """
+    try:
+        return curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=1
+        )
+    except pycurl.error as error:
+        raise errors.CallError(str(error), False) from error
+
+
 def prepare_request(
     base: str,
     request: HttpRequest,
