Take an answer without a birth on a bound channel for malformed

libcurl takes an answer that ends within its header for a complete one with an empty body. A poll then listed no runs, on a clock of 0, and the agent took that for the state of the process.

--- a/damaskpin/agent/channels.py
+++ b/damaskpin/agent/channels.py
@@ -31,6 +31,9 @@
 # address can't be told from another.
 UNKNOWN_PROCESS = 'the process at the address does not identify itself'
 
+# Reason of a poll whose answer does not tell the process.
+NO_BIRTH = 'no birth in the answer'
+
 # Pause in seconds after a process has not identified itself; it doubles with
 # each such answer in a row up to the longest pause.
 FIRST_PAUSE_S = 0.1
@@ -217,7 +220,7 @@
         expected = self._call.lifetime
         match result:
             case calls.Lists(born=0):
-                self._fail_identification(now, 'no birth')
+                self._fail_identification(now, NO_BIRTH)
             case calls.Lists(born=born):
                 # A worker refuses calls for another id.
                 process = work.Lifetime(expected.worker, born)
@@ -247,6 +250,11 @@
             case calls.Unanswered():
                 self._drop_channel()
                 self._channels.discard_silent(sent)
+            case calls.Lists(born=0):
+                # libcurl takes an answer that ends within its header for one
+                # with an empty body, which would list no runs.
+                self._drop_channel()
+                result = calls.Unanswered(NO_BIRTH, malformed=True)
             case calls.Lists(born=born) if born != self._call.lifetime.born:
                 self._drop_channel()
             case _:
--- a/tests/test_runtime/test_runtime_worker_connections.py
+++ b/tests/test_runtime/test_runtime_worker_connections.py
@@ -179,6 +179,23 @@
     assert 1 <= len(records) <= 1 + UNKNOWN_S
 
 
+@pytest.mark.parametrize('cut_at', [5, 16, 20, 36, 45])
+def test_answer_that_is_cut_off_lists_no_runs(cut_at):
+    """Guards against runs that count as lost when an answer is cut off.
+
+    libcurl takes a status line without the rest for a whole answer.
+    """
+
+    async def scenario(worker, client):
+        assert await _start_many(client, [0]) == [ACCEPTED]
+        worker.process.cut_at = cut_at
+        result = await client.renew_lease(worker_calls.make_poll(LIFETIME))
+        assert isinstance(result, calls.Unanswered)
+        assert result.sent
+
+    worker_calls.play(scenario)
+
+
 def test_worker_with_another_id_gets_no_start():
     """Guards against a start for a worker that has another id, status 421."""
 
