Reuse a connection whose first call was refused; withhold calls by type

A worker that answers the first call of a connection with 503 got a new connection for each poll, twenty a second. Its connection is kept, unbound, and the next call identifies the process on it.

--- a/damaskpin/agent/channels.py
+++ b/damaskpin/agent/channels.py
@@ -61,14 +61,25 @@
     :ivar lifetime: process at the other end; ``None`` before its first answer.
     :ivar answered_at: time in seconds at which the latest answered call was
         sent.
+    :ivar has_answered: whether a call has been answered, maybe by a refusal
+        that does not tell the process.
     """
 
-    __slots__ = ('answered_at', 'connection', 'lifetime')
+    __slots__ = ('answered_at', 'connection', 'has_answered', 'lifetime')
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.lifetime: work.Lifetime | None = None
         self.answered_at = 0.0
+        self.has_answered = False
+
+    def record_answer(self, sent: float) -> None:
+        """Record that a call has been answered.
+
+        :param sent: time in seconds at which it was sent.
+        """
+        self.answered_at = sent
+        self.has_answered = True
 
 
 class Channels:
@@ -232,20 +243,21 @@
                     )
             case calls.Unanswered(replied=True):
                 self._fail_identification(now, result.reason)
+            case calls.Unanswered(sent=False) if self._may_reopen():
+                self._reopen()
             case calls.Unanswered():
                 self._drop_channel()
                 self._channels.discard_silent(sent)
                 self.result = msgspec.structs.replace(result, sent=False)
             case _:
+                self.channel.record_answer(sent)
                 self._channels.release(self.channel)
                 self.result = result
 
     def _handle_call_result(self, sent: float, result: calls.Result) -> None:
         match result:
-            case calls.Unanswered(sent=False) if not self._has_reopened:
-                # The connection had ended, and its process may have as well.
-                self._has_reopened = True
-                self._drop_channel()
+            case calls.Unanswered(sent=False) if self._may_reopen():
+                self._reopen()
                 return
             case calls.Unanswered():
                 self._drop_channel()
@@ -254,24 +266,33 @@
                 # libcurl takes an answer that ends within its header for one
                 # with an empty body, which would list no runs.
                 self._drop_channel()
-                result = calls.Unanswered(NO_BIRTH, malformed=True)
+                result = calls.Unanswered(NO_BIRTH, replied=True)
             case calls.Lists(born=born) if born != self._call.lifetime.born:
                 self._drop_channel()
             case _:
-                self.channel.answered_at = sent
+                self.channel.record_answer(sent)
                 self._channels.release(self.channel)
         self.result = result
 
     def _bind_channel(self, sent: float, process: work.Lifetime) -> None:
         self.channel.lifetime = process
-        self.channel.answered_at = sent
+        self.channel.record_answer(sent)
         self._channels.record_identity(process)
 
     def _fail_identification(self, now: float, reason: str) -> None:
-        self._channels.release(self.channel)
+        self._drop_channel()
         self._channels.record_no_identity(now, reason)
         self.result = calls.Withheld(UNKNOWN_PROCESS)
 
+    def _may_reopen(self) -> bool:
+        """Return whether a kept connection has ended for the first time."""
+        return self.channel.has_answered and not self._has_reopened
+
+    def _reopen(self) -> None:
+        """Go on with a new channel; the process may have ended as well."""
+        self._has_reopened = True
+        self._drop_channel()
+
     def _drop_channel(self) -> None:
         self.channel.connection.close()
         self._channel = None
--- a/tests/test_agent/test_agent_channels.py
+++ b/tests/test_agent/test_agent_channels.py
@@ -22,8 +22,8 @@
 ACCEPTED = calls.Accepted(3000)
 SILENCE = calls.Unanswered('timeout')
 UNSENT = calls.Unanswered('the connection has ended', sent=False)
-MALFORMED = calls.Unanswered('not a number', malformed=True)
-UNKNOWN = calls.Unanswered(channels.UNKNOWN_PROCESS, sent=False)
+MALFORMED = calls.Unanswered('not a number', replied=True)
+UNKNOWN = calls.Withheld(channels.UNKNOWN_PROCESS)
 NO_BIRTH = calls.Lists(3000, 0, (), ())
 
 
@@ -161,6 +161,20 @@
     exchange = worker.begin(START)
     _advance(exchange, refusal)
     assert exchange.result == refusal
+    # The next call identifies the process on the same connection.
+    assert worker.list_open() == [0]
+    assert _advance(worker.begin(START), _lists(FORMER)) == IDENTIFICATION
+    assert worker.channels.opened == 1
+
+
+def test_refused_identification_on_a_connection_that_has_ended(worker):
+    """Guards against a call that fails as a kept connection has ended."""
+    _advance(worker.begin(START), calls.Refused('status 503'))
+    exchange = worker.begin(START)
+    assert _advance(exchange, UNSENT) == IDENTIFICATION
+    assert exchange.result is None
+    assert _advance(exchange, UNSENT) == IDENTIFICATION
+    assert exchange.result == UNSENT
     assert worker.list_open() == []
 
 
@@ -245,7 +259,7 @@
 @pytest.mark.parametrize(
     ('answer', 'result'),
     [
-        (NO_BIRTH, calls.Unanswered(channels.NO_BIRTH, malformed=True)),
+        (NO_BIRTH, calls.Unanswered(channels.NO_BIRTH, replied=True)),
         (_lists(NEXT), _lists(NEXT)),
     ],
 )
--- a/tests/test_runtime/test_runtime_worker_connections.py
+++ b/tests/test_runtime/test_runtime_worker_connections.py
@@ -142,7 +142,7 @@
     async def scenario(worker, client):
         worker.process.answers = [answer]
         result = await client.start(worker_calls.make_start(LIFETIME))
-        assert result == calls.Unanswered(channels.UNKNOWN_PROCESS, sent=False)
+        assert result == calls.Withheld(channels.UNKNOWN_PROCESS)
         assert worker_calls.list_effects(worker, LIFETIME.born) == []
         worker.process.answers = []
         await asyncio.sleep(2 * channels.FIRST_PAUSE_S)
@@ -162,8 +162,7 @@
         while clocks.get_monotonic_time() < end:
             read = len(worker.calls)
             result = await client.start(worker_calls.make_start(LIFETIME))
-            assert isinstance(result, calls.Unanswered)
-            assert not result.sent
+            assert isinstance(result, calls.Withheld)
             if len(worker.calls) > read:
                 times.append(clocks.get_monotonic_time())
             await asyncio.sleep(CALL_INTERVAL_S)
