Let the plays of the fault table act at short intervals

With starts that reach the next process of a worker, a trial broke 8 of 30 plays of clock steps, new and smaller processes at waits of up to 1 s, and 1 of 30 at the usual ones. Each late or lost kind of call or message of a pair must have had an effect in the pair's plays.

--- a/tests/test_coordinator/disturbances.py
+++ b/tests/test_coordinator/disturbances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 
 from damaskpin.agent import calls
@@ -43,12 +44,14 @@
 
     :param simulation: simulation that holds the rate of delays of all kinds
         and the random source.
+    :ivar counts: number of late or lost calls and messages by fault.
     """
 
     def __init__(self, simulation):
         self._simulation = simulation
         self._delay_rates = {}
         self._loss_rates = {}
+        self.counts = collections.Counter()
 
     def clear(self):
         """End all disturbances."""
@@ -64,9 +67,17 @@
 
     def is_late(self, message):
         """Draw whether a call or message is late, for any reason."""
-        rate = self._delay_rates.get(get_kind(message), 0.0)
+        kind = get_kind(message)
+        rate = self._delay_rates.get(kind, 0.0)
         rate = max(self._simulation.delay_rate, rate)
-        return self._simulation.random.random() < rate
+        is_late = self._simulation.random.random() < rate
+        self.counts[f'late {kind}'] += is_late
+        return is_late
+
+    def has_disturbed(self, fault):
+        """Return whether a fault, if it is one of these, has had an effect."""
+        is_known = fault in LATE_FAULTS or fault in LOSS_FAULTS
+        return self.counts[fault] > 0 or not is_known
 
     def is_kind_delayed(self, message):
         """Return whether delays of the message's own kind are set."""
@@ -78,9 +89,11 @@
         :returns: ``None`` for no loss.
         """
         rng = self._simulation.random
-        rate = self._loss_rates.get(get_kind(message))
+        kind = get_kind(message)
+        rate = self._loss_rates.get(kind)
         if not rate or rng.random() >= rate:
             return None
+        self.counts[f'lost {kind}'] += 1
         return rng.choice((Loss.REQUEST, Loss.ANSWER))
 
     def draw_write_delay(self):
@@ -89,6 +102,7 @@
         rate = self._delay_rates.get(STORE_WRITES)
         if not rate or rng.random() >= rate:
             return 0.0
+        self.counts[f'late {STORE_WRITES}'] += 1
         return rng.uniform(0.2, MAX_WRITE_DELAY_S)
 
 
--- a/tests/test_coordinator/play_fault_table.py
+++ b/tests/test_coordinator/play_fault_table.py
@@ -34,13 +34,19 @@
         mix = fault_table.get_overlapping(
             (*fault_table.make_mix(row, column), *extra_faults)
         )
+        # Every other pass of the table has short waits.
+        waits = random_plays.WAITS
+        if seed // len(fault_table.PAIRS) % 2:
+            waits = random_plays.SHORT_WAITS
         try:
-            random_plays.play(seed, mix, ACTIONS)
+            random_plays.play(seed, mix, ACTIONS, waits=waits)
         except Exception:
             broken += 1
             message = traceback.format_exc().splitlines()[-1]
             print(f'seed {seed}: {row} / {column}: {message}')
-            print(f'  play({seed}, {mix}, {ACTIONS})', flush=True)
+            print(
+                f'  play({seed}, {mix}, {ACTIONS}, waits={waits})', flush=True
+            )
         played = seed - first_seed + 1
         if played % len(fault_table.PAIRS) == 0:
             print(f'{played} plays, {broken} broken', flush=True)
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -10,6 +10,13 @@
 
 ACTIONS = 60
 
+# Seconds that may pass after an action.
+WAITS = (0.1, 0.3, 1.0, 4.0, 9.0)
+# Waits that let disturbances come while calls and messages are under way. With
+# starts that reach the next process, 8 of 30 plays of clock steps, new and
+# smaller processes broke with them, and 1 of 30 with the other ones.
+SHORT_WAITS = (0.1, 0.3, 1.0)
+
 # Faults that a play may mix, by name.
 FAULTS = (
     'agent restarts',
@@ -54,13 +61,14 @@
 ]
 
 
-def play(seed, faults, actions=ACTIONS, has_each_fault=False):
+def play(seed, faults, actions=ACTIONS, has_each_fault=False, waits=WAITS):
     """Play random actions, then remove all faults and wait for all jobs.
 
     :param faults: names of the faults that the play may use.
     :param has_each_fault: whether each fault is brought about at least once,
         in the order of their names and at regular intervals. The other actions
         are drawn.
+    :param waits: seconds of which one passes after each action.
     :raises AssertionError: the simulation has seen a broken promise.
     """
     rng = random.Random(seed)
@@ -79,6 +87,7 @@
         }
     for index in range(actions):
         _act(rng, simulation, faults, due_faults.get(index))
+        simulation.run(rng.choice(waits))
     simulation.heal_and_finish()
     return simulation
 
@@ -178,7 +187,6 @@
             pass
         case _:
             fault_actions.act(rng, simulation, instance, action)
-    simulation.run(rng.choice([0.1, 0.3, 1.0, 4.0, 9.0]))
 
 
 def _make_steps(rng):
--- a/tests/test_coordinator/test_coordinator_fault_table.py
+++ b/tests/test_coordinator/test_coordinator_fault_table.py
@@ -7,7 +7,9 @@
 from tests.test_coordinator import fault_table
 from tests.test_coordinator import random_plays
 
-ACTIONS = 24
+ACTIONS = 50
+# Plays of a pair until each kind of call or message of its mix was disturbed.
+MAX_PLAYS = 4
 
 # Seed of the first pair; each pair has one of its own.
 FIRST_SEED = 61_000
@@ -18,6 +20,21 @@
 ]
 
 
+def _play_pair(seed, mix):
+    """Play a mix until each of its faults has had an effect."""
+    for attempt in range(MAX_PLAYS):
+        simulation = random_plays.play(
+            seed + 1000 * attempt,
+            mix,
+            ACTIONS,
+            has_each_fault=True,
+            waits=random_plays.SHORT_WAITS,
+        )
+        if all(simulation.disturbances.has_disturbed(f) for f in mix):
+            return
+    pytest.fail(f'a fault of {mix} has had no effect in {MAX_PLAYS} plays')
+
+
 @pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
 def test_pair_proves_nothing_wrong(seed, row, column):
     """Guards against proofs that a disturbance makes wrong.
@@ -25,8 +42,7 @@
     Such a proof leads to a second run of a work item, a start after its end,
     or an overcommitted worker.
     """
-    mix = fault_table.make_mix(row, column)
-    random_plays.play(seed, mix, ACTIONS, has_each_fault=True)
+    _play_pair(seed, fault_table.make_mix(row, column))
 
 
 @pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
@@ -36,5 +52,4 @@
     Its answer, or the call itself, arrives after a later one's.
     """
     mix = fault_table.get_overlapping(fault_table.make_mix(row, column))
-    seed += len(fault_table.PAIRS)
-    random_plays.play(seed, mix, ACTIONS, has_each_fault=True)
+    _play_pair(seed + len(fault_table.PAIRS), mix)
