--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
-import enum
 from typing import TYPE_CHECKING
 
+from damaskpin.agent import attempt_state as states
 from damaskpin.agent import calls
 from damaskpin.agent import events
 from damaskpin.peer import orders
@@ -26,67 +25,6 @@
 SETTLED_RETENTION_S = 5.0
 
 
-class State(enum.Enum):
-    """State of the start and stop calls for one run.
-
-    A refused run does not run and never will: the worker or the agent refused
-    its start, it was stopped, or its worker's lease has expired.
-    """
-
-    PENDING = 'pending'
-    CALLING = 'calling'
-    ACCEPTED = 'accepted'
-    STOPPING = 'stopping'
-    STOP_ACKNOWLEDGED = 'stop-acknowledged'
-    REFUSED = 'refused'
-
-
-@dataclasses.dataclass(slots=True, eq=False)
-class Attempt:
-    """Progress of the start and stop calls for one run.
-
-    :ivar order: order to start the run; ``None`` if only a stop was ordered.
-    :ivar reason: why the run will not execute; empty if it may.
-    :ivar undecided_until: time in seconds until which a start call without an
-        answer may be carried out by the next process of the same id; 0 if no
-        such call may have reached the worker.
-    :ivar was_accepted: whether the worker has accepted a start call.
-    :ivar called_at: time in seconds of the latest start call; 0 for none.
-    :ivar next_call_at: earliest time of the next call in seconds.
-    :ivar stop_acknowledged_at: time in seconds at which the worker
-        acknowledged the stop call.
-    :ivar last_ordered_at: time in seconds of the coordinator's latest order to
-        start or stop the run, or of the expiry of the worker's lease.
-    """
-
-    run: work.Run
-    order: orders.StartOrder | None
-    state: State
-    reason: str = ''
-    undecided_until: float = 0.0
-    was_accepted: bool = False
-    called_at: float = 0.0
-    next_call_at: float = 0.0
-    stop_acknowledged_at: float = 0.0
-    last_ordered_at: float = 0.0
-
-    @property
-    def may_have_been_sent(self) -> bool:
-        """Return whether an unanswered start call may have been received."""
-        return self.undecided_until > 0
-
-    def needs_lists(self, has_lists: bool) -> bool:
-        """Return whether the worker's lists must be read before a call.
-
-        They show whether a former process of the agent has started the run,
-        which a refused call would stop.
-
-        :param has_lists: whether this process has read the worker's complete
-            lists.
-        """
-        return self.order is not None and self.order.repeated and not has_lists
-
-
 class Attempts:
     """Start and stop attempts for one worker process and one coordinator.
 
@@ -103,7 +41,7 @@
     __slots__ = ('_attempts_by_run', 'report_needed')
 
     def __init__(self) -> None:
-        self._attempts_by_run: dict[work.Run, Attempt] = {}
+        self._attempts_by_run: dict[work.Run, states.Attempt] = {}
         self.report_needed = False
 
     def clear(self) -> None:
@@ -114,10 +52,10 @@
         """Record an order to start a run unless the run is known already."""
         attempt = self._attempts_by_run.get(order.run)
         if attempt is None:
-            attempt = Attempt(
+            attempt = states.Attempt(
                 order.run,
                 order,
-                State.PENDING,
+                states.State.PENDING,
             )
             if order.repeated:
                 attempt.undecided_until = now + calls.MAX_CALL_DELAY_S
@@ -128,13 +66,19 @@
         """Record an order to stop a run."""
         attempt = self._attempts_by_run.get(run)
         if attempt is None:
-            attempt = Attempt(run, None, State.STOPPING, 'stopped')
+            attempt = states.Attempt(
+                run, None, states.State.STOPPING, 'stopped'
+            )
             self._attempts_by_run[run] = attempt
         attempt.last_ordered_at = now
-        if attempt.state in (State.PENDING, State.CALLING, State.ACCEPTED):
+        if attempt.state in (
+            states.State.PENDING,
+            states.State.CALLING,
+            states.State.ACCEPTED,
+        ):
             # A start call in transit may still arrive; after the stop call the
             # worker refuses it.
-            attempt.state = State.STOPPING
+            attempt.state = states.State.STOPPING
             attempt.reason = 'stopped'
             attempt.next_call_at = 0.0
 
@@ -150,10 +94,10 @@
         :param listed: runs that the worker lists.
         """
         for run, attempt in list(self._attempts_by_run.items()):
-            if attempt.state is not State.PENDING or run in ordered:
+            if not attempt.is_pending or run in ordered:
                 continue
             if run in listed:
-                attempt.state = State.ACCEPTED
+                attempt.state = states.State.ACCEPTED
             elif attempt.may_have_been_sent:
                 self._abandon_start(now, attempt, 'no longer ordered')
             else:
@@ -166,7 +110,7 @@
         due_calls = []
         for attempt in self._attempts_by_run.values():
             if (
-                attempt.state is not State.STOPPING
+                attempt.state is not states.State.STOPPING
                 or attempt.next_call_at > now
             ):
                 continue
@@ -193,11 +137,11 @@
         """
         due_calls = []
         for attempt in self._attempts_by_run.values():
-            if attempt.state is not State.PENDING or attempt.order is None:
+            if not attempt.is_pending or attempt.order is None:
                 continue
             if attempt.next_call_at > now or attempt.needs_lists(has_lists):
                 continue
-            attempt.state = State.CALLING
+            attempt.state = states.State.CALLING
             attempt.called_at = now
             due_calls.append(
                 calls.StartCall(
@@ -213,7 +157,7 @@
             lists.
         """
         for attempt in self._attempts_by_run.values():
-            if attempt.state is not State.PENDING:
+            if not attempt.is_pending:
                 continue
             if not attempt.needs_lists(has_lists):
                 self._abandon_start(now, attempt, reason)
@@ -232,14 +176,16 @@
         """
         for run in running:
             if run not in self._attempts_by_run:
-                self._attempts_by_run[run] = Attempt(run, None, State.ACCEPTED)
+                self._attempts_by_run[run] = states.Attempt(
+                    run, None, states.State.ACCEPTED
+                )
         count = 0
         for attempt in self._attempts_by_run.values():
-            if attempt.state is State.REFUSED:
+            if attempt.state is states.State.REFUSED:
                 continue
             if now < attempt.undecided_until:
                 continue
-            attempt.state = State.REFUSED
+            attempt.state = states.State.REFUSED
             attempt.reason = reason
             attempt.last_ordered_at = now
             count += 1
@@ -256,17 +202,17 @@
             attempt.was_accepted |= isinstance(result, calls.Accepted)
             if isinstance(result, calls.Unanswered) and result.sent:
                 attempt.undecided_until = now + calls.MAX_CALL_DELAY_S
-        if attempt is None or attempt.state is not State.CALLING:
+        if attempt is None or attempt.state is not states.State.CALLING:
             events.log_late_start_result(call, attempt, result)
             return
         match result:
             case calls.Accepted():
-                attempt.state = State.ACCEPTED
+                attempt.state = states.State.ACCEPTED
                 self.report_needed = True
             case calls.Refused(reason=reason, outranked=False):
                 self._abandon_start(now, attempt, reason)
             case _:
-                attempt.state = State.PENDING
+                attempt.state = states.State.PENDING
                 attempt.next_call_at = now + RETRY_INTERVAL_S
         if isinstance(result, calls.Withheld):
             return
@@ -277,11 +223,11 @@
     ) -> None:
         """Update the attempt for a run from the result of its stop call."""
         attempt = self._attempts_by_run.get(call.run)
-        if attempt is None or attempt.state is not State.STOPPING:
+        if attempt is None or attempt.state is not states.State.STOPPING:
             return
         match result:
             case calls.Accepted():
-                attempt.state = State.STOP_ACKNOWLEDGED
+                attempt.state = states.State.STOP_ACKNOWLEDGED
                 attempt.stop_acknowledged_at = now
                 attempt.next_call_at = now + STOP_RETRY_INTERVAL_S
             case _:
@@ -303,16 +249,16 @@
         listed = running | {row.run for row in lists.ended}
         for attempt in self._attempts_by_run.values():
             if (
-                attempt.state is not State.STOP_ACKNOWLEDGED
+                attempt.state is not states.State.STOP_ACKNOWLEDGED
                 or attempt.stop_acknowledged_at > sent
             ):
                 continue
             if attempt.run not in listed:
                 if lists.complete:
-                    attempt.state = State.REFUSED
+                    attempt.state = states.State.REFUSED
                     self.report_needed = True
             elif attempt.run in running and attempt.next_call_at <= now:
-                attempt.state = State.STOPPING
+                attempt.state = states.State.STOPPING
 
     def apply_running(self, now: float, lists: calls.Lists) -> None:
         """Update the attempts of the runs that the worker lists as running.
@@ -325,13 +271,13 @@
             if attempt is None:
                 continue
             match attempt.state:
-                case State.PENDING:
-                    attempt.state = State.ACCEPTED
-                case State.REFUSED:
+                case states.State.PENDING:
+                    attempt.state = states.State.ACCEPTED
+                case states.State.REFUSED:
                     events.log_contradiction(
                         row.run, attempt.reason, lists.born
                     )
-                    attempt.state = State.STOPPING
+                    attempt.state = states.State.STOPPING
                     attempt.next_call_at = now
 
     def forget_settled(self, now: float, listed: set[work.Run]) -> None:
@@ -345,8 +291,7 @@
         for run, attempt in list(self._attempts_by_run.items()):
             if now - attempt.last_ordered_at <= SETTLED_RETENTION_S:
                 continue
-            settled = attempt.state in (State.REFUSED, State.ACCEPTED)
-            if settled or run in listed:
+            if attempt.is_settled or run in listed:
                 del self._attempts_by_run[run]
 
     def get_undecided_time(self, now: float) -> float:
@@ -355,7 +300,7 @@
             (
                 attempt.undecided_until - now
                 for attempt in self._attempts_by_run.values()
-                if attempt.state is not State.REFUSED
+                if attempt.state is not states.State.REFUSED
             ),
             default=0.0,
         )
@@ -363,7 +308,7 @@
     def has_unconfirmed_stop(self) -> bool:
         """Return whether lists must still confirm an acknowledged stop."""
         for attempt in self._attempts_by_run.values():
-            if attempt.state is State.STOP_ACKNOWLEDGED:
+            if attempt.state is states.State.STOP_ACKNOWLEDGED:
                 return True
         return False
 
@@ -372,7 +317,7 @@
         return tuple(
             attempt.run
             for attempt in self._attempts_by_run.values()
-            if attempt.state is State.ACCEPTED
+            if attempt.state is states.State.ACCEPTED
         )
 
     def list_refused(self) -> tuple[orders.RefusedRun, ...]:
@@ -380,29 +325,24 @@
         return tuple(
             orders.RefusedRun(attempt.run, attempt.reason)
             for attempt in self._attempts_by_run.values()
-            if attempt.state is State.REFUSED
+            if attempt.state is states.State.REFUSED
         )
 
-    def list_calls(self) -> dict[work.Run, Attempt]:
+    def list_calls(self) -> dict[work.Run, states.Attempt]:
         """Return the attempts whose run may have started."""
         return {
             attempt.run: attempt
             for attempt in self._attempts_by_run.values()
-            if attempt.called_at
-            and attempt.state is not State.REFUSED
-            and (
-                attempt.state is not State.PENDING
-                or attempt.may_have_been_sent
-            )
+            if attempt.may_have_started
         }
 
     def _abandon_start(
-        self, now: float, attempt: Attempt, reason: str
+        self, now: float, attempt: states.Attempt, reason: str
     ) -> None:
         attempt.reason = reason
         if attempt.may_have_been_sent or reason == 'old':
-            attempt.state = State.STOPPING
+            attempt.state = states.State.STOPPING
             attempt.next_call_at = now
             return
-        attempt.state = State.REFUSED
+        attempt.state = states.State.REFUSED
         self.report_needed = True
--- a/damaskpin/agent/crash_log.py
+++ b/damaskpin/agent/crash_log.py
@@ -9,7 +9,7 @@
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
-    from damaskpin.agent import attempts
+    from damaskpin.agent import attempt_state
     from damaskpin.agent import calls
     from damaskpin.model import work
 
@@ -40,7 +40,7 @@
         last_answer_time: float,
         lifetime: work.Lifetime,
         lists: calls.Lists | None,
-        called: dict[work.Run, attempts.Attempt],
+        called: dict[work.Run, attempt_state.Attempt],
     ) -> None:
         """Record that a worker process ended without notice.
 
--- a/damaskpin/agent/events.py
+++ b/damaskpin/agent/events.py
@@ -8,7 +8,7 @@
 from damaskpin.model import log_fields
 
 if TYPE_CHECKING:
-    from damaskpin.agent import attempts
+    from damaskpin.agent import attempt_state
     from damaskpin.agent import calls
     from damaskpin.model import work
     from damaskpin.peer import orders
@@ -18,7 +18,7 @@
 
 def log_start_result(
     now: float,
-    attempt: attempts.Attempt,
+    attempt: attempt_state.Attempt,
     call: calls.StartCall,
     result: calls.Result,
 ) -> None:
@@ -44,7 +44,7 @@
 
 def log_late_start_result(
     call: calls.StartCall,
-    attempt: attempts.Attempt | None,
+    attempt: attempt_state.Attempt | None,
     result: calls.Result,
 ) -> None:
     """Log the result of a start call whose run was given up meanwhile."""
