--- a/bench/load.py
+++ b/bench/load.py
@@ -27,6 +27,7 @@
 from damaskpin.model import work
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
 # Simulated time between two scheduling passes, in seconds.
@@ -78,7 +79,7 @@
     """
 
     worker: worker_state.Worker
-    placed: worker_state.PlacedRun
+    placed: placed_run.PlacedRun
     started_at: float
     duration: float
 
@@ -240,7 +241,7 @@
                 return REMOTE_RACK_SLOWDOWN
         return 1.0
 
-    def _get_progress_key(self, placed: worker_state.PlacedRun) -> tuple:
+    def _get_progress_key(self, placed: placed_run.PlacedRun) -> tuple:
         item = placed.run.item
         return (item.job, item.step, placed.step.get_slot(item.index))
 
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -20,6 +20,7 @@
     import collections
 
     from damaskpin.coordinator import job as job_module
+    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
     from damaskpin.model import installation as installations
 
@@ -373,7 +374,7 @@
 
 
 def make_start(
-    placed: worker_state.PlacedRun, ticket: str, process: str
+    placed: placed_run.PlacedRun, ticket: str, process: str
 ) -> orders.StartOrder:
     """Return the start order for a placed run.
 
--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import events
 from damaskpin.coordinator import outcomes
+from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import worker_state
 from damaskpin.model import work
 
@@ -82,7 +83,7 @@
 
 def _restore_removed_run(
     ledger: ledgers.RunLedger, run: work.Run
-) -> worker_state.PlacedRun | None:
+) -> placed_run.PlacedRun | None:
     """Return a run that is not in the books any more, or never was.
 
     :returns: ``None`` if no job can have had it.
@@ -92,11 +93,11 @@
         return None
     step = job.submission.steps[run.item.step]
     reserved = step.get_reservation()
-    return worker_state.PlacedRun(run, job, step, reserved, 0, True, -1.0)
+    return placed_run.PlacedRun(run, job, step, reserved, 0, True, -1.0)
 
 
 def _stop_other_runs(
-    ledger: ledgers.RunLedger, placed: worker_state.PlacedRun
+    ledger: ledgers.RunLedger, placed: placed_run.PlacedRun
 ) -> None:
     """Stop later runs of a work item or gang whose earlier run ended well."""
     if not placed.job.is_done(placed.run.item):
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -10,6 +10,7 @@
 from damaskpin.coordinator import crash_watch
 from damaskpin.coordinator import events
 from damaskpin.coordinator import outcomes
+from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import worker_state
 from damaskpin.model import leases
 from damaskpin.model import work
@@ -117,7 +118,7 @@
             step = job.submission.steps[run.item.step]
             reserved = step.get_reservation()
             version = job.stored_version
-            placed = worker_state.PlacedRun(
+            placed = placed_run.PlacedRun(
                 run, job, step, reserved, version, False, -1.0
             )
             if job.is_done(run.item):
@@ -243,7 +244,7 @@
             return
         step = job.submission.steps[run.item.step]
         reserved = step.get_reservation()
-        placed = worker_state.PlacedRun(run, job, step, reserved, 0, True, 0.0)
+        placed = placed_run.PlacedRun(run, job, step, reserved, 0, True, 0.0)
         self.counts['unrecorded'] += 1
         job.unrecorded.add(run)
         worker.add_run(placed)
@@ -252,7 +253,7 @@
     def stop_run(
         self,
         worker: worker_state.Worker,
-        placed: worker_state.PlacedRun,
+        placed: placed_run.PlacedRun,
         reason: str,
     ) -> None:
         """Order a run and the other members of its gang to stop."""
@@ -272,7 +273,7 @@
                 if placed.job is job:
                     self.stop_run(worker, placed, reason)
 
-    def stop_gang(self, member: worker_state.PlacedRun, reason: str) -> None:
+    def stop_gang(self, member: placed_run.PlacedRun, reason: str) -> None:
         """Order the other members of a gang to stop.
 
         :param member: run of the gang that has ended or is to be stopped.
@@ -299,7 +300,7 @@
                 self.stop_run(worker, placed, 'the worker is draining')
 
     def avoid_worker(
-        self, placed: worker_state.PlacedRun, worker: worker_state.Worker
+        self, placed: placed_run.PlacedRun, worker: worker_state.Worker
     ) -> None:
         """Prefer other workers for the next run of the same work item."""
         item = placed.run.item
@@ -308,7 +309,7 @@
         avoided = placed.job.avoided_workers.setdefault(key, set())
         avoided.add(worker.lifetime.worker)
 
-    def count_move(self, placed: worker_state.PlacedRun) -> bool:
+    def count_move(self, placed: placed_run.PlacedRun) -> bool:
         """Count a move of a work item whose run is stalled or slow.
 
         :returns: whether the number of moves is within its limit.
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import crashes
+from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import planning
 from damaskpin.coordinator import ranking
 from damaskpin.coordinator import tentative_plan
-from damaskpin.coordinator import worker_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -185,7 +185,7 @@
         self._ledger.counts['placed'] += len(runs)
         for run, worker in zip(runs, plan.workers, strict=True):
             worker.add_run(
-                worker_state.PlacedRun(
+                placed_run.PlacedRun(
                     run,
                     unit.job,
                     unit.step,
@@ -247,7 +247,7 @@
         return True
 
     def _may_preempt(
-        self, unit: jobs.Unit, placed: worker_state.PlacedRun
+        self, unit: jobs.Unit, placed: placed_run.PlacedRun
     ) -> bool:
         return ranking.may_preempt(unit, placed, self._guaranteed)
 
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -17,10 +17,11 @@
     from collections.abc import Callable
 
     from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
     from damaskpin.model import work
 
-    MayPreempt = Callable[[jobs.Unit, worker_state.PlacedRun], bool]
+    MayPreempt = Callable[[jobs.Unit, placed_run.PlacedRun], bool]
 
 # A unit may use capacity that is reserved for another unit if its estimated
 # run time, multiplied by this factor, ends before the other unit can start.
@@ -40,7 +41,7 @@
     """
 
     workers: list[worker_state.Worker]
-    victims: list[tuple[worker_state.Worker, worker_state.PlacedRun]]
+    victims: list[tuple[worker_state.Worker, placed_run.PlacedRun]]
     cost: float
     unused_share: float
 
--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable
 
     from damaskpin.coordinator import job as jobs
-    from damaskpin.coordinator import worker_state
+    from damaskpin.coordinator import placed_run
 
 # A job that ends after this multiple of its objective has no value any more.
 LATE_FACTOR = 3.0
@@ -210,7 +210,7 @@
 
 
 def may_preempt(
-    unit: jobs.Unit, placed: worker_state.PlacedRun, guaranteed: set[str]
+    unit: jobs.Unit, placed: placed_run.PlacedRun, guaranteed: set[str]
 ) -> bool:
     """Return whether a run may be preempted for a unit.
 
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
 # A run is stalled after this time without progress, in seconds, or after this
@@ -83,7 +84,7 @@
 
 def find_worker_faults(
     now: float, worker: worker_state.Worker
-) -> list[tuple[worker_state.PlacedRun, RunFault]]:
+) -> list[tuple[placed_run.PlacedRun, RunFault]]:
     """Return the stalled and slow runs of a worker with their faults."""
     worker_faults = []
     if not worker.is_usable(now):
@@ -98,7 +99,7 @@
 def stop_run(
     ledger: ledgers.RunLedger,
     worker: worker_state.Worker,
-    placed: worker_state.PlacedRun,
+    placed: placed_run.PlacedRun,
     fault: RunFault,
     is_worker_suspected: bool,
 ) -> None:
@@ -125,7 +126,7 @@
 
 
 def find_run_fault(
-    now: float, placed: worker_state.PlacedRun
+    now: float, placed: placed_run.PlacedRun
 ) -> RunFault | None:
     """Return the fault of a run that is slow or stalled, or ``None``."""
     if placed.stop_reason or not placed.first_listed or placed.step.lasting:
--- a/damaskpin/coordinator/tentative_plan.py
+++ b/damaskpin/coordinator/tentative_plan.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
 # Seconds that a preempted run loses in addition to its unsaved work, because
@@ -29,7 +30,7 @@
     :ivar may_preempt: tells whether a run may be preempted.
     """
 
-    may_preempt: Callable[[worker_state.PlacedRun], bool]
+    may_preempt: Callable[[placed_run.PlacedRun], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,7 +67,7 @@
     """
 
     cost: float
-    victims: tuple[worker_state.PlacedRun, ...]
+    victims: tuple[placed_run.PlacedRun, ...]
 
 
 ALREADY_FREE = CapacityOption(0.0, ())
@@ -81,7 +82,7 @@
     :ivar reserved: capacity of the worker that the preemption frees.
     """
 
-    placed: worker_state.PlacedRun
+    placed: placed_run.PlacedRun
     lost_work: float
     reserved: work.Resources
 
@@ -123,13 +124,13 @@
         self._allocated: dict[work.Lifetime, work.Resources] = {}
         self._preempted_gangs: set[work.GangRun] = set()
         self._victims: dict[
-            work.Run, tuple[worker_state.Worker, worker_state.PlacedRun]
+            work.Run, tuple[worker_state.Worker, placed_run.PlacedRun]
         ] = {}
         self.cost = 0.0
 
     def list_victims(
         self,
-    ) -> list[tuple[worker_state.Worker, worker_state.PlacedRun]]:
+    ) -> list[tuple[worker_state.Worker, placed_run.PlacedRun]]:
         """Return the runs that must end before the unit starts.
 
         :returns: pairs of the worker and its run.
@@ -197,7 +198,7 @@
         worker: worker_state.Worker,
         free: work.Resources,
         demand: work.Resources,
-        may_preempt: Callable[[worker_state.PlacedRun], bool],
+        may_preempt: Callable[[placed_run.PlacedRun], bool],
     ) -> CapacityOption | None:
         candidates: list[PreemptionCandidate] = []
         by_gang: dict[work.GangRun, PreemptionCandidate] = {}
@@ -228,7 +229,7 @@
         candidates.sort(key=lambda candidate: candidate.lost_work)
         return choose_preemptions(candidates, free, demand)
 
-    def _is_ending(self, placed: worker_state.PlacedRun) -> bool:
+    def _is_ending(self, placed: placed_run.PlacedRun) -> bool:
         if placed.stop_reason or placed.run in self._victims:
             return True
         return (
@@ -254,7 +255,7 @@
                     (placed.get_remaining_seconds(self.now), placed)
                 )
         completions.sort(key=lambda completion: completion[0])
-        chosen: list[worker_state.PlacedRun] = []
+        chosen: list[placed_run.PlacedRun] = []
         for wait, placed in completions:
             chosen.append(placed)
             free = free.plus(placed.reserved)
@@ -262,7 +263,7 @@
                 return CapacityOption(wait, tuple(chosen))
         return None
 
-    def _get_lost_work(self, placed: worker_state.PlacedRun) -> float:
+    def _get_lost_work(self, placed: placed_run.PlacedRun) -> float:
         unsaved = placed.get_unsaved_seconds(self.now)
         return placed.step.get_core_equivalents() * (unsaved + RESTART_COST_S)
 
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -1,4 +1,4 @@
-"""State of the workers and of their runs, as known to the coordinator."""
+"""State of the workers, as known to the coordinator."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import placed_run
     from damaskpin.peer import orders
 
 # A worker whose agent has not reported for this time, in seconds, gets no new
@@ -35,143 +36,6 @@
 # the last attempt of a work item.
 TRUST_PERIOD_S = 5.0
 
-# Progress that is needed to compute a rate, in percent, because reported
-# progress is imprecise.
-MIN_RATE_PROGRESS = 4.0
-
-# Length of the windows in which rates are measured, in seconds. Progress is
-# reported in steps of a percent, so that short windows would be imprecise.
-RATE_WINDOW_S = 2.0
-
-# Time in seconds after which an accepted run is given up if the run lists of
-# its worker show it neither as running nor as ended.
-MISSING_TIMEOUT_S = 5.0
-
-# Expected remaining time of a run that has exceeded its estimate, in seconds.
-OVERDUE_REMAINING_S = 0.5
-
-
-@dataclasses.dataclass(slots=True)
-class PlacedRun:
-    """A run that may exist on a worker.
-
-    :ivar reserved: capacity that the run takes.
-    :ivar version: version of the job's progress that must be stored before
-        the start is ordered.
-    :ivar confirmed: whether the worker has listed or accepted the run.
-    :ivar placed_at: time of the placement in seconds; negative for a run that
-        a former coordinator has placed.
-    :ivar suspect: whether a worker has crashed soon after an earlier start of
-        the work item.
-    :ivar ordered_to: process of the agent to which the start was first
-        ordered, empty if it does not tell its id; ``None`` before.
-    :ivar first_listed: time at which the worker first listed the run; 0
-        before.
-    :ivar stop_reason: why the run is to be stopped; empty if it is not.
-    :ivar checkpoint: latest checkpoint that the worker has listed.
-    :ivar percent: latest progress that the worker has listed.
-    :ivar first_percent: progress when the worker first listed the run.
-    :ivar last_progress: time at which the progress last changed; 0 before.
-    :ivar last_listed: time at which the worker last listed the run; 0 before.
-    :ivar missing_since: time since which the worker's lists lack the run; 0
-        if they have it.
-    :ivar window_start: start of the current window for measuring the rate.
-    :ivar window_start_percent: progress at the start of that window.
-    :ivar rate: rate of progress in the last complete window, in percent per
-        second; negative before the first window is complete.
-    :ivar best_rate: highest rate of all windows.
-    """
-
-    run: work.Run
-    job: jobs.Job
-    step: work.Step
-    reserved: work.Resources
-    version: int
-    confirmed: bool
-    placed_at: float
-    suspect: bool = False
-    ordered_to: str | None = None
-    first_listed: float = 0.0
-    stop_reason: str = ''
-    checkpoint: str = ''
-    percent: float = 0.0
-    first_percent: float = 0.0
-    last_progress: float = 0.0
-    last_listed: float = 0.0
-    missing_since: float = 0.0
-    window_start: float = 0.0
-    window_start_percent: float = 0.0
-    rate: float = -1.0
-    best_rate: float = 0.0
-
-    def update_from_list(self, row: work.RunningRun, now: float) -> None:
-        """Update the run from its entry in the worker's list of runs."""
-        self.confirmed = True
-        self.last_listed = now
-        if not self.first_listed:
-            self.first_listed = now
-            self.first_percent = row.percent
-            self.last_progress = now
-            self._start_rate_window(now, row.percent)
-        if row.checkpoint:
-            self.checkpoint = row.checkpoint
-        if row.percent != self.percent:
-            self.percent = row.percent
-            self.last_progress = now
-        if self.percent == self.first_percent:
-            # Without progress the run has not begun to work, so that the
-            # rate is measured from a later time.
-            self._start_rate_window(now, row.percent)
-        elif now - self.window_start >= RATE_WINDOW_S:
-            gained = row.percent - self.window_start_percent
-            self.rate = gained / (now - self.window_start)
-            self.best_rate = max(self.best_rate, self.rate)
-            self._start_rate_window(now, row.percent)
-
-    def _start_rate_window(self, now: float, percent: float) -> None:
-        self.window_start = now
-        self.window_start_percent = percent
-
-    def is_in_same_gang_run(self, other: PlacedRun) -> bool:
-        """Return whether two runs belong to the same start of a gang."""
-        return (
-            self.step.gang
-            and self.job is other.job
-            and self.run.get_gang_run() == other.run.get_gang_run()
-        )
-
-    def is_missing(self, now: float, is_listed: bool) -> bool:
-        """Return whether a confirmed run has been unlisted for too long.
-
-        :param is_listed: whether the latest lists of the worker have the run.
-        """
-        if is_listed or not self.confirmed:
-            self.missing_since = 0.0
-            return False
-        if not self.missing_since:
-            self.missing_since = now
-        return now - self.missing_since > MISSING_TIMEOUT_S
-
-    def get_unsaved_seconds(self, now: float) -> float:
-        """Return the seconds of work that a stop would lose."""
-        if not self.first_listed or self.step.checkpoints:
-            return 0.0
-        return now - self.first_listed
-
-    def get_remaining_seconds(self, now: float) -> float:
-        """Return the expected seconds until the run ends."""
-        begun = self.first_listed or max(self.placed_at, 0.0) or now
-        gained = self.percent - self.first_percent
-        if gained >= MIN_RATE_PROGRESS and now > begun:
-            rate = gained / (
-                self.last_progress - begun + OVERDUE_REMAINING_S / 10
-            )
-            remaining = (100.0 - self.percent) / rate - (
-                now - self.last_progress
-            )
-            return max(remaining, 0.1)
-        return max(self.step.estimate - (now - begun), OVERDUE_REMAINING_S)
-
 
 @dataclasses.dataclass(slots=True)
 class PendingEnd:
@@ -264,7 +128,7 @@
         self.address = ''
         self.profile: orders.WorkerProfile | None = None
         self.free_capacity = work.Resources()
-        self.runs: dict[work.Run, PlacedRun] = {}
+        self.runs: dict[work.Run, placed_run.PlacedRun] = {}
         self.has_run_lists = False
         self.last_report_time = 0.0
         self.report_time = 0.0
@@ -296,7 +160,7 @@
             profile = msgspec.structs.replace(profile, draining=True)
         self.profile = profile
 
-    def add_run(self, placed: PlacedRun) -> None:
+    def add_run(self, placed: placed_run.PlacedRun) -> None:
         """Add a run and subtract its capacity from the free capacity."""
         self.runs[placed.run] = placed
         self.last_start = max(self.last_start, placed.placed_at)
@@ -304,7 +168,7 @@
             self.last_suspect_start = placed.placed_at
         self.free_capacity = self.free_capacity.minus(placed.reserved)
 
-    def remove_run(self, run: work.Run) -> PlacedRun | None:
+    def remove_run(self, run: work.Run) -> placed_run.PlacedRun | None:
         """Remove a run and free its capacity."""
         placed = self.runs.pop(run, None)
         if placed is not None:
