--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -8,10 +8,10 @@
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import agent_processes
 from damaskpin.coordinator import crashes
-from damaskpin.coordinator import ends
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
-from damaskpin.coordinator import refusals
+from damaskpin.coordinator import run_lists
+from damaskpin.coordinator import run_orders
 from damaskpin.coordinator import supervision
 from damaskpin.model import work
 from damaskpin.peer import orders
@@ -20,7 +20,6 @@
     import collections
 
     from damaskpin.coordinator import job as job_module
-    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
     from damaskpin.model import installation as installations
 
@@ -202,7 +201,7 @@
         draining = worker.profile is not None and worker.profile.draining
         worker.set_profile(profile)
         if report.list_fence == self.fence:
-            self._apply_run_lists(now, wall, worker, report)
+            run_lists.apply_run_lists(now, wall, self._ledger, worker, report)
         if profile.draining and not draining:
             self._ledger.drain_worker(now, worker)
         return worker
@@ -262,23 +261,9 @@
                 worker.granted_report_time, worker.report_time
             )
         process = self._agent_processes.get_process(worker.agent)
-        starts = []
-        stops = []
-        for placed in worker.runs.values():
-            if placed.stop_reason:
-                stops.append(placed.run)
-                continue
-            if placed.confirmed or placed.placed_at < 0:
-                continue
-            if placed.version > placed.job.stored_version:
-                continue
-            key = advice.make_step_key_of_run(placed.run)
-            ticket = self._ledger.tickets.get(
-                placed.placed_at, key, worker.lifetime
-            )
-            if placed.ordered_to is None:
-                placed.ordered_to = process
-            starts.append(make_start(placed, ticket, process))
+        starts, stops = run_orders.list_run_orders(
+            self._ledger, worker, process
+        )
         return orders.Orders(
             self.fence,
             self._sequence,
@@ -288,8 +273,8 @@
             # started anew.
             worker.report_time if worker.process == process else 0.0,
             worker.get_acknowledged_end_serial(),
-            tuple(starts),
-            tuple(stops),
+            starts,
+            stops,
             self.entries,
             process,
             self._agent_processes.get_session(worker.agent),
@@ -308,86 +293,7 @@
             worker.orders_due = False
         return due_workers
 
-    def _apply_run_lists(
-        self,
-        now: float,
-        wall: float,
-        worker: worker_state.Worker,
-        report: orders.Report,
-    ) -> None:
-        ledger = self._ledger
-        refusals.apply_report(now, ledger, worker, report)
-        listed_runs = {row.run for row in report.ended}
-        for row in report.ended:
-            if row.serial <= worker.last_end_serial:
-                continue
-            worker.last_end_serial = row.serial
-            ends.record_end(now, wall, ledger, worker, row)
-        for run in report.accepted:
-            placed = worker.runs.get(run)
-            if placed is not None:
-                placed.confirmed = True
-        running = {row.run for row in report.running}
-        listed_runs |= running
-        for row in report.running:
-            placed = worker.runs.get(row.run)
-            if placed is None:
-                ledger.stop_unrecorded_run(worker, row.run)
-                continue
-            placed.update_from_list(row, now)
-        for refused in report.refused:
-            listed_runs.add(refused.run)
-            if refused.run in running:
-                # The worker's list is the better witness.
-                continue
-            ledger.record_refusal(worker, refused)
-        if not report.has_all_runs():
-            # A run that is not listed may have ended. Its end follows once the
-            # listed ones are acknowledged.
-            return
-        for run, placed in list(worker.runs.items()):
-            if placed.is_missing(now, run in listed_runs):
-                # The missing run is stopped and not removed at once: the
-                # worker's answer to the stop order confirms that it has ended.
-                ledger.stop_run(
-                    worker, placed, 'the run is not listed any more'
-                )
-        if worker.has_run_lists:
-            return
-        # The worker has accepted this coordinator's fencing token and refuses
-        # starts that a former coordinator ordered, so a run that is not
-        # listed does not exist.
-        worker.has_run_lists = True
-        ledger.changed = True
-        for run, placed in list(worker.runs.items()):
-            if (
-                run in listed_runs
-                or placed.stop_reason == ledgers.RESTART_REASON
-            ):
-                continue
-            ledger.remove_lost_run(worker, run, 'the run was never started')
-
     def _get_guarantee(self, account: str) -> int:
         if self._installation is None:
             return 0
         return self._installation.get_guarantee(account)
-
-
-def make_start(
-    placed: placed_run.PlacedRun, ticket: str, process: str
-) -> orders.StartOrder:
-    """Return the start order for a placed run.
-
-    :param ticket: permission from the advisor; empty if none is needed.
-    :param process: process of the agent to which the order goes.
-    """
-    item = placed.run.item
-    slot = placed.step.get_slot(item.index)
-    progress = placed.job.get_step_progress(item.occurrence, item.step)
-    return orders.StartOrder(
-        placed.run,
-        placed.job.submission.content,
-        progress.checkpoints.get(slot, ''),
-        ticket,
-        placed.ordered_to != process,
-    )
