Separate the counts of crashes from the job

crash_counts.py named the job whose progress it changes, and job.py imports it. It now changes the progress of one step, and crashes.py finds that in the job.

--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -8,7 +8,6 @@
 from damaskpin.model import crash_limits
 
 if TYPE_CHECKING:
-    from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import records
     from damaskpin.model import work
 
@@ -94,21 +93,21 @@
 
 
 def record(
-    job: jobs.Job, run: work.Run, recent: bool, begun: bool
+    progress: records.StepProgress,
+    step: work.Step,
+    run: work.Run,
+    recent: bool,
+    begun: bool,
 ) -> CrashCounts | None:
     """Record that a worker has crashed under a run.
 
+    :param progress: progress of the step; changed in place.
     :param recent: whether the run had been started shortly before.
     :param begun: whether the worker had accepted or listed the run.
     :returns: the crashes under the work item; ``None`` if this one was known
         or the work item is done.
     """
     item = run.item
-    steps = job.progress.occurrences.get(item.occurrence)
-    if steps is None or item.step >= len(steps):
-        return None
-    progress = steps[item.step]
-    step = job.submission.steps[item.step]
     latest = progress.numbers.get(step.get_slot(item.index), 0)
     if item.index in progress.done or not 0 < run.number <= latest:
         return None
@@ -120,7 +119,6 @@
         changed = _record_unanswered(crashes, unanswered, run.number)
     if not changed:
         return None
-    job.mark_changed()
     return get_counts(progress, step, item.index)
 
 
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -48,7 +48,7 @@
             continue
         recent = run in crash.recent
         begun = run in crash.begun
-        counts = crash_counts.record(job, run, recent, begun)
+        counts = _record(job, run, recent, begun)
         if counts is None:
             continue
         ledger.changed = True
@@ -116,6 +116,26 @@
     return ledger.crash_watch.is_chance_likely(now, len(ledger.workers))
 
 
+def _record(
+    job: jobs.Job, run: work.Run, recent: bool, begun: bool
+) -> crash_counts.CrashCounts | None:
+    """Record in the progress of a job that a worker crashed under a run.
+
+    :returns: the crashes under the work item; ``None`` if this one was known,
+        the work item is done or the job has no such item.
+    """
+    item = run.item
+    steps = job.progress.occurrences.get(item.occurrence)
+    if steps is None or item.step >= len(steps):
+        return None
+    progress = steps[item.step]
+    step = job.submission.steps[item.step]
+    counts = crash_counts.record(progress, step, run, recent, begun)
+    if counts is not None:
+        job.mark_changed()
+    return counts
+
+
 def _give_up(
     wall: float,
     ledger: ledgers.RunLedger,
