--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import events
+from damaskpin.coordinator import moves
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import worker_state
@@ -69,7 +70,7 @@
             _stop_other_runs(ledger, placed)
         case work.Ending.FAILED:
             worker.record_failure(now, job)
-            ledger.avoid_worker(placed, worker)
+            moves.avoid_worker(placed, worker)
     if job.is_final() and not was_final:
         events.log_job_end(job)
     if job.progress.state is work.JobState.COMPLETED:
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -9,6 +9,7 @@
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import crash_watch
 from damaskpin.coordinator import events
+from damaskpin.coordinator import moves
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import worker_state
@@ -39,10 +40,6 @@
 # Stop reason of the runs on a worker that was restarted with the same id.
 RESTART_REASON = 'the worker was restarted'
 
-# Largest number of moves of a work item. An item that is slow on more workers
-# is probably slow because of its own work.
-MAX_MOVES = 2
-
 # Reason with which a worker refuses a start order with an expired ticket.
 TICKET_REFUSAL = 'ticket'
 
@@ -229,7 +226,7 @@
             key = advice.make_step_key_of_run(refused.run)
             self.tickets.drop_ticket(key, worker.lifetime)
         elif not placed.stop_reason:
-            self.avoid_worker(placed, worker)
+            moves.avoid_worker(placed, worker)
         self.remove_lost_run(worker, refused.run, f'refused: {refused.reason}')
 
     def stop_unrecorded_run(
@@ -299,26 +296,6 @@
             if movable or late:
                 self.stop_run(worker, placed, 'the worker is draining')
 
-    def avoid_worker(
-        self, placed: placed_run.PlacedRun, worker: worker_state.Worker
-    ) -> None:
-        """Prefer other workers for the next run of the same work item."""
-        item = placed.run.item
-        slot = placed.step.get_slot(item.index)
-        key = (item.occurrence, item.step, slot)
-        avoided = placed.job.avoided_workers.setdefault(key, set())
-        avoided.add(worker.lifetime.worker)
-
-    def count_move(self, placed: placed_run.PlacedRun) -> bool:
-        """Count a move of a work item whose run is stalled or slow.
-
-        :returns: whether the number of moves is within its limit.
-        """
-        item = placed.run.item
-        moves = placed.job.move_counts.get(item, 0) + 1
-        placed.job.move_counts[item] = moves
-        return moves <= MAX_MOVES
-
     def _transfer_runs_to_new_lifetime(
         self, now: float, former: worker_state.Worker, lifetime: work.Lifetime
     ) -> None:
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import moves
+
 if TYPE_CHECKING:
     from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import placed_run
@@ -108,10 +110,10 @@
     :param is_worker_suspected: whether the worker may be the cause, so that
         the work item avoids it.
     """
-    if not fault.must_stop or not ledger.count_move(placed):
+    if not fault.must_stop or not moves.count_move(placed):
         return
     if is_worker_suspected:
-        ledger.avoid_worker(placed, worker)
+        moves.avoid_worker(placed, worker)
     ledger.stop_run(worker, placed, fault.reason)
 
 
