Keep all ways to remove a run in one module, with typed proofs

removals.py has the three ways in which a run leaves the books: its end is listed, its start is refused, or its worker or lists prove that it is gone. The proof is an enum whose values are the former texts, and the log lines `run removed` and `run ended` carry it as `proof`. The data of the ledger is now in books.py and the orders to stop in stops.py, so that removals.py needs neither the ledger nor its times; the methods of the ledger stay.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -10,6 +10,7 @@
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placement
+from damaskpin.coordinator import removals
 from damaskpin.coordinator import run_lists
 from damaskpin.coordinator import run_orders
 from damaskpin.coordinator import supervision
@@ -159,7 +160,9 @@
         for crash in report.crashes:
             crashes.record_crash(now, wall, self._ledger, crash)
         if report.left is not None:
-            self._ledger.remove_worker(now, report.left, 'the worker has left')
+            self._ledger.remove_worker(
+                now, report.left, removals.Proof.WORKER_LEFT
+            )
         profile = report.profile
         if profile is None or profile.lifetime == report.left:
             return None
--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -8,6 +8,7 @@
 from damaskpin.coordinator import moves
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
+from damaskpin.coordinator import removals
 from damaskpin.coordinator import worker_state
 from damaskpin.model import work
 
@@ -29,7 +30,7 @@
     :param wall: Unix time in seconds.
     :param ended: entry of the run in the worker's list of ended runs.
     """
-    known = worker.remove_run(ended.run)
+    known = removals.remove_ended_run(worker, ended.run)
     placed = known or _restore_removed_run(ledger, ended.run)
     if placed is None:
         _log_unrecorded_end(ledger, worker, ended, True, False)
@@ -59,6 +60,7 @@
         ended.run,
         worker,
         str(ended.ending),
+        proof=str(removals.Proof.END_LISTED),
         state=str(job.progress.state),
         seconds=round(now - placed.placed_at, 3)
         if placed.placed_at >= 0
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -1,17 +1,15 @@
-"""Ledger of all jobs, workers and runs, with the rules for stopping runs."""
+"""Ledger of all jobs, workers and runs, with the rules for their times."""
 
 from __future__ import annotations
 
-import collections
 import logging
 from typing import TYPE_CHECKING
 
-from damaskpin.coordinator import advice
+from damaskpin.coordinator import books
 from damaskpin.coordinator import crash_watch
-from damaskpin.coordinator import events
-from damaskpin.coordinator import moves
-from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
+from damaskpin.coordinator import removals
+from damaskpin.coordinator import stops
 from damaskpin.coordinator import worker_state
 from damaskpin.model import leases
 from damaskpin.model import work
@@ -40,11 +38,8 @@
 # Stop reason of the runs on a worker that was restarted with the same id.
 RESTART_REASON = 'the worker was restarted'
 
-# Reason with which a worker refuses a start order with an expired ticket.
-TICKET_REFUSAL = 'ticket'
 
-
-class RunLedger:
+class RunLedger(books.Books):
     """Ledger of the jobs, the workers and the runs that may exist.
 
     A grant is the time up to which an agent may renew its worker's lease
@@ -53,8 +48,6 @@
     its start to its end; a worker that restarts has a new lifetime and may
     keep its id.
 
-    :ivar changed: whether a change may allow new decisions.
-    :ivar counts: number of run events by name since the start, for metrics.
     :param started: time at which this coordinator began, in seconds.
     :param grant: length of a grant in seconds, counted from the latest report
         of the agent that the coordinator answered.
@@ -65,24 +58,15 @@
         '_grant',
         '_started',
         '_stop_time',
-        'changed',
-        'counts',
         'crash_watch',
-        'jobs',
-        'tickets',
-        'workers',
     )
 
     def __init__(self, started: float, grant: float, stop_time: float) -> None:
+        super().__init__()
         self._started = started
         self._grant = grant
         self._stop_time = stop_time
-        self.changed = True
-        self.counts: collections.Counter[str] = collections.Counter()
         self.crash_watch = crash_watch.CrashWatch()
-        self.tickets = advice.Tickets()
-        self.jobs: dict[str, jobs.Job] = {}
-        self.workers: dict[work.Lifetime, worker_state.Worker] = {}
 
     def get_latest_run_end(self, report_time: float) -> float:
         """Return the time by which all runs of a worker have certainly ended.
@@ -151,7 +135,7 @@
                 self._transfer_runs_to_new_lifetime(now, other, lifetime)
                 continue
             self.remove_worker(
-                now, other.lifetime, 'the agent has a new worker'
+                now, other.lifetime, removals.Proof.OTHER_WORKER
             )
         worker = self.workers.get(lifetime)
         if worker is None:
@@ -163,25 +147,10 @@
         return worker
 
     def remove_worker(
-        self, now: float, lifetime: work.Lifetime, reason: str
+        self, now: float, lifetime: work.Lifetime, proof: removals.Proof
     ) -> None:
         """Remove a worker and all its runs."""
-        worker = self.workers.pop(lifetime, None)
-        if worker is None:
-            return
-        LOG.info(
-            'worker lost',
-            extra={
-                'worker': lifetime.worker,
-                'reason': reason,
-                'heard_ago': round(now - worker.last_report_time, 3)
-                if worker.last_report_time
-                else None,
-                'runs': len(worker.runs),
-            },
-        )
-        for run in list(worker.runs):
-            self.remove_lost_run(worker, run, reason)
+        removals.remove_worker(self, now, lifetime, proof)
 
     def remove_expired_workers(self, now: float) -> None:
         """Remove the workers whose lease has certainly ended."""
@@ -192,42 +161,24 @@
                 # The agent still reports the worker, so that a removed worker
                 # would be added again at once.
                 continue
-            reason = 'the lease of the silent worker has ended'
-            self.remove_worker(now, worker.lifetime, reason)
+            self.remove_worker(
+                now, worker.lifetime, removals.Proof.LEASE_ENDED
+            )
 
     def remove_lost_run(
-        self, worker: worker_state.Worker, run: work.Run, reason: str
+        self,
+        worker: worker_state.Worker,
+        run: work.Run,
+        proof: removals.Proof,
     ) -> None:
         """Remove a run that does not exist and whose end no list has shown."""
-        placed = worker.remove_run(run)
-        if placed is None:
-            return
-        self.changed = True
-        self.counts['lost'] += 1
-        job = placed.job
-        if placed.checkpoint and not job.is_final():
-            step = job.get_step_progress(run.item.occurrence, run.item.step)
-            slot = placed.step.get_slot(run.item.index)
-            step.checkpoints[slot] = placed.checkpoint
-        outcomes.record_removal(job, run)
-        job.unrecorded.discard(run)
-        events.log_run('run removed', run, worker, reason)
-        if placed.step.gang:
-            self.stop_gang(placed, reason)
+        removals.remove_lost_run(self, worker, run, proof)
 
     def record_refusal(
         self, worker: worker_state.Worker, refused: orders.RefusedRun
     ) -> None:
         """Record that a worker refused to start a run, and remove the run."""
-        placed = worker.runs.get(refused.run)
-        if placed is None:
-            return
-        if refused.reason == TICKET_REFUSAL:
-            key = advice.make_step_key_of_run(refused.run)
-            self.tickets.drop_ticket(key, worker.lifetime)
-        elif not placed.stop_reason:
-            moves.avoid_worker(placed, worker)
-        self.remove_lost_run(worker, refused.run, f'refused: {refused.reason}')
+        removals.record_refusal(self, worker, refused)
 
     def stop_unrecorded_run(
         self, worker: worker_state.Worker, run: work.Run
@@ -254,31 +205,18 @@
         reason: str,
     ) -> None:
         """Order a run and the other members of its gang to stop."""
-        if placed.stop_reason:
-            return
-        self.counts['ordered to stop'] += 1
-        placed.stop_reason = reason
-        worker.orders_due = True
-        events.log_run('run ordered to stop', placed.run, worker, reason)
-        if placed.step.gang:
-            self.stop_gang(placed, reason)
+        stops.stop_run(self, worker, placed, reason)
 
     def stop_job(self, job: jobs.Job, reason: str) -> None:
         """Order all runs of a job to stop."""
-        for worker in self.workers.values():
-            for placed in list(worker.runs.values()):
-                if placed.job is job:
-                    self.stop_run(worker, placed, reason)
+        stops.stop_job(self, job, reason)
 
     def stop_gang(self, member: placed_run.PlacedRun, reason: str) -> None:
         """Order the other members of a gang to stop.
 
         :param member: run of the gang that has ended or is to be stopped.
         """
-        for worker in self.workers.values():
-            for placed in list(worker.runs.values()):
-                if placed.is_in_same_gang_run(member):
-                    self.stop_run(worker, placed, reason)
+        stops.stop_gang(self, member, reason)
 
     def drain_worker(self, now: float, worker: worker_state.Worker) -> None:
         """Order runs on a draining worker to stop.
--- a/damaskpin/coordinator/run_lists.py
+++ b/damaskpin/coordinator/run_lists.py
@@ -7,6 +7,7 @@
 from damaskpin.coordinator import ends
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import refusals
+from damaskpin.coordinator import removals
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import worker_state
@@ -68,4 +69,4 @@
     for run, placed in list(worker.runs.items()):
         if run in listed_runs or placed.stop_reason == ledgers.RESTART_REASON:
             continue
-        ledger.remove_lost_run(worker, run, 'the run was never started')
+        ledger.remove_lost_run(worker, run, removals.Proof.NEVER_STARTED)
