Name the connections of an agent to its worker by their usual term

A channel was a connection with the process that it is bound to; the modules are agent/connection_pool and runtime/worker_connections now.

With it: the pause after an answer without a birth withheld calls that have an idle connection bound to their process as well, so that one odd answer kept a sound worker without starts for up to 1.6 s.

--- a/damaskpin/agent/channels.py
+++ b/damaskpin/agent/connection_pool.py
@@ -1,11 +1,11 @@
-"""Channels to a worker, each bound to the process that answers on it.
+"""Connections to a worker, each bound to the process that answers on it.
 
 A worker may be replaced under its id and at its address by another process,
 which has another capacity, another clock and none of its runs. A connection
-ends with the process that accepted it, so a channel is one connection for its
-whole life, and its first call reads which process is at the other end. That
-call starts nothing, acknowledges nothing and grants no lease. Other calls are
-sent only on a channel that is bound to the process that they are meant for.
+ends with the process that accepted it, so the first call of each connection
+reads which process is at the other end. That call starts nothing, acknowledges
+nothing and grants no lease. Other calls are sent only on a connection that is
+bound to the process that they are meant for.
 
 This module does no I/O: an :class:`Exchange` tells which call to send next
 and takes the result.
@@ -43,19 +43,19 @@
 # themselves.
 LOG_INTERVAL_S = 1.0
 
-# Idle channels that are kept. One is taken by the poll that waits at the
+# Idle connections that are kept. One is taken by the poll that waits at the
 # worker; more are opened for starts and stops of the same moment.
-MAX_IDLE_CHANNELS = 8
+MAX_IDLE_CONNECTIONS = 8
 
 
-class Connection(Protocol):
-    """One connection to the worker's address."""
+class Client(Protocol):
+    """Client that makes calls over one connection to the worker."""
 
     def close(self) -> None:
         """Close the connection."""
 
 
-class Channel:
+class PooledConnection:
     """A connection and the process that has answered on it.
 
     :ivar lifetime: process at the other end; ``None`` before its first answer.
@@ -65,10 +65,10 @@
         that does not tell the process.
     """
 
-    __slots__ = ('answered_at', 'connection', 'has_answered', 'lifetime')
+    __slots__ = ('answered_at', 'client', 'has_answered', 'lifetime')
 
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
+    def __init__(self, client: Client) -> None:
+        self.client = client
         self.lifetime: work.Lifetime | None = None
         self.answered_at = 0.0
         self.has_answered = False
@@ -82,12 +82,12 @@
         self.has_answered = True
 
 
-class Channels:
-    """Channels of an agent to its worker.
+class ConnectionPool:
+    """Connections of an agent to its worker.
 
-    :param connect: returns a new connection, which is opened by its first
-        call.
-    :ivar opened: number of channels that were opened.
+    :param connect: returns the client of a new connection, which is opened by
+        its first call.
+    :ivar opened: number of connections that were opened.
     """
 
     __slots__ = (
@@ -100,9 +100,9 @@
         'opened',
     )
 
-    def __init__(self, connect: Callable[[], Connection]) -> None:
+    def __init__(self, connect: Callable[[], Client]) -> None:
         self._connect = connect
-        self._idle: list[Channel] = []
+        self._idle: list[PooledConnection] = []
         self._is_closed = False
         self._pause = 0.0
         self._paused_until = 0.0
@@ -112,31 +112,32 @@
     def begin(self, now: float, call: calls.Call) -> Exchange:
         """Return the exchange that carries out a call."""
         exchange = Exchange(self, call)
-        if now < self._paused_until:
+        is_paused = now < self._paused_until
+        if is_paused and not self._has_idle(call.lifetime):
             exchange.result = calls.Withheld(UNKNOWN_PROCESS)
         return exchange
 
-    def take(self, lifetime: work.Lifetime) -> Channel:
-        """Return an idle channel to a process, or one that is not bound."""
+    def take(self, lifetime: work.Lifetime) -> PooledConnection:
+        """Return an idle connection to a process, or one that is not bound."""
         for process in (lifetime, None):
-            for channel in reversed(self._idle):
-                if channel.lifetime == process:
-                    self._idle.remove(channel)
-                    return channel
+            for connection in reversed(self._idle):
+                if connection.lifetime == process:
+                    self._idle.remove(connection)
+                    return connection
         self.opened += 1
-        return Channel(self._connect())
+        return PooledConnection(self._connect())
 
-    def release(self, channel: Channel) -> None:
-        """Keep a channel for a later call, unless this client is closed."""
+    def release(self, connection: PooledConnection) -> None:
+        """Keep a connection for a later call, unless this client is closed."""
         if self._is_closed:
-            channel.connection.close()
+            connection.client.close()
             return
-        self._idle.append(channel)
-        while len(self._idle) > MAX_IDLE_CHANNELS:
-            self._idle.pop(0).connection.close()
+        self._idle.append(connection)
+        while len(self._idle) > MAX_IDLE_CONNECTIONS:
+            self._idle.pop(0).client.close()
 
     def discard_silent(self, sent: float) -> None:
-        """Close the idle channels without an answer to a later call.
+        """Close the idle connections without an answer to a later call.
 
         When one connection goes silent, others that were open may be dead,
         too, and each of them would cost a timeout.
@@ -144,18 +145,18 @@
         :param sent: time in seconds at which a call was sent that got no
             answer.
         """
-        for channel in list(self._idle):
-            if channel.answered_at < sent:
-                self._idle.remove(channel)
-                channel.connection.close()
+        for connection in list(self._idle):
+            if connection.answered_at < sent:
+                self._idle.remove(connection)
+                connection.client.close()
 
     def record_identity(self, process: work.Lifetime) -> None:
-        """Record the process at the address; close channels to others."""
+        """Record the process at the address; close connections to others."""
         self._pause = 0.0
-        for channel in list(self._idle):
-            if channel.lifetime != process:
-                self._idle.remove(channel)
-                channel.connection.close()
+        for connection in list(self._idle):
+            if connection.lifetime != process:
+                self._idle.remove(connection)
+                connection.client.close()
 
     def record_no_identity(self, now: float, reason: str) -> None:
         """Pause after an answer that does not tell the process."""
@@ -170,41 +171,46 @@
         )
 
     def close(self) -> None:
-        """Close all idle channels, and others after their calls."""
+        """Close all idle connections, and others after their calls."""
         self._is_closed = True
-        for channel in self._idle:
-            channel.connection.close()
+        for connection in self._idle:
+            connection.client.close()
         self._idle.clear()
 
+    def _has_idle(self, lifetime: work.Lifetime) -> bool:
+        return any(
+            connection.lifetime == lifetime for connection in self._idle
+        )
+
 
 class Exchange:
     """Steps of one call: identification, where it is due, and the call.
 
     While ``result`` is ``None``, ``get_next_call`` returns the call to send
-    on the connection of ``channel``, and ``handle_result`` takes its result.
+    on ``connection``, and ``handle_result`` takes its result.
 
     :ivar result: result of the call; ``None`` while there is a next step.
     """
 
-    __slots__ = ('_call', '_channel', '_channels', '_has_reopened', 'result')
+    __slots__ = ('_call', '_connection', '_has_reopened', '_pool', 'result')
 
-    def __init__(self, channels: Channels, call: calls.Call) -> None:
-        self._channels = channels
+    def __init__(self, pool: ConnectionPool, call: calls.Call) -> None:
+        self._pool = pool
         self._call = call
-        self._channel: Channel | None = None
+        self._connection: PooledConnection | None = None
         self._has_reopened = False
         self.result: calls.Result | None = None
 
     @property
-    def channel(self) -> Channel:
-        """Return the channel of the next call."""
-        if self._channel is None:
-            self._channel = self._channels.take(self._call.lifetime)
-        return self._channel
+    def connection(self) -> PooledConnection:
+        """Return the connection of the next call."""
+        if self._connection is None:
+            self._connection = self._pool.take(self._call.lifetime)
+        return self._connection
 
     def get_next_call(self) -> calls.Call:
         """Return the call to send next."""
-        if self.channel.lifetime is None:
+        if self.connection.lifetime is None:
             return make_identification(self._call)
         return self._call
 
@@ -215,15 +221,15 @@
 
         :param sent: time in seconds at which it was sent.
         """
-        if self.channel.lifetime is None:
+        if self.connection.lifetime is None:
             self._handle_identification(now, sent, result)
         else:
             self._handle_call_result(sent, result)
 
     def abandon(self) -> None:
-        """Close the channel of a call whose result nobody waits for."""
-        if self._channel is not None and self.result is None:
-            self._drop_channel()
+        """Close the connection of a call whose result nobody waits for."""
+        if self._connection is not None and self.result is None:
+            self._drop_connection()
 
     def _handle_identification(
         self, now: float, sent: float, result: calls.Result
@@ -235,9 +241,9 @@
             case calls.Lists(born=born):
                 # A worker refuses calls for another id.
                 process = work.Lifetime(expected.worker, born)
-                self._bind_channel(sent, process)
+                self._bind_connection(sent, process)
                 if process != expected:
-                    self._channels.release(self.channel)
+                    self._pool.release(self.connection)
                     self.result = calls.OtherProcess(
                         process, len(result.running)
                     )
@@ -246,12 +252,12 @@
             case calls.Unanswered(sent=False) if self._may_reopen():
                 self._reopen()
             case calls.Unanswered():
-                self._drop_channel()
-                self._channels.discard_silent(sent)
+                self._drop_connection()
+                self._pool.discard_silent(sent)
                 self.result = msgspec.structs.replace(result, sent=False)
             case _:
-                self.channel.record_answer(sent)
-                self._channels.release(self.channel)
+                self.connection.record_answer(sent)
+                self._pool.release(self.connection)
                 self.result = result
 
     def _handle_call_result(self, sent: float, result: calls.Result) -> None:
@@ -260,42 +266,42 @@
                 self._reopen()
                 return
             case calls.Unanswered():
-                self._drop_channel()
-                self._channels.discard_silent(sent)
+                self._drop_connection()
+                self._pool.discard_silent(sent)
             case calls.Lists(born=0):
                 # libcurl takes an answer that ends within its header for one
                 # with an empty body, which would list no runs.
-                self._drop_channel()
+                self._drop_connection()
                 result = calls.Unanswered(NO_BIRTH, replied=True)
             case calls.Lists(born=born) if born != self._call.lifetime.born:
-                self._drop_channel()
+                self._drop_connection()
             case _:
-                self.channel.record_answer(sent)
-                self._channels.release(self.channel)
+                self.connection.record_answer(sent)
+                self._pool.release(self.connection)
         self.result = result
 
-    def _bind_channel(self, sent: float, process: work.Lifetime) -> None:
-        self.channel.lifetime = process
-        self.channel.record_answer(sent)
-        self._channels.record_identity(process)
+    def _bind_connection(self, sent: float, process: work.Lifetime) -> None:
+        self.connection.lifetime = process
+        self.connection.record_answer(sent)
+        self._pool.record_identity(process)
 
     def _fail_identification(self, now: float, reason: str) -> None:
-        self._drop_channel()
-        self._channels.record_no_identity(now, reason)
+        self._drop_connection()
+        self._pool.record_no_identity(now, reason)
         self.result = calls.Withheld(UNKNOWN_PROCESS)
 
     def _may_reopen(self) -> bool:
         """Return whether a kept connection has ended for the first time."""
-        return self.channel.has_answered and not self._has_reopened
+        return self.connection.has_answered and not self._has_reopened
 
     def _reopen(self) -> None:
-        """Go on with a new channel; the process may have ended as well."""
+        """Go on with a new connection; the process may have ended as well."""
         self._has_reopened = True
-        self._drop_channel()
+        self._drop_connection()
 
-    def _drop_channel(self) -> None:
-        self.channel.connection.close()
-        self._channel = None
+    def _drop_connection(self) -> None:
+        self.connection.client.close()
+        self._connection = None
 
 
 def make_identification(call: calls.Call) -> calls.PollCall:
--- a/damaskpin/platform/__main__.py
+++ b/damaskpin/platform/__main__.py
@@ -25,7 +25,7 @@
 from damaskpin.platform import worker
 from damaskpin.runtime import agent as agents
 from damaskpin.runtime import entry as entries
-from damaskpin.runtime import worker_channels
+from damaskpin.runtime import worker_connections
 
 if TYPE_CHECKING:
     from tornado import web
@@ -105,25 +105,25 @@
 
 async def run_agent(settings: settings_module.Settings) -> None:
     """Run an agent until SIGTERM."""
-    channels = worker_channels.WorkerChannels(
+    connections = worker_connections.WorkerConnections(
         functools.partial(worker.connect, settings.app)
     )
     runtime = agents.AgentRuntime(
         settings.make_options(),
-        channels,
+        connections,
         store.StoreClient(transport.HttpCaller(settings.platform.addr)),
     )
     runtime.telemetry.register_counters(
         'damaskpin.worker.connections',
         'connections to the worker',
-        lambda: {'opened': channels.opened},
+        lambda: {'opened': connections.opened},
     )
     listen(control.make_worker_application(runtime), settings.listen.control)
     serve_metrics(runtime.telemetry)
     runtime.start()
     await wait_for_stop()
     await runtime.close()
-    channels.close()
+    connections.close()
 
 
 def serve_metrics(telemetry: Telemetry) -> None:
--- a/damaskpin/runtime/worker_channels.py
+++ b/damaskpin/runtime/worker_connections.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.agent import calls
-from damaskpin.agent import channels
+from damaskpin.agent import connection_pool
 from damaskpin.runtime import clocks
 
 if TYPE_CHECKING:
@@ -20,8 +20,8 @@
 MAX_CALLS = 8
 
 
-class WorkerConnection(Protocol):
-    """One connection to the worker beside the agent.
+class ConnectionClient(Protocol):
+    """Makes calls over one connection to the worker beside the agent.
 
     Each call raises no error: its result tells a failure.
     """
@@ -39,22 +39,22 @@
         """Close the connection."""
 
 
-class WorkerChannels:
+class WorkerConnections:
     """Client of the worker whose calls reach only the process they name.
 
-    :param connect: returns a new connection to the worker's address.
+    :param connect: returns the client of a new connection to the worker.
     """
 
-    __slots__ = ('_channels', '_slots')
+    __slots__ = ('_pool', '_slots')
 
-    def __init__(self, connect: Callable[[], WorkerConnection]) -> None:
-        self._channels = channels.Channels(connect)
+    def __init__(self, connect: Callable[[], ConnectionClient]) -> None:
+        self._pool = connection_pool.ConnectionPool(connect)
         self._slots = asyncio.Semaphore(MAX_CALLS)
 
     @property
     def opened(self) -> int:
         """Return the number of connections that were opened."""
-        return self._channels.opened
+        return self._pool.opened
 
     async def renew_lease(self, call: calls.PollCall) -> calls.Result:
         """Renew the worker's lease and list its running and ended runs."""
@@ -72,10 +72,10 @@
 
     def close(self) -> None:
         """Close all connections, those in use after their calls."""
-        self._channels.close()
+        self._pool.close()
 
     async def _perform(self, call: calls.Call) -> calls.Result:
-        exchange = self._channels.begin(clocks.get_monotonic_time(), call)
+        exchange = self._pool.begin(clocks.get_monotonic_time(), call)
         try:
             while exchange.result is None:
                 await self._advance(exchange)
@@ -83,20 +83,20 @@
             exchange.abandon()
         return exchange.result
 
-    async def _advance(self, exchange: channels.Exchange) -> None:
+    async def _advance(self, exchange: connection_pool.Exchange) -> None:
         """Make the next call of an exchange."""
         sent = clocks.get_monotonic_time()
-        connection = exchange.channel.connection
-        result = await send(connection, exchange.get_next_call())
+        client = exchange.connection.client
+        result = await send(client, exchange.get_next_call())
         exchange.handle_result(clocks.get_monotonic_time(), sent, result)
 
 
-async def send(connection: WorkerConnection, call: calls.Call) -> calls.Result:
-    """Make a call over a connection."""
+async def send(client: ConnectionClient, call: calls.Call) -> calls.Result:
+    """Make a call over the connection of a client."""
     match call:
         case calls.PollCall():
-            return await connection.renew_lease(call)
+            return await client.renew_lease(call)
         case calls.StartCall():
-            return await connection.start(call)
+            return await client.start(call)
         case calls.StopCall():
-            return await connection.stop(call)
+            return await client.stop(call)
--- a/tests/test_agent/test_agent_former_processes.py
+++ b/tests/test_agent/test_agent_former_processes.py
@@ -159,8 +159,8 @@
 def test_withheld_start_is_sent_later_and_logged_elsewhere(caplog):
     """Guards against a run given up as its worker can't be identified yet.
 
-    The channels log the reason at a bounded rate; the agent would add a
-    record for each start and each try.
+    The connection pool logs the reason at a bounded rate; the agent would add
+    a record for each start and each try.
     """
     caplog.set_level('INFO')
     agent = _start_agent(NOW)
--- a/tests/test_coordinator/instance.py
+++ b/tests/test_coordinator/instance.py
@@ -8,7 +8,7 @@
 
     :ivar connection_epoch: number of times that all connections to the worker
         were reset.
-    :ivar channels: channels of the agent's process to the worker.
+    :ivar pool: connections of the agent's process to the worker.
     :ivar disconnected: whether messages to and from the instance are lost.
     :ivar unresponsive: whether the worker does not answer its agent.
     :ivar next_heartbeat: time of the worker's next heartbeat, in seconds.
@@ -24,7 +24,7 @@
         self.name = f'agent-{index}'
         self.worker = None
         self.agent = None
-        self.channels = None
+        self.pool = None
         self.connection_epoch = 0
         self.disconnected = False
         self.unresponsive = False
--- a/tests/test_coordinator/overlapping_calls.py
+++ b/tests/test_coordinator/overlapping_calls.py
@@ -33,7 +33,7 @@
         self.agent = instance.agent
         self.call = call
         self.sent = sent
-        self.steps = instance.channels.begin(sent, call)
+        self.steps = instance.pool.begin(sent, call)
         self.settled = False
 
 
@@ -48,7 +48,7 @@
     def __init__(self, exchange, sent):
         self.exchange = exchange
         self.call = exchange.steps.get_next_call()
-        self.connection = exchange.steps.channel.connection
+        self.connection = exchange.steps.connection.client
         self.worker = self.connection.worker
         self.sent = sent
         self.loss = None
@@ -117,7 +117,7 @@
             self._settle(exchange)
             return
         simulation = self._simulation
-        connection = exchange.steps.channel.connection
+        connection = exchange.steps.connection.client
         failure = connection.open(simulation.now)
         transmission = Transmission(exchange, simulation.now)
         if failure is not None:
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -7,7 +7,7 @@
 import random
 
 from damaskpin.agent import agent as agents
-from damaskpin.agent import channels
+from damaskpin.agent import connection_pool
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import ledger as ledgers
@@ -138,7 +138,7 @@
             instance.name, GRANT_S, LEASE_S, STOP_S, fakeworker.MAX_LEASE_S
         )
         instance.agent.start(self.now)
-        instance.channels = channels.Channels(
+        instance.pool = connection_pool.ConnectionPool(
             lambda: worker_calls.Connection(instance)
         )
         instance.next_heartbeat = max(
--- a/tests/test_coordinator/worker_calls.py
+++ b/tests/test_coordinator/worker_calls.py
@@ -90,9 +90,9 @@
     def send(self, instance, call):
         """Carry out a call, after the first call of a new connection."""
         now = self._simulation.now
-        exchange = instance.channels.begin(now, call)
+        exchange = instance.pool.begin(now, call)
         while exchange.result is None:
-            connection = exchange.channel.connection
+            connection = exchange.connection.client
             next_call = exchange.get_next_call()
             result = self._transmit(instance, connection, next_call)
             exchange.handle_result(now, now, result)
--- a/tests/test_runtime/test_runtime_worker_connections.py
+++ b/tests/test_runtime/test_runtime_worker_connections.py
@@ -11,11 +11,11 @@
 import pytest
 
 from damaskpin.agent import calls
-from damaskpin.agent import channels
+from damaskpin.agent import connection_pool
 from damaskpin.model import work
 from damaskpin.platform import worker as workers
 from damaskpin.runtime import clocks
-from damaskpin.runtime import worker_channels
+from damaskpin.runtime import worker_connections
 from tests.test_runtime import replaced_worker
 from tests.test_runtime import worker_calls
 
@@ -142,10 +142,10 @@
     async def scenario(worker, client):
         worker.process.answers = [answer]
         result = await client.start(worker_calls.make_start(LIFETIME))
-        assert result == calls.Withheld(channels.UNKNOWN_PROCESS)
+        assert result == calls.Withheld(connection_pool.UNKNOWN_PROCESS)
         assert worker_calls.list_effects(worker, LIFETIME.born) == []
         worker.process.answers = []
-        await asyncio.sleep(2 * channels.FIRST_PAUSE_S)
+        await asyncio.sleep(2 * connection_pool.FIRST_PAUSE_S)
         assert await _start_many(client, [0]) == [ACCEPTED]
 
     worker_calls.play(scenario)
@@ -153,7 +153,7 @@
 
 def test_unknown_process_is_called_and_logged_ever_more_rarely(caplog):
     """Guards against calls and log records without end."""
-    caplog.set_level(logging.WARNING, channels.LOG.name)
+    caplog.set_level(logging.WARNING, connection_pool.LOG.name)
 
     async def scenario(worker, client):
         worker.process.answers = [{'born': 'text'}]
@@ -174,7 +174,7 @@
             assert pause > 0.9 * least
 
     worker_calls.play(scenario)
-    records = [r for r in caplog.records if r.name == channels.LOG.name]
+    records = [r for r in caplog.records if r.name == connection_pool.LOG.name]
     assert 1 <= len(records) <= 1 + UNKNOWN_S
 
 
@@ -237,9 +237,11 @@
         )
         assert await _start_many(client, range(300)) == [ACCEPTED] * 300
         assert (await held).born == LIFETIME.born
-        assert worker.process.accepted <= worker_channels.MAX_CALLS + 1
+        assert worker.process.accepted <= worker_connections.MAX_CALLS + 1
         await asyncio.sleep(0.1)  # the worker sees the end of others
-        assert len(worker.process.writers) <= channels.MAX_IDLE_CHANNELS
+        assert (
+            len(worker.process.writers) <= connection_pool.MAX_IDLE_CONNECTIONS
+        )
 
     worker_calls.play(scenario)
 
--- a/tests/test_runtime/worker_calls.py
+++ b/tests/test_runtime/worker_calls.py
@@ -13,7 +13,7 @@
 from damaskpin.model import work
 from damaskpin.peer import orders
 from damaskpin.platform import worker as workers
-from damaskpin.runtime import worker_channels
+from damaskpin.runtime import worker_connections
 from tests.test_runtime import replaced_worker
 
 FENCE = 5
@@ -22,7 +22,7 @@
 
 def make_client(address):
     """Return a client of the worker at an address."""
-    return worker_channels.WorkerChannels(
+    return worker_connections.WorkerConnections(
         functools.partial(workers.connect, address)
     )
 
