Identify a worker's process less often while its answers are late

Cause: the first call of a connection may be left unanswered like any other, each call without an answer closed all idle connections, and the next start needed two answers.

Change: idle connections stay if one that was open at that time has answered a later call; a poll that acknowledges and grants nothing is answered by the identification itself; calls without effect time out after 0.25 s instead of 0.5 s.

--- a/damaskpin/agent/connection_pool.py
+++ b/damaskpin/agent/connection_pool.py
@@ -63,14 +63,22 @@
         sent.
     :ivar has_answered: whether a call has been answered, maybe by a refusal
         that does not tell the process.
+    :ivar opened_at: time in seconds at which the first answered call was sent.
     """
 
-    __slots__ = ('answered_at', 'client', 'has_answered', 'lifetime')
+    __slots__ = (
+        'answered_at',
+        'client',
+        'has_answered',
+        'lifetime',
+        'opened_at',
+    )
 
     def __init__(self, client: Client) -> None:
         self.client = client
         self.lifetime: work.Lifetime | None = None
         self.answered_at = 0.0
+        self.opened_at = 0.0
         self.has_answered = False
 
     def record_answer(self, sent: float) -> None:
@@ -78,6 +86,8 @@
 
         :param sent: time in seconds at which it was sent.
         """
+        if not self.has_answered:
+            self.opened_at = sent
         self.answered_at = sent
         self.has_answered = True
 
@@ -140,11 +150,16 @@
         """Close the idle connections without an answer to a later call.
 
         When one connection goes silent, others that were open may be dead,
-        too, and each of them would cost a timeout.
+        too, and each of them would cost a timeout. None is closed if one that
+        was open at that time has answered a later call: then the worker has
+        left a single call unanswered.
 
         :param sent: time in seconds at which a call was sent that got no
             answer.
         """
+        for connection in self._idle:
+            if connection.opened_at <= sent <= connection.answered_at:
+                return
         for connection in list(self._idle):
             if connection.answered_at < sent:
                 self._idle.remove(connection)
@@ -247,6 +262,9 @@
                     self.result = calls.OtherProcess(
                         process, len(result.running)
                     )
+                elif is_without_effect(self._call):
+                    self._pool.release(self.connection)
+                    self.result = result
             case calls.Unanswered(replied=True):
                 self._fail_identification(now, result.reason)
             case calls.Unanswered(sent=False) if self._may_reopen():
@@ -304,6 +322,14 @@
         self._connection = None
 
 
+def is_without_effect(call: calls.Call) -> bool:
+    """Return whether a call only reads, as an identification does."""
+    match call:
+        case calls.PollCall(observed=0, until=None):
+            return True
+    return False
+
+
 def make_identification(call: calls.Call) -> calls.PollCall:
     """Return the call that reads which process is at a new connection."""
     return calls.PollCall(call.lifetime, call.fence, 0, None, 0.0, call.token)
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -12,6 +12,7 @@
 from damaskpin import errors
 from damaskpin import transport
 from damaskpin.agent import calls
+from damaskpin.agent import connection_pool
 from damaskpin.model import work
 from damaskpin.platform import wire
 
@@ -35,6 +36,8 @@
 # Timeout of calls in seconds. The worker is on the same instance and answers
 # within milliseconds.
 TIMEOUT_S = 0.5
+# Timeout of polls in seconds that have no effect and may be repeated at once.
+READ_TIMEOUT_S = 0.25
 
 PATH_PREFIX = '/damaskpin'
 # HTTP statuses of calls that the worker has not carried out. Status 421, of
@@ -62,7 +65,12 @@
         body = wire.RenewLeaseBody(
             call.token, call.observed, int(call.wait * 1000), call.until
         )
-        return await self._call('hold', call.lifetime, body, call.wait)
+        timeout = TIMEOUT_S
+        if connection_pool.is_without_effect(call):
+            timeout = READ_TIMEOUT_S
+        return await self._call(
+            'hold', call.lifetime, body, timeout + call.wait
+        )
 
     async def start(self, call: calls.StartCall) -> calls.Result:
         """Start a run on the worker."""
@@ -89,13 +97,13 @@
         operation: str,
         lifetime: work.Lifetime,
         body: msgspec.Struct,
-        wait: float = 0.0,
+        timeout: float = TIMEOUT_S,
     ) -> calls.Result:
         request = transport.HttpRequest(
             'POST',
             f'{PATH_PREFIX}/{operation}',
             msgspec.json.encode(body),
-            TIMEOUT_S + wait,
+            timeout,
             {'X-Target-Instance': lifetime.worker},
         )
         try:
