Stop a start that is withdrawn while a call for it is under way

Cause: an agent stood still while a start call was under way. The coordinator gave the worker's runs up and placed others there. The agent's next orders no longer contained the start, but only starts without a call under way were withdrawn. When that call got no answer, it was sent again with a new lease, and the worker accepted it.

Change: such a start is stopped as if a stop were ordered. The worker then refuses the call that is under way, or ends its run.

--- a/damaskpin/agent/attempt_state.py
+++ b/damaskpin/agent/attempt_state.py
@@ -72,6 +72,11 @@
         """Return whether a start call is to be sent."""
         return self.state is State.PENDING
 
+    @property
+    def is_unsettled_start(self) -> bool:
+        """Return whether a start call is to be sent or is under way."""
+        return self.state in (State.PENDING, State.CALLING)
+
     @property
     def is_settled(self) -> bool:
         """Return whether the run was accepted, or will never run."""
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -85,23 +85,25 @@
     def withdraw_starts(
         self, now: float, ordered: set[work.Run], listed: set[work.Run]
     ) -> None:
-        """Abandon pending starts that the latest orders no longer contain.
+        """Abandon the starts that the latest orders no longer contain.
 
-        The coordinator may have declared the runs of a silent worker lost and
-        started them elsewhere.
+        The coordinator may have started the runs of a silent worker elsewhere.
+        A call that is under way may still arrive, so its run is stopped.
 
         :param ordered: runs that the latest orders tell the agent to start.
         :param listed: runs that the worker lists.
         """
         for run, attempt in list(self._attempts_by_run.items()):
-            if not attempt.is_pending or run in ordered:
+            if not attempt.is_unsettled_start or run in ordered:
                 continue
             if run in listed:
                 attempt.state = states.State.ACCEPTED
-            elif attempt.may_have_been_sent:
-                self._abandon_start(now, attempt, 'no longer ordered')
-            else:
+            elif attempt.is_pending and not attempt.may_have_been_sent:
                 del self._attempts_by_run[run]
+            else:
+                attempt.reason = 'no longer ordered'
+                attempt.state = states.State.STOPPING
+                attempt.next_call_at = now
 
     def collect_due_stops(
         self, now: float, lifetime: work.Lifetime, token: fencing.CallToken
