Take no answer of a former worker process for one of the next

Cause: results of stops and starts were matched by run alone. A stop that the former process had accepted counted for the next one: once that listed no such run, the run was reported as refused although the next process had got no stop.

--- a/damaskpin/agent/worker_calls.py
+++ b/damaskpin/agent/worker_calls.py
@@ -158,7 +158,8 @@
         if isinstance(result, calls.OtherProcess):
             self._handle_other_process(now, call, result)
             return
-        if call.fence != self._session.fence:
+        if not self._is_current(call):
+            events.log_late_start_result(call, None, result)
             return
         self._worker.attempts.handle_start_result(now, call, result)
         if self._worker.acknowledgements.may_hide_ends:
@@ -172,9 +173,19 @@
         if isinstance(result, calls.OtherProcess):
             self._handle_other_process(now, call, result)
             return
-        if call.fence == self._session.fence:
+        if self._is_current(call):
             self._worker.attempts.handle_stop_result(now, call, result)
 
+    def _is_current(self, call: calls.Call) -> bool:
+        """Return whether a call was made for the known process.
+
+        The result of a call to a former one tells nothing of the next.
+        """
+        profile = self._worker.profile
+        if profile is None or call.lifetime != profile.lifetime:
+            return False
+        return call.fence == self._session.fence
+
     def _choose_poll_wait(self, now: float) -> float:
         """Return the seconds for which a poll may wait for a run to end."""
         worker = self._worker
