Make calls to the worker without a proxy of the environment

A proxy would be bound in the worker's place, and its refusal taken for the proof that the worker has left (shown by the review with a proxy).

--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -248,6 +248,8 @@
         self, sending: connections.Sending, curl: pycurl.Curl
     ) -> None:
         sending.curl = curl
+        # A proxy of the environment would answer in the server's place.
+        curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.SOCKOPTFUNCTION, self._sockets.add)
         curl.setopt(pycurl.PREREQFUNCTION, sending.begin)
 
