--- a/damaskpin/agent/connection_pool.py
+++ b/damaskpin/agent/connection_pool.py
@@ -292,6 +292,13 @@
                 self._drop_connection()
                 result = calls.Unanswered(NO_BIRTH, replied=True)
             case calls.Lists(born=born) if born != self._call.lifetime.born:
+                LOG.error(
+                    'a connection to the worker has changed its process',
+                    extra={
+                        'born': born,
+                        'former_born': self._call.lifetime.born,
+                    },
+                )
                 self._drop_connection()
             case _:
                 self.connection.record_answer(sent)
