Count starts under way as undecided, and keep the others with the agent

What callers may see: a run that executes twice, or that starts after its stop or the drain of its worker. Found by the review; shown with real sockets and at the agent's interface.

Cause: all ordered starts were handed to the client at once, where eight are made at a time. A start without a result did not count as undecided, so that a departure or the end of a lease freed its run.

Change: the agent makes eight starts at once and keeps the others; stops have slots of their own; a call that is under way counts as undecided.

--- a/damaskpin/agent/attempt_state.py
+++ b/damaskpin/agent/attempt_state.py
@@ -6,6 +6,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from damaskpin.agent import calls
+
 if TYPE_CHECKING:
     from damaskpin.model import work
     from damaskpin.peer import orders
@@ -72,6 +74,30 @@
         """Return whether a start call is to be sent."""
         return self.state is State.PENDING
 
+    def get_undecided_time(self, now: float) -> float:
+        """Return the seconds for which a start call may be carried out.
+
+        The time of a call that is under way begins with its result.
+        """
+        if self.state is State.CALLING:
+            return calls.MAX_CALL_DELAY_S
+        return self.undecided_until - now
+
+    def stop(self, now: float, reason: str) -> None:
+        """Stop a run that may run or may still be started.
+
+        A start call in transit may still arrive; after the stop call the
+        worker refuses it.
+        """
+        self.reason = reason
+        self.state = State.STOPPING
+        self.next_call_at = now
+
+    @property
+    def is_calling(self) -> bool:
+        """Return whether a start call is under way."""
+        return self.state is State.CALLING
+
     @property
     def is_unsettled_start(self) -> bool:
         """Return whether a start call is to be sent or is under way."""
--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -16,6 +16,10 @@
 # Seconds before a start or stop call is repeated after a failed call.
 RETRY_INTERVAL_S = 0.15
 
+# Start calls that are made at once. Others stay with the agent, so that an
+# order to stop or a drain still reaches them.
+MAX_STARTS_UNDER_WAY = 8
+
 # Seconds before an accepted stop call is repeated if the worker still lists
 # the run as running.
 STOP_RETRY_INTERVAL_S = 1.5
@@ -71,16 +75,9 @@
             )
             self._attempts_by_run[run] = attempt
         attempt.last_ordered_at = now
-        if attempt.state in (
-            states.State.PENDING,
-            states.State.CALLING,
-            states.State.ACCEPTED,
-        ):
-            # A start call in transit may still arrive; after the stop call the
-            # worker refuses it.
-            attempt.state = states.State.STOPPING
-            attempt.reason = 'stopped'
-            attempt.next_call_at = 0.0
+        is_accepted = attempt.state is states.State.ACCEPTED
+        if attempt.is_unsettled_start or is_accepted:
+            attempt.stop(now, 'stopped')
 
     def withdraw_starts(
         self, now: float, ordered: set[work.Run], listed: set[work.Run]
@@ -101,9 +98,7 @@
             elif attempt.is_pending and not attempt.may_have_been_sent:
                 del self._attempts_by_run[run]
             else:
-                attempt.reason = 'no longer ordered'
-                attempt.state = states.State.STOPPING
-                attempt.next_call_at = now
+                attempt.stop(now, 'no longer ordered')
 
     def collect_due_stops(
         self, now: float, lifetime: work.Lifetime, token: fencing.CallToken
@@ -138,7 +133,11 @@
             lists.
         """
         due_calls = []
-        for attempt in self._attempts_by_run.values():
+        known = self._attempts_by_run.values()
+        free = MAX_STARTS_UNDER_WAY - sum(row.is_calling for row in known)
+        for attempt in known:
+            if len(due_calls) >= free:
+                break
             if not attempt.is_pending or attempt.order is None:
                 continue
             if attempt.next_call_at > now or attempt.needs_lists(has_lists):
@@ -185,7 +184,7 @@
         for attempt in self._attempts_by_run.values():
             if attempt.state is states.State.REFUSED:
                 continue
-            if now < attempt.undecided_until:
+            if attempt.get_undecided_time(now) > 0:
                 continue
             attempt.state = states.State.REFUSED
             attempt.reason = reason
@@ -300,7 +299,7 @@
         """Return the seconds for which a start call may be carried out."""
         return max(
             (
-                attempt.undecided_until - now
+                attempt.get_undecided_time(now)
                 for attempt in self._attempts_by_run.values()
                 if attempt.state is not states.State.REFUSED
             ),
@@ -341,10 +340,9 @@
     def _abandon_start(
         self, now: float, attempt: states.Attempt, reason: str
     ) -> None:
-        attempt.reason = reason
         if attempt.may_have_been_sent or reason == 'old':
-            attempt.state = states.State.STOPPING
-            attempt.next_call_at = now
+            attempt.stop(now, reason)
             return
+        attempt.reason = reason
         attempt.state = states.State.REFUSED
         self.report_needed = True
--- a/damaskpin/runtime/worker_connections.py
+++ b/damaskpin/runtime/worker_connections.py
@@ -14,7 +14,7 @@
     from collections.abc import Callable
 
 
-# Starts and stops that are made at once; others wait. Each of them takes a
+# Starts, and stops, that are made at once; others wait. Each of them takes a
 # connection, whose opening takes about 2 ms of processor time, so that most of
 # 300 starts at once without a limit have timed out.
 MAX_CALLS = 8
@@ -45,11 +45,12 @@
     :param connect: returns the client of a new connection to the worker.
     """
 
-    __slots__ = ('_pool', '_slots')
+    __slots__ = ('_pool', '_start_slots', '_stop_slots')
 
     def __init__(self, connect: Callable[[], ConnectionClient]) -> None:
         self._pool = connection_pool.ConnectionPool(connect)
-        self._slots = asyncio.Semaphore(MAX_CALLS)
+        self._start_slots = asyncio.Semaphore(MAX_CALLS)
+        self._stop_slots = asyncio.Semaphore(MAX_CALLS)
 
     @property
     def opened(self) -> int:
@@ -62,12 +63,12 @@
 
     async def start(self, call: calls.StartCall) -> calls.Result:
         """Start a run on the worker."""
-        async with self._slots:
+        async with self._start_slots:
             return await self._perform(call)
 
     async def stop(self, call: calls.StopCall) -> calls.Result:
         """Stop a run on the worker."""
-        async with self._slots:
+        async with self._stop_slots:
             return await self._perform(call)
 
     def close(self) -> None:
