--- a/damaskpin/runtime/worker_connections.py
+++ b/damaskpin/runtime/worker_connections.py
@@ -15,8 +15,7 @@
 
 
 # Starts, and stops, that are made at once; others wait. Each of them takes a
-# connection, whose opening takes about 2 ms of processor time, so that most of
-# 300 starts at once without a limit have timed out.
+# connection, and many that are opened at the same moment time out.
 MAX_CALLS = 8
 
 
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -47,7 +47,7 @@
 # a play is drawn as without them.
 OUTLIVING_CALLS = 'calls that outlive processes'
 
-# Faults that are known to break a promise (KNOWN-RED.txt).
+# Workers that hear no answer to their notice of leaving, and long lists.
 UNHEARD_LEAVES = 'unheard leaves'
 MANY_ENDS = 'many ends'
 
