--- a/review/fleet.py
+++ b/review/fleet.py
@@ -22,7 +22,9 @@
 HOST = 'review.example'
 PREFIX = '/jobs/'
 SERVICE = 'app'
+URGENT_PREFIX = '/urgent/'
 KEY = 'key-of-the-tenant'
+URGENT_KEY = 'key-of-the-guaranteed-tenant'
 ZONES = {'north': 'home', 'south': 'home', 'west': 'away'}
 TIME_LIMIT_MS = 3000
 
@@ -112,8 +114,12 @@
         )
         self._next_entry = 0
 
-    def write_configuration(self, **route):
-        """Write a configuration with one queue and one tenant."""
+    def write_configuration(self, guaranteed=0, **route):
+        """Write a configuration with two queues and two tenants.
+
+        :param guaranteed: accelerators of the tenant with urgent jobs.
+        :param route: fields of the queue of ordinary jobs.
+        """
         self._version += 3
         queue = {
             'name': 'jobs',
@@ -127,12 +133,25 @@
             'timeoutMs': TIME_LIMIT_MS,
             **route,
         }
+        urgent = {
+            **queue,
+            'name': 'urgent',
+            'prefix': URGENT_PREFIX,
+            'priority': 0,
+        }
         configuration = {
             'version': self._version,
-            'routes': [queue],
+            'routes': [queue, urgent],
             'services': [{'name': SERVICE, 'rejectsOverload': False}],
             'limits': {'maxBodyBytes': 262144},
-            'tenants': [{'name': 'tenant', 'apiKeys': [KEY]}],
+            'tenants': [
+                {'name': 'tenant', 'apiKeys': [KEY]},
+                {
+                    'name': 'guaranteed',
+                    'apiKeys': [URGENT_KEY],
+                    'guaranteed': {'gpu': guaranteed},
+                },
+            ],
         }
         self.store.put('op/config', json.dumps(configuration).encode())
 
@@ -178,31 +197,37 @@
         for daemon in self.entries + self.agents:
             daemon.close()
 
-    async def submit(self, job, body, tries=5):
+    async def submit(self, job, body, tries=5, is_urgent=False):
         """Hand a job in until it is accepted; return whether it is."""
         for _ in range(tries):
-            status, _ = await self.call('POST', job, body)
+            status, _ = await self.call('POST', job, body, is_urgent)
             if status == 200:
                 return True
             await asyncio.sleep(0.3)
         return False
 
-    async def show(self, job):
+    async def show(self, job, is_urgent=False):
         """Return the state of a job that an entry shows, or the status."""
-        status, body = await self.call('GET', job)
+        status, body = await self.call('GET', job, None, is_urgent)
         return body.get('state', '') if status == 200 else str(status)
 
-    async def call(self, method, job, body=None):
-        """Send a client's request to the next entry."""
+    async def call(self, method, job, body=None, is_urgent=False):
+        """Send a client's request to the next entry.
+
+        :param is_urgent: whether it comes from the tenant with a guarantee,
+            for its queue of urgent jobs.
+        """
+        prefix = URGENT_PREFIX if is_urgent else PREFIX
+        key = URGENT_KEY if is_urgent else KEY
         entry = self.entries[self._next_entry % len(self.entries)]
         self._next_entry += 1
         request = httpclient.HTTPRequest(
-            f'http://{entry.settings["listen"]["front"]}{PREFIX}{job}',
+            f'http://{entry.settings["listen"]["front"]}{prefix}{job}',
             method=method,
             body=json.dumps(body) if body is not None else None,
             headers={
                 'Host': HOST,
-                'Authorization': f'Bearer {KEY}',
+                'Authorization': f'Bearer {key}',
                 'Content-Type': 'application/json',
                 'X-Timeout-Ms': str(TIME_LIMIT_MS),
             },
