--- a/review/worker.py
+++ b/review/worker.py
@@ -25,8 +25,9 @@
 
     :ivar works: function that tells how long a work item works, in seconds,
         by its job's spec; ``None`` for one that lasts.
-    :ivar fails_after: seconds of work after which a run fails that was started
-        on a bad worker.
+    :ivar fails_after: seconds of work after which a run fails that is faulty
+        or was started on a bad worker.
+    :ivar faulty_runs: numbers of the runs that fail by their own fault.
     :ivar gangs: number of members of a gang, by the job's spec.
     :ivar members: workers with a member, by job, step, occurrence and run.
     :ivar log: function that records an event.
@@ -36,6 +37,7 @@
         self.works = works
         self.log = log
         self.fails_after = 1.5
+        self.faulty_runs = set()
         self.gangs = {}
         self.members = {}
         self.workers = []
@@ -71,10 +73,10 @@
     :ivar is_bad: whether all that is started now fails.
     """
 
-    def __init__(self, cluster, machine):
+    def __init__(self, cluster, machine, former_id=''):
         self.cluster = cluster
         self.machine = machine
-        self.id = f'i-{next(LIFETIME_COUNT):08x}'
+        self.id = former_id or f'i-{next(LIFETIME_COUNT):08x}'
         self.born = int(time.time() * 1000)
         self.epoch = time.monotonic()
         self.alive = True
@@ -110,7 +112,7 @@
         if body['untilMs'] <= now:
             return 409, 'late'
         run = Run(task, number, body['spec'], now)
-        run.is_bad = self.is_bad
+        run.is_bad = self.is_bad or number in self.cluster.faulty_runs
         self.runs[task] = run
         self.note('start', task=task, run=number)
         size = self.cluster.gangs.get(run.spec)
@@ -243,6 +245,10 @@
             self.answer(worker, 421, {})
             return
         body = json.loads(self.request.body)
+        if call == 'run-start' and self.machine.delay is not None:
+            self.machine.delay_start(worker, body)
+            await asyncio.sleep(30)
+            return
         if body.get('fencingToken', 0) < worker.token:
             self.answer(worker, 409, {'reason': 'fence'})
             return
@@ -290,12 +296,16 @@
     """A `side` machine's worker, which may crash and start again.
 
     :param control: address of the machine's agent for pings.
+    :ivar delay: seconds after which the next start is carried out without an
+        answer; ``None`` to carry it out at once.
     """
 
     def __init__(self, cluster, name, address, port, control, profile):
         self.cluster = cluster
         self.name = name
         self.worker = None
+        self.delay = None
+        self._late_starts = []
         self._address = address
         self._port = port
         self._control = control
@@ -304,14 +314,40 @@
         self._pings = None
         self._client = httpclient.AsyncHTTPClient(force_instance=True)
 
-    def start(self):
-        """Start a worker."""
-        self.worker = Worker(self.cluster, self.name)
+    def delay_start(self, worker, body):
+        """Carry a start out later, by the process that is up then."""
+        worker.note('start is late', task=body['task'], run=body['run'])
+        due = time.monotonic() + self.delay
+        self.delay = None
+        self._late_starts.append((due, worker.id, body))
+        asyncio.get_running_loop().call_later(
+            due - time.monotonic(), self.carry_out_late_starts
+        )
+
+    def carry_out_late_starts(self):
+        """Carry out the late starts that are due, if a process is up."""
+        worker = self.worker
+        for row in list(self._late_starts):
+            due, target, body = row
+            if worker is None or time.monotonic() < due:
+                continue
+            self._late_starts.remove(row)
+            if target == worker.id and body['fencingToken'] >= worker.token:
+                worker.token = body['fencingToken']
+                worker.start(body)
+
+    def start(self, former_id=''):
+        """Start a worker.
+
+        :param former_id: id of the worker before, if it keeps that.
+        """
+        self.worker = Worker(self.cluster, self.name, former_id)
         handlers = [('/damaskpin/(.*)', Handler, {'machine': self})]
         self._server = httpserver.HTTPServer(web.Application(handlers))
         self._server.listen(self._port, self._address)
         self._pings = asyncio.ensure_future(self._send_pings(self.worker))
         self.worker.note('worker started')
+        self.carry_out_late_starts()
 
     async def crash(self):
         """Crash the worker: all that it runs ends, and nobody listens."""
