--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Two members of a gang fail in one run of it, on two bad workers."""
+"""A late start reaches the next process of a worker that keeps its id."""
 
 from __future__ import annotations
 
@@ -7,63 +7,78 @@
 
 from review import fleet as fleets
 
-JOB = 'bbbbbbbbbbbbbbb2'
-GANG_WORK = 'gang'
-GANG_SIZE = 4
-ATTEMPTS = 2
+JOB = '8888888888888888'
+WORKERS = 6
+ATTEMPTS = 4
+WORK_S = 12.0
 
-# Number of workers, of which two are bad for some seconds: an eighth.
-WORKERS = 16
+# Seconds after which the late start is carried out; of work after which the
+# first run fails by its own fault; and for which the worker is down.
+DELAY_S = 8.0
+FAILS_AFTER_S = 1.5
+DOWN_S = 3.0
 
 
 def get_work(spec):
-    """Return how long the gang works once all its members are there."""
-    return 4.0
+    """Return how long a work item works."""
+    return WORK_S
+
+
+def list_overlaps(events):
+    """Return the times at which a run began beside another of its item."""
+    running = {}
+    overlaps = []
+    for row in events:
+        match row['event']:
+            case 'start':
+                if running:
+                    overlaps.append(row['t'])
+                running[row['worker'], row['run']] = row['t']
+            case 'end':
+                running.pop((row['worker'], row['run']), None)
+            case 'worker crashed':
+                for key in list(running):
+                    if key[0] == row['worker']:
+                        del running[key]
+    return overlaps
 
 
 async def play(fleet):
-    """Hand a gang in while two workers fail all that they start."""
+    """Delay the first start call, and crash its worker before it is due."""
     fleet.write_configuration(attempts=ATTEMPTS)
-    fleet.cluster.gangs[GANG_WORK] = GANG_SIZE
-    profiles = [{} for _ in range(WORKERS - 4)]
-    profiles += [{'labels': ['b', 'r1-9']} for _ in range(4)]
-    await fleet.start(2, profiles)
-    bad = [machine.worker for machine in fleet.machines[-4:]]
+    fleet.cluster.fails_after = FAILS_AFTER_S
+    fleet.cluster.faulty_runs.add(1)
+    await fleet.start(2, [{} for _ in range(WORKERS)])
     if fleets.has_trouble():
-        for worker in bad[:2]:
-            worker.is_bad = True
-            worker.note('fails all that it starts')
+        for machine in fleet.machines:
+            machine.delay = DELAY_S
     step = {
-        'count': GANG_SIZE,
-        'cpu': 64000,
-        'memMb': 65536,
-        'gpu': 8,
-        'estimateMs': 4000,
-        'gang': True,
-        'constraints': 'b',
+        'count': 1,
+        'cpu': 2000,
+        'memMb': 1024,
+        'gpu': 1,
+        'estimateMs': int(1000 * WORK_S),
     }
-    body = {'spec': GANG_WORK, 'steps': [step]}
+    body = {'spec': 'scan', 'steps': [step]}
     if not await fleet.submit(JOB, body):
         raise RuntimeError('the job was not accepted')
     await asyncio.sleep(1.0)
-    for worker in bad[:2]:
-        worker.is_bad = False
-    state = ''
-    for _ in range(40):
-        await asyncio.sleep(0.5)
-        state = await fleet.show(JOB)
-        if state in ('completed', 'failed', 'canceled'):
-            break
-    # A gang has failed as often as it had runs with a member that failed.
-    failed_runs = {
-        row['run']
-        for row in fleet.record.events
-        if row['event'] == 'end' and row['how'] == 'failed'
-    }
-    fleet.record.log('seen', state=state, failed_runs=sorted(failed_runs))
-    if state == 'failed':
-        return len(failed_runs) >= ATTEMPTS
-    return state == 'completed'
+    starts = [row for row in fleet.record.events if row['event'] == 'start']
+    (first,) = starts
+    for machine in fleet.machines:
+        machine.delay = None
+        if machine.name == first['machine']:
+            chosen = machine
+    await asyncio.sleep(DELAY_S - DOWN_S / 2 - 1.0)
+    if fleets.has_trouble():
+        former_id = chosen.worker.id
+        await chosen.crash()
+        await asyncio.sleep(DOWN_S)
+        chosen.start(former_id)
+    await asyncio.sleep(WORK_S)
+    overlaps = list_overlaps(fleet.record.events)
+    fleet.record.log('seen', overlaps=overlaps)
+    return not overlaps
 
 
 fleets.run(pathlib.Path(__file__).parent, get_work, play)
