Book lost work by cause, in metrics and in the log of each run

Change: each run that ends without success is booked in core-seconds by the cause of its stop or end; a gang has the cause of its first member.

Not booked: the time for which members of a gang wait for each other.

--- a/bench/load.py
+++ b/bench/load.py
@@ -16,6 +16,8 @@
 
 import fire
 
+from bench import loadfaults
+from bench import loadfigures
 from bench import loadmixes
 from damaskpin.coordinator import ends
 from damaskpin.coordinator import job as jobs
@@ -45,29 +47,6 @@
 UNIX_TIME_OFFSET = 1_000_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class DayFigures:
-    """Figures of one simulated day.
-
-    :ivar earned_share: value earned by completed jobs as a share of the value
-        of all due jobs; late jobs earn a part of their value.
-    :ivar earned_share_by_queue: earned share of the value of each queue.
-    :ivar wasted_core_seconds: core-seconds of runs that failed or were
-        stopped without a checkpoint.
-    :ivar stopped_runs: number of runs that were stopped.
-    :ivar late_guaranteed: number of jobs that had not started when they had
-        been guaranteed for longer than the bound on their start.
-    :ivar pass_seconds: processor seconds of all scheduling passes.
-    """
-
-    earned_share: float
-    earned_share_by_queue: dict[str, float]
-    wasted_core_seconds: float
-    stopped_runs: int
-    late_guaranteed: int
-    pass_seconds: float
-
-
 @dataclasses.dataclass(slots=True)
 class ActiveRun:
     """A run that was assigned to a worker.
@@ -76,12 +55,14 @@
     :ivar placed: state of the run in the ledger of the coordinator.
     :ivar started_at: simulated time of the start in seconds; 0 before it.
     :ivar duration: seconds from the start to the end without interruption.
+    :ivar will_fail: whether it fails at its end.
     """
 
     worker: worker_state.Worker
     placed: placed_run.PlacedRun
     started_at: float
     duration: float
+    will_fail: bool = False
 
 
 class DaySimulation:
@@ -90,10 +71,15 @@
     :param mix: workers, queues and arrival rates.
     :param seed: seed of the random number generator.
     :param start_bound: seconds within which a guaranteed job must start.
+    :param faults: faults of the workers.
     """
 
     def __init__(
-        self, mix: loadmixes.LoadMix, seed: int, start_bound: float = 2.9
+        self,
+        mix: loadmixes.LoadMix,
+        seed: int,
+        start_bound: float = 2.9,
+        faults: loadfaults.FaultPlan | None = None,
     ) -> None:
         self._rng = random.Random(seed)
         self._mix = mix
@@ -107,15 +93,20 @@
         self._saved_seconds: dict[tuple, float] = {}
         self._end_serials = itertools.count(1)
         self._drawn_jobs: dict[str, loadmixes.DrawnJob] = {}
-        self._wasted_core_seconds = 0.0
         self._stopped_runs = 0
         self._late_count = 0
         self._pass_seconds = 0.0
         self._guaranteed_since: dict[str, float] = {}
         self._late_jobs: dict[str, float] = {}
         loadmixes.add_workers(self._ledger, mix, self._now)
+        self._faults = loadfaults.WorkerFaults(
+            faults or loadfaults.FaultPlan(),
+            self._ledger,
+            random.Random(seed + 1_000_000),
+            self._now,
+        )
 
-    def run(self) -> DayFigures:
+    def run(self) -> loadfigures.DayFigures:
         """Simulate the day and return its figures."""
         arrivals = loadmixes.draw_arrivals(self._mix, self._rng)
         start = self._now
@@ -130,9 +121,18 @@
                 next_arrival += 1
                 self._submit(drawn_job)
             self._process_due_events()
+            self._apply_departures()
             self._run_pass()
         return self._compute_figures()
 
+    def _apply_departures(self) -> None:
+        gone = self._faults.advance(self._now)
+        if not gone:
+            return
+        for run, active in list(self._active_runs.items()):
+            if active.worker.lifetime in gone:
+                del self._active_runs[run]
+
     def _submit(self, drawn_job: loadmixes.DrawnJob) -> None:
         accepted = UNIX_TIME_OFFSET + self._now
         submission = drawn_job.make_submission(accepted)
@@ -225,6 +225,9 @@
         duration -= self._saved_seconds.get(progress_key, 0.0)
         active.started_at = self._now
         active.duration = max(duration, 0.3)
+        if self._faults.will_fail(self._now, active.worker):
+            active.will_fail = True
+            active.duration *= self._faults.draw_failing_share()
         self._schedule_event(active.duration, self._end_run, run)
 
     def _get_slowdown(self, active: ActiveRun) -> float:
@@ -249,15 +252,17 @@
         active = self._active_runs[run]
         if active.placed.stop_reason:
             return
-        failed = self._rng.random() < self._mix.failure_share
+        failed = (
+            active.will_fail or self._rng.random() < self._mix.failure_share
+        )
         ending = work.Ending.FAILED if failed else work.Ending.DONE
         self._report_end(run, ending)
-        if not active.placed.step.gang or failed:
-            return
         for other in list(self._active_runs):
             placed = self._active_runs[other].placed
             if placed.is_in_same_gang_run(active.placed):
-                self._report_end(other, ending)
+                self._report_end(
+                    other, work.Ending.BROKEN if failed else ending
+                )
 
     def _stop_run(self, run: work.Run) -> None:
         active = self._active_runs[run]
@@ -271,20 +276,11 @@
             self._saved_seconds[progress_key] = max(
                 saved_seconds, saved_seconds + worked_seconds
             )
-        else:
-            self._wasted_core_seconds += (
-                worked_seconds * active.placed.step.get_core_equivalents()
-            )
         self._report_end(run, work.Ending.STOPPED)
 
     def _report_end(self, run: work.Run, ending: work.Ending) -> None:
         active = self._active_runs.pop(run)
         ended_run = work.EndedRun(next(self._end_serials), run, ending, '')
-        if ending is work.Ending.FAILED:
-            worked_seconds = self._now - active.started_at
-            self._wasted_core_seconds += (
-                worked_seconds * active.placed.step.get_core_equivalents()
-            )
         ends.record_end(
             self._now,
             UNIX_TIME_OFFSET + self._now,
@@ -294,64 +290,56 @@
         )
         active.worker.pending_ends.clear()
 
-    def _compute_figures(self) -> DayFigures:
-        due_value: dict[str, float] = {}
-        earned_value: dict[str, float] = {}
-        for job in self._ledger.jobs.values():
-            drawn_job = self._drawn_jobs[job.id]
-            queue = drawn_job.queue
-            due_value[queue.name] = (
-                due_value.get(queue.name, 0.0) + drawn_job.value
-            )
-            job_value = 0.0
-            if job.progress.state is work.JobState.COMPLETED:
-                elapsed = job.progress.ended - job.submission.accepted
-                objective = (
-                    queue.allowance
-                    + queue.stretch * drawn_job.critical_path_seconds
-                )
-                if elapsed <= objective:
-                    job_value = drawn_job.value
-                elif elapsed <= 3 * objective:
-                    job_value = drawn_job.value * queue.late_value_share
-            elif UNIX_TIME_OFFSET + self._now - job.submission.accepted < 3 * (
-                queue.allowance
-                + queue.stretch * drawn_job.critical_path_seconds
-            ):
-                # The job can still end in time, so its value is not due.
-                due_value[queue.name] -= drawn_job.value
-            earned_value[queue.name] = (
-                earned_value.get(queue.name, 0.0) + job_value
-            )
-        return DayFigures(
-            sum(earned_value.values()) / max(sum(due_value.values()), 1e-9),
+    def _compute_figures(self) -> loadfigures.DayFigures:
+        due, earned = loadfigures.measure_value(
+            self._ledger.jobs.values(),
+            self._drawn_jobs,
+            UNIX_TIME_OFFSET + self._now,
+        )
+        return loadfigures.DayFigures(
+            sum(earned.values()) / max(sum(due.values()), 1e-9),
             {
-                name: round(earned_value[name] / max(due_value[name], 1e-9), 3)
-                for name in sorted(due_value)
+                name: round(earned[name] / max(due[name], 1e-9), 3)
+                for name in sorted(due)
             },
-            self._wasted_core_seconds,
+            self._ledger.lost_work,
             self._stopped_runs,
             self._late_count,
             self._pass_seconds,
         )
 
 
-def play(mix: str = 'repair', seeds: int = 4, load: float = 1.0) -> None:
+def play(
+    mix: str = 'repair',
+    seeds: int = 4,
+    load: float = 1.0,
+    failing: float = 0.0,
+    leaving: float = 0.0,
+) -> None:
     """Simulate days of a load mix and print their figures.
 
     :param mix: ``repair`` or ``shortlist``.
     :param seeds: number of days, each with a seed of its own.
     :param load: factor of the arrival rates.
+    :param failing: share of the workers that fail all that they start for
+        some seconds.
+    :param leaving: share of the workers that leave at short notice.
     """
+    faults = loadfaults.FaultPlan(failing_share=failing, leaving_share=leaving)
     for seed in range(seeds):
-        figures = DaySimulation(loadmixes.make_mix(mix, load), seed).run()
+        figures = DaySimulation(
+            loadmixes.make_mix(mix, load), seed, faults=faults
+        ).run()
         print(
             f'{mix} seed {seed}: earned {figures.earned_share:.3f}'
             f' {figures.earned_share_by_queue}'
-            f' wasted {figures.wasted_core_seconds:.0f}'
+            f' lost {sum(figures.losses.core_seconds.values()):.0f}'
             f' stops {figures.stopped_runs} late {figures.late_guaranteed}'
             f' pass {figures.pass_seconds:.2f} s'
         )
+        for cause, lost in figures.losses.core_seconds.most_common():
+            runs = figures.losses.runs[cause]
+            print(f'  {cause}: {runs} runs, {lost:.0f} core-seconds')
 
 
 if __name__ == '__main__':
--- a/bench/loadmixes.py
+++ b/bench/loadmixes.py
@@ -74,6 +74,7 @@
         seconds of a burst.
     :ivar arrival_seconds: seconds during which jobs arrive.
     :ivar failure_share: share of the runs that fail at their end.
+    :ivar attempts: failed runs of a work item after which its job fails.
     """
 
     workers: int
@@ -84,6 +85,7 @@
     burst: tuple[str, float, float, float]
     arrival_seconds: float = 34.0
     failure_share: float = 0.01
+    attempts: int = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,6 +98,7 @@
     :ivar durations: run times of the work items of each step, in seconds.
     :ivar critical_path_seconds: run time of the critical path in seconds.
     :ivar value: value that the job earns if it completes in time.
+    :ivar attempts: failed runs of a work item after which the job fails.
     """
 
     id: str
@@ -106,6 +109,7 @@
     durations: list[list[float]]
     critical_path_seconds: float
     value: float
+    attempts: int
 
     def make_submission(self, accepted: float) -> work.Submission:
         """Return the submission of the job, accepted at a Unix time."""
@@ -114,7 +118,7 @@
             queue.name,
             's',
             queue.priority,
-            3,
+            self.attempts,
             queue.stretch,
             queue.allowance,
         )
@@ -131,11 +135,15 @@
 def make_mix(name: str, load: float = 1.0) -> LoadMix:
     """Return the load mix of a deployment.
 
-    :param name: ``repair`` or ``shortlist``.
+    :param name: ``repair``, ``shortlist`` or ``wide``.
     :param load: factor of the arrival rates.
     :raises KeyError: the deployment is unknown.
     """
-    factories = {'repair': _make_repair, 'shortlist': _make_shortlist}
+    factories = {
+        'repair': _make_repair,
+        'shortlist': _make_shortlist,
+        'wide': _make_wide,
+    }
     return factories[name](load)
 
 
@@ -187,6 +195,36 @@
     )
 
 
+def _make_wide(load: float) -> LoadMix:
+    queues = (
+        QueueLoad(
+            'fonetiek', 1, 0.51 * load, 17.0, 0.3, 0.15, 13.0, 76,
+            52_000, 210_000, (1, 2, 4, 8, 8), True, 0.6, 0.45, 0.2,
+            3.0, 1.2, 3.0, 0.3, 7,
+        ),
+        QueueLoad(
+            'handelsmerk', 0, 1.63 * load, 5.0, 0.5, 0.15, 5.3, 32,
+            15_000, 79_000, (1, 2, 4, 8, 8), True, 0.8, 0.0, 0.9,
+            1.5, 0.5, 4.0, 0.2,
+        ),
+        QueueLoad(
+            'kandidaat', 2, 0.625 * load, 12.2, 0.3, 0.15, 38.0, 230,
+            11_000, 46_000, (1,), False, 0.0, 0.45, 0.5,
+            3.0, 3.0, 1.0, 0.3, 9,
+        ),
+    )  # fmt: skip
+    burst = ('handelsmerk', 2.2, 3.0, 6.0)
+    return LoadMix(
+        160,
+        8,
+        524_288,
+        queues,
+        _split_guarantees(0.62 * 160 * 8),
+        burst,
+        attempts=2,
+    )
+
+
 def _split_guarantees(accelerators: float) -> dict[str, int]:
     """Divide guaranteed accelerators among client accounts of unequal size."""
     weights = [1.0 / (rank + 1) ** 0.6 for rank in range(10)]
@@ -286,4 +324,5 @@
         [durations],
         critical_path_seconds,
         value,
+        mix.attempts,
     )
--- a/damaskpin/coordinator/books.py
+++ b/damaskpin/coordinator/books.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import advice
+from damaskpin.coordinator import lost_work
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
@@ -19,15 +20,24 @@
     :ivar changed: whether a change may allow new decisions.
     :ivar counts: number of run events by name since the start, for metrics.
     :ivar jobs: known jobs by id.
+    :ivar lost_work: account of the work that ended without success.
     :ivar tickets: tickets of the advisor.
     :ivar workers: known workers by lifetime.
     """
 
-    __slots__ = ('changed', 'counts', 'jobs', 'tickets', 'workers')
+    __slots__ = (
+        'changed',
+        'counts',
+        'jobs',
+        'lost_work',
+        'tickets',
+        'workers',
+    )
 
     def __init__(self) -> None:
         self.changed = True
         self.counts: collections.Counter[str] = collections.Counter()
+        self.lost_work = lost_work.LostWork()
         self.tickets = advice.Tickets()
         self.jobs: dict[str, jobs.Job] = {}
         self.workers: dict[work.Lifetime, worker_state.Worker] = {}
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -11,6 +11,7 @@
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import idle_watch
 from damaskpin.coordinator import ledger as ledgers
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import placement
 from damaskpin.coordinator import removals
 from damaskpin.coordinator import run_lists
@@ -85,6 +86,11 @@
         """Return the number of run events by name since the start."""
         return self._ledger.counts
 
+    @property
+    def lost_work(self) -> lost_work.LostWork:
+        """Return the account of lost work since the start."""
+        return self._ledger.lost_work
+
     @property
     def workers(self) -> dict[work.Lifetime, worker_state.Worker]:
         """Return the known workers by lifetime."""
@@ -111,7 +117,7 @@
             return
         job.finish(work.JobState.CANCELED, wall)
         LOG.info('job cancelled', extra={'job': job_id})
-        self._ledger.stop_job(job, 'job cancelled')
+        self._ledger.stop_job(job, lost_work.Cause.CANCELLED, 'job cancelled')
         self._ledger.changed = True
 
     def forget_job(self, job_id: str) -> None:
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -14,6 +14,7 @@
 
 from damaskpin.coordinator import crash_counts
 from damaskpin.coordinator import events
+from damaskpin.coordinator import lost_work
 from damaskpin.model import crash_limits
 from damaskpin.model import work
 
@@ -152,7 +153,7 @@
     ledger.counts['given up after crashes'] += 1
     events.log_giving_up(run.item, reason, counts)
     events.log_job_end(job)
-    ledger.stop_job(job, reason)
+    ledger.stop_job(job, lost_work.Cause.JOB_FAILED, reason)
 
 
 def may_share_worker(
--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import events
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import moves
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
@@ -55,6 +56,8 @@
     ledger.changed = True
     worker.orders_due = True
     ledger.counts[str(ended.ending)] += 1
+    cause = lost_work.find_cause(placed, ended.ending)
+    lost = ledger.lost_work.record(cause, placed, now)
     events.log_run(
         'run ended',
         ended.run,
@@ -65,6 +68,7 @@
         seconds=round(now - placed.placed_at, 3)
         if placed.placed_at >= 0
         else None,
+        **lost,
     )
     match ended.ending:
         case work.Ending.DONE:
@@ -79,9 +83,15 @@
         # The other members of the gang end without a stop order.
         return
     if job.is_final():
-        ledger.stop_job(job, f'job {job.progress.state}')
-    elif placed.step.gang and ended.ending is not work.Ending.DONE:
-        ledger.stop_gang(placed, f'a gang member {ended.ending}')
+        ledger.stop_job(
+            job, lost_work.Cause.JOB_FAILED, f'job {job.progress.state}'
+        )
+    elif (
+        placed.step.gang
+        and cause is not None
+        and ended.ending is not work.Ending.DONE
+    ):
+        ledger.stop_gang(placed, cause, f'a gang member {ended.ending}')
 
 
 def _restore_removed_run(
@@ -109,7 +119,12 @@
         worker = ledger.workers.get(active.lifetime)
         other = None if worker is None else worker.runs.get(run)
         if worker is not None and other is not None:
-            ledger.stop_run(worker, other, 'an earlier run has ended well')
+            ledger.stop_run(
+                worker,
+                other,
+                lost_work.Cause.REPEATED,
+                'an earlier run has ended well',
+            )
 
 
 def _log_unrecorded_end(
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -7,6 +7,7 @@
 
 from damaskpin.coordinator import books
 from damaskpin.coordinator import crash_watch
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import removals
 from damaskpin.coordinator import stops
@@ -105,6 +106,7 @@
             if job.is_done(run.item):
                 # A former coordinator may not have stopped the run yet.
                 placed.stop_reason = 'the work item has ended'
+                placed.stop_cause = lost_work.Cause.REPEATED
                 worker.orders_due = True
             worker.add_run(placed)
 
@@ -196,27 +198,40 @@
         self.counts['unrecorded'] += 1
         job.unrecorded.add(run)
         worker.add_run(placed)
-        self.stop_run(worker, placed, 'the run is in no record')
+        self.stop_run(
+            worker,
+            placed,
+            lost_work.Cause.UNRECORDED,
+            'the run is in no record',
+        )
 
     def stop_run(
         self,
         worker: worker_state.Worker,
         placed: placed_run.PlacedRun,
+        cause: lost_work.Cause,
         reason: str,
     ) -> None:
         """Order a run and the other members of its gang to stop."""
-        stops.stop_run(self, worker, placed, reason)
+        stops.stop_run(self, worker, placed, cause, reason)
 
-    def stop_job(self, job: jobs.Job, reason: str) -> None:
+    def stop_job(
+        self, job: jobs.Job, cause: lost_work.Cause, reason: str
+    ) -> None:
         """Order all runs of a job to stop."""
-        stops.stop_job(self, job, reason)
+        stops.stop_job(self, job, cause, reason)
 
-    def stop_gang(self, member: placed_run.PlacedRun, reason: str) -> None:
+    def stop_gang(
+        self,
+        member: placed_run.PlacedRun,
+        cause: lost_work.Cause,
+        reason: str,
+    ) -> None:
         """Order the other members of a gang to stop.
 
         :param member: run of the gang that has ended or is to be stopped.
         """
-        stops.stop_gang(self, member, reason)
+        stops.stop_gang(self, member, cause, reason)
 
     def drain_worker(self, now: float, worker: worker_state.Worker) -> None:
         """Order runs on a draining worker to stop.
@@ -232,7 +247,12 @@
             time_left = worker.profile.remaining + DRAIN_TIME_MARGIN_S
             late = placed.get_remaining_seconds(now) > time_left
             if movable or late:
-                self.stop_run(worker, placed, 'the worker is draining')
+                self.stop_run(
+                    worker,
+                    placed,
+                    lost_work.Cause.DRAINING,
+                    'the worker is draining',
+                )
 
     def _transfer_runs_to_new_lifetime(
         self, now: float, former: worker_state.Worker, lifetime: work.Lifetime
@@ -256,6 +276,7 @@
         )
         for placed in former.runs.values():
             placed.stop_reason = RESTART_REASON
+            placed.stop_cause = lost_work.Cause.WORKER_RESTARTED
             worker.add_run(placed)
         worker.orders_due = True
         # A call whose lease end is a time of the former process's clock may
--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import lost_work
     from damaskpin.model import work
 
 # Progress that is needed to compute a rate, in percent, because reported
@@ -42,6 +43,8 @@
     :ivar first_listed: time at which the worker first listed the run; 0
         before.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
+    :ivar stop_cause: cause under which the work that the stop loses is booked;
+        ``None`` if it is not to be stopped.
     :ivar checkpoint: latest checkpoint that the worker has listed.
     :ivar percent: latest progress that the worker has listed.
     :ivar first_percent: progress when the worker first listed the run.
@@ -67,6 +70,7 @@
     ordered_to: str | None = None
     first_listed: float = 0.0
     stop_reason: str = ''
+    stop_cause: lost_work.Cause | None = None
     checkpoint: str = ''
     percent: float = 0.0
     first_percent: float = 0.0
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -7,6 +7,7 @@
 
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import idle_limit
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import planning
 from damaskpin.coordinator import ranking
@@ -285,7 +286,10 @@
         )
         for worker, victim in plan.victims:
             self._ledger.stop_run(
-                worker, victim, f'preempted for job {unit.job.id}'
+                worker,
+                victim,
+                lost_work.Cause.PREEMPTED,
+                f'preempted for job {unit.job.id}',
             )
 
     def _reserve_capacity(
--- a/damaskpin/coordinator/removals.py
+++ b/damaskpin/coordinator/removals.py
@@ -14,6 +14,7 @@
 
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import events
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import moves
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import stops
@@ -131,6 +132,20 @@
         step.checkpoints[slot] = placed.checkpoint
     outcomes.record_removal(job, run)
     job.unrecorded.discard(run)
-    events.log_run('run removed', run, worker, reason, proof=str(proof))
+    cause = _find_cause(placed, proof)
+    # Nothing is known of the run after its worker last listed it.
+    lost = books.lost_work.record(cause, placed, placed.last_listed)
+    events.log_run(
+        'run removed', run, worker, reason, proof=str(proof), **lost
+    )
     if placed.step.gang:
-        stops.stop_gang(books, placed, reason)
+        stops.stop_gang(books, placed, cause, reason)
+
+
+def _find_cause(placed: placed_run.PlacedRun, proof: Proof) -> lost_work.Cause:
+    """Return the cause under which the work of a removed run is booked."""
+    if placed.stop_cause is not None:
+        return placed.stop_cause
+    if proof in (Proof.REFUSED, Proof.NEVER_STARTED):
+        return lost_work.Cause.NOT_STARTED
+    return lost_work.Cause.WORKER_LOST
--- a/damaskpin/coordinator/run_lists.py
+++ b/damaskpin/coordinator/run_lists.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import ends
 from damaskpin.coordinator import ledger as ledgers
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import refusals
 from damaskpin.coordinator import removals
 
@@ -58,7 +59,12 @@
         if placed.is_missing(now, run in listed_runs):
             # The missing run is stopped and not removed at once: the
             # worker's answer to the stop order confirms that it has ended.
-            ledger.stop_run(worker, placed, 'the run is not listed any more')
+            ledger.stop_run(
+                worker,
+                placed,
+                lost_work.Cause.MISSING,
+                'the run is not listed any more',
+            )
     if worker.has_run_lists:
         return
     # The worker has accepted this coordinator's fencing token and refuses
--- a/damaskpin/coordinator/stops.py
+++ b/damaskpin/coordinator/stops.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from damaskpin.coordinator import books as books_module
     from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import lost_work
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
@@ -17,29 +18,43 @@
     books: books_module.Books,
     worker: worker_state.Worker,
     placed: placed_run.PlacedRun,
+    cause: lost_work.Cause,
     reason: str,
 ) -> None:
-    """Order a run and the other members of its gang to stop."""
+    """Order a run and the other members of its gang to stop.
+
+    :param cause: cause under which the lost work is booked.
+    :param reason: description for the log.
+    """
     if placed.stop_reason:
         return
     books.counts['ordered to stop'] += 1
     placed.stop_reason = reason
+    placed.stop_cause = cause
     worker.orders_due = True
     events.log_run('run ordered to stop', placed.run, worker, reason)
     if placed.step.gang:
-        stop_gang(books, placed, reason)
+        stop_gang(books, placed, cause, reason)
 
 
-def stop_job(books: books_module.Books, job: jobs.Job, reason: str) -> None:
+def stop_job(
+    books: books_module.Books,
+    job: jobs.Job,
+    cause: lost_work.Cause,
+    reason: str,
+) -> None:
     """Order all runs of a job to stop."""
     for worker in books.workers.values():
         for placed in list(worker.runs.values()):
             if placed.job is job:
-                stop_run(books, worker, placed, reason)
+                stop_run(books, worker, placed, cause, reason)
 
 
 def stop_gang(
-    books: books_module.Books, member: placed_run.PlacedRun, reason: str
+    books: books_module.Books,
+    member: placed_run.PlacedRun,
+    cause: lost_work.Cause,
+    reason: str,
 ) -> None:
     """Order the other members of a gang to stop.
 
@@ -48,4 +63,4 @@
     for worker in books.workers.values():
         for placed in list(worker.runs.values()):
             if placed.is_in_same_gang_run(member):
-                stop_run(books, worker, placed, reason)
+                stop_run(books, worker, placed, cause, reason)
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -5,6 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import moves
 
 if TYPE_CHECKING:
@@ -114,7 +115,7 @@
         return
     if is_worker_suspected:
         moves.avoid_worker(placed, worker)
-    ledger.stop_run(worker, placed, fault.reason)
+    ledger.stop_run(worker, placed, lost_work.Cause.FAULTY, fault.reason)
 
 
 def has_recent_progress(now: float, worker: worker_state.Worker) -> bool:
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -10,6 +10,7 @@
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import ledger as ledgers
+from damaskpin.coordinator import lost_work
 from damaskpin.entry import view as views
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
@@ -87,6 +88,13 @@
             return collections.Counter()
         return self._coordinator.counts
 
+    @property
+    def lost_work(self) -> lost_work.LostWork:
+        """Return the account of lost work under this coordinator."""
+        if self._coordinator is None:
+            return lost_work.LostWork()
+        return self._coordinator.lost_work
+
     def decide_and_send(self) -> None:
         """Make the decisions that are due and send orders to the agents."""
         self._sync_with_leadership()
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -215,6 +215,16 @@
             'runs placed, stopped, lost or ended, as coordinator',
             lambda: self._coordination.counts,
         )
+        observe(
+            'damaskpin.lost.runs',
+            'runs that ended without success by cause, as coordinator',
+            lambda: self._coordination.lost_work.runs,
+        )
+        observe(
+            'damaskpin.lost.core.seconds',
+            'core-seconds of work that was lost by cause, as coordinator',
+            lambda: self._coordination.lost_work.core_seconds,
+        )
         observe(
             'damaskpin.store.ways',
             'calls of the store, by the way that they took',
--- a/damaskpin/telemetry.py
+++ b/damaskpin/telemetry.py
@@ -116,7 +116,7 @@
         self,
         name: str,
         description: str,
-        read: Callable[[], Mapping[str, int]],
+        read: Callable[[], Mapping[str, float]],
     ) -> None:
         """Register a counter of events with their kind as attribute.
 
--- a/tests/test_coordinator/test_coordinator_capacity.py
+++ b/tests/test_coordinator/test_coordinator_capacity.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from damaskpin.coordinator import lost_work
 from damaskpin.model import work
 from tests.test_coordinator import builders
 
@@ -35,7 +36,7 @@
     assert not builders.list_runs(ledger, waiting)
     placed = [p for p in worker.runs.values() if p.job is running]
     for run in placed[:3]:
-        ledger.stop_run(worker, run, 'test')
+        ledger.stop_run(worker, run, lost_work.Cause.UNKNOWN, 'test')
     builders.decide(ledger)
     assert not builders.list_runs(ledger, waiting)
     for run in placed[:3]:
