Keep the members of a gang on few workers

Cause: each member went where it fitted most tightly by itself.

Change: a gang prefers the worker that holds most of the members left, the tightest among equals, then fills it; of several racks it takes the one with the fewest workers. Work that is no gang is placed as before.

Tests: three of the five in test_coordinator_gang_spread.py fail on the code before.

--- a/damaskpin/coordinator/candidates.py
+++ b/damaskpin/coordinator/candidates.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import crashes
+from damaskpin.model import work
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import tentative_plan
     from damaskpin.coordinator import worker_state
-    from damaskpin.model import work
 
 
 # Number of runs from which a worker gets no more work. Reports repeat all runs
@@ -27,18 +27,24 @@
     """A worker that could run one work item.
 
     :ivar capacity_option: how the worker obtains the capacity.
+    :ivar fits: number of the unit's work items that fit on the worker now; at
+        least 1, as ``capacity_option`` makes room for one.
     :ivar unused_share: sum of the shares of processor, memory and
         accelerators that stay free on the worker.
     """
 
     worker: worker_state.Worker
     capacity_option: tentative_plan.CapacityOption
+    fits: int
     unused_share: float
 
 
 class CandidateQueue:
     """Priority queue of candidate workers for the work items of a unit.
 
+    A gang is kept on few workers, because the loss of one ends all of it.
+    Other work items go where they fit most tightly.
+
     All work items of a unit have equal demands, and a candidate changes only
     when the plan changes on its worker. Each work item therefore costs one
     new candidate instead of an evaluation of all workers.
@@ -56,6 +62,7 @@
         '_chosen_counts',
         '_heap',
         '_is_suspect',
+        '_items_left',
         '_positions',
         '_prefers_trusted',
         '_unit',
@@ -78,13 +85,17 @@
         self._is_suspect = unit.is_suspect()
         self._prefers_trusted = unit.is_last_attempt()
         self._chosen_counts: dict[work.Lifetime, int] = {}
+        self._items_left = len(unit.indexes)
         self._candidate_versions = [0] * len(group)
         # Each entry is a tuple that sorts the best candidate first: whether
-        # the unit should avoid the worker, cost of the capacity, share of the
-        # worker that stays free, position of the worker in the group, version
-        # of the worker's candidate, and the candidate. A candidate with an
-        # older version than the worker's latest is outdated.
-        self._heap: list[tuple[bool, float, float, int, int, Candidate]] = []
+        # the unit should avoid the worker, cost of the capacity, preference of
+        # a gang for the worker, share of the worker that stays free, position
+        # of the worker in the group, version of the worker's candidate, and
+        # the candidate. A candidate with an older version than the worker's
+        # latest is outdated.
+        self._heap: list[
+            tuple[bool, float, int, float, int, int, Candidate]
+        ] = []
         for position, worker in enumerate(group):
             self._push(position, worker)
         heapq.heapify(self._heap)
@@ -96,9 +107,19 @@
         worker.
         """
         while self._heap:
-            *_, position, version, candidate = heapq.heappop(self._heap)
+            entry = heapq.heappop(self._heap)
+            *_, position, version, candidate = entry
             if version != self._candidate_versions[position]:
                 continue
+            preference = self._get_gang_preference(candidate)
+            if preference != entry[2]:
+                # Fewer members are left than when the entry was made, so that
+                # it may have come too early.
+                heapq.heappush(
+                    self._heap, (*entry[:2], preference, *entry[3:])
+                )
+                continue
+            self._items_left -= 1
             lifetime = candidate.worker.lifetime
             self._chosen_counts[lifetime] = (
                 self._chosen_counts.get(lifetime, 0) + 1
@@ -132,6 +153,18 @@
             self._allocation.now
         )
 
+    def _get_gang_preference(self, candidate: Candidate) -> int:
+        """Return the sort key by which a gang prefers a worker.
+
+        Smaller keys are better: a worker that already runs a member comes
+        first, then the one that can run most of the members that are left.
+        """
+        if not self._unit.step.gang:
+            return 0
+        if candidate.worker.lifetime in self._chosen_counts:
+            return -len(self._unit.indexes)
+        return -min(candidate.fits, self._items_left)
+
     def _push(self, position: int, worker: worker_state.Worker) -> None:
         unit = self._unit
         if not may_run_another_item(unit, worker, self._chosen_counts):
@@ -146,14 +179,17 @@
             return
         free = self._allocation.get_free(worker)
         unused_share = measure_unused_share(worker, free, demand)
+        fits = max(work.count_fits(free, demand), 1)
+        candidate = Candidate(worker, option, fits, unused_share)
         self._heap.append(
             (
                 self._is_avoided(worker),
                 option.cost,
+                self._get_gang_preference(candidate),
                 unused_share,
                 position,
                 self._candidate_versions[position],
-                Candidate(worker, option, unused_share),
+                candidate,
             )
         )
 
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -12,6 +12,7 @@
 from damaskpin.coordinator import candidates as candidate_queues
 from damaskpin.coordinator import refusals
 from damaskpin.coordinator import tentative_plan
+from damaskpin.model import work
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,7 +20,6 @@
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
-    from damaskpin.model import work
 
     MayPreempt = Callable[[jobs.Unit, placed_run.PlacedRun], bool]
 
@@ -45,10 +45,11 @@
     cost: float
     unused_share: float
 
-    def get_sort_key(self) -> tuple[float, bool, float]:
+    def get_sort_key(self) -> tuple[float, bool, int, float]:
         """Return the key for sorting plans; the smallest is the best plan."""
         unproven = any(w.start_pause.is_unproven() for w in self.workers)
-        return (self.cost, unproven, self.unused_share)
+        worker_count = len({w.lifetime for w in self.workers})
+        return (self.cost, unproven, worker_count, self.unused_share)
 
 
 class Planner:
@@ -313,17 +314,5 @@
     total = 0
     for worker in workers:
         if worker.profile is not None:
-            total += count_fits(worker.profile.capacity, demand)
+            total += work.count_fits(worker.profile.capacity, demand)
     return total
-
-
-def count_fits(capacity: work.Resources, demand: work.Resources) -> int:
-    """Return how many times a demand fits into a capacity."""
-    fits = []
-    if demand.cpu:
-        fits.append(capacity.cpu // demand.cpu)
-    if demand.memory:
-        fits.append(capacity.memory // demand.memory)
-    if demand.accelerators:
-        fits.append(capacity.accelerators // demand.accelerators)
-    return min(fits, default=1_000_000)
--- a/damaskpin/model/work.py
+++ b/damaskpin/model/work.py
@@ -62,6 +62,18 @@
         )
 
 
+def count_fits(capacity: Resources, demand: Resources) -> int:
+    """Return how many times a demand fits into a capacity."""
+    fits = []
+    if demand.cpu:
+        fits.append(capacity.cpu // demand.cpu)
+    if demand.memory:
+        fits.append(capacity.memory // demand.memory)
+    if demand.accelerators:
+        fits.append(capacity.accelerators // demand.accelerators)
+    return min(fits, default=1_000_000)
+
+
 class Step(msgspec.Struct, frozen=True, omit_defaults=True, kw_only=True):
     """A group of equal work items of a job that become ready together.
 
