Let a large answer of the store arrive, and list the keys if it is cut

Cause: a watch returns all changes since the entry's revision with whole values. An entry that was behind by more than its link carries in 0.7 s (0.9 MB at 10 Mbit/s) got 'timed out after 1700 milliseconds with 835509 out of 868206 bytes received', asked again over up to eight peers, and was owed more the next time.

Change: an answer that has begun has 3 s more, no other way is tried while it arrives, and changes that are cut all the same are replaced by a listing. A silent server is given up as before.

--- a/damaskpin/connections.py
+++ b/damaskpin/connections.py
@@ -98,14 +98,18 @@
     :ivar has_begun: whether a connection was ready and sending has begun.
     :ivar has_found_end: whether the connection had ended before.
     :ivar curl: libcurl's handle of the request; ``None`` before it has one.
+    :ivar received: bytes of the answer's body that have arrived; counted only
+        if :meth:`watch_body` is in use.
     """
 
     __slots__ = (
         '_connections',
+        '_seen',
         'curl',
         'has_begun',
         'has_found_end',
         'is_fresh',
+        'received',
     )
 
     def __init__(
@@ -118,6 +122,20 @@
         self.has_begun = False
         self.has_found_end = False
         self.curl: pycurl.Curl | None = None
+        self.received = 0
+        self._seen = 0
+
+    def watch_body(
+        self, _total: int, received: int, _to_send: int, _sent: int
+    ) -> None:
+        """Count the bytes of the answer's body (XFERINFOFUNCTION)."""
+        self.received = received
+
+    def has_progress(self) -> bool:
+        """Return whether more has arrived since this was last asked."""
+        has_grown = self.received > self._seen
+        self._seen = self.received
+        return has_grown
 
     def was_refused(self) -> bool:
         """Return whether the last attempt to connect was refused.
--- a/damaskpin/errors.py
+++ b/damaskpin/errors.py
@@ -86,6 +86,10 @@
     """The store did not answer; a write may have taken effect."""
 
 
+class StoreSlowAnswerError(StoreUncertainError):
+    """An answer of the store began and did not arrive as a whole in time."""
+
+
 class WorkerError(DamaskpinError):
     """The worker refused an operation on a task."""
 
@@ -113,10 +117,18 @@
     :param sent: whether the server may have received the call.
     :param refused: whether the server's machine refused a connection, which
         it does only while no process listens at the address.
+    :param begun: whether a part of the answer has arrived.
     """
 
-    def __init__(self, reason: str, sent: bool, refused: bool = False) -> None:
+    def __init__(
+        self,
+        reason: str,
+        sent: bool,
+        refused: bool = False,
+        begun: bool = False,
+    ) -> None:
         super().__init__(reason)
+        self.begun = begun
         self.sent = sent
         self.refused = refused
 
--- a/damaskpin/platform/store.py
+++ b/damaskpin/platform/store.py
@@ -29,6 +29,11 @@
 # Seconds added to the wait time of a watch to get the timeout of its call.
 WATCH_MARGIN_S = 0.7
 
+# Seconds beyond its timeout that a page or the changes of a watch may take to
+# arrive, so that even an entry on a narrow link receives what has gathered
+# during an outage.
+TRANSFER_S = 3.0
+
 # Seconds without an answer after which a read of a key or a watch whose wait
 # is over is also sent another way. Pages of a listing may take longer on a
 # narrow link and would fill it if they were read twice.
@@ -79,7 +84,9 @@
         if stale:
             fields['staleOk'] = '1'
         query = parse.urlencode(fields)
-        answer = await self._call('GET', f'/kv-range?{query}', None)
+        answer = await self._call(
+            'GET', f'/kv-range?{query}', None, transfer=TRANSFER_S
+        )
         self._check_status(answer)
         page = self._decode(answer, wire.ItemPage)
         items = [decode_item(item) for item in page.items]
@@ -96,6 +103,8 @@
         :param wait: seconds to wait for the first change.
         :raises damaskpin.errors.StoreCompactedError: the store no longer has
             the changes since that revision.
+        :raises damaskpin.errors.StoreSlowAnswerError: the changes are too many
+            to arrive in time.
         :raises damaskpin.errors.StoreError: no answer.
         """
         query = parse.urlencode(
@@ -107,6 +116,7 @@
             None,
             wait + WATCH_MARGIN_S,
             wait + PATIENCE_S,
+            TRANSFER_S,
         )
         if answer.status == 410:
             raise errors.StoreCompactedError('the store discarded the history')
@@ -188,14 +198,22 @@
         body: msgspec.Struct | None,
         timeout: float = TIMEOUT_S,
         patience: float = 0.0,
+        transfer: float = 0.0,
     ) -> transport.HttpAnswer:
         data = msgspec.json.encode(body) if body is not None else None
         request = transport.HttpRequest(
-            method, PATH_PREFIX + path, data, timeout, patience=patience
+            method,
+            PATH_PREFIX + path,
+            data,
+            timeout,
+            patience=patience,
+            transfer=transfer,
         )
         try:
             return await self._caller.call(request)
         except errors.CallError as error:
+            if error.begun:
+                raise errors.StoreSlowAnswerError(str(error)) from error
             if error.sent:
                 raise errors.StoreUncertainError(str(error)) from error
             raise errors.StoreUnavailableError(str(error)) from error
--- a/damaskpin/platform/worker.py
+++ b/damaskpin/platform/worker.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from damaskpin import errors
+from damaskpin import http_connection
 from damaskpin import transport
 from damaskpin.agent import calls
 from damaskpin.agent import connection_pool
@@ -53,7 +54,7 @@
 
     __slots__ = ('_caller',)
 
-    def __init__(self, caller: transport.HttpConnection) -> None:
+    def __init__(self, caller: http_connection.HttpConnection) -> None:
         self._caller = caller
 
     def close(self) -> None:
@@ -131,7 +132,7 @@
 
     :param address: IP address and port of the worker.
     """
-    return WorkerClient(transport.HttpConnection(address))
+    return WorkerClient(http_connection.HttpConnection(address))
 
 
 def format_item(item: work.Item) -> str:
--- a/damaskpin/runtime/hedging.py
+++ b/damaskpin/runtime/hedging.py
@@ -22,6 +22,7 @@
     groups: Iterable[Sequence[Callable[[], Awaitable[T]]]],
     patience: float,
     limit: float,
+    has_progress: Callable[[], bool] = lambda: False,
 ) -> T:
     """Make a call over several ways and return the first answer.
 
@@ -32,7 +33,11 @@
     :param groups: functions that make the call, in groups that are tried at
         the same time; each group is taken when it is due.
     :param patience: seconds without an answer until the next group is tried.
-    :param limit: seconds after which the call is given up.
+    :param limit: seconds after which the call is given up if no answer is
+        under way then.
+    :param has_progress: tells whether more of an answer has arrived since it
+        was last called. Meanwhile no further way is tried, as it would have
+        to carry the same answer over the same links.
     :raises damaskpin.errors.CallError: no way has given an answer; see
         :func:`join_failures`.
     """
@@ -42,7 +47,12 @@
     tasks: set[asyncio.Task[T]] = set()
     try:
         while True:
-            group = next(unused_groups, None)
+            group: Sequence[Callable[[], Awaitable[T]]] | None = ()
+            if tasks and has_progress():
+                progress_end = clocks.get_monotonic_time() + patience
+                deadline = max(deadline, progress_end)
+            else:
+                group = next(unused_groups, None)
             for way in group or ():
                 tasks.add(asyncio.ensure_future(way()))
             time_left = deadline - clocks.get_monotonic_time()
@@ -77,10 +87,13 @@
     """Return the error of a call that has failed over each way.
 
     It is the first error, marked as sent if the server may have received the
-    call over any way.
+    call over any way, and as begun if an answer has begun over any.
 
     :param failures: errors of the ways in the order of time, at least one.
     """
-    if any(failure.sent for failure in failures) and not failures[0].sent:
-        return errors.CallError(str(failures[0]), True)
-    return failures[0]
+    first = failures[0]
+    sent = any(failure.sent for failure in failures)
+    begun = any(failure.begun for failure in failures)
+    if sent == first.sent and begun == first.begun:
+        return first
+    return errors.CallError(str(first), sent, begun=begun)
--- a/damaskpin/runtime/mirror_follower.py
+++ b/damaskpin/runtime/mirror_follower.py
@@ -91,6 +91,18 @@
                     extra={'prefix': self._mirror.prefix},
                 )
                 self._mirror.complete = False
+            except errors.StoreSlowAnswerError as error:
+                # A listing has each key once, while the changes have each
+                # value that it had; they would be even more the next time.
+                LOG.warning(
+                    'changes did not arrive in time; reloading',
+                    extra={
+                        'prefix': self._mirror.prefix,
+                        'error': str(error),
+                    },
+                )
+                self._mirror.complete = False
+                await asyncio.sleep(RETRY_PAUSE_S)
             except errors.StoreError as error:
                 if not unreachable:
                     LOG.warning(
--- a/damaskpin/runtime/relay.py
+++ b/damaskpin/runtime/relay.py
@@ -92,7 +92,7 @@
 
     def __init__(
         self,
-        direct_caller: transport.Caller,
+        direct_caller: transport.ProgressCaller,
         peers: relay_peers.RelayPeers,
     ) -> None:
         self._direct_caller = direct_caller
@@ -189,7 +189,10 @@
         patience = request.patience or request.timeout
         limit = patience + request.timeout + relay_peers.EXTRA_TIMEOUT_S
         answered = await hedging.call_first(
-            self._iterate_reads(ways, request), patience, limit
+            self._iterate_reads(ways, request),
+            patience,
+            limit,
+            functools.partial(self._direct_caller.has_progress, request),
         )
         if answered.way != DIRECT_WAY and DIRECT_WAY in ways:
             self._record_direct_failure('no answer before that of a peer')
--- a/damaskpin/runtime/relay_peers.py
+++ b/damaskpin/runtime/relay_peers.py
@@ -94,6 +94,9 @@
         if self._exchange is None:
             raise errors.CallError('no exchange', False)
         call_id = next(self._call_ids)
+        # How far an answer has come can't be seen from here, so that a peer
+        # gets no more time for one that has begun.
+        request = msgspec.structs.replace(request, transfer=0.0)
         message = orders.StoreCall(call_id, msgspec.msgpack.encode(request))
         loop = asyncio.get_running_loop()
         future: asyncio.Future[orders.StoreAnswer] = loop.create_future()
--- a/damaskpin/transport.py
+++ b/damaskpin/transport.py
@@ -1,4 +1,4 @@
-"""HTTP client that reuses connections, and one for a single connection."""
+"""HTTP client that reuses connections."""
 
 from __future__ import annotations
 
@@ -29,6 +29,12 @@
             :raises damaskpin.errors.CallError: no answer arrived.
             """
 
+    class ProgressCaller(Caller, Protocol):
+        """Interface for calls whose answers may take long to arrive."""
+
+        def has_progress(self, request: HttpRequest) -> bool:
+            """Return whether more of the answer has arrived meanwhile."""
+
 
 # Each waiting watch and each pending request to a worker takes a connection.
 MAX_CONNECTIONS = 64
@@ -53,6 +59,8 @@
     :ivar timeout: seconds to wait for the answer.
     :ivar patience: seconds without an answer after which a read may also be
         sent another way; 0 for not before it has failed.
+    :ivar transfer: seconds beyond the timeout that an answer may take to
+        arrive once it has begun.
     """
 
     method: str
@@ -61,6 +69,7 @@
     timeout: float
     headers: dict[str, str] = {}
     patience: float = 0.0
+    transfer: float = 0.0
 
 
 class HttpAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -77,7 +86,14 @@
     :ivar calls: number of calls that were made.
     """
 
-    __slots__ = ('_base', '_client', '_connections', '_last_timeout', 'calls')
+    __slots__ = (
+        '_base',
+        '_client',
+        '_connections',
+        '_last_timeout',
+        '_sendings',
+        'calls',
+    )
 
     def __init__(self, address: str) -> None:
         self._base = f'http://{address}'
@@ -86,6 +102,7 @@
         )
         self._connections = connections.Connections()
         self._last_timeout = 0.0
+        self._sendings: dict[int, connections.Sending] = {}
         self.calls = 0
 
     async def call(self, request: HttpRequest) -> HttpAnswer:
@@ -106,6 +123,14 @@
         sending = connections.Sending(self._connections, is_fresh=True)
         return await self._send(request, sending)
 
+    def has_progress(self, request: HttpRequest) -> bool:
+        """Return whether more of an answer has arrived since last asked.
+
+        :param request: the very request that is under way.
+        """
+        sending = self._sendings.get(id(request))
+        return sending is not None and sending.has_progress()
+
     def close(self) -> None:
         """Close all connections to the server."""
         self._client.close()
@@ -116,10 +141,12 @@
         prepared = prepare_request(
             self._base,
             request,
-            functools.partial(self._prepare_curl, request.method, sending),
+            functools.partial(self._prepare_curl, request, sending),
         )
         fetch = self._client.fetch(prepared, raise_error=False)
+        self._sendings[id(request)] = sending
         try:
+            await self._wait_for_begin(fetch, request, sending)
             # Cancelling the fetch itself would not end it, and its later
             # error would be logged as a fault.
             answer = await asyncio.shield(fetch)
@@ -136,10 +163,33 @@
                 and sending.was_refused()
             )
             raise errors.CallError(
-                describe_error(error), sent, refused
+                describe_error(error), sent, refused, sending.received > 0
             ) from error
+        finally:
+            self._sendings.pop(id(request), None)
         return HttpAnswer(answer.code, answer.body or b'')
 
+    async def _wait_for_begin(
+        self,
+        fetch: asyncio.Future[httpclient.HTTPResponse],
+        request: HttpRequest,
+        sending: connections.Sending,
+    ) -> None:
+        """Wait until an answer has begun that may take longer than others.
+
+        :raises damaskpin.errors.CallError: it has not begun in time.
+        """
+        if not request.transfer:
+            return
+        await asyncio.wait({fetch}, timeout=request.timeout)
+        if fetch.done() or sending.received:
+            return
+        self._last_timeout = clocks.get_monotonic_time()
+        fetch.add_done_callback(self._handle_unused_answer)
+        raise errors.CallError(
+            f'no answer within {request.timeout:.1f} s', sending.has_begun
+        )
+
     def _record_error(self, error: curl_httpclient.CurlError) -> None:
         if error.errno == pycurl.E_OPERATION_TIMEDOUT:
             self._last_timeout = clocks.get_monotonic_time()
@@ -155,14 +205,20 @@
             self._record_error(error)
 
     def _prepare_curl(
-        self, method: str, sending: connections.Sending, curl: pycurl.Curl
+        self,
+        request: HttpRequest,
+        sending: connections.Sending,
+        curl: pycurl.Curl,
     ) -> None:
         sending.curl = curl
+        # Handles keep their options from one request to the next.
+        curl.setopt(pycurl.NOPROGRESS, not request.transfer)
+        curl.setopt(pycurl.XFERINFOFUNCTION, sending.watch_body)
         self._avoid_old_connections(curl)
         curl.setopt(pycurl.SOCKOPTFUNCTION, self._connections.add)
         if sending.is_fresh:
             curl.setopt(pycurl.FRESH_CONNECT, True)
-        if method not in READ_METHODS:
+        if request.method not in READ_METHODS:
             curl.setopt(pycurl.PREREQFUNCTION, sending.begin)
 
     def _avoid_old_connections(self, curl: pycurl.Curl) -> None:
@@ -177,97 +233,6 @@
         curl.setopt(pycurl.MAXLIFETIME_CONN, int(age))
 
 
-class HttpConnection:
-    """One connection to a server, opened by the first call.
-
-    It is never replaced by another one: once it has ended, a call fails and
-    nothing of it is sent. One call is made at a time.
-
-    :param address: IP address and port of the server.
-    """
-
-    __slots__ = ('_base', '_client', '_fetch', '_sockets')
-
-    def __init__(self, address: str) -> None:
-        self._base = f'http://{address}'
-        self._client: curl_httpclient.CurlAsyncHTTPClient | None = None
-        self._fetch: asyncio.Future[httpclient.HTTPResponse] | None = None
-        self._sockets = connections.SingleSocket()
-
-    async def call(self, request: HttpRequest) -> HttpAnswer:
-        """Make an HTTP call.
-
-        :returns: the answer, of any status.
-        :raises damaskpin.errors.CallError: no complete answer arrived in
-            time, or the connection had ended before.
-        """
-        if self._client is None:
-            self._client = make_single_client()
-        sending = connections.Sending(self._sockets)
-        is_first = not self._sockets.is_open
-        self._fetch = self._client.fetch(
-            prepare_request(
-                self._base,
-                request,
-                functools.partial(self._prepare_curl, sending),
-            ),
-            raise_error=False,
-        )
-        try:
-            # Cancelling the fetch itself would not end it.
-            answer = await asyncio.shield(self._fetch)
-        except curl_httpclient.CurlError as error:
-            raise errors.CallError(
-                describe_error(error),
-                sending.has_begun,
-                is_first and sending.was_refused(),
-            ) from error
-        return HttpAnswer(answer.code, answer.body or b'')
-
-    def close(self) -> None:
-        """Close the connection, after the call that uses it, if any."""
-        if self._client is None:
-            return
-        if self._fetch is None or self._fetch.done():
-            self._client.close()
-            return
-        self._fetch.add_done_callback(
-            functools.partial(self._close_after_call, self._client)
-        )
-
-    def _close_after_call(
-        self,
-        client: curl_httpclient.CurlAsyncHTTPClient,
-        fetch: asyncio.Future[httpclient.HTTPResponse],
-    ) -> None:
-        if not fetch.cancelled():
-            fetch.exception()  # nobody waits for the result any more
-        client.close()
-
-    def _prepare_curl(
-        self, sending: connections.Sending, curl: pycurl.Curl
-    ) -> None:
-        sending.curl = curl
-        # A proxy of the environment would answer in the server's place.
-        curl.setopt(pycurl.PROXY, '')
-        curl.setopt(pycurl.SOCKOPTFUNCTION, self._sockets.add)
-        curl.setopt(pycurl.PREREQFUNCTION, sending.begin)
-
-
-def make_single_client() -> curl_httpclient.CurlAsyncHTTPClient:
-    """Return a client that makes one call at a time.
-
-    :raises damaskpin.errors.CallError: libcurl can't be set up, for example
-        without a free file descriptor.
-    """
-    try:
-        return curl_httpclient.CurlAsyncHTTPClient(
-            force_instance=True, max_clients=1
-        )
-    except pycurl.error as error:
-        raise errors.CallError(str(error), False) from error
-
-
 def prepare_request(
     base: str,
     request: HttpRequest,
@@ -287,7 +252,7 @@
         headers=headers,
         body=request.body,
         connect_timeout=request.timeout,
-        request_timeout=request.timeout,
+        request_timeout=request.timeout + request.transfer,
         allow_nonstandard_methods=True,
         decompress_response=False,
         follow_redirects=False,
--- a/tests/test_runtime/outages.py
+++ b/tests/test_runtime/outages.py
@@ -39,6 +39,10 @@
         self.delay = 0.001
         self.calls = []
 
+    def has_progress(self, _request):
+        """Return that no part of an answer has arrived."""
+        return False
+
     async def call(self, request):
         self.calls.append(request)
         await asyncio.sleep(self.delay)
--- a/tests/test_runtime/silence.py
+++ b/tests/test_runtime/silence.py
@@ -51,6 +51,10 @@
         self._changed = asyncio.Event()
         return self.version
 
+    def has_progress(self, _request):
+        """Return that no part of an answer has arrived."""
+        return False
+
     async def call(self, request):
         """Make a direct call."""
         if self.direct_silent:
--- a/tests/test_runtime/test_runtime_relay.py
+++ b/tests/test_runtime/test_runtime_relay.py
@@ -24,6 +24,10 @@
         self.result = result
         self.calls = 0
 
+    def has_progress(self, _request):
+        """Return that no part of an answer has arrived."""
+        return False
+
     async def call(self, request):
         self.calls += 1
         if isinstance(self.result, Exception):
