Hold all preemptions for a unit to one limit, and keep what they free

Cause: the limit on lost work held for each pass alone, and what was freed went to the unit with the earliest objective, so that the one that had preempted did so again.

Change: losses of a unit's preemptions add up until it starts, and within its rank it goes before those that have preempted nothing. A unit whose limit is used up still keeps what is being freed for it.

--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -56,6 +56,22 @@
             for index in self.indexes
         )
 
+    def has_preempted(self) -> bool:
+        """Return whether runs were preempted for the unit."""
+        return self.get_key()[1:] in self.job.preemption_losses
+
+    def get_preemption_loss(self) -> float:
+        """Return the core-seconds that preemptions for the unit have lost."""
+        return self.job.preemption_losses.get(self.get_key()[1:], 0.0)
+
+    def record_preemption(self, loss: float) -> None:
+        """Record that runs were preempted for the unit.
+
+        :param loss: core-seconds of work that this loses.
+        """
+        total = self.get_preemption_loss() + loss
+        self.job.preemption_losses[self.get_key()[1:]] = total
+
     def get_item(self, index: int) -> work.Item:
         """Return the identity of one work item of the unit.
 
@@ -75,6 +91,9 @@
     :ivar failed_worker_ids: ids of the workers on which runs of the job have
         failed.
     :ivar cancelled: whether the job was cancelled.
+    :ivar preemption_losses: core-seconds of work that preemptions for a unit
+        have lost since its latest start, by the unit's occurrence, step index
+        and slot.
     :ivar unrecorded: runs that a worker lists and the progress lacks.
     :ivar move_counts: how often each work item was moved off a worker on
         which it was stalled or slow.
@@ -86,6 +105,7 @@
         'cancelled',
         'failed_worker_ids',
         'move_counts',
+        'preemption_losses',
         'progress',
         'revision',
         'stored_version',
@@ -103,6 +123,7 @@
         self.cancelled = False
         self.failed_worker_ids: set[str] = set()
         self.move_counts: dict[work.Item, int] = {}
+        self.preemption_losses: dict[tuple[int, int, int], float] = {}
         self.avoided_workers: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
         self.unrecorded = unrecorded_runs.UnrecordedRuns()
@@ -184,6 +205,7 @@
             )
             runs.append(work.Run(unit.get_item(index), number))
         self._ready_since.pop(unit.get_key()[1:], None)
+        self.preemption_losses.pop(unit.get_key()[1:], None)
         self.progress.begun = True
         self.progress.state = work.JobState.RUNNING
         self.mark_changed()
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -203,10 +203,10 @@
         budget = ranking.get_preemption_budget(
             unit, self._now, self._wall, self._guaranteed
         )
-        if budget <= 0:
+        if budget <= 0 and not unit.has_preempted():
             return False
         plan = self._planner.find_preempting(unit, local, self._may_preempt)
-        if plan is None or plan.cost > budget:
+        if plan is None or plan.cost > max(budget, 0.0):
             return False
         if not self._reserve_expected_capacity(unit, local, plan):
             self._preempt_for(unit, plan)
@@ -284,6 +284,7 @@
                 'waited': round(self._now - unit.ready_since, 3),
             },
         )
+        unit.record_preemption(plan.cost)
         for worker, victim in plan.victims:
             self._ledger.stop_run(
                 worker,
--- a/damaskpin/coordinator/ranking.py
+++ b/damaskpin/coordinator/ranking.py
@@ -107,11 +107,13 @@
 
 def get_sort_key(
     unit: jobs.Unit, wall: float, guaranteed: set[str]
-) -> tuple[int, bool, bool, float, str]:
+) -> tuple[int, bool, bool, bool, float, str]:
     """Return the key for sorting units; the smallest is placed first.
 
     Within a rank, lasting work goes first and work that would end too late to
-    have any value goes last; the rest goes by the earliest objective.
+    have any value goes last. Units for which runs were preempted go before the
+    rest, so that no other takes the capacity that this has freed. The rest
+    goes by the earliest objective.
 
     :param wall: Unix time in seconds.
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
@@ -125,6 +127,7 @@
         rank,
         not unit.step.lasting,
         past_value,
+        not unit.has_preempted(),
         get_objective_time(unit),
         job.id,
     )
@@ -164,6 +167,8 @@
 ) -> float:
     """Return the core-seconds of work that preemption for a unit may lose.
 
+    What earlier preemptions for the unit have lost counts towards its limit.
+
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
     """
     job = unit.job
@@ -177,17 +182,19 @@
     slack = get_objective_time(unit) - wall - unit.step.estimate
     if job.submission.terms.priority == 0:
         if slack > SAFE_SLACK_S:
-            return unit_work * URGENT_EARLY_LOSS_SHARE
-        return unit_work * (
-            URGENT_LOSS_SHARE if slack >= 0 else MAX_LOSS_SHARE
-        )
+            limit = unit_work * URGENT_EARLY_LOSS_SHARE
+        elif slack >= 0:
+            limit = unit_work * URGENT_LOSS_SHARE
+        else:
+            limit = unit_work * MAX_LOSS_SHARE
+        return limit - unit.get_preemption_loss()
     if slack > SAFE_SLACK_S:
         # A unit that is not urgent preempts nothing while it has slack,
         # because other runs often end before its slack is used up.
         return 0.0
     if now - unit.ready_since < PREEMPTION_DELAY_S:
         return 0.0
-    return unit_work * MAX_LOSS_SHARE
+    return unit_work * MAX_LOSS_SHARE - unit.get_preemption_loss()
 
 
 def get_max_wait(
