Judge a worker by the ends of what it has started since a failure

Cause: the good end of a long run that the worker had begun before cleared its failures.

Change: only a run that was placed after the latest failed one clears them, or counts as proof for a last attempt.

Tests: test_good_end_of_an_earlier_start_does_not_clear_a_failing_worker fails before.

--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -72,10 +72,10 @@
     )
     match ended.ending:
         case work.Ending.DONE:
-            worker.record_success(now)
+            worker.record_success(now, placed.placed_at)
             _stop_other_runs(ledger, placed)
         case work.Ending.FAILED:
-            worker.record_failure(now, job)
+            worker.record_failure(now, job, placed.placed_at)
             moves.avoid_worker(placed, worker)
     if job.is_final() and not was_final:
         events.log_job_end(job)
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -80,6 +80,7 @@
     :ivar reads_contents: whether the agent reads input texts that the starts
         in a message share.
     :ivar last_end_serial: serial of the latest end that was recorded.
+    :ivar last_failed_start: latest placement time of a run that has failed.
     :ivar last_start: time of the latest placement of a run.
     :ivar last_suspect_start: time of the latest placement of a run whose work
         item may crash its worker.
@@ -106,6 +107,7 @@
         'has_run_lists',
         'held_back_starts',
         'last_end_serial',
+        'last_failed_start',
         'last_report_time',
         'last_start',
         'last_success',
@@ -144,6 +146,7 @@
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
         self.last_end_serial = 0
+        self.last_failed_start = -math.inf
         self.last_start = -math.inf
         self.last_suspect_start = -math.inf
         self.silence = 0.0
@@ -225,19 +228,32 @@
                 count += 1
         return count
 
-    def record_success(self, now: float) -> None:
-        """Record a successful run and reset the failure counts."""
+    def record_success(self, now: float, placed_at: float) -> None:
+        """Record a successful run and reset the failure counts.
+
+        A run that was placed before one that has failed tells nothing about
+        the worker since then, so it resets nothing.
+
+        :param placed_at: time of the run's placement in seconds.
+        """
+        if placed_at < self.last_failed_start:
+            return
         self.last_success = now
         self.failed_runs = 0
         self.failed_jobs.clear()
         self.suspect_until = 0.0
 
-    def record_failure(self, now: float, job: jobs.Job) -> None:
+    def record_failure(
+        self, now: float, job: jobs.Job, placed_at: float
+    ) -> None:
         """Record a failed run; repeated failures make the worker suspect.
 
         A job that fails on several workers is probably the cause itself, so
         that one job does not make many workers suspect.
+
+        :param placed_at: time of the run's placement in seconds.
         """
+        self.last_failed_start = max(self.last_failed_start, placed_at)
         self.failed_jobs.add(job.id)
         job.failed_worker_ids.add(self.lifetime.worker)
         if len(job.failed_worker_ids) <= SUSPECT_FAILED_RUNS:
--- a/tests/test_coordinator/test_coordinator_failures.py
+++ b/tests/test_coordinator/test_coordinator_failures.py
@@ -48,7 +48,7 @@
     (failing,) = _fail_runs(ledger, job, NOW)
     trusted = list(ledger.workers.values())[-1]
     assert trusted is not failing
-    trusted.record_success(NOW)
+    trusted.record_success(NOW, NOW - 1.0)
     builders.decide(ledger, NOW + 1.0)
     assert builders.list_runs(ledger, job) == {0: trusted.lifetime.worker}
 
@@ -74,3 +74,54 @@
     _fail_runs(ledger, job, NOW)
     suspects = [w for w in ledger.workers.values() if w.suspect_until > NOW]
     assert 0 < len(suspects) <= 3
+
+
+def _end_run(ledger, worker, placed, ending, now):
+    worker.last_end_serial += 1
+    row = work.EndedRun(worker.last_end_serial, placed.run, ending, '')
+    ends.record_end(now, builders.WALL, ledger, worker, row)
+
+
+def test_good_end_of_an_earlier_start_does_not_clear_a_failing_worker():
+    """Guards against a worker that fails all it starts and stays in use.
+
+    Long work that it had begun before still ends well, run after run.
+    """
+    ledger = builders.make_ledger(workers=1)
+    builders.submit(ledger, 'long', builders.make_step(4, 1), attempts=9)
+    builders.decide(ledger)
+    (worker,) = ledger.workers.values()
+    long_runs = list(worker.runs.values())
+    later = NOW + 5.0
+    for number in range(3):
+        builders.submit(
+            ledger,
+            f'short-{number}',
+            builders.make_step(1, 1),
+            attempts=9,
+            now=later,
+        )
+    builders.decide(ledger, later)
+    for placed in list(worker.runs.values()):
+        if placed in long_runs:
+            continue
+        _end_run(ledger, worker, placed, FAILED, later + 1.0)
+        _end_run(
+            ledger, worker, long_runs.pop(), work.Ending.DONE, later + 1.0
+        )
+    assert worker.suspect_until > later + 1.0
+    assert worker.has_failed_since_success()
+
+
+def test_good_end_of_a_later_start_clears_a_worker():
+    """Guards against a worker that is avoided for one failure for long."""
+    ledger = builders.make_ledger(workers=1)
+    builders.submit(ledger, 'first', builders.make_step(1, 1), attempts=9)
+    builders.decide(ledger)
+    (worker,) = ledger.workers.values()
+    (failing,) = worker.runs.values()
+    _end_run(ledger, worker, failing, FAILED, NOW + 1.0)
+    builders.decide(ledger, NOW + 1.0)
+    (repeated,) = worker.runs.values()
+    _end_run(ledger, worker, repeated, work.Ending.DONE, NOW + 2.0)
+    assert not worker.has_failed_since_success()
