--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -68,6 +68,8 @@
         seconds=round(now - placed.placed_at, 3)
         if placed.placed_at >= 0
         else None,
+        failures=outcomes.count_failures(job, ended.run),
+        attempts=job.submission.terms.attempts,
         **lost,
     )
     match ended.ending:
--- a/damaskpin/coordinator/outcomes.py
+++ b/damaskpin/coordinator/outcomes.py
@@ -95,6 +95,15 @@
     return progress
 
 
+def count_failures(job: jobs.Job, run: work.Run) -> int:
+    """Return how often the work item or gang of a run has failed so far."""
+    progress = find_progress(job, run)
+    if progress is None:
+        return 0
+    slot = job.submission.steps[run.item.step].get_slot(run.item.index)
+    return progress.failures.get(slot, 0)
+
+
 def list_other_runs(
     job: jobs.Job, run: work.Run
 ) -> list[tuple[work.Run, records.ActiveRun]]:
--- a/tests/test_coordinator/test_coordinator_failures.py
+++ b/tests/test_coordinator/test_coordinator_failures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from damaskpin.coordinator import ends
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -125,3 +127,14 @@
     (repeated,) = worker.runs.values()
     _end_run(ledger, worker, repeated, work.Ending.DONE, NOW + 2.0)
     assert not worker.has_failed_since_success()
+
+
+def test_log_of_an_end_tells_the_failures_so_far(caplog):
+    """Guards against a failed job whose log does not tell what has counted."""
+    caplog.set_level(logging.INFO)
+    ledger = builders.make_ledger(workers=2)
+    job = builders.submit(ledger, 'job', builders.make_step(), attempts=3)
+    builders.decide(ledger)
+    _fail_runs(ledger, job, NOW)
+    (record,) = [r for r in caplog.records if r.message == 'run ended']
+    assert (record.failures, record.attempts) == (1, 3)
