Count a failed run once, by its number, whichever members failed

Cause: all members of a gang share slot 0, and each end 'failed' added one to failures[0] without a look at the number of the run. An event was counted by message instead of by the identity of what it tells of.

Ruled out: a takeover, a removed run or a lost acknowledgement is not needed, and the limits on crashes give another reason.

Change: the numbers of the failed runs of each unit are stored with their count (failed_runs). A number counts once, whichever coordinator reads the end and whenever it arrives. It stays bounded: the job ends with the attempts of its queue. The count stays stored too, so that an earlier build does not start a work item beyond its attempts, and it never exceeds the number of runs, so that a record that an earlier build wrote after the first end is not counted up by the second one.

Open: an earlier build that rewrites the record drops the numbers. If a later run has begun by then and the end of another member of the counted run is listed late, that run counts twice, as before.

--- a/damaskpin/coordinator/outcomes.py
+++ b/damaskpin/coordinator/outcomes.py
@@ -74,7 +74,7 @@
         case work.Ending.DONE:
             _record_done(job, item, step, progress, wall)
         case work.Ending.FAILED:
-            _record_failure(job, slot, progress, wall)
+            _record_failure(job, slot, run.number, progress, wall)
     return True
 
 
@@ -163,9 +163,23 @@
 
 
 def _record_failure(
-    job: jobs.Job, slot: int, progress: records.StepProgress, wall: float
+    job: jobs.Job,
+    slot: int,
+    number: int,
+    progress: records.StepProgress,
+    wall: float,
 ) -> None:
-    failures = progress.failures.get(slot, 0) + 1
+    """Count a failed run once, whichever and however many members failed.
+
+    :param number: number of the run.
+    """
+    failed_runs = progress.failed_runs.setdefault(slot, set())
+    if number in failed_runs:
+        return
+    failed_runs.add(number)
+    # An earlier build has counted each failed member of a gang, so that its
+    # count may exceed the number of runs.
+    failures = min(progress.failures.get(slot, 0) + 1, progress.numbers[slot])
     progress.failures[slot] = failures
     if failures >= job.submission.terms.attempts:
         reason = f'a work item failed {failures} times'
--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -35,7 +35,10 @@
     of a gang share slot 0, and any other work item uses its index as slot.
 
     :ivar done: indexes of the work items that have ended successfully.
-    :ivar failures: number of failed runs by slot.
+    :ivar failures: number of failed runs by slot. Those that an earlier build
+        has recorded are not in ``failed_runs``.
+    :ivar failed_runs: numbers of the failed runs by slot. A run of a gang
+        counts once, however many of its members fail.
     :ivar numbers: latest run number by slot.
     :ivar checkpoints: latest checkpoint by slot.
     :ivar active: runs that may exist on workers.
@@ -51,6 +54,7 @@
 
     done: set[int] = msgspec.field(default_factory=set)
     failures: dict[int, int] = msgspec.field(default_factory=dict)
+    failed_runs: dict[int, set[int]] = msgspec.field(default_factory=dict)
     numbers: dict[int, int] = msgspec.field(default_factory=dict)
     checkpoints: dict[int, str] = msgspec.field(default_factory=dict)
     active: list[ActiveRun] = msgspec.field(default_factory=list)
