Explain each wait beside room from the lists of the workers

The line 'job waits although there is room' rested on the coordinator's books: it saw no job that the books lack, no unit that a stopping or lost run keeps from being ready, nothing without a lease, and did not tell how long there had been room, who held it, or whether a pass had tried the unit.

The line now comes from a watch beside the coordinator. It takes the jobs from the entry's copy of the store and the runs and room from the agents' reports, and asks the books only for the reason. It logs a job after 2 s with room, again when the reason changes, and the length of the wait at its end. The metric damaskpin_job_waits counts waits by reason; it replaces the count 'waits despite room' of damaskpin_runs. Placement passes leave a trace (time, units tried, skipped and started, reservations with their age) for it. No decision reads the trace.

--- a/damaskpin/coordinator/advisor_questions.py
+++ b/damaskpin/coordinator/advisor_questions.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from damaskpin.coordinator import placement
 from damaskpin.coordinator import ranking
+from damaskpin.coordinator import ready_units
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +31,6 @@
     if not jobs_with_advice:
         return None
     guaranteed = ranking.find_guaranteed(ledger.jobs.values(), get_guarantee)
-    units = placement.list_ready_units(now, wall, ledger, guaranteed)
+    units = ready_units.list_ready_units(now, wall, ledger, guaranteed)
     workers = [w for w in ledger.workers.values() if w.is_usable(now)]
     return ledger.tickets.choose_next_question(now, units, workers)
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -9,7 +9,6 @@
 from damaskpin.coordinator import advisor_questions
 from damaskpin.coordinator import agent_processes
 from damaskpin.coordinator import crashes
-from damaskpin.coordinator import idle_watch
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import placement
@@ -17,6 +16,7 @@
 from damaskpin.coordinator import run_lists
 from damaskpin.coordinator import run_orders
 from damaskpin.coordinator import supervision
+from damaskpin.coordinator import wait_reasons
 from damaskpin.model import work
 from damaskpin.peer import orders
 
@@ -49,7 +49,6 @@
 
     __slots__ = (
         '_agent_processes',
-        '_idle_watch',
         '_installation',
         '_instance',
         '_ledger',
@@ -70,7 +69,6 @@
         self.fence = fence
         self._ledger = ledger
         self._agent_processes = agent_processes.AgentProcesses()
-        self._idle_watch = idle_watch.IdleWatch()
         self._installation = installation
         self._sequence = 0
         self._next_check = 0.0
@@ -225,7 +223,6 @@
         ledger = self._ledger
         ledger.remove_expired_workers(now)
         crashes.review_crashes(now, wall, ledger)
-        self._idle_watch.check(now, wall, ledger)
         if not ledger.changed and now < self._next_check:
             return
         ledger.changed = False
@@ -233,6 +230,12 @@
         supervision.stop_faulty_runs(now, ledger)
         placement.place_ready_units(now, wall, ledger, self._get_guarantee)
 
+    def explain_waits(
+        self, now: float, wall: float, questions: list[wait_reasons.Question]
+    ) -> list[wait_reasons.Explanation]:
+        """Return why each of some jobs waits, as the books tell."""
+        return wait_reasons.explain(now, wall, self._ledger, questions)
+
     def take_advisor_question(
         self, now: float, wall: float
     ) -> advice.AdvisorQuestion | None:
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -186,6 +186,15 @@
                     continue
                 yield from self._iterate_step(now, occurrence, index, step)
 
+    def get_ready_since(
+        self, occurrence: int, step: int, slot: int
+    ) -> float | None:
+        """Return since when a unit is ready in seconds; ``None`` if it isn't.
+
+        :param slot: key of the unit within the step; see :class:`Unit`.
+        """
+        return self._ready_since.get((occurrence, step, slot))
+
     def assign_runs(
         self, unit: Unit, assignments: list[tuple[work.Lifetime, str]]
     ) -> list[work.Run]:
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -5,12 +5,13 @@
 import logging
 from typing import TYPE_CHECKING
 
-from damaskpin.coordinator import crashes
 from damaskpin.coordinator import idle_limit
 from damaskpin.coordinator import lost_work
+from damaskpin.coordinator import pass_trace
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import planning
 from damaskpin.coordinator import ranking
+from damaskpin.coordinator import ready_units
 from damaskpin.coordinator import tentative_plan
 
 if TYPE_CHECKING:
@@ -146,6 +147,9 @@
         self._idle_limit.record_reservation(
             unit, plan, expected_start, is_firm
         )
+        self._ledger.pass_trace.record_reservation(
+            unit, plan.workers, expected_start, is_firm
+        )
 
     def _reserve_for_recovery(self, unit: jobs.Unit) -> bool:
         """Reserve local workers that refuse starts, if these recover soon.
@@ -170,6 +174,9 @@
         ):
             return False
         self._recovery_planner.reserve(unit, plan, self._now + wait)
+        self._ledger.pass_trace.record_reservation(
+            unit, plan.workers, self._now + wait, False
+        )
         return True
 
     def _place_or_reserve(self, unit: jobs.Unit, local: bool) -> bool:
@@ -239,6 +246,9 @@
         assignments = [(w.lifetime, w.agent) for w in plan.workers]
         suspect = unit.is_suspect()
         self._idle_limit.record_start(unit)
+        self._ledger.pass_trace.record_outcome(
+            unit, pass_trace.Outcome.STARTED
+        )
         runs = unit.job.assign_runs(unit, assignments)
         self._ledger.counts['placed'] += len(runs)
         for run, worker in zip(runs, plan.workers, strict=True):
@@ -321,8 +331,10 @@
     get_guarantee: Callable[[str], int],
 ) -> None:
     """Place all ready units in the order of their rank."""
+    trace = ledger.pass_trace
+    trace.begin(now)
     guaranteed = ranking.find_guaranteed(ledger.jobs.values(), get_guarantee)
-    units = list_ready_units(now, wall, ledger, guaranteed)
+    units = ready_units.list_ready_units(now, wall, ledger, guaranteed)
     if not units:
         return
     placement_pass = PlacementPass(now, wall, ledger, guaranteed)
@@ -330,24 +342,8 @@
     for unit in units:
         key = unit.get_key()[:3]
         if key in unplaceable_steps:
+            trace.record_outcome(unit, pass_trace.Outcome.SKIPPED)
             continue
+        trace.record_outcome(unit, pass_trace.Outcome.TRIED)
         if not placement_pass.place(unit) and not unit.is_suspect():
             unplaceable_steps.add(key)
-
-
-def list_ready_units(
-    now: float, wall: float, ledger: ledgers.RunLedger, guaranteed: set[str]
-) -> list[jobs.Unit]:
-    """Return the units that are ready to start, sorted by rank.
-
-    :param guaranteed: ids of the jobs that draw on their account's guarantee.
-    """
-    units: list[jobs.Unit] = []
-    for job in ledger.jobs.values():
-        units.extend(
-            unit
-            for unit in job.iterate_ready(now, wall)
-            if not crashes.is_held_back(now, ledger, unit)
-        )
-    units.sort(key=lambda unit: ranking.get_sort_key(unit, wall, guaranteed))
-    return units
--- /dev/null
+++ b/damaskpin/entry/work_watch.py
@@ -0,0 +1,282 @@
+"""Log of jobs that wait although the workers have room for them.
+
+Nothing is decided here. What waits is found in the stored jobs and in the
+lists of runs that the workers report, so that a fault in the books of the
+coordinator shows as well. The books only tell the reason.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import logging
+import math
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import due_steps
+from damaskpin.coordinator import listed_runs
+from damaskpin.coordinator import wait_reasons
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import coordinator as coordinators
+    from damaskpin.entry import view as views
+    from damaskpin.model import work
+    from damaskpin.peer import orders
+
+LOG = logging.getLogger(__name__)
+
+# Seconds between two checks.
+CHECK_INTERVAL_S = 0.5
+
+# Time in seconds without a listed run, and with room for the whole of it,
+# after which a job counts as waiting.
+MAX_WAIT_S = 2.0
+
+# Share of a service from which listed runs use so much of it that waiting is
+# usual.
+MAX_USED_SHARE = 0.5
+
+# Number of jobs that are logged as waiting at a time, so that a backlog does
+# not fill the log, and least seconds between two lines about one of them.
+MAX_LOGGED_JOBS = 5
+MIN_LINE_INTERVAL_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Wait:
+    """A job of which no worker lists a run.
+
+    :ivar idle_since: time in seconds of the latest list with a run of it, or
+        else of the first check.
+    :ivar room_since: time in seconds since which there is room for a work item
+        whose turn has come; infinite while there is none.
+    :ivar due: step of this work item.
+    :ivar reason: reason that was logged last; empty before.
+    :ivar logged_at: time of the latest line in seconds.
+    """
+
+    idle_since: float
+    room_since: float = math.inf
+    due: due_steps.DueStep | None = None
+    reason: str = ''
+    logged_at: float = -math.inf
+
+
+class WorkWatch:
+    """Finds accepted jobs that wait beside room.
+
+    :param view: stored jobs.
+    :ivar counts: number of waits by the first reason that was logged, for
+        metrics.
+    """
+
+    __slots__ = ('_listed', '_next_check', '_view', '_waits', 'counts')
+
+    def __init__(self, view: views.JobView) -> None:
+        self._view = view
+        self._listed = listed_runs.ListedRuns()
+        self._waits: dict[str, Wait] = {}
+        self._next_check = 0.0
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def record_report(self, now: float, report: orders.Report) -> None:
+        """Record the lists of runs in an agent's report.
+
+        :param now: time of its arrival in seconds.
+        """
+        self._listed.record(now, report)
+
+    def forget(self) -> None:
+        """Forget all reports and waits, as another entry coordinates."""
+        if self._waits or self._listed.workers:
+            self._waits = {}
+            self._listed = listed_runs.ListedRuns()
+
+    def check(
+        self,
+        now: float,
+        wall: float,
+        coordinator: coordinators.Coordinator | None,
+    ) -> None:
+        """Log the jobs that wait for too long, and the ends of their waits.
+
+        :param now: steady time in seconds.
+        :param wall: Unix time in seconds.
+        :param coordinator: the coordinator of this entry; ``None`` without a
+            valid lease.
+        """
+        if now < self._next_check:
+            return
+        self._next_check = now + CHECK_INTERVAL_S
+        former = self._waits
+        self._waits = self._find_idle_jobs(now)
+        if not (former or self._waits):
+            return
+        room = listed_runs.ListedRoom(self._listed, self._find_reservation)
+        self._update_room(now, wall, room)
+        for job_id, wait in former.items():
+            # A run that was listed between two checks has begun a new wait.
+            if wait.reason and wait is not self._waits.get(job_id):
+                self._log_end(now, job_id, wait)
+        self._log_waits(now, wall, room, coordinator)
+
+    def _find_idle_jobs(self, now: float) -> dict[str, Wait]:
+        """Return the unfinished jobs of which no worker lists a run."""
+        running = self._listed.find_running_jobs(now, MAX_WAIT_S)
+        waits: dict[str, Wait] = {}
+        unfinished: set[str] = set()
+        for job in self._view.list_jobs():
+            if job.submission is None or job.cancelled:
+                continue
+            if job.progress.state.is_final():
+                continue
+            job_id = job.submission.id
+            unfinished.add(job_id)
+            if job_id in running:
+                continue
+            last_listed = self._listed.last_listed.get(job_id, -math.inf)
+            wait = self._waits.get(job_id)
+            if wait is None or wait.idle_since < last_listed:
+                wait = Wait(now if last_listed < 0 else last_listed)
+            waits[job_id] = wait
+        self._listed.forget_jobs(unfinished)
+        return waits
+
+    def _update_room(
+        self, now: float, wall: float, room: listed_runs.ListedRoom
+    ) -> None:
+        """Find the idle jobs for which there is room."""
+        for job_id, wait in self._waits.items():
+            due = self._find_startable(job_id, room, wall)
+            wait.due = due
+            if due is None and wait.reason:
+                self._log_end(now, job_id, wait)
+                wait.reason = ''
+            if due is None:
+                wait.room_since = math.inf
+            else:
+                wait.room_since = min(wait.room_since, now)
+
+    def _find_startable(
+        self, job_id: str, room: listed_runs.ListedRoom, wall: float
+    ) -> due_steps.DueStep | None:
+        """Return a due step of a job for which there is ample room."""
+        job = self._view.get(job_id)
+        if job is None or job.submission is None:
+            return None
+        service = job.submission.terms.service
+        if room.get_used_share(service) >= MAX_USED_SHARE:
+            return None
+        for due in due_steps.iterate_due_steps(
+            job.submission, job.progress, wall
+        ):
+            if room.has_ample_room(due):
+                return due
+        return None
+
+    def _find_reservation(self, run: work.Run) -> work.Resources | None:
+        """Return the capacity that a listed run takes, if its job is known."""
+        job = self._view.get(run.item.job)
+        if job is None or job.submission is None:
+            return None
+        if run.item.step >= len(job.submission.steps):
+            return None
+        return job.submission.steps[run.item.step].get_reservation()
+
+    def _log_waits(
+        self,
+        now: float,
+        wall: float,
+        room: listed_runs.ListedRoom,
+        coordinator: coordinators.Coordinator | None,
+    ) -> None:
+        """Log new waits, and those whose reason has changed."""
+        waiting = [
+            (job_id, wait, wait.due)
+            for job_id, wait in self._waits.items()
+            if wait.due is not None and now - wait.room_since >= MAX_WAIT_S
+        ]
+        if not waiting:
+            return
+        # Waits that have a line come first, so that they get the further ones.
+        waiting.sort(key=lambda row: not row[1].reason)
+        del waiting[MAX_LOGGED_JOBS:]
+        questions = [
+            wait_reasons.Question(due, room.list_workers(due))
+            for _, _, due in waiting
+        ]
+        explanations = (
+            [wait_reasons.NOBODY_DECIDES for _ in questions]
+            if coordinator is None
+            else coordinator.explain_waits(now, wall, questions)
+        )
+        for (job_id, wait, due), explanation in zip(
+            waiting, explanations, strict=True
+        ):
+            if explanation.reason == wait.reason:
+                continue
+            if now - wait.logged_at < MIN_LINE_INTERVAL_S:
+                continue
+            if not wait.reason:
+                self.counts[explanation.reason] += 1
+            wait.reason = explanation.reason
+            wait.logged_at = now
+            used_share = room.get_used_share(due.service)
+            log_wait(now, wall, job_id, wait, due, used_share, explanation)
+
+    def _log_end(self, now: float, job_id: str, wait: Wait) -> None:
+        """Log that a job waits no more, and why."""
+        LOG.info(
+            'job waits no more',
+            extra={
+                'job': job_id,
+                'reason': wait.reason,
+                'with_room': round(now - wait.room_since, 3),
+                'idle': round(now - wait.idle_since, 3),
+                'end': self._find_end(job_id),
+            },
+        )
+
+    def _find_end(self, job_id: str) -> str:
+        """Return what has ended a wait."""
+        job = self._view.get(job_id)
+        if job is None:
+            return 'job removed'
+        if job.cancelled or job.progress.state.is_final():
+            return 'job ended'
+        wait = self._waits.get(job_id)
+        if wait is not None and wait.due is None:
+            return 'no room, or no step due'
+        return 'running'
+
+
+def log_wait(
+    now: float,
+    wall: float,
+    job_id: str,
+    wait: Wait,
+    due: due_steps.DueStep,
+    used_share: float,
+    explanation: wait_reasons.Explanation,
+) -> None:
+    """Log a job that waits, with its reason.
+
+    :param used_share: share of the service that the listed runs use.
+    """
+    submission = due.submission
+    LOG.warning(
+        'job waits although there is room',
+        extra={
+            'job': job_id,
+            'occurrence': due.occurrence,
+            'step': due.step_index,
+            'reason': explanation.reason,
+            'with_room': round(now - wait.room_since, 3),
+            'idle': round(now - wait.idle_since, 3),
+            'age': round(wall - submission.accepted, 3),
+            'used_share': round(used_share, 3),
+            'priority': submission.terms.priority,
+            'label': due.step.label,
+            **explanation.fields,
+        },
+    )
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -12,6 +12,7 @@
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
 from damaskpin.entry import view as views
+from damaskpin.entry import work_watch
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
 from damaskpin.runtime import leadership as leaderships
@@ -55,6 +56,7 @@
         '_settings',
         '_store',
         '_view',
+        '_watch',
         '_writer',
         '_writer_task',
     )
@@ -77,6 +79,7 @@
         self._exchange = exchange
         self._config_watcher = config
         self._pacer = pacing.Pacer()
+        self._watch = work_watch.WorkWatch(view)
         self._coordinator: coordinators.Coordinator | None = None
         self._writer: writers.ProgressWriter | None = None
         self._writer_task: asyncio.Task[None] | None = None
@@ -95,6 +98,11 @@
             return lost_work.LostWork()
         return self._coordinator.lost_work
 
+    @property
+    def wait_counts(self) -> collections.Counter[str]:
+        """Return the number of waits beside room by reason."""
+        return self._watch.counts
+
     def decide_and_send(self) -> None:
         """Make the decisions that are due and send orders to the agents."""
         self._sync_with_leadership()
@@ -110,6 +118,19 @@
         for worker in coordinator.pop_due_workers():
             self._post_orders(worker)
 
+    def watch_waits(self) -> None:
+        """Log jobs that wait, unless another entry coordinates."""
+        address, _ = leaderships.parse_leader(self._view.leader)
+        if address and address != self._settings.address:
+            self._watch.forget()
+            return
+        coordinator = self._coordinator
+        if not self._leadership.is_leader():
+            coordinator = None
+        self._watch.check(
+            clocks.get_monotonic_time(), clocks.get_wall_time(), coordinator
+        )
+
     def needs_advice(self) -> bool:
         """Return whether this entry coordinates a queue that needs advice."""
         installation = self._config_watcher.installation
@@ -188,6 +209,7 @@
         :returns: orders for the agent's worker, or a redirect to the
             coordinator if this entry has no orders to give.
         """
+        self._watch.record_report(clocks.get_monotonic_time(), report)
         coordinator = self._coordinator
         if coordinator is not None and report.fence > coordinator.fence:
             self._step_down('an agent reported a higher fencing token')
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -225,6 +225,11 @@
             'core-seconds of work that was lost by cause, as coordinator',
             lambda: self._coordination.lost_work.core_seconds,
         )
+        observe(
+            'damaskpin.job.waits',
+            'jobs that waited beside room by reason, as coordinator',
+            lambda: self._coordination.wait_counts,
+        )
         observe(
             'damaskpin.store.ways',
             'calls of the store, by the way that they took',
@@ -263,6 +268,10 @@
                 self._coordination.decide_and_send()
             except Exception:
                 LOG.exception('scheduling decision failed')
+            try:
+                self._coordination.watch_waits()
+            except Exception:
+                LOG.exception('check for waiting jobs failed')
 
     def _apply_change(self, change: transactions.Change) -> None:
         job_id = self.view.apply(change)
