Count newly accepted runs as listed and sum waits by reason

Lines also have the seconds by reason of all checks since there was room, as the reason at 2 s may be that of the start which ends the wait; a worker that is full by the books has its unlisted runs by stage; and without a lease the reason by the books is told beside 'nobody decides'.

--- a/damaskpin/coordinator/listed_runs.py
+++ b/damaskpin/coordinator/listed_runs.py
@@ -20,6 +20,23 @@
 # exist. Leases of workers end some seconds after the last contact.
 RETENTION_S = 10.0
 
+# Time in seconds for which an accepted run counts as listed. Agents report
+# each 0.5 s, and the list in a report may be as old.
+ACCEPTED_GRACE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerRoom:
+    """Room on a worker, by its own lists.
+
+    :ivar free: capacity that its listed and newly accepted runs leave.
+    :ivar running: runs that it lists.
+    """
+
+    lifetime: work.Lifetime
+    free: work.Resources
+    running: tuple[work.RunningRun, ...]
+
 
 @dataclasses.dataclass(slots=True)
 class WorkerLists:
@@ -29,6 +46,8 @@
     :ivar listed_at: time in seconds at which it has listed them.
     :ivar reported_at: arrival of the latest report in seconds.
     :ivar last_end_serial: serial of the latest end that it has listed.
+    :ivar accepted: accepted runs that it has not listed yet, and when a report
+        first had them, in seconds.
     """
 
     profile: orders.WorkerProfile
@@ -39,6 +58,18 @@
     listed_at: float
     reported_at: float
     last_end_serial: int = 0
+    accepted: dict[work.Run, float] = dataclasses.field(default_factory=dict)
+
+    def list_accepted(self, now: float) -> list[work.Run]:
+        """Return the runs that were accepted too lately for a list.
+
+        :param now: steady time in seconds.
+        """
+        return [
+            run
+            for run, since in self.accepted.items()
+            if now - since <= ACCEPTED_GRACE_S
+        ]
 
 
 class ListedRuns:
@@ -85,6 +116,8 @@
             # The agent has not read the lists under the latest fencing token.
             lists.running = known.running if known is not None else ()
             lists.listed_at = known.listed_at if known is not None else now
+        former = known.accepted if known is not None else {}
+        lists.accepted = {run: former.get(run, now) for run in report.accepted}
         if known is not None:
             lists.last_end_serial = known.last_end_serial
         for row in report.ended:
@@ -110,6 +143,7 @@
                 self.last_listed[job_id] = max(last_listed, lists.listed_at)
             if now - lists.listed_at <= max_age:
                 running |= listed_jobs
+            running.update(run.item.job for run in lists.list_accepted(now))
         return running
 
     def forget_jobs(self, kept: set[str]) -> None:
@@ -121,17 +155,19 @@
 class ListedRoom:
     """Free capacity of the workers by their own lists, at one moment.
 
+    :param now: steady time in seconds.
     :param find_reservation: returns the capacity that a run takes.
     """
 
     __slots__ = ('_free', '_has_room', '_used_shares')
 
     def __init__(
-        self, listed: ListedRuns, find_reservation: FindReservation
+        self,
+        now: float,
+        listed: ListedRuns,
+        find_reservation: FindReservation,
     ) -> None:
-        self._free: dict[
-            str, list[tuple[orders.WorkerProfile, work.Resources]]
-        ] = {}
+        self._free: dict[str, list[tuple[WorkerLists, work.Resources]]] = {}
         self._used_shares: dict[str, float] = {}
         self._has_room: dict[tuple[str, str, work.Resources, int], bool] = {}
         capacities: dict[str, int] = {}
@@ -141,12 +177,14 @@
             if profile.draining:
                 continue
             free = profile.capacity
-            for row in lists.running:
-                reservation = find_reservation(row.run)
+            runs = [row.run for row in lists.running]
+            runs.extend(lists.list_accepted(now))
+            for run in runs:
+                reservation = find_reservation(run)
                 if reservation is not None:
                     free = free.minus(reservation)
             service = profile.service
-            self._free.setdefault(service, []).append((profile, free))
+            self._free.setdefault(service, []).append((lists, free))
             capacities[service] = capacities.get(
                 service, 0
             ) + idle_limit.count_core_equivalents(profile.capacity)
@@ -170,8 +208,8 @@
         known = self._has_room.get(key)
         if known is not None:
             return known
-        for profile, free in self._free.get(due.service, ()):
-            if step.label and step.label not in profile.labels:
+        for lists, free in self._free.get(due.service, ()):
+            if step.label and step.label not in lists.profile.labels:
                 continue
             needed -= max(work.count_fits(free, demand), 0)
             if needed <= 0:
@@ -179,13 +217,13 @@
         self._has_room[key] = needed <= 0
         return needed <= 0
 
-    def list_workers(self, due: due_steps.DueStep) -> list[work.Lifetime]:
+    def list_workers(self, due: due_steps.DueStep) -> list[WorkerRoom]:
         """Return the workers with room for one work item of a step."""
         step = due.step
         demand = step.get_reservation()
         return [
-            profile.lifetime
-            for profile, free in self._free.get(due.service, ())
+            WorkerRoom(lists.profile.lifetime, free, lists.running)
+            for lists, free in self._free.get(due.service, ())
             if free.can_fit(demand)
-            and (not step.label or step.label in profile.labels)
+            and (not step.label or step.label in lists.profile.labels)
         ]
--- a/damaskpin/coordinator/wait_reasons.py
+++ b/damaskpin/coordinator/wait_reasons.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from damaskpin.coordinator import due_steps
     from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import listed_runs
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
@@ -55,7 +56,7 @@
     """
 
     due: due_steps.DueStep
-    workers: list[work.Lifetime]
+    workers: list[listed_runs.WorkerRoom]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +69,11 @@
     reason: str
     fields: dict[str, object]
 
+    def mark_undecided(self) -> Explanation:
+        """Return the explanation for a coordinator without a valid lease."""
+        fields = {**self.fields, 'by_books': self.reason}
+        return Explanation(Reason.NOBODY_DECIDES.value, fields)
+
 
 NOBODY_DECIDES = Explanation(Reason.NOBODY_DECIDES.value, {})
 
@@ -214,10 +220,10 @@
     outcome = ledger.pass_trace.outcomes.get(unit.get_key())
     is_held_back = crashes.is_held_back(now, ledger, unit)
     obstacles = {
-        lifetime: worker_obstacles.find_obstacle(
-            now, ledger, ledger.workers.get(lifetime), unit
+        room.lifetime: worker_obstacles.find_obstacle(
+            now, ledger, ledger.workers.get(room.lifetime), unit
         )
-        for lifetime in question.workers
+        for room in question.workers
     }
     reserved = next(
         (
@@ -235,10 +241,10 @@
         'suspect': unit.is_suspect(),
         'in_pass': 'held back' if is_held_back else str(outcome or 'not seen'),
         'workers': {
-            lifetime.worker: worker_obstacles.describe_worker(
-                now, ledger, ledger.workers.get(lifetime), unit
+            room.lifetime.worker: worker_obstacles.describe_worker(
+                now, ledger, room, unit
             )
-            for lifetime in question.workers[:MAX_LOGGED_WORKERS]
+            for room in question.workers[:MAX_LOGGED_WORKERS]
         },
         'workers_with_room': len(question.workers),
     }
--- a/damaskpin/coordinator/worker_obstacles.py
+++ b/damaskpin/coordinator/worker_obstacles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 from typing import TYPE_CHECKING
 
@@ -9,12 +10,15 @@
 from damaskpin.coordinator import candidates
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import refusals
+from damaskpin.coordinator import run_stages
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import listed_runs
     from damaskpin.coordinator import pass_trace
     from damaskpin.coordinator import worker_state
+    from damaskpin.model import work
 
 
 class Obstacle(enum.StrEnum):
@@ -81,27 +85,60 @@
 def describe_worker(
     now: float,
     ledger: ledgers.RunLedger,
-    worker: worker_state.Worker | None,
+    room: listed_runs.WorkerRoom,
     unit: jobs.Unit,
 ) -> str:
-    """Return the obstacle on a worker, with the reservations there.
+    """Return the obstacle on a worker, with what the books have there.
 
     :param now: steady time in seconds.
+    :param room: room on the worker by its own lists.
     """
+    worker = ledger.workers.get(room.lifetime)
     obstacle = find_obstacle(now, ledger, worker, unit)
     parts = [obstacle.value]
-    if worker is not None:
-        parts.extend(
-            describe_reservation(now, reservation)
-            for reservation in list_reservations(ledger, worker, unit)
-        )
-        if worker.lifetime.worker in unit.job.avoided_workers.get(
-            unit.get_key()[1:], ()
-        ):
-            parts.append('avoided')
+    if worker is None:
+        return obstacle.value
+    if obstacle is Obstacle.FULL:
+        parts.extend(describe_difference(now, worker, room))
+    parts.extend(
+        describe_reservation(now, reservation)
+        for reservation in list_reservations(ledger, worker, unit)
+    )
+    if worker.lifetime.worker in unit.job.avoided_workers.get(
+        unit.get_key()[1:], ()
+    ):
+        parts.append('avoided')
     return '; '.join(parts)
 
 
+def describe_difference(
+    now: float, worker: worker_state.Worker, room: listed_runs.WorkerRoom
+) -> list[str]:
+    """Return how the books of a worker differ from its lists.
+
+    :param now: steady time in seconds.
+    :returns: the free capacity of both, and the runs of the books that the
+        worker does not list by their stage.
+    """
+    running = {row.run for row in room.running}
+    stages = collections.Counter(
+        run_stages.find_stage(now, worker, placed).value
+        for run, placed in worker.runs.items()
+        if run not in running
+    )
+    parts = [
+        f'free by the books {describe_resources(worker.free_capacity)}',
+        f'by the lists {describe_resources(room.free)}',
+    ]
+    parts.extend(f'{count} x {stage}' for stage, count in stages.items())
+    return parts
+
+
+def describe_resources(resources: work.Resources) -> str:
+    """Return millicores, mebibytes and accelerators as text for the log."""
+    return f'{resources.cpu}/{resources.memory}/{resources.accelerators}'
+
+
 def describe_reservation(
     now: float, reservation: pass_trace.TracedReservation
 ) -> str:
--- a/damaskpin/entry/work_watch.py
+++ b/damaskpin/entry/work_watch.py
@@ -52,6 +52,7 @@
         whose turn has come; infinite while there is none.
     :ivar due: step of this work item.
     :ivar reason: reason that was logged last; empty before.
+    :ivar reason_seconds: seconds with room by the reason that was found.
     :ivar logged_at: time of the latest line in seconds.
     """
 
@@ -60,6 +61,18 @@
     due: due_steps.DueStep | None = None
     reason: str = ''
     logged_at: float = -math.inf
+    reason_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def add_reason(self, reason: str) -> None:
+        """Count the time of one check under a reason."""
+        seconds = self.reason_seconds.get(reason, 0.0)
+        self.reason_seconds[reason] = seconds + CHECK_INTERVAL_S
+
+    def end_room(self) -> None:
+        """Record that there is no room for the job any more."""
+        self.room_since = math.inf
+        self.reason = ''
+        self.reason_seconds.clear()
 
 
 class WorkWatch:
@@ -97,13 +110,14 @@
         now: float,
         wall: float,
         coordinator: coordinators.Coordinator | None,
+        has_lease: bool,
     ) -> None:
         """Log the jobs that wait for too long, and the ends of their waits.
 
         :param now: steady time in seconds.
         :param wall: Unix time in seconds.
-        :param coordinator: the coordinator of this entry; ``None`` without a
-            valid lease.
+        :param coordinator: the coordinator of this entry, or ``None``.
+        :param has_lease: whether it may decide.
         """
         if now < self._next_check:
             return
@@ -112,13 +126,15 @@
         self._waits = self._find_idle_jobs(now)
         if not (former or self._waits):
             return
-        room = listed_runs.ListedRoom(self._listed, self._find_reservation)
+        room = listed_runs.ListedRoom(
+            now, self._listed, self._find_reservation
+        )
         self._update_room(now, wall, room)
         for job_id, wait in former.items():
             # A run that was listed between two checks has begun a new wait.
             if wait.reason and wait is not self._waits.get(job_id):
                 self._log_end(now, job_id, wait)
-        self._log_waits(now, wall, room, coordinator)
+        self._log_waits(now, wall, room, coordinator, has_lease)
 
     def _find_idle_jobs(self, now: float) -> dict[str, Wait]:
         """Return the unfinished jobs of which no worker lists a run."""
@@ -151,9 +167,8 @@
             wait.due = due
             if due is None and wait.reason:
                 self._log_end(now, job_id, wait)
-                wait.reason = ''
             if due is None:
-                wait.room_since = math.inf
+                wait.end_room()
             else:
                 wait.room_since = min(wait.room_since, now)
 
@@ -189,30 +204,33 @@
         wall: float,
         room: listed_runs.ListedRoom,
         coordinator: coordinators.Coordinator | None,
+        has_lease: bool,
     ) -> None:
         """Log new waits, and those whose reason has changed."""
         waiting = [
             (job_id, wait, wait.due)
             for job_id, wait in self._waits.items()
-            if wait.due is not None and now - wait.room_since >= MAX_WAIT_S
+            if wait.due is not None and wait.room_since < now
         ]
-        if not waiting:
-            return
         # Waits that have a line come first, so that they get the further ones.
-        waiting.sort(key=lambda row: not row[1].reason)
+        waiting.sort(key=lambda row: (not row[1].reason, row[1].room_since))
         del waiting[MAX_LOGGED_JOBS:]
         questions = [
             wait_reasons.Question(due, room.list_workers(due))
             for _, _, due in waiting
         ]
-        explanations = (
-            [wait_reasons.NOBODY_DECIDES for _ in questions]
-            if coordinator is None
-            else coordinator.explain_waits(now, wall, questions)
-        )
+        if coordinator is None:
+            explanations = [wait_reasons.NOBODY_DECIDES for _ in questions]
+        else:
+            explanations = coordinator.explain_waits(now, wall, questions)
+        if not has_lease:
+            explanations = [e.mark_undecided() for e in explanations]
         for (job_id, wait, due), explanation in zip(
             waiting, explanations, strict=True
         ):
+            wait.add_reason(explanation.reason)
+            if now - wait.room_since < MAX_WAIT_S:
+                continue
             if explanation.reason == wait.reason:
                 continue
             if now - wait.logged_at < MIN_LINE_INTERVAL_S:
@@ -231,6 +249,7 @@
             extra={
                 'job': job_id,
                 'reason': wait.reason,
+                'reasons': dict(wait.reason_seconds),
                 'with_room': round(now - wait.room_since, 3),
                 'idle': round(now - wait.idle_since, 3),
                 'end': self._find_end(job_id),
@@ -271,6 +290,7 @@
             'occurrence': due.occurrence,
             'step': due.step_index,
             'reason': explanation.reason,
+            'reasons': dict(wait.reason_seconds),
             'with_room': round(now - wait.room_since, 3),
             'idle': round(now - wait.idle_since, 3),
             'age': round(wall - submission.accepted, 3),
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -124,11 +124,11 @@
         if address and address != self._settings.address:
             self._watch.forget()
             return
-        coordinator = self._coordinator
-        if not self._leadership.is_leader():
-            coordinator = None
         self._watch.check(
-            clocks.get_monotonic_time(), clocks.get_wall_time(), coordinator
+            clocks.get_monotonic_time(),
+            clocks.get_wall_time(),
+            self._coordinator,
+            self._leadership.is_leader(),
         )
 
     def needs_advice(self) -> bool:
--- a/tests/test_coordinator/test_coordinator_wait_reasons.py
+++ b/tests/test_coordinator/test_coordinator_wait_reasons.py
@@ -33,12 +33,29 @@
     return scene, job, run, scene.ledger.workers[active.lifetime]
 
 
-def test_nobody_decides(caplog):
+@pytest.mark.parametrize('is_stopped', [False, True])
+def test_nobody_decides(caplog, is_stopped):
     """Guards against an outage of the coordinator that looks like load."""
     scene = waits.Scene()
     scene.submit(builders.make_step())
     scene.leads = False
-    assert waits.play_to_line(scene, caplog).reason == Reason.NOBODY_DECIDES
+    scene.is_stopped = is_stopped
+    record = waits.play_to_line(scene, caplog)
+    assert record.reason == Reason.NOBODY_DECIDES
+
+
+def test_books_without_a_lease(caplog):
+    """Guards against finished work that looks like work that waits.
+
+    Without the store nobody decides, and ends can't be stored either.
+    """
+    scene = waits.Scene()
+    job = scene.submit(builders.make_step())
+    job.finish(work.JobState.COMPLETED, builders.WALL)
+    scene.leads = False
+    record = waits.play_to_line(scene, caplog)
+    assert record.reason == Reason.NOBODY_DECIDES
+    assert record.by_books == Reason.NOT_STORED
 
 
 def test_job_that_the_books_lack(caplog):
--- a/tests/test_coordinator/test_coordinator_worker_obstacles.py
+++ b/tests/test_coordinator/test_coordinator_worker_obstacles.py
@@ -58,7 +58,6 @@
     ('change', 'obstacle'),
     [
         (_drain, Obstacle.DRAINING),
-        (_fill, Obstacle.FULL),
         (_lose_lists, Obstacle.LISTS_NOT_READ),
         (_lose_profile, Obstacle.NO_PROFILE),
         (_pause, Obstacle.PAUSED),
@@ -84,7 +83,28 @@
         _fill(worker)
     trace = waits.trace_pass(scene, unit, pass_trace.Outcome.TRIED)
     record = waits.play_to_line(scene, caplog, trace)
+    assert record.reason == Obstacle.FULL
     assert (record.used_share, record.used_share_books) == (0.0, 1.0)
+    assert set(record.workers) == {'w0', 'w1'}
+    for described in record.workers.values():
+        assert described.startswith(Obstacle.FULL + '; ')
+        assert 'by the books 0/0/0; by the lists 128000/256000/8' in described
+
+
+def test_run_that_only_the_books_have_on_a_full_worker(caplog):
+    """Guards against a worker that runs nobody lists keep full."""
+    scene = waits.Scene()
+    scene.decides = False
+    step = builders.make_step(2, accelerators=8)
+    builders.submit(scene.ledger, 'other', step)
+    builders.decide(scene.ledger)
+    job = scene.submit(builders.make_step())
+    (unit,) = job.iterate_ready(NOW, builders.WALL)
+    trace = waits.trace_pass(scene, unit, pass_trace.Outcome.TRIED)
+    record = waits.play_to_line(scene, caplog, trace)
+    assert record.reason == Obstacle.FULL
+    for described in record.workers.values():
+        assert described.endswith('; 1 x start not stored')
 
 
 def test_silent_workers(caplog):
--- a/tests/test_coordinator/waits.py
+++ b/tests/test_coordinator/waits.py
@@ -30,12 +30,13 @@
     """Workers whose agents report, a coordinator, and the watch beside it.
 
     Its time begins at ``NOW``. The workers list the runs in ``listed``, by
-    worker id, whatever the books have.
+    worker id, whatever the books have; those in ``accepted`` are accepted.
 
     :ivar silent: ids of the workers that do not answer their agents.
     :ivar unreported: ids of the workers whose agents do not report.
     :ivar decides: whether placement passes are made.
     :ivar leads: whether the coordinator holds a valid lease.
+    :ivar is_stopped: whether the entry has discarded its coordinator.
     """
 
     def __init__(self, workers=2, rack_size=3):
@@ -50,10 +51,12 @@
             for worker in self.ledger.workers.values()
         ]
         self.listed = {}
+        self.accepted = {}
         self.silent = set()
         self.unreported = set()
         self.decides = True
         self.leads = True
+        self.is_stopped = False
         self.sequence = 0
         self.now = NOW
 
@@ -109,9 +112,8 @@
             wall = WALL + self.now - NOW
             if self.decides:
                 self.coordinator.decide(self.now, wall)
-            self.watch.check(
-                self.now, wall, self.coordinator if self.leads else None
-            )
+            coordinator = None if self.is_stopped else self.coordinator
+            self.watch.check(self.now, wall, coordinator, self.leads)
             self.now += STEP_S
 
     def make_report(self, agent, profile, sequence):
@@ -127,7 +129,7 @@
             FENCE,
             tuple(work.RunningRun(run, '', 0.0) for run in runs),
             (),
-            (),
+            self.accepted.get(profile.lifetime.worker, ()),
             (),
             1.0 if profile.lifetime.worker in self.silent else 0.0,
         )
--- a/tests/test_entry/test_entry_work_watch.py
+++ b/tests/test_entry/test_entry_work_watch.py
@@ -100,6 +100,44 @@
     assert waits.list_waits(caplog) == []
 
 
+def test_newly_accepted_run_counts_as_listed(caplog):
+    """Guards against lines about runs that are too new for any list."""
+    scene = _make_idle_scene()
+    scene.play(SHORT_S)
+    scene.accepted = {'w0': (_make_run(),)}
+    scene.play(listed_runs.ACCEPTED_GRACE_S)
+    scene.listed = scene.accepted
+    scene.accepted = {}
+    scene.play(LATE_S)
+    assert waits.list_waits(caplog) == []
+
+
+def test_accepted_run_that_is_never_listed_does_not_count(caplog):
+    """Guards against a run that was accepted and runs nowhere."""
+    scene = _make_idle_scene()
+    scene.accepted = {'w0': (_make_run(),)}
+    scene.play(LATE_S + listed_runs.ACCEPTED_GRACE_S)
+    assert len(waits.list_waits(caplog)) == 1
+
+
+def test_newly_accepted_runs_take_room(caplog):
+    """Guards against room that is gone before the next list."""
+    scene = _make_idle_scene(workers=1)
+    scene.submit(builders.make_step(20), job_id='big')
+
+    def accept_others():
+        number = int(scene.now)
+        scene.accepted = {
+            'w0': tuple(
+                work.Run(work.Item('big', 0, 0, index), number)
+                for index in range(7)
+            )
+        }
+
+    scene.play(2 * LATE_S, accept_others)
+    assert waits.list_waits(caplog) == []
+
+
 def test_run_in_an_old_list_does_not_count_as_running(caplog):
     """Guards against a run that is lost with its silent worker."""
     scene = _make_idle_scene()
@@ -147,6 +185,11 @@
     reasons = [r.reason for r in waits.list_waits(caplog)]
     assert reasons == [NOBODY, wait_reasons.Reason.NOT_IN_BOOKS.value]
     assert scene.watch.counts == {NOBODY: 1}
+    reasons = waits.list_waits(caplog)[1].reasons
+    assert reasons == {
+        NOBODY: LATE_S,
+        wait_reasons.Reason.NOT_IN_BOOKS.value: work_watch.CHECK_INTERVAL_S,
+    }
 
 
 def test_reason_that_changes_at_each_check_is_logged_at_intervals(caplog):
