Bound the search for room of the watch for waits

With 500 waiting jobs of different demands on 300 workers that are out of accelerators, one check took 130 ms, as each demand was tried on each worker. A demand above the largest free amount of a resource is refused at once now, a check makes at most 64 searches and begins with the jobs that were looked at longest ago, and due steps are found without a list of their work items.

--- a/damaskpin/coordinator/due_steps.py
+++ b/damaskpin/coordinator/due_steps.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterator
 
     from damaskpin.coordinator import records
@@ -16,19 +17,24 @@
 class DueStep:
     """A step of which work items are due and not done.
 
-    :ivar indexes: indexes of these work items within the step.
+    :ivar done: indexes of the work items of the step that are done.
     """
 
     submission: work.Submission
     occurrence: int
     step_index: int
-    indexes: tuple[int, ...]
+    done: Collection[int]
 
     @property
     def step(self) -> work.Step:
         """Return the description of the step."""
         return self.submission.steps[self.step_index]
 
+    @property
+    def indexes(self) -> tuple[int, ...]:
+        """Return the indexes of the due work items within the step."""
+        return tuple(i for i in range(self.step.count) if i not in self.done)
+
     @property
     def service(self) -> str:
         """Return the service whose workers may run the step."""
@@ -48,21 +54,23 @@
     """
     for occurrence in _iterate_due_occurrences(submission, progress, wall):
         steps = progress.occurrences.get(occurrence)
-        done = [step.done for step in steps] if steps else []
-        done.extend(set() for _ in submission.steps[len(done) :])
         for index, step in enumerate(submission.steps):
+            done = _get_done(steps, index)
+            if len(done) >= step.count:
+                continue
             if any(
-                len(done[after]) < submission.steps[after].count
+                len(_get_done(steps, after)) < submission.steps[after].count
                 for after in step.after
             ):
                 continue
-            indexes = tuple(
-                number
-                for number in range(step.count)
-                if number not in done[index]
-            )
-            if indexes:
-                yield DueStep(submission, occurrence, index, indexes)
+            yield DueStep(submission, occurrence, index, done)
+
+
+def _get_done(
+    steps: list[records.StepProgress] | None, index: int
+) -> Collection[int]:
+    """Return the indexes of the work items of a step that are done."""
+    return steps[index].done if steps else ()
 
 
 def _iterate_due_occurrences(
--- a/damaskpin/coordinator/listed_runs.py
+++ b/damaskpin/coordinator/listed_runs.py
@@ -24,6 +24,10 @@
 # each 0.5 s, and the list in a report may be as old.
 ACCEPTED_GRACE_S = 1.0
 
+# Number of searches for room in one look at the workers, which bounds its cost
+# when many jobs with different demands wait.
+MAX_SEARCHES = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerRoom:
@@ -159,7 +163,7 @@
     :param find_reservation: returns the capacity that a run takes.
     """
 
-    __slots__ = ('_free', '_has_room', '_used_shares')
+    __slots__ = ('_free', '_has_room', '_largest', '_used_shares')
 
     def __init__(
         self,
@@ -168,6 +172,7 @@
         find_reservation: FindReservation,
     ) -> None:
         self._free: dict[str, list[tuple[WorkerLists, work.Resources]]] = {}
+        self._largest: dict[str, work.Resources] = {}
         self._used_shares: dict[str, float] = {}
         self._has_room: dict[tuple[str, str, work.Resources, int], bool] = {}
         capacities: dict[str, int] = {}
@@ -185,6 +190,9 @@
                     free = free.minus(reservation)
             service = profile.service
             self._free.setdefault(service, []).append((lists, free))
+            self._largest[service] = combine_largest(
+                self._largest.get(service, free), free
+            )
             capacities[service] = capacities.get(
                 service, 0
             ) + idle_limit.count_core_equivalents(profile.capacity)
@@ -199,23 +207,35 @@
         """Return the share of a service that listed runs use; 1 without it."""
         return self._used_shares.get(service, 1.0)
 
-    def has_ample_room(self, due: due_steps.DueStep) -> bool:
-        """Return whether the next unit of a step finds room twice over."""
+    def has_ample_room(self, due: due_steps.DueStep) -> bool | None:
+        """Return whether the next unit of a step finds room twice over.
+
+        :returns: ``None`` if there were too many other searches.
+        """
         step = due.step
         demand = step.get_reservation()
+        largest = self._largest.get(due.service)
+        if largest is None or not largest.can_fit(demand):
+            return False
         needed = idle_limit.ROOM_FACTOR * due.count_together()
         key = (due.service, step.label, demand, needed)
         known = self._has_room.get(key)
-        if known is not None:
-            return known
-        for lists, free in self._free.get(due.service, ()):
-            if step.label and step.label not in lists.profile.labels:
+        if known is None and len(self._has_room) < MAX_SEARCHES:
+            known = self._search(due.service, step.label, demand, needed)
+            self._has_room[key] = known
+        return known
+
+    def _search(
+        self, service: str, label: str, demand: work.Resources, needed: int
+    ) -> bool:
+        """Return whether so many work items find room."""
+        for lists, free in self._free[service]:
+            if label and label not in lists.profile.labels:
                 continue
             needed -= max(work.count_fits(free, demand), 0)
             if needed <= 0:
-                break
-        self._has_room[key] = needed <= 0
-        return needed <= 0
+                return True
+        return False
 
     def list_workers(self, due: due_steps.DueStep) -> list[WorkerRoom]:
         """Return the workers with room for one work item of a step."""
@@ -227,3 +247,14 @@
             if free.can_fit(demand)
             and (not step.label or step.label in lists.profile.labels)
         ]
+
+
+def combine_largest(
+    first: work.Resources, second: work.Resources
+) -> work.Resources:
+    """Return the larger amount of each resource."""
+    return work.Resources(
+        max(first.cpu, second.cpu),
+        max(first.memory, second.memory),
+        max(first.accelerators, second.accelerators),
+    )
--- a/damaskpin/entry/work_watch.py
+++ b/damaskpin/entry/work_watch.py
@@ -50,6 +50,7 @@
         else of the first check.
     :ivar room_since: time in seconds since which there is room for a work item
         whose turn has come; infinite while there is none.
+    :ivar searched_at: time in seconds of the latest search for room.
     :ivar due: step of this work item.
     :ivar reason: reason that was logged last; empty before.
     :ivar reason_seconds: seconds with room by the reason that was found.
@@ -58,6 +59,7 @@
 
     idle_since: float
     room_since: float = math.inf
+    searched_at: float = -math.inf
     due: due_steps.DueStep | None = None
     reason: str = ''
     logged_at: float = -math.inf
@@ -162,8 +164,16 @@
         self, now: float, wall: float, room: listed_runs.ListedRoom
     ) -> None:
         """Find the idle jobs for which there is room."""
-        for job_id, wait in self._waits.items():
-            due = self._find_startable(job_id, room, wall)
+        # Those that were looked at longest ago come first, as the number of
+        # searches is limited.
+        waits = sorted(
+            self._waits.items(), key=lambda item: item[1].searched_at
+        )
+        for job_id, wait in waits:
+            due, is_known = self._find_startable(job_id, room, wall)
+            if not is_known:
+                continue
+            wait.searched_at = now
             wait.due = due
             if due is None and wait.reason:
                 self._log_end(now, job_id, wait)
@@ -174,20 +184,26 @@
 
     def _find_startable(
         self, job_id: str, room: listed_runs.ListedRoom, wall: float
-    ) -> due_steps.DueStep | None:
-        """Return a due step of a job for which there is ample room."""
+    ) -> tuple[due_steps.DueStep | None, bool]:
+        """Return a due step of a job for which there is ample room.
+
+        :returns: the step, or ``None``, and whether this is known.
+        """
         job = self._view.get(job_id)
         if job is None or job.submission is None:
-            return None
+            return (None, True)
         service = job.submission.terms.service
         if room.get_used_share(service) >= MAX_USED_SHARE:
-            return None
+            return (None, True)
+        is_known = True
         for due in due_steps.iterate_due_steps(
             job.submission, job.progress, wall
         ):
-            if room.has_ample_room(due):
-                return due
-        return None
+            has_room = room.has_ample_room(due)
+            if has_room:
+                return (due, True)
+            is_known = is_known and has_room is not None
+        return (None, is_known)
 
     def _find_reservation(self, run: work.Run) -> work.Resources | None:
         """Return the capacity that a listed run takes, if its job is known."""
--- a/tests/test_entry/test_entry_work_watch.py
+++ b/tests/test_entry/test_entry_work_watch.py
@@ -309,3 +309,31 @@
     scene.play(2 * LATE_S)
     assert len(waits.list_waits(caplog)) == 1
     assert waits.list_ends(caplog) == []
+
+
+def test_waits_are_found_among_many_searches_without_room(caplog):
+    """Guards against a limit on searches that hides a job for ever.
+
+    One worker has no accelerators left and the other no cores, so that the
+    many jobs, each with a demand of its own, find no room on any.
+    """
+    scene = _make_idle_scene()
+    demands = {
+        'accelerators': work.Resources(8000, 1000, 8),
+        'cores': work.Resources(100_000, 1000, 0),
+    }
+    for job_id, demand in demands.items():
+        scene.submit(work.Step(count=1, demand=demand), job_id=job_id)
+    scene.listed = {
+        'w0': (_make_run(0, 'accelerators'),),
+        'w1': (_make_run(0, 'cores'),),
+    }
+    scene.put(layout.make_cancel_key('job'), b'')
+    for index in range(3 * listed_runs.MAX_SEARCHES):
+        demand = work.Resources(60_000 + index, 1000, 1)
+        step = work.Step(count=1, demand=demand)
+        scene.submit(step, job_id=f'large-{index}')
+    small = work.Step(count=1, demand=work.Resources(1000, 1000, 0))
+    scene.submit(small, job_id='small')
+    scene.play(4 * LATE_S)
+    assert [r.job for r in waits.list_waits(caplog)] == ['small']
