Count a gang that fails on a worker as one bad run of the worker

What callers saw: nothing directly. A sound worker got no work for 6 s after one run of a gang of which three members failed there, and less if it had failed before: two members weighed like two runs.

Cause: Worker.record_failure counted each listed end 'failed' of a member. The limit is on runs that failed on the worker, and a gang's run is one.

Change: a worker keeps the identities of the starts that have failed there since a run last succeeded (job, occurrence, step, slot, number), and a further member of a known one changes nothing. Different work items of one step, whose runs have the same number, still count each. The limits are unchanged. The counts live in memory and start anew with each coordinator, as before.

Evidence: test_members_that_fail_on_one_worker_are_one_bad_run failed before (the worker is suspect until 107.0 s, at 100 s), and so did test_runs_of_a_gang_that_fail_on_one_worker_count_each (suspect after the first run). The third test, of the reverse, passed before and passes. All tests of tests/test_coordinator pass.

--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -77,7 +77,7 @@
             worker.record_success(now, placed.placed_at)
             _stop_other_runs(ledger, placed)
         case work.Ending.FAILED:
-            worker.record_failure(now, job, placed.placed_at)
+            worker.record_failure(now, placed)
             moves.avoid_worker(placed, worker)
     if job.is_final() and not was_final:
         events.log_job_end(job)
--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -26,6 +26,24 @@
 OVERDUE_REMAINING_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnitRun:
+    """Identity of one start of a unit, which is a work item or a gang.
+
+    All members of a gang share it. What is counted for a run is counted by it,
+    as each member may report the same event.
+
+    :ivar slot: key of the unit within its step; see :class:`job.Unit`.
+    :ivar number: number of the run.
+    """
+
+    job: str
+    occurrence: int
+    step: int
+    slot: int
+    number: int
+
+
 @dataclasses.dataclass(slots=True)
 class PlacedRun:
     """A run that may exist on a worker.
@@ -110,6 +128,17 @@
         self.window_start = now
         self.window_start_percent = percent
 
+    def get_unit_run(self) -> UnitRun:
+        """Return the identity of the start that the run belongs to."""
+        item = self.run.item
+        return UnitRun(
+            item.job,
+            item.occurrence,
+            item.step,
+            self.step.get_slot(item.index),
+            self.run.number,
+        )
+
     def is_in_same_gang_run(self, other: PlacedRun) -> bool:
         """Return whether two runs belong to the same start of a gang."""
         return (
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -70,8 +70,10 @@
         hearing from the coordinator, is renewed.
     :ivar failed_jobs: ids of the jobs of which a run has failed on the worker
         since a run last succeeded there.
-    :ivar failed_runs: number of runs that have failed on the worker since a
-        run last succeeded there, except runs of jobs that fail on many
+    :ivar failed_runs: starts of units that have failed on the worker since a
+        run last succeeded there. Several members of a gang that fail on the
+        worker are one.
+    :ivar blamed_runs: number of these, except those of jobs that fail on many
         workers.
     :ivar has_run_lists: whether this coordinator has received the worker's
         lists of runs.
@@ -100,6 +102,7 @@
     __slots__ = (
         'address',
         'agent',
+        'blamed_runs',
         'failed_jobs',
         'failed_runs',
         'free_capacity',
@@ -152,7 +155,8 @@
         self.silence = 0.0
         self.pending_ends: collections.deque[PendingEnd] = collections.deque()
         self.failed_jobs: set[str] = set()
-        self.failed_runs = 0
+        self.failed_runs: set[placed_run.UnitRun] = set()
+        self.blamed_runs = 0
         self.last_success = -TRUST_PERIOD_S
         self.suspect_until = 0.0
         self.start_pause = refusals.StartPause()
@@ -239,28 +243,31 @@
         if placed_at < self.last_failed_start:
             return
         self.last_success = now
-        self.failed_runs = 0
+        self.blamed_runs = 0
+        self.failed_runs.clear()
         self.failed_jobs.clear()
         self.suspect_until = 0.0
 
-    def record_failure(
-        self, now: float, job: jobs.Job, placed_at: float
-    ) -> None:
+    def record_failure(self, now: float, placed: placed_run.PlacedRun) -> None:
         """Record a failed run; repeated failures make the worker suspect.
 
         A job that fails on several workers is probably the cause itself, so
-        that one job does not make many workers suspect.
-
-        :param placed_at: time of the run's placement in seconds.
+        that one job does not make many workers suspect. The members of a gang
+        that fail on the worker in one run are one failure.
         """
-        self.last_failed_start = max(self.last_failed_start, placed_at)
-        self.failed_jobs.add(job.id)
+        job = placed.job
+        self.last_failed_start = max(self.last_failed_start, placed.placed_at)
         job.failed_worker_ids.add(self.lifetime.worker)
+        unit_run = placed.get_unit_run()
+        if unit_run in self.failed_runs:
+            return
+        self.failed_runs.add(unit_run)
+        self.failed_jobs.add(job.id)
         if len(job.failed_worker_ids) <= SUSPECT_FAILED_RUNS:
-            self.failed_runs += 1
+            self.blamed_runs += 1
         if (
             len(self.failed_jobs) >= SUSPECT_FAILED_JOBS
-            or self.failed_runs >= SUSPECT_FAILED_RUNS
+            or self.blamed_runs >= SUSPECT_FAILED_RUNS
         ):
             self.mark_suspect(now)
 
--- /dev/null
+++ b/tests/test_coordinator/test_coordinator_event_identity.py
@@ -0,0 +1,53 @@
+"""Tests that an event counts once, whoever and however often tells of it."""
+
+from __future__ import annotations
+
+from damaskpin.model import work
+from tests.test_coordinator import builders
+from tests.test_coordinator import reports
+
+NOW = reports.NOW
+FAILED = work.Ending.FAILED
+
+
+def _fail_members(coordinator, worker, runs):
+    """List runs of a worker as failed, each in a report of its own."""
+    for run in runs:
+        serial = worker.last_end_serial + 1
+        reports.list_end(coordinator, worker, run, FAILED, serial)
+
+
+def test_members_that_fail_on_one_worker_are_one_bad_run():
+    """Guards against a sound worker that gets no work after one bad gang."""
+    step = builders.make_step(3, 1, gang=True)
+    coordinator, ledger, _ = reports.make_coordinator(step, workers=1)
+    (worker,) = ledger.workers.values()
+    _fail_members(coordinator, worker, list(worker.runs))
+    assert worker.has_failed_since_success()
+    assert worker.suspect_until <= NOW
+
+
+def test_runs_of_a_gang_that_fail_on_one_worker_count_each():
+    """Guards against a worker that fails gang after gang and stays in use."""
+    step = builders.make_step(3, 1, gang=True)
+    coordinator, ledger, _ = reports.make_coordinator(
+        step, workers=1, attempts=9
+    )
+    (worker,) = ledger.workers.values()
+    for number in range(3):
+        assert worker.suspect_until <= NOW, f'suspect after run {number}'
+        _fail_members(coordinator, worker, list(worker.runs))
+        builders.decide(ledger, NOW + 2.0 + number)
+    assert worker.suspect_until > NOW
+
+
+def test_work_items_of_one_step_that_fail_on_one_worker_count_each():
+    """Guards against a failing worker whose runs count as one.
+
+    Runs of different work items have the same number.
+    """
+    step = builders.make_step(3, 1)
+    coordinator, ledger, _ = reports.make_coordinator(step, workers=1)
+    (worker,) = ledger.workers.values()
+    _fail_members(coordinator, worker, list(worker.runs))
+    assert worker.suspect_until > NOW
