Limit the moves of a gang as a whole, not those of each member

What callers saw: a gang that stalls by its own fault could be stopped twice for each of its members, and lost the work of all members each time.

Cause: moves were counted by work item, though a gang is stopped and started as a whole, and the stop came from whichever member stalled first. The count of that member was the only one that the limit looked at.

Change: a job keeps the numbers of the moved runs of each unit. Several members that stall in one run are one move, and a run beyond the limit is no longer counted in each pass. The limit of two is unchanged, and so is the count for work items outside of gangs.

Evidence: test_gang_of_which_other_members_stall_is_no_longer_moved failed before (the gang was started as its fourth run, with another member stalled in each). test_members_that_stall_together_are_one_move, of the reverse, passed before and passes. All tests of tests/test_coordinator pass. Not played on the bench: a wide gang that meets more than two hanging workers in a row now stays where it is, until the hanging one continues or its lease ends.

--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -95,8 +95,9 @@
         have lost since its latest start, by the unit's occurrence, step index
         and slot.
     :ivar unrecorded: runs that a worker lists and the progress lacks.
-    :ivar move_counts: how often each work item was moved off a worker on
-        which it was stalled or slow.
+    :ivar moved_runs: numbers of the runs of a unit that were moved off
+        workers on which they were stalled or slow, by the unit's occurrence,
+        step index and slot.
     """
 
     __slots__ = (
@@ -104,7 +105,7 @@
         'avoided_workers',
         'cancelled',
         'failed_worker_ids',
-        'move_counts',
+        'moved_runs',
         'preemption_losses',
         'progress',
         'revision',
@@ -122,7 +123,7 @@
         self.revision = 0
         self.cancelled = False
         self.failed_worker_ids: set[str] = set()
-        self.move_counts: dict[work.Item, int] = {}
+        self.moved_runs: dict[tuple[int, int, int], set[int]] = {}
         self.preemption_losses: dict[tuple[int, int, int], float] = {}
         self.avoided_workers: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
--- a/damaskpin/coordinator/moves.py
+++ b/damaskpin/coordinator/moves.py
@@ -8,8 +8,8 @@
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
-# Largest number of moves of a work item. An item that is slow on more workers
-# is probably slow because of its own work.
+# Largest number of moves of a unit. One that is slow on more workers is
+# probably slow because of its own work.
 MAX_MOVES = 2
 
 
@@ -25,11 +25,19 @@
 
 
 def count_move(placed: placed_run.PlacedRun) -> bool:
-    """Count a move of a work item whose run is stalled or slow.
+    """Count a move of the unit whose run is stalled or slow.
 
-    :returns: whether the number of moves is within its limit.
+    A gang is moved as a whole, so that its run counts once, whichever members
+    are stalled.
+
+    :returns: whether the unit may be moved.
     """
-    item = placed.run.item
-    moves = placed.job.move_counts.get(item, 0) + 1
-    placed.job.move_counts[item] = moves
-    return moves <= MAX_MOVES
+    unit_run = placed.get_unit_run()
+    key = (unit_run.occurrence, unit_run.step, unit_run.slot)
+    moved_runs = placed.job.moved_runs.setdefault(key, set())
+    if unit_run.number in moved_runs:
+        return True
+    if len(moved_runs) >= MAX_MOVES:
+        return False
+    moved_runs.add(unit_run.number)
+    return True
--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -204,3 +204,70 @@
     now = _report_unchanged_progress(ledger, NOW + 10.0, NOW + 14.0)
     supervision.stop_faulty_runs(now, ledger)
     assert builders.list_stopping_jobs(ledger) == []
+
+
+def _stall_member(ledger, now, stalled):
+    """Let a running gang work, and then one member stall first.
+
+    :param stalled: index of the member.
+    :returns: the time at which that member was to be stopped.
+    """
+    builders.report_all_runs_begun(ledger, now)
+    for step in range(6):
+        now += 1.0
+        for worker in ledger.workers.values():
+            worker.last_report_time = now
+            for placed in worker.runs.values():
+                is_stalled = placed.run.item.index == stalled
+                percent = 5.0 if is_stalled else 5.0 + step
+                row = work.RunningRun(placed.run, '', percent)
+                placed.update_from_list(row, now)
+        supervision.stop_faulty_runs(now, ledger)
+    return now
+
+
+def test_gang_of_which_other_members_stall_is_no_longer_moved():
+    """Guards against a gang that is stopped without end for its own stalls.
+
+    A gang is moved as a whole, whichever member stalls first.
+    """
+    ledger = builders.make_ledger(workers=4)
+    step = builders.make_step(4, 8, 10.0, gang=True)
+    job = builders.submit(ledger, 'job', step)
+    now = NOW
+    for stalled in (0, 1, 2, 3):
+        builders.decide(ledger, now)
+        now = _stall_member(ledger, now, stalled) + 10.0
+        _end_stopped_runs(ledger, now)
+    assert job.get_step_progress(0, 0).numbers == {0: 3}
+    assert builders.list_runs(ledger, job)
+
+
+def test_members_that_stall_together_are_one_move():
+    """Guards against a gang that is no longer moved after one move."""
+    ledger = builders.make_ledger(workers=4)
+    step = builders.make_step(2, 8, 10.0, gang=True)
+    job = builders.submit(ledger, 'job', step)
+    now = NOW
+    for _ in range(3):
+        builders.decide(ledger, now)
+        builders.report_all_runs_begun(ledger, now)
+        _report_progress(ledger, now + 1.0, 10.0)
+        now += 5.0
+        _report_progress(ledger, now, 10.0)
+        supervision.stop_faulty_runs(now, ledger)
+        now += 10.0
+        _end_stopped_runs(ledger, now)
+    assert job.get_step_progress(0, 0).numbers == {0: 3}
+
+
+def _end_stopped_runs(ledger, now):
+    for worker in ledger.workers.values():
+        for run, placed in list(worker.runs.items()):
+            if not placed.stop_reason:
+                continue
+            worker.last_end_serial += 1
+            row = work.EndedRun(
+                worker.last_end_serial, run, work.Ending.STOPPED, ''
+            )
+            ends.record_end(now, builders.WALL, ledger, worker, row)
