Book the work of a run as lost once, at its removal or at its end

What operators saw: damaskpin_lost_runs_total counted a run twice, under two causes, if its worker listed its end after it had been taken for gone.

Cause: the removal of a run books its work, and the end that was listed later booked it again for a run restored from the end's message.

Change: only the end of a run that is in the books is booked. An end that counts after the removal is still logged and still counts as a failure. The cause stays that of the removal, also if the late end is good: the account does not take back what it has booked.

Evidence: test_work_of_a_removed_run_is_lost_once failed before for both ends ('not started': 1 and 'failed' or 'gang broken': 1). All tests of tests/test_coordinator pass.

--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -57,7 +57,8 @@
     worker.orders_due = True
     ledger.counts[str(ended.ending)] += 1
     cause = lost_work.find_cause(placed, ended.ending)
-    lost = ledger.lost_work.record(cause, placed, now)
+    # The removal of a run has booked its work under the cause known then.
+    lost = ledger.lost_work.record(cause, placed, now) if known else {}
     events.log_run(
         'run ended',
         ended.run,
--- a/tests/test_coordinator/test_coordinator_event_identity.py
+++ b/tests/test_coordinator/test_coordinator_event_identity.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from damaskpin.model import work
 from tests.test_coordinator import builders
 from tests.test_coordinator import reports
@@ -51,3 +53,13 @@
     (worker,) = ledger.workers.values()
     _fail_members(coordinator, worker, list(worker.runs))
     assert worker.suspect_until > NOW
+
+
+@pytest.mark.parametrize('ending', [FAILED, work.Ending.BROKEN])
+def test_work_of_a_removed_run_is_lost_once(ending):
+    """Guards against a loss that is booked for the removal and for the end."""
+    coordinator, ledger, _ = reports.make_coordinator(builders.make_step())
+    run = reports.find_run(ledger)
+    worker = reports.remove(coordinator, ledger, run)
+    reports.list_end(coordinator, worker, run, ending)
+    assert ledger.lost_work.runs == {'not started': 1}
