Say that a gang has failed in the reason of its job

What callers saw: the state of a failed job said 'a work item failed 2 times' for a gang, although each of its work items may have failed once.

Cause: the count is that of the runs of a work item or a gang, and the text named the former only.

Change: the text names which of the two has failed.

Evidence: test_gang_that_fails_in_each_run_is_given_up_after_its_attempts, which asks for the new text instead of the old one, failed before ('a work item failed 2 times'). test_failed_work_item_is_the_reason_of_its_job asks for the old text where there is no gang; it passed before and passes. All tests of tests/test_coordinator and tests/test_entry pass.

--- a/damaskpin/coordinator/outcomes.py
+++ b/damaskpin/coordinator/outcomes.py
@@ -74,7 +74,7 @@
         case work.Ending.DONE:
             _record_done(job, item, step, progress, wall)
         case work.Ending.FAILED:
-            _record_failure(job, slot, run.number, progress, wall)
+            _record_failure(job, run, step, progress, wall)
     return True
 
 
@@ -164,23 +164,22 @@
 
 def _record_failure(
     job: jobs.Job,
-    slot: int,
-    number: int,
+    run: work.Run,
+    step: work.Step,
     progress: records.StepProgress,
     wall: float,
 ) -> None:
-    """Count a failed run once, whichever and however many members failed.
-
-    :param number: number of the run.
-    """
+    """Count a failed run once, whichever and however many members failed."""
+    slot = step.get_slot(run.item.index)
     failed_runs = progress.failed_runs.setdefault(slot, set())
-    if number in failed_runs:
+    if run.number in failed_runs:
         return
-    failed_runs.add(number)
+    failed_runs.add(run.number)
     # An earlier build has counted each failed member of a gang, so that its
     # count may exceed the number of runs.
     failures = min(progress.failures.get(slot, 0) + 1, progress.numbers[slot])
     progress.failures[slot] = failures
     if failures >= job.submission.terms.attempts:
-        reason = f'a work item failed {failures} times'
+        unit = 'gang' if step.gang else 'work item'
+        reason = f'a {unit} failed {failures} times'
         job.finish(work.JobState.FAILED, wall, reason)
--- a/tests/test_coordinator/test_coordinator_failures.py
+++ b/tests/test_coordinator/test_coordinator_failures.py
@@ -138,3 +138,14 @@
     _fail_runs(ledger, job, NOW)
     (record,) = [r for r in caplog.records if r.message == 'run ended']
     assert (record.failures, record.attempts) == (1, 3)
+
+
+def test_failed_work_item_is_the_reason_of_its_job():
+    """Guards against a reason that names a gang where there is none."""
+    ledger = builders.make_ledger(workers=1)
+    job = builders.submit(ledger, 'job', builders.make_step(), attempts=2)
+    for number in range(2):
+        builders.decide(ledger, NOW + number)
+        _fail_runs(ledger, job, NOW + number)
+    assert job.progress.state is work.JobState.FAILED
+    assert job.progress.reason == 'a work item failed 2 times'
--- a/tests/test_coordinator/test_coordinator_gang_failures.py
+++ b/tests/test_coordinator/test_coordinator_gang_failures.py
@@ -104,7 +104,7 @@
     members = _list_members(ledger)
     _list_ends(coordinator, members, [BROKEN, BROKEN, BROKEN, FAILED])
     assert job.progress.state is work.JobState.FAILED
-    assert job.progress.reason == 'a work item failed 2 times'
+    assert job.progress.reason == 'a gang failed 2 times'
 
 
 def test_failures_that_an_earlier_build_has_stored_count():
