Don't make all workers of two failed gangs suspect

Cause: a worker is suspect after failures of two different jobs. Each member that failed counted for its worker, so that two events, the failed runs of two gangs, made every worker of theirs suspect, and suspect workers get no work at all. The limit on failed runs leaves out jobs that fail on more than three workers; the one on failed jobs did not.

Change: of a gang that has failed on more than three workers, further workers count no failed job either. They are still avoided, as after any failure, and the first three still count. Work items outside of gangs count as before: each has a run of its own.

Evidence: test_two_failed_gangs_do_not_make_all_their_workers_suspect failed before with 8 suspects of 8 workers. The test of the reverse, two jobs that fail on one worker, passed before and passes. All tests of tests/test_coordinator pass.

No limit on the share of suspect workers applies to failures, as it does to stalls.

--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -68,8 +68,8 @@
         exist any more. It is put off when the grant of the worker's agent,
         the time up to which the agent may renew the worker's lease without
         hearing from the coordinator, is renewed.
-    :ivar failed_jobs: ids of the jobs of which a run has failed on the worker
-        since a run last succeeded there.
+    :ivar failed_jobs: ids of the jobs of the failed runs, except those of
+        gangs that fail on many workers.
     :ivar failed_runs: starts of units that have failed on the worker since a
         run last succeeded there. Several members of a gang that fail on the
         worker are one.
@@ -262,9 +262,12 @@
         if unit_run in self.failed_runs:
             return
         self.failed_runs.add(unit_run)
-        self.failed_jobs.add(job.id)
         if len(job.failed_worker_ids) <= SUSPECT_FAILED_RUNS:
             self.blamed_runs += 1
+        elif placed.step.gang:
+            # One run of a gang may fail on all its workers at once.
+            return
+        self.failed_jobs.add(job.id)
         if (
             len(self.failed_jobs) >= SUSPECT_FAILED_JOBS
             or self.blamed_runs >= SUSPECT_FAILED_RUNS
@@ -274,7 +277,7 @@
     def is_trusted(self, now: float) -> bool:
         """Return whether a recent run succeeded and none has failed since."""
         return (
-            not self.failed_jobs and now - self.last_success <= TRUST_PERIOD_S
+            not self.failed_runs and now - self.last_success <= TRUST_PERIOD_S
         )
 
     def mark_suspect(self, now: float) -> None:
@@ -283,4 +286,4 @@
 
     def has_failed_since_success(self) -> bool:
         """Return whether a run has failed since the last successful run."""
-        return bool(self.failed_jobs)
+        return bool(self.failed_runs)
--- a/tests/test_coordinator/test_coordinator_event_identity.py
+++ b/tests/test_coordinator/test_coordinator_event_identity.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from damaskpin.coordinator import coordinator as coordinators
+from damaskpin.coordinator import worker_state
 from damaskpin.model import work
 from tests.test_coordinator import builders
 from tests.test_coordinator import reports
@@ -63,3 +65,31 @@
     worker = reports.remove(coordinator, ledger, run)
     reports.list_end(coordinator, worker, run, ending)
     assert ledger.lost_work.runs == {'not started': 1}
+
+
+def test_two_failed_gangs_do_not_make_all_their_workers_suspect():
+    """Guards against a fleet without usable workers after two failed runs."""
+    ledger = builders.make_ledger(workers=8)
+    coordinator = coordinators.Coordinator('c', reports.FENCE, ledger, None)
+    step = builders.make_step(8, 4, gang=True, per_worker=1)
+    for name in ('first', 'second'):
+        builders.submit(ledger, name, step)
+    builders.decide(ledger)
+    for worker in ledger.workers.values():
+        assert len(worker.runs) == 2
+        _fail_members(coordinator, worker, list(worker.runs))
+    suspects = [w for w in ledger.workers.values() if w.suspect_until > NOW]
+    assert len(suspects) <= worker_state.SUSPECT_FAILED_RUNS
+    assert all(w.has_failed_since_success() for w in ledger.workers.values())
+
+
+def test_different_jobs_that_fail_on_one_worker_make_it_suspect():
+    """Guards against a worker that fails each job and stays in use."""
+    ledger = builders.make_ledger(workers=1)
+    coordinator = coordinators.Coordinator('c', reports.FENCE, ledger, None)
+    for name in ('first', 'second'):
+        builders.submit(ledger, name, builders.make_step())
+    builders.decide(ledger)
+    (worker,) = ledger.workers.values()
+    _fail_members(coordinator, worker, list(worker.runs))
+    assert worker.suspect_until > NOW
