Don't suspect workers for work that is no longer moved

What callers saw: the worker of a run that hangs wherever it is placed got no other work for as long as the run hung, up to a third of all workers at a time.

Cause: one stall was acted upon in each pass. Work that has been moved twice is left where it is, as it is probably the cause itself, but its worker was marked suspect anew each time the 6 s before were over.

Change: the stall of such work tells nothing about its worker any more. Runs of other work that stall there make it suspect as before.

Evidence: test_workers_are_not_suspect_for_work_that_is_no_longer_moved failed before (at 145 s the worker is suspect until 151 s). All tests of tests/test_coordinator pass.

--- a/damaskpin/coordinator/moves.py
+++ b/damaskpin/coordinator/moves.py
@@ -24,20 +24,21 @@
     avoided.add(worker.lifetime.worker)
 
 
-def count_move(placed: placed_run.PlacedRun) -> bool:
+def may_move(placed: placed_run.PlacedRun) -> bool:
+    """Return whether the unit of a run has not been moved too often."""
+    return len(_get_moved_runs(placed)) < MAX_MOVES
+
+
+def count_move(placed: placed_run.PlacedRun) -> None:
     """Count a move of the unit whose run is stalled or slow.
 
     A gang is moved as a whole, so that its run counts once, whichever members
     are stalled.
-
-    :returns: whether the unit may be moved.
     """
-    unit_run = placed.get_unit_run()
-    key = (unit_run.occurrence, unit_run.step, unit_run.slot)
-    moved_runs = placed.job.moved_runs.setdefault(key, set())
-    if unit_run.number in moved_runs:
-        return True
-    if len(moved_runs) >= MAX_MOVES:
-        return False
-    moved_runs.add(unit_run.number)
-    return True
+    _get_moved_runs(placed).add(placed.run.number)
+
+
+def _get_moved_runs(placed: placed_run.PlacedRun) -> set[int]:
+    item = placed.run.item
+    key = (item.occurrence, item.step, placed.step.get_slot(item.index))
+    return placed.job.moved_runs.setdefault(key, set())
--- a/damaskpin/coordinator/supervision.py
+++ b/damaskpin/coordinator/supervision.py
@@ -88,13 +88,17 @@
 def find_worker_faults(
     now: float, worker: worker_state.Worker
 ) -> list[tuple[placed_run.PlacedRun, RunFault]]:
-    """Return the stalled and slow runs of a worker with their faults."""
+    """Return the stalled and slow runs of a worker with their faults.
+
+    Work that has been moved too often is probably the cause itself. It is left
+    where it is, and tells nothing about the worker.
+    """
     worker_faults = []
     if not worker.is_usable(now):
         return worker_faults
     for placed in worker.runs.values():
         fault = find_run_fault(now, placed)
-        if fault is not None:
+        if fault is not None and moves.may_move(placed):
             worker_faults.append((placed, fault))
     return worker_faults
 
@@ -106,13 +110,14 @@
     fault: RunFault,
     is_worker_suspected: bool,
 ) -> None:
-    """Stop a faulty run unless its work item was moved too often.
+    """Stop a faulty run, unless it may still continue.
 
     :param is_worker_suspected: whether the worker may be the cause, so that
         the work item avoids it.
     """
-    if not fault.must_stop or not moves.count_move(placed):
+    if not fault.must_stop:
         return
+    moves.count_move(placed)
     if is_worker_suspected:
         moves.avoid_worker(placed, worker)
     ledger.stop_run(worker, placed, lost_work.Cause.FAULTY, fault.reason)
--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -261,6 +261,29 @@
     assert job.get_step_progress(0, 0).numbers == {0: 3}
 
 
+def test_workers_are_not_suspect_for_work_that_is_no_longer_moved():
+    """Guards against sound workers that get no work as long as a job hangs.
+
+    Work that has stalled on several workers is probably the cause itself.
+    """
+    ledger = builders.make_ledger(workers=4)
+    _submit_and_begin(ledger, 'job')
+    now = NOW
+    for _ in range(3):
+        builders.decide(ledger, now)
+        builders.report_all_runs_begun(ledger, now)
+        _report_progress(ledger, now + 1.0, 10.0)
+        now += 5.0
+        _report_progress(ledger, now, 10.0)
+        supervision.stop_faulty_runs(now, ledger)
+        now += 10.0
+        _end_stopped_runs(ledger, now)
+    (worker,) = [w for w in ledger.workers.values() if w.runs]
+    _report_progress(ledger, now, 10.0)
+    supervision.stop_faulty_runs(now, ledger)
+    assert worker.suspect_until <= now
+
+
 def _end_stopped_runs(ledger, now):
     for worker in ledger.workers.values():
         for run, placed in list(worker.runs.items()):
