--- a/tests/test_coordinator/test_coordinator_event_identity.py
+++ b/tests/test_coordinator/test_coordinator_event_identity.py
@@ -5,8 +5,11 @@
 import pytest
 
 from damaskpin.coordinator import coordinator as coordinators
+from damaskpin.coordinator import lost_work
+from damaskpin.coordinator import tentative_plan
 from damaskpin.coordinator import worker_state
 from damaskpin.model import work
+from damaskpin.peer import orders
 from tests.test_coordinator import builders
 from tests.test_coordinator import reports
 
@@ -93,3 +96,59 @@
     (worker,) = ledger.workers.values()
     _fail_members(coordinator, worker, list(worker.runs))
     assert worker.suspect_until > NOW
+
+
+def test_members_that_a_worker_refuses_are_one_pause():
+    """Guards against long pauses of a worker that has refused one gang."""
+    step = builders.make_step(3, 1, gang=True)
+    coordinator, ledger, _ = reports.make_coordinator(step, workers=1)
+    (worker,) = ledger.workers.values()
+    for number, run in enumerate(list(worker.runs)):
+        refused = (orders.RefusedRun(run, reports.REFUSAL),)
+        for _ in range(2):
+            now = NOW + 0.2 * number
+            reports.report(coordinator, worker, now, refused=refused)
+    assert worker.start_pause.refusals == 1
+    assert ledger.counts['refused'] == 3
+
+
+def test_end_in_each_report_until_it_is_acknowledged_counts_once():
+    """Guards against a failed run that counts for each copy of its report."""
+    step = builders.make_step()
+    coordinator, ledger, job = reports.make_coordinator(step, attempts=9)
+    run = reports.find_run(ledger)
+    worker = reports.find_worker(ledger, run)
+    for _ in range(3):
+        reports.list_end(coordinator, worker, run, FAILED)
+    assert job.get_step_progress(0, 0).failures == {0: 1}
+    assert worker.blamed_runs == 1
+    assert ledger.counts['failed'] == 1
+    assert ledger.lost_work.runs == {'failed': 1}
+
+
+def test_gang_is_ordered_to_stop_once():
+    """Guards against a count of stops that grows with each pass."""
+    step = builders.make_step(3, 1, gang=True)
+    _, ledger, job = reports.make_coordinator(step, workers=1)
+    for _ in range(3):
+        ledger.stop_job(job, lost_work.Cause.CANCELLED, 'job cancelled')
+    assert ledger.counts['ordered to stop'] == 3
+
+
+def test_preempted_gang_is_priced_once():
+    """Guards against a unit that may preempt less than its limit.
+
+    The members of the preempted gang are on two workers.
+    """
+    ledger = builders.make_ledger(workers=2)
+    step = reports.make_large_step(count=2, gang=True, estimate=100.0)
+    builders.submit(ledger, 'victim', step, priority=2)
+    builders.decide(ledger)
+    builders.report_all_runs_begun(ledger, NOW)
+    urgent = builders.submit(ledger, 'urgent', step, priority=0)
+    builders.decide(ledger, NOW + 1.0, guarantee=99)
+    lost_seconds = 1.0 + tentative_plan.RESTART_COST_S
+    loss = step.count * step.get_core_equivalents() * lost_seconds
+    for tenth in range(5):
+        assert urgent.preemption_losses == {(0, 0, 0): pytest.approx(loss)}
+        builders.decide(ledger, NOW + 1.1 + 0.1 * tenth, guarantee=99)
