--- a/tests/test_coordinator/instance.py
+++ b/tests/test_coordinator/instance.py
@@ -6,6 +6,8 @@
 class Instance:
     """An instance with a worker and the agent beside it.
 
+    :ivar rack: rack of the machine.
+    :ivar labels: labels of the worker.
     :ivar connection_epoch: number of times that all connections to the worker
         were reset.
     :ivar pool: connections of the agent's process to the worker.
@@ -22,6 +24,8 @@
 
     def __init__(self, index):
         self.name = f'agent-{index}'
+        self.rack = 'r1'
+        self.labels = ('a', 'r1')
         self.worker = None
         self.agent = None
         self.pool = None
