Play what may keep work from starting, singly, in pairs and in takeovers

Cause: the plays had three workers of which none was ever lost for good, no racks and labels, no work that crashes its worker, and their work was over soon after the last fault. So nothing could wait beside idle workers then.

Change: the mixes of waiting_table.PAIRS have six workers in two racks, lost machines and racks, outages of start calls, stop calls and the store, gangs as wide as the service, crashing work and jobs of many steps that go on after the last fault. Other mixes play as before.

--- a/tests/test_coordinator/fault_actions.py
+++ b/tests/test_coordinator/fault_actions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.test_coordinator import disturbances
+from tests.test_coordinator import waiting_actions
 
 # Time in seconds that a smaller worker takes to start.
 START_TIMES = (0.05, 0.3, 1.0)
@@ -30,6 +31,8 @@
             instance.reset_connections()
         case 'smaller workers that start':
             simulation.processes.shrink(instance, rng.choice(START_TIMES))
+        case _ if fault in waiting_actions.ACTIONS:
+            waiting_actions.act(rng, simulation, instance, fault)
         case _:
             rate = rng.choice(disturbances.RATES)
             simulation.disturbances.set_rate(fault, rate)
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -7,6 +7,7 @@
 from damaskpin.model import work
 from tests.test_coordinator import fault_actions
 from tests.test_coordinator import simulation as simulations
+from tests.test_coordinator import waiting_actions
 
 ACTIONS = 60
 
@@ -83,8 +84,11 @@
     """
     rng = random.Random(seed)
     simulation = simulations.Simulation(
-        seed, has_overlapping_calls=OVERLAPPING_CALLS in faults
+        seed,
+        waiting_actions.count_instances(faults),
+        OVERLAPPING_CALLS in faults,
     )
+    waiting_actions.prepare(simulation, faults)
     simulation.limits_waits = limits_waits
     simulation.late_calls_outlive_processes = OUTLIVING_CALLS in faults
     faults = [fault for fault in faults if fault != OUTLIVING_CALLS]
@@ -99,6 +103,7 @@
     for index in range(actions):
         _act(rng, simulation, faults, due_faults.get(index))
         simulation.run(rng.choice(waits))
+    waiting_actions.submit_last(simulation, faults)
     simulation.heal_and_finish()
     return simulation
 
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -56,6 +56,7 @@
         no such delay.
     :ivar start_time: time in seconds that a worker's process takes to start.
     :ivar crashing_jobs: ids of jobs whose work items crash their workers.
+    :ivar run_s: time in seconds that a run lasts after the last fault.
     :ivar limits_waits: whether a job that waits for too long after the last
         fault is an error.
     :ivar idle_check: check of idle jobs since the last fault; ``None`` before.
@@ -86,6 +87,7 @@
         if has_overlapping_calls:
             self.tick_s = overlapping_calls.TICK_S
             self._calls = overlapping_calls.OverlappingCalls(self)
+        self.run_s = RUN_S
         self.limits_waits = False
         self.idle_check = None
         self.crashing_jobs = set()
@@ -203,6 +205,7 @@
         self.processes.late_heartbeat_rate = 0.0
         self.processes.lost_heartbeat_rate = 0.0
         self.disturbances.clear()
+        self.set_slow_rate(0.0)
         for instance in self.instances:
             instance.frozen_until = 0.0
             instance.disconnected = False
@@ -314,7 +317,7 @@
     def _end_old_runs(self):
         for instance in self.instances:
             for run, active_run in list(instance.worker.running.items()):
-                if self.now - active_run.began < RUN_S:
+                if self.now - active_run.began < self.run_s:
                     continue
                 if run not in instance.worker.running:
                     continue
