--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -165,9 +165,11 @@
         for job_id in self.submissions:
             self._add_job(job_id)
 
-    def submit(self, steps, attempts=2):
+    def submit(self, steps, attempts=2, priority=None):
         job_id = f'{len(self.submissions):016x}'
-        terms = work.Terms('q', 's', self.random.randrange(3), attempts, 2.0)
+        if priority is None:
+            priority = self.random.randrange(3)
+        terms = work.Terms('q', 's', priority, attempts, 2.0)
         submission = work.Submission(
             job_id, 'a', 'content', steps, terms, WALL + self.now
         )
--- a/tests/test_coordinator/waiting_actions.py
+++ b/tests/test_coordinator/waiting_actions.py
@@ -177,12 +177,17 @@
     simulation.instances[:] = remaining
 
 
-def restart_and_lose(rng, simulation, instance):
-    """Restart a worker with its id, and lose its machine soon after."""
+def restart(simulation, instance):
+    """Restart a worker with its id."""
     name = instance.worker.lifetime.worker
     instance.worker.crash()
     instance.down_until = simulation.now + simulation.start_time
     simulation.processes.start(instance, name, simulations.CAPACITY)
+
+
+def restart_and_lose(rng, simulation, instance):
+    """Restart a worker with its id, and lose its machine soon after."""
+    restart(simulation, instance)
     worker = instance.worker
 
     def lose_restarted():
