--- a/tests/test_coordinator/test_coordinator_idle_work.py
+++ b/tests/test_coordinator/test_coordinator_idle_work.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import pytest
+
 from damaskpin.model import work
+from damaskpin.platform import settings
 from tests.test_coordinator import simulation as simulations
 from tests.test_coordinator import waiting_actions
 
@@ -88,3 +91,24 @@
         simulation.submit(_make_chain(15, MOST_OF_A_WORKER), priority=0)
     simulation.restart_worker(instance, may_keep_id=False)
     simulation.heal_and_finish()
+
+
+@pytest.mark.parametrize('has_takeover', [False, True])
+def test_no_job_waits_for_the_grant_of_a_lost_worker(
+    has_takeover, monkeypatch
+):
+    """Guards against work that stays placed on a machine that is gone.
+
+    Its agent might renew the lease until the end of its grant, which a new
+    coordinator counts from its own start. The grant is that of the program.
+    """
+    monkeypatch.setattr(simulations, 'GRANT_S', settings.GRANT_DURATION_S)
+    simulation = _make_simulation()
+    simulation.submit(_make_chain(1), priority=2)
+    simulation.run(1.0)
+    (instance,) = [i for i in simulation.instances if i.worker.running]
+    waiting_actions.lose(simulation, [instance])
+    if has_takeover:
+        simulation.run(5.0)
+        simulation.replace_coordinator()
+    simulation.heal_and_finish()
