--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -7,6 +7,7 @@
 from damaskpin.model import work
 from tests.test_coordinator import fault_actions
 from tests.test_coordinator import simulation as simulations
+from tests.test_coordinator import waiting_actions
 
 ACTIONS = 60
 
@@ -61,7 +62,14 @@
 ]
 
 
-def play(seed, faults, actions=ACTIONS, has_each_fault=False, waits=WAITS):
+def play(
+    seed,
+    faults,
+    actions=ACTIONS,
+    has_each_fault=False,
+    waits=WAITS,
+    limits_waits=False,
+):
     """Play random actions, then remove all faults and wait for all jobs.
 
     :param faults: names of the faults that the play may use; a name that is
@@ -70,12 +78,18 @@
         in the order of their names and at regular intervals. The other actions
         are drawn.
     :param waits: seconds of which one passes after each action.
+    :param limits_waits: whether a job that waits for too long after the last
+        fault is a broken promise.
     :raises AssertionError: the simulation has seen a broken promise.
     """
     rng = random.Random(seed)
     simulation = simulations.Simulation(
-        seed, has_overlapping_calls=OVERLAPPING_CALLS in faults
+        seed,
+        waiting_actions.count_instances(faults),
+        OVERLAPPING_CALLS in faults,
     )
+    waiting_actions.prepare(simulation, faults)
+    simulation.limits_waits = limits_waits
     simulation.late_calls_outlive_processes = OUTLIVING_CALLS in faults
     faults = [fault for fault in faults if fault != OUTLIVING_CALLS]
     simulation.run(1.0)
@@ -89,6 +103,7 @@
     for index in range(actions):
         _act(rng, simulation, faults, due_faults.get(index))
         simulation.run(rng.choice(waits))
+    waiting_actions.submit_last(simulation, faults)
     simulation.heal_and_finish()
     return simulation
 
