Let the simulation count a run of a gang once and ask for a job's cause

Change: a module of its own counts failed runs by work item or gang and number, as the workers have ended them. A start is a break if attempts other runs of its work item or gang have failed and were noted or are recorded. A work item that has failed itself in the run that starts counts as well, so that a late copy of its call stays a break. Two new checks: a job that is shown as failed has failed runs for all its attempts, or crashes that reach the limits, under its own runs and only if it gives them as the reason; and a work item or gang whose last allowed failure is acknowledged is recorded as ended.

The reading is as strict as before for each work item by itself: all its own failed runs count, its own number too. For gangs it is stricter, since runs in which different members failed add up now.

--- a/tests/test_coordinator/oracle.py
+++ b/tests/test_coordinator/oracle.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import records
 from damaskpin.model import work
+from tests.test_coordinator import failures
 
 
 class Oracle:
@@ -29,7 +30,7 @@
         self._event_count = 0
         self._starts = collections.defaultdict(list)
         self._ends = {}
-        self._noted_failures = collections.defaultdict(list)
+        self._failures = failures.Failures(submissions, store)
         self.done_items = set()
         self.start_count = 0
         self.starts_by_item = collections.Counter()
@@ -47,28 +48,37 @@
             f'{run} starts after an end that was taken note of'
         )
         self._later_starts[run.item].add(run)
-        self._starts[run.item].append((self._count_event(), run))
+        event = self._count_event()
+        self._starts[run.item].append((event, run))
         self._check_record(run, step)
-        self._check_failures(run.item)
+        self._failures.record_start(event, worker, run)
         self._check_capacity(worker)
 
-    def record_end(self, run):
-        """Record that a run has ended, in whichever way."""
+    def record_end(self, run, ending):
+        """Record that a run has ended.
+
+        :param ending: how; ``None`` if its worker has crashed.
+        """
         self._running_runs[run.item].discard(run)
         self._ends[run] = self._count_event()
+        self._failures.record_end(run, ending)
 
     def record_noted(self, row):
         """Check an end that the agent has acknowledged.
 
         The end counts from then on, so no run may have started after it.
         """
-        match row.ending:
-            case work.Ending.FAILED:
-                noted = self._noted_failures[row.run.item]
-                noted.append(self._ends[row.run])
-                self._check_failures(row.run.item)
-            case work.Ending.DONE:
-                self._record_done(row)
+        event = self._ends[row.run]
+        self._failures.record_noted(row.run, row.ending, event)
+        if row.ending is work.Ending.DONE:
+            self._record_done(row)
+
+    def check_failed_jobs(self, jobs):
+        """Check that each job that is shown as failed has a cause.
+
+        :param jobs: jobs of the coordinator by id.
+        """
+        self._failures.check_failed_jobs(jobs)
 
     def _record_done(self, row):
         item = row.run.item
@@ -111,23 +121,7 @@
             assert len(steps[predecessor].done) >= count, (
                 f'{run} starts before its predecessor has ended'
             )
-        failures = steps[run.item.step].failures.get(slot, 0)
-        assert failures < submission.terms.attempts
-
-    def _check_failures(self, item):
-        """Check that no run has started after the last allowed failure.
-
-        An end counts if it is acknowledged, before the start or after it.
-        """
-        attempts = self._submissions[item.job].terms.attempts
-        failures = sorted(self._noted_failures[item])
-        if len(failures) < attempts:
-            return
-        last_failure = failures[attempts - 1]
-        later = [
-            run for event, run in self._starts[item] if event > last_failure
-        ]
-        assert not later, f'{later} started after {attempts} failures'
+        self._failures.check_record(run, steps[run.item.step])
 
     def _check_capacity(self, worker):
         used = work.Resources()
--- a/tests/test_coordinator/worker_processes.py
+++ b/tests/test_coordinator/worker_processes.py
@@ -163,7 +163,7 @@
         simulation.oracle.check_start(worker, run)
 
     def _record_end(self, worker, run, ending):
-        self._simulation.oracle.record_end(run)
+        self._simulation.oracle.record_end(run, ending)
 
     def _record_noted(self, worker, row):
         self._simulation.oracle.record_noted(row)
