Play gangs of which several members fail in one run

Change: the fault 'failing gangs' ends two or more members of one run as failed on their workers, together or up to 3 s apart; the others end broken up to 2 s later or live on. A table of its own crosses what tells of these ends, or may wrongly prove something about them, with the disturbances of the fault table: takeovers, late and lost messages and store writes, new processes, removals. No fault is added to the existing mixes, so that their plays stay as they are.

--- a/tests/test_coordinator/failures.py
+++ b/tests/test_coordinator/failures.py
@@ -85,6 +85,16 @@
             self._check_cause(job_id, job.progress)
             self._explained_jobs.add(job_id)
 
+    def count_shared_runs(self):
+        """Return the number of runs in which several members have failed."""
+        failed = collections.Counter(
+            run.get_gang_run()
+            for unit, runs in self._failed.items()
+            if self._submissions[unit[0]].steps[unit[2]].gang
+            for run in runs
+        )
+        return sum(count > 1 for count in failed.values())
+
     def _check_cause(self, job_id, progress):
         units = [unit for unit in self._starts if unit[0] == job_id]
         attempts = self._get_attempts(job_id)
--- a/tests/test_coordinator/fault_actions.py
+++ b/tests/test_coordinator/fault_actions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.test_coordinator import disturbances
+from tests.test_coordinator import gang_failures
 
 # Time in seconds that a smaller worker takes to start.
 START_TIMES = (0.05, 0.3, 1.0)
@@ -14,6 +15,8 @@
     :param fault: name of the fault.
     """
     match fault:
+        case gang_failures.FAULT:
+            gang_failures.act(rng, simulation)
         case 'hidden births':
             worker = instance.worker
             worker.tells_birth = not worker.tells_birth
--- a/tests/test_coordinator/fault_table.py
+++ b/tests/test_coordinator/fault_table.py
@@ -14,8 +14,8 @@
     """Something that a process says or is told.
 
     :ivar proof: what it may wrongly prove.
-    :ivar late: fault that makes it late.
-    :ivar lost: fault that loses it.
+    :ivar late: fault that makes it late; ``None`` for none.
+    :ivar lost: fault that loses it; ``None`` for none.
     :ivar occasions: faults and actions that make a process say it, beside the
         submissions and ends of runs of each play.
     """
@@ -123,12 +123,16 @@
 PAIRS = tuple((row, column) for row in ROWS for column in COLUMNS)
 
 
-def make_mix(row_name, column):
-    """Return the names of the faults of a play that tries a pair."""
-    row = ROWS[row_name]
+def make_mix(row_name, column, rows=ROWS):
+    """Return the names of the faults of a play that tries a pair.
+
+    :param rows: rows by name, of this table or of another one.
+    """
+    row = rows[row_name]
     # Other disturbances come while it is under way.
     way = row.lost if column == LOSS else row.late
-    faults = dict.fromkeys((*row.occasions, *COLUMNS[column], way))
+    ways = () if way is None else (way,)
+    faults = dict.fromkeys((*row.occasions, *COLUMNS[column], *ways))
     # The faults of the column are drawn twice as often as the others.
     return (*faults, *COLUMNS[column])
 
--- a/tests/test_coordinator/oracle.py
+++ b/tests/test_coordinator/oracle.py
@@ -18,6 +18,7 @@
 
     :param submissions: submitted jobs by id.
     :param store: stored progress by id of the job.
+    :ivar failures: checks of failed runs.
     :ivar done_items: work items with a good end that was acknowledged.
     """
 
@@ -30,7 +31,7 @@
         self._event_count = 0
         self._starts = collections.defaultdict(list)
         self._ends = {}
-        self._failures = failures.Failures(submissions, store)
+        self.failures = failures.Failures(submissions, store)
         self.done_items = set()
         self.start_count = 0
         self.starts_by_item = collections.Counter()
@@ -51,7 +52,7 @@
         event = self._count_event()
         self._starts[run.item].append((event, run))
         self._check_record(run, step)
-        self._failures.record_start(event, worker, run)
+        self.failures.record_start(event, worker, run)
         self._check_capacity(worker)
 
     def record_end(self, run, ending):
@@ -61,7 +62,7 @@
         """
         self._running_runs[run.item].discard(run)
         self._ends[run] = self._count_event()
-        self._failures.record_end(run, ending)
+        self.failures.record_end(run, ending)
 
     def record_noted(self, row):
         """Check an end that the agent has acknowledged.
@@ -69,17 +70,10 @@
         The end counts from then on, so no run may have started after it.
         """
         event = self._ends[row.run]
-        self._failures.record_noted(row.run, row.ending, event)
+        self.failures.record_noted(row.run, row.ending, event)
         if row.ending is work.Ending.DONE:
             self._record_done(row)
 
-    def check_failed_jobs(self, jobs):
-        """Check that each job that is shown as failed has a cause.
-
-        :param jobs: jobs of the coordinator by id.
-        """
-        self._failures.check_failed_jobs(jobs)
-
     def _record_done(self, row):
         item = row.run.item
         step = self._submissions[item.job].steps[item.step]
@@ -121,7 +115,7 @@
             assert len(steps[predecessor].done) >= count, (
                 f'{run} starts before its predecessor has ended'
             )
-        self._failures.check_record(run, steps[run.item.step])
+        self.failures.check_record(run, steps[run.item.step])
 
     def _check_capacity(self, worker):
         used = work.Resources()
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -240,7 +240,7 @@
                 self._links.deliver(
                     instance, self.coordinator.make_orders(worker)
                 )
-        self.oracle.check_failed_jobs(self.coordinator.jobs)
+        self.oracle.failures.check_failed_jobs(self.coordinator.jobs)
 
     def _run_events(self, end):
         """Run the scheduled functions that are due, each at its time."""
