Let runs fail in the soak test, also several members of a gang

Change: a share of the runs of work items and gangs fails, drawn from their names and not from the random source of the play. In a run of a gang one or more members fail, at the same moment or up to 0.5 s apart; the others end broken up to 0.5 s later or live on. Attempts are two, so that two members that count twice end a job. The oracle checks that each job that is shown as failed has failed runs, by number, for all its attempts, or crashes that reach the limits if it gives them as the reason.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -136,6 +136,7 @@
         await asyncio.gather(*submissions, *fleet.rolling_restarts)
         fleet.clear_faults()
         await wait_until_complete(fleet, job_client, oracle)
+        oracle.check_failed(job_client.failed, fleets.ATTEMPTS)
         oracle.check_refused(job_client.refused)
         oracle.check_withdrawn(job_client.withdrawn)
     finally:
@@ -145,6 +146,8 @@
         f'{len(job_client.accepted)} accepted, '
         f'{len(job_client.refused)} refused, '
         f'{len(job_client.withdrawn)} withdrawn, '
+        f'{len(job_client.failed)} failed, '
+        f'{oracle.failures.count_shared_runs()} shared failures, '
         f'{len(injected_faults)} faults, {len(oracle.violations)} violations',
         flush=True,
     )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,6 +26,7 @@
         429 or 503.
     :ivar withdrawn: ids of the jobs that were not accepted and whose cancel
         was answered with 410.
+    :ivar failed: reasons of the accepted jobs that are shown as failed.
     """
 
     def __init__(self, fleet, rng, durations, oracle):
@@ -39,6 +40,7 @@
         self.accepted = set()
         self.refused = set()
         self.withdrawn = set()
+        self.failed = {}
 
     async def submit_job(self, cancel=False):
         """Submit a random job, up to four times until it is accepted.
@@ -58,6 +60,7 @@
         steps = [step]
         if self._rng.random() < 0.3:
             steps.append({**step, 'after': [0]})
+        self._oracle.failures.add_job(job, steps)
         body = json.dumps({'spec': spec, 'steps': steps}).encode()
         statuses = []
         for _ in range(4):
@@ -143,4 +146,6 @@
             status, body = await self.send_request('GET', job)
             if status != 200 or body.get('state') not in FINAL_STATES:
                 unfinished.add(f'{job}: {status} {body}')
+            elif body['state'] == 'failed':
+                self.failed[job] = body.get('reason', '')
         return unfinished
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -21,6 +21,8 @@
 HOST = 'soak.example'
 PREFIX = '/jobs/'
 KEY = 'soak-key'
+# Failed runs of a work item or gang after which its job fails.
+ATTEMPTS = 2
 CONFIG = {
     'version': 1,
     'routes': [
@@ -29,7 +31,7 @@
             'host': HOST,
             'prefix': PREFIX,
             'service': 's',
-            'attempts': 3,
+            'attempts': ATTEMPTS,
             'stretch': 3.0,
             'priority': 1,
         }
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -7,6 +7,8 @@
 
 import time
 
+from soak import failures
+
 # Seconds after which no run of a cancelled job may start. An instance that is
 # cut off from the coordinator may start runs until its grant of 13.5 s ends.
 MAX_START_AFTER_CANCEL_S = 15.0
@@ -16,8 +18,10 @@
     """Checks the runs of tasks.
 
     A task may have one live run at a time, and none after its recorded end,
-    after its cancellation, or if its job was refused.
+    after its cancellation, or if its job was refused. A job is shown as failed
+    only after its attempts.
 
+    :ivar failures: runs that fail, and those that have failed.
     :ivar violations: descriptions of broken guarantees.
     :ivar live_runs: worker by (worker id, run number), for each task.
     :ivar unrecorded_ends: task by (worker id, start time of the worker,
@@ -32,6 +36,7 @@
         self.clock = clock
         self.rng = rng
         self.violations = []
+        self.failures = failures.Failures()
         self.live_runs = {}
         self.unrecorded_ends = {}
         self.recorded_tasks = set()
@@ -43,6 +48,7 @@
     def record_start(self, worker, task, run_number):
         """Record the start of a run and check whether it was allowed."""
         self.start_count += 1
+        self.failures.record_start(task, run_number)
         job = task.split('.')[0]
         self.started_jobs.add(job)
         delay = self.clock() - self.cancelled.get(job, self.clock())
@@ -67,8 +73,13 @@
         """Record the time at which a cancellation was acknowledged."""
         self.cancelled.setdefault(job, self.clock())
 
-    def record_end(self, worker, task, run_number, outcome, serial):
-        """Record the end of a run."""
+    def record_end(self, worker, task, run_number, outcome, serial, ended_at):
+        """Record the end of a run.
+
+        :param ended_at: monotonic time of the worker in milliseconds.
+        """
+        if outcome == 'failed':
+            self.failures.record_failure(task, run_number, ended_at)
         self.live_runs.get(task, {}).pop((worker.name, run_number), None)
         if outcome == 'done':
             self.unrecorded_ends[(worker.name, worker.start_time, serial)] = (
@@ -77,10 +88,13 @@
 
     def record_worker_crash(self, worker):
         """Remove all live runs of a worker that has crashed."""
-        for runs in self.live_runs.values():
+        for task, runs in self.live_runs.items():
             for key, live_worker in list(runs.items()):
                 if live_worker is worker:
                     del runs[key]
+                    self.failures.record_crash(task, key[1])
+        for _, task, run_number, _, _ in worker.ended:
+            self.failures.record_crash(task, run_number)
 
     def record_acknowledged_ends(self, worker, last_serial):
         """Record that an agent has acknowledged ends of runs.
@@ -106,6 +120,16 @@
                 f'{job} ran although all its submissions were refused'
             )
 
+    def check_failed(self, failed_jobs, attempts):
+        """Check that each job that is shown as failed has no attempts left.
+
+        :param failed_jobs: reasons of these jobs by id.
+        :param attempts: failed runs after which a job fails.
+        """
+        self.violations += self.failures.list_unexplained(
+            failed_jobs, attempts
+        )
+
     def check_withdrawn(self, withdrawn):
         """Check that no job has run that was cancelled as an unknown one.
 
--- a/soak/worker.py
+++ b/soak/worker.py
@@ -56,15 +56,15 @@
         return int(self.clock() * 1000)
 
     def advance(self):
-        """End the runs that are due: done, stopped, or beyond the lease."""
+        """End the runs that are due, each in the way that comes first."""
         now = self.get_monotonic_ms()
         for task, run in list(self.running.items()):
             if run['stops'] is not None and now >= run['stops']:
                 self._end_run(task, 'stopped', run['stops'])
-            elif now >= min(run['ends'], self.lease_end):
-                lapsed = self.lease_end < run['ends']
-                outcome = 'lapsed' if lapsed else 'done'
-                self._end_run(task, outcome, min(run['ends'], self.lease_end))
+                continue
+            ended_at, outcome = self._find_end(task, run)
+            if now >= ended_at:
+                self._end_run(task, outcome, ended_at)
 
     def handle_hold(self, body):
         if 'untilMs' in body:
@@ -94,11 +94,13 @@
         if body['untilMs'] <= now:
             return 409, 'late'
         self.oracle.record_start(self, task, run_number)
-        run_end = now + int(1000 * self.durations[body['spec']])
+        duration = int(1000 * self.durations[body['spec']])
+        failure = self.oracle.failures.draw_failure(task, run_number, duration)
         self.running[task] = {
             'run': run_number,
             'began': now,
-            'ends': run_end,
+            'ends': now + duration,
+            'fails': None if failure is None else now + failure,
             'stops': None,
         }
         return 200, ''
@@ -116,6 +118,16 @@
         ):
             run['stops'] = self.get_monotonic_ms() + int(STOP_DELAY_S * 1000)
 
+    def _find_end(self, task, run):
+        """Return the time and outcome of a run that is not to be stopped."""
+        ends = [(run['ends'], 'done'), (self.lease_end, 'lapsed')]
+        break_time = self.oracle.failures.get_break_time(task, run['run'])
+        if run['fails'] is not None:
+            ends.append((run['fails'], 'failed'))
+        elif break_time is not None:
+            ends.append((break_time, 'broken'))
+        return min(ends)
+
     def _end_run(self, task, outcome, ended_at):
         run = self.running.pop(task)
         self.highest_runs[task] = max(
@@ -123,7 +135,9 @@
         )
         self.serial += 1
         self.ended.append([self.serial, task, run['run'], outcome, ''])
-        self.oracle.record_end(self, task, run['run'], outcome, self.serial)
+        self.oracle.record_end(
+            self, task, run['run'], outcome, self.serial, ended_at
+        )
 
     async def send_heartbeats(self):
         """Send heartbeats to the agent until the task is cancelled."""
