--- a/tests/test_coordinator/fault_actions.py
+++ b/tests/test_coordinator/fault_actions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tests.test_coordinator import disturbances
+from tests.test_coordinator import gang_failures
 from tests.test_coordinator import waiting_actions
 
 # Time in seconds that a smaller worker takes to start.
@@ -15,6 +16,8 @@
     :param fault: name of the fault.
     """
     match fault:
+        case gang_failures.FAULT:
+            gang_failures.act(rng, simulation)
         case 'hidden births':
             worker = instance.worker
             worker.tells_birth = not worker.tells_birth
