Extend the lease of a restarted worker by the time since its restart

Cause: the 22 s by which late calls to the former process may extend the lease were added to the end of the latest grant, for as long as the new process lived. Such calls are sent before the agent reports the new process, and take effect 15 s later at the latest, for 10 s. The extension is now also bounded by its value at the restart (36.7 s after it), and never longer than before.

--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -157,7 +157,7 @@
     def remove_expired_workers(self, now: float) -> None:
         """Remove the workers whose lease has certainly ended."""
         for worker in list(self.workers.values()):
-            if now <= worker.latest_run_end + worker.lease_extension:
+            if now <= worker.get_last_lease_end():
                 continue
             if not worker.runs and worker.is_reporting(now):
                 # The agent still reports the worker, so that a removed worker
@@ -280,8 +280,12 @@
             worker.add_run(placed)
         worker.orders_due = True
         # A call whose lease end is a time of the former process's clock may
-        # have set the longest lease that the new process allows.
+        # have set the longest lease that the new process allows. All such
+        # calls were sent before the agent reported the new process.
         worker.lease_extension = RESTART_LEASE_EXTENSION_S
+        worker.extension_end = (
+            self.get_latest_run_end(now) + RESTART_LEASE_EXTENSION_S
+        )
 
     def _add_worker(
         self, now: float, lifetime: work.Lifetime, agent: str
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -88,6 +88,7 @@
         item may crash its worker.
     :ivar lease_extension: seconds after ``latest_run_end`` for which the lease
         of a restarted worker may still last; 0 for other workers.
+    :ivar extension_end: time in seconds up to which it may be extended.
     :ivar pending_ends: recorded ends that may not be stored yet, in the order
         of their serials.
     :ivar report_time: time of the latest report, by the agent's clock.
@@ -103,6 +104,7 @@
         'address',
         'agent',
         'blamed_runs',
+        'extension_end',
         'failed_jobs',
         'failed_runs',
         'free_capacity',
@@ -148,6 +150,7 @@
         self.granted_report_time = 0.0
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
+        self.extension_end = -math.inf
         self.last_end_serial = 0
         self.last_failed_start = -math.inf
         self.last_start = -math.inf
@@ -199,6 +202,13 @@
             and self.is_reporting(now)
         )
 
+    def get_last_lease_end(self) -> float:
+        """Return the time by which the lease has certainly ended."""
+        extended = min(
+            self.latest_run_end + self.lease_extension, self.extension_end
+        )
+        return max(self.latest_run_end, extended)
+
     def is_restarted(self) -> bool:
         """Return whether the process has followed one of the same id.
 
