Count only runs at work against the limit on idle time

Cause: IdleLimit took any placed run without a stop order for a job that has something running. It now goes by what was last heard: a run counts for 3 s after its worker has listed it, or after its placement, and not by lists that the agent of a silent worker repeats. Nothing starts a second run of the same work item for it; only the job's other work items start elsewhere.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -22,6 +22,7 @@
 
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import planning
     from damaskpin.coordinator import worker_state
 
@@ -30,6 +31,11 @@
 MIN_AGE_S = 10.0
 MAX_IDLE_S = 1.0
 
+# Time in seconds for which a run counts as at work after its worker last
+# listed it, or after its placement. It allows for a start and for a report
+# that is lost.
+MAX_UNHEARD_S = 3.0
+
 # Share of a service's capacity from which its reservations always hold.
 MAX_USED_SHARE = 0.5
 
@@ -59,10 +65,10 @@
     __slots__ = (
         '_ledger',
         '_now',
-        '_placed_jobs',
         '_reserved_units',
         '_used_shares',
         '_wall',
+        '_working_jobs',
     )
 
     def __init__(
@@ -72,7 +78,7 @@
         self._wall = wall
         self._ledger = ledger
         self._used_shares: dict[str, float] = {}
-        self._placed_jobs: set[str] | None = None
+        self._working_jobs: set[str] | None = None
         self._reserved_units: list[_ReservedUnit] = []
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
@@ -81,7 +87,7 @@
             return False
         if self._wall - get_due_time(unit) < MIN_AGE_S:
             return False
-        if self._has_placed(unit.job):
+        if self._is_at_work(unit.job):
             return False
         service = unit.job.submission.terms.service
         return self.get_used_share(service) < MAX_USED_SHARE
@@ -97,8 +103,8 @@
 
     def record_start(self, unit: jobs.Unit) -> None:
         """Record that the job of a unit is no longer idle."""
-        if self._placed_jobs is not None:
-            self._placed_jobs.add(unit.job.id)
+        if self._working_jobs is not None:
+            self._working_jobs.add(unit.job.id)
 
     def record_reservation(
         self,
@@ -137,15 +143,32 @@
                 )
         return reservations
 
-    def _has_placed(self, job: jobs.Job) -> bool:
-        if self._placed_jobs is None:
-            self._placed_jobs = {
+    def _is_at_work(self, job: jobs.Job) -> bool:
+        if self._working_jobs is None:
+            self._working_jobs = {
                 placed.run.item.job
                 for worker in self._ledger.workers.values()
                 for placed in worker.runs.values()
-                if not placed.stop_reason
+                if is_at_work(self._now, worker, placed)
             }
-        return job.id in self._placed_jobs
+        return job.id in self._working_jobs
+
+
+def is_at_work(
+    now: float, worker: worker_state.Worker, placed: placed_run.PlacedRun
+) -> bool:
+    """Return whether a run works, by what was last heard of its worker.
+
+    The books keep runs that may exist, also where nobody has heard of them
+    for long.
+    """
+    if placed.stop_reason:
+        return False
+    heard = placed.last_listed or placed.placed_at
+    if worker.silence:
+        # The agent repeats the lists that it has read before.
+        heard = min(heard, now - worker.silence)
+    return now - heard <= MAX_UNHEARD_S
 
 
 def get_due_time(unit: jobs.Unit) -> float:
