Leave out unusable workers when the use of a service is measured

Cause: IdleLimit measured all workers in the books. It now measures those that may take new work, so that neither the capacity nor the runs of others count.

test_runs_on_silent_workers_do_not_count_as_use_of_the_service failed before.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -93,11 +93,18 @@
         return self.get_used_share(service) < MAX_USED_SHARE
 
     def get_used_share(self, service: str) -> float:
-        """Return the share of a service's capacity that runs use."""
+        """Return the share of a service's capacity that runs use.
+
+        Only usable workers count. The runs of others stay in the books until
+        they have certainly ended.
+        """
         share = self._used_shares.get(service)
         if share is None:
-            workers = list_workers(self._ledger, service)
-            share = measure_used_share(workers)
+            share = measure_used_share(
+                worker
+                for worker in list_workers(self._ledger, service)
+                if worker.is_usable(self._now)
+            )
             self._used_shares[service] = share
         return share
 
