Heed the reservation of an earlier job only until it should have started

A waiting unit now keeps the start that was expected when capacity was first reserved for it. 3 s after that time an idle job may use the capacity, if it finds twice the room that it needs and under half of the service is in use, as before. The gang then has a new expected start and is heeded until that one, so that it is put off by one unit at a time. Reservations for guarantees and after preemptions always hold.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -4,9 +4,10 @@
 larger work, because it then ends sooner or holds up less. That is no reason to
 leave it with nothing running for long while most of the service is idle.
 
-It never takes capacity that is reserved for an earlier job, for a guarantee or
-after a preemption. A large job would otherwise wait without end behind small
-ones, and preempt the same ones again and again.
+It never takes capacity that is reserved for a guarantee or after a preemption,
+and capacity that is reserved for an earlier job only once that job should have
+started. A large job would otherwise wait without end behind small ones, and
+preempt the same ones again and again.
 """
 
 from __future__ import annotations
@@ -36,6 +37,11 @@
 # that is lost.
 MAX_UNHEARD_S = 3.0
 
+# Time in seconds by which the start of an earlier job may be late before idle
+# jobs may use its capacity. Estimates of the runs that it waits for are often
+# too short.
+MAX_DELAY_S = 3.0
+
 # Share of a service's capacity from which its reservations always hold.
 MAX_USED_SHARE = 0.5
 
@@ -55,6 +61,10 @@
     expected_start: float
     is_firm: bool
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the unit should have started some time ago."""
+        return now > self.unit.get_promised_start() + MAX_DELAY_S
+
 
 class IdleLimit:
     """Tells which jobs have waited for too long, in one placement pass.
@@ -126,6 +136,7 @@
             seconds.
         :param is_firm: whether no idle job may use the capacity.
         """
+        unit.promise_start(expected_start)
         self._reserved_units.append(
             _ReservedUnit(unit, plan, expected_start, is_firm)
         )
@@ -138,8 +149,7 @@
             work.Lifetime, list[tentative_plan.Reservation]
         ] = {}
         for reserved in self._reserved_units:
-            is_earlier = get_due_time(reserved.unit) <= get_due_time(unit)
-            if not (reserved.is_firm or is_earlier):
+            if not self._is_heeded(reserved, unit):
                 continue
             reservation = tentative_plan.Reservation(
                 reserved.unit.step.get_reservation(), reserved.expected_start
@@ -150,6 +160,28 @@
                 )
         return reservations
 
+    def renew_promises(self, unit: jobs.Unit, plan: planning.Plan) -> None:
+        """Expect later starts of the units whose capacity a plan uses.
+
+        A unit that is overdue is put off by one other unit at a time.
+
+        :param unit: unit of an idle job that starts by the plan.
+        """
+        used = {worker.lifetime for worker in plan.workers}
+        for reserved in self._reserved_units:
+            if self._is_heeded(reserved, unit):
+                continue
+            if any(w.lifetime in used for w in reserved.plan.workers):
+                reserved.unit.forget_promised_start()
+
+    def _is_heeded(self, reserved: _ReservedUnit, unit: jobs.Unit) -> bool:
+        """Return whether a unit of an idle job leaves capacity to another."""
+        if reserved.is_firm:
+            return True
+        if get_due_time(reserved.unit) > get_due_time(unit):
+            return False
+        return not reserved.is_overdue(self._now)
+
     def _is_at_work(self, job: jobs.Job) -> bool:
         if self._working_jobs is None:
             self._working_jobs = {
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import crash_counts
@@ -72,6 +73,21 @@
         total = self.get_preemption_loss() + loss
         self.job.preemption_losses[self.get_key()[1:]] = total
 
+    def promise_start(self, expected: float) -> None:
+        """Record when the unit should start, unless that is recorded.
+
+        :param expected: time at which it is now expected to start, in seconds.
+        """
+        self.job.promised_starts.setdefault(self.get_key()[1:], expected)
+
+    def get_promised_start(self) -> float:
+        """Return when the unit should start; infinite if nothing tells."""
+        return self.job.promised_starts.get(self.get_key()[1:], math.inf)
+
+    def forget_promised_start(self) -> None:
+        """Let the next promise tell when the unit should start."""
+        self.job.promised_starts.pop(self.get_key()[1:], None)
+
     def get_item(self, index: int) -> work.Item:
         """Return the identity of one work item of the unit.
 
@@ -94,6 +110,9 @@
     :ivar preemption_losses: core-seconds of work that preemptions for a unit
         have lost since its latest start, by the unit's occurrence, step index
         and slot.
+    :ivar promised_starts: time in seconds at which a unit was expected to
+        start when capacity was first reserved for it, by the unit's
+        occurrence, step index and slot.
     :ivar unrecorded: runs that a worker lists and the progress lacks.
     :ivar moved_runs: numbers of the runs of a unit that were moved off
         workers on which they were stalled or slow, by the unit's occurrence,
@@ -108,6 +127,7 @@
         'moved_runs',
         'preemption_losses',
         'progress',
+        'promised_starts',
         'revision',
         'stored_version',
         'submission',
@@ -125,6 +145,7 @@
         self.failed_worker_ids: set[str] = set()
         self.moved_runs: dict[tuple[int, int, int], set[int]] = {}
         self.preemption_losses: dict[tuple[int, int, int], float] = {}
+        self.promised_starts: dict[tuple[int, int, int], float] = {}
         self.avoided_workers: dict[tuple[int, int, int], set[str]] = {}
         self._ready_since: dict[tuple[int, int, int], float] = {}
         self.unrecorded = unrecorded_runs.UnrecordedRuns()
@@ -216,6 +237,7 @@
             runs.append(work.Run(unit.get_item(index), number))
         self._ready_since.pop(unit.get_key()[1:], None)
         self.preemption_losses.pop(unit.get_key()[1:], None)
+        unit.forget_promised_start()
         self.progress.begun = True
         self.progress.state = work.JobState.RUNNING
         self.mark_changed()
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -128,6 +128,7 @@
             plan = planner.find_immediate(unit, local=False)
         if plan is None:
             return False
+        self._idle_limit.renew_promises(unit, plan)
         self._start(unit, plan)
         return True
 
