Show that a suspect of a crash may wait behind a stream of other starts

A work item under which a worker may have crashed needs a worker without another start in the last 2.5 s. Nothing keeps such a worker free for it, so that work of lower priority that starts on each worker more often puts it off without a limit.

--- a/tests/test_coordinator/test_coordinator_idle_bounds.py
+++ b/tests/test_coordinator/test_coordinator_idle_bounds.py
@@ -193,3 +193,39 @@
     assert ledger.workers
     ledger.remove_expired_workers(lapse + 0.1)
     assert not ledger.workers
+
+
+def test_suspect_of_a_crash_is_not_put_off_by_a_stream_of_other_starts():
+    """Guards against a job that has nothing running while there is room.
+
+    A worker may have crashed under it, so that it needs a worker without
+    another recent start, and later work of lower priority keeps on starting.
+    """
+    ledger = builders.make_ledger(workers=2)
+    step = builders.make_step(accelerators=1, estimate=10.0)
+    suspect = builders.submit(ledger, 'suspect', step, priority=0)
+    unit = next(suspect.iterate_ready(NOW, builders.WALL))
+    unit.get_progress().unanswered[0] = {1}
+    unit.get_progress().numbers[0] = 1
+    step = builders.make_step(accelerators=1, estimate=1.0)
+    for worker in ledger.workers.values():
+        worker.last_start = NOW - 0.5
+    for tick in range(int(LONGEST_WAIT_S / 0.5)):
+        now = NOW + tick * 0.5
+        for index in range(2):
+            job_id = f'later-{tick}-{index}'
+            builders.submit(ledger, job_id, step, priority=2, now=now)
+        builders.decide(ledger, now)
+        _end_runs(ledger, now - 1.0)
+    assert builders.list_runs(ledger, suspect)
+
+
+def _end_runs(ledger, placed_before):
+    """End the runs that were placed up to a time, and their jobs."""
+    for worker in ledger.workers.values():
+        for run, placed in list(worker.runs.items()):
+            if placed.placed_at > placed_before:
+                continue
+            worker.remove_run(run)
+            placed.job.remove_run(run)
+            placed.job.finish(work.JobState.COMPLETED, builders.WALL)
