Let a job that is idle for long start on suspect workers

A worker is suspect for 6 s after its failures, anew with each of them, and a placement pass leaves suspects out, so that two jobs which fail wherever they start could keep all others from the room.

Now the limit on idle time takes suspect workers as its last choice, after 2 s.

test_job_does_not_wait_long_beside_idle_suspect_workers failed before: the job did not start in 30 s. The test beside it holds that sound workers come first.

--- /dev/null
+++ b/damaskpin/coordinator/idle_plans.py
@@ -0,0 +1,86 @@
+"""Plans for units of jobs that have been idle for too long."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import idle_limit
+from damaskpin.coordinator import planning
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import job as jobs
+    from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import worker_state
+
+# Time in seconds for which a unit waits for a worker that is not suspect. It
+# is shorter than the time for which a job may be idle beside room.
+MAX_WAIT_FOR_SOUND_WORKER_S = 2.0
+
+
+class IdlePlanner:
+    """Finds workers for units of idle jobs, wherever there is room.
+
+    Such a unit does not wait for a better place, nor beside capacity that is
+    reserved for later jobs. Suspect workers are its last choice.
+
+    :param limit: limit on idle time in this pass.
+    :param guaranteed: ids of the jobs that draw on their account's guarantee.
+    """
+
+    __slots__ = ('_guaranteed', '_ledger', '_limit', '_now')
+
+    def __init__(
+        self,
+        now: float,
+        ledger: ledgers.RunLedger,
+        limit: idle_limit.IdleLimit,
+        guaranteed: set[str],
+    ) -> None:
+        self._now = now
+        self._ledger = ledger
+        self._limit = limit
+        self._guaranteed = guaranteed
+
+    def find_plan(self, unit: jobs.Unit) -> planning.Plan | None:
+        """Return a plan that starts a unit of an idle job at once.
+
+        :returns: ``None`` if its job is not idle for too long, or if there is
+            no room.
+        """
+        if not self._limit.is_exceeded(unit):
+            return None
+        workers = idle_limit.list_workers(
+            self._ledger, unit.job.submission.terms.service
+        )
+        if not idle_limit.has_ample_room(workers, unit):
+            return None
+        usable = [
+            worker
+            for worker in workers
+            if worker.is_usable(self._now)
+            and not worker.start_pause.is_active(self._now)
+        ]
+        sound = [w for w in usable if w.suspect_until <= self._now]
+        plan = self._find_plan_on(unit, sound)
+        if plan is not None:
+            return plan
+        if self._now - unit.ready_since < MAX_WAIT_FOR_SOUND_WORKER_S:
+            return None
+        return self._find_plan_on(unit, usable)
+
+    def _find_plan_on(
+        self, unit: jobs.Unit, workers: list[worker_state.Worker]
+    ) -> planning.Plan | None:
+        planner = planning.Planner(
+            self._now,
+            workers,
+            self._ledger.tickets,
+            self._guaranteed,
+            self._limit.list_heeded_reservations(unit),
+            False,
+        )
+        if planner.has_local_workers(unit):
+            plan = planner.find_immediate(unit, local=True)
+            if plan is not None:
+                return plan
+        return planner.find_immediate(unit, local=False)
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import idle_limit
+from damaskpin.coordinator import idle_plans
 from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import pass_trace
 from damaskpin.coordinator import placed_run
@@ -37,12 +38,12 @@
     __slots__ = (
         '_guaranteed',
         '_idle_limit',
+        '_idle_planner',
         '_ledger',
         '_now',
         '_planner',
         '_recovery_planner',
         '_reserved_units',
-        '_unpaused',
         '_wall',
     )
 
@@ -71,7 +72,9 @@
             now, unpaused, ledger.tickets, guaranteed, reservations, False
         )
         self._idle_limit = idle_limit.IdleLimit(now, wall, ledger)
-        self._unpaused = unpaused
+        self._idle_planner = idle_plans.IdlePlanner(
+            now, ledger, self._idle_limit, guaranteed
+        )
         self._recovery_planner: planning.Planner | None = None
         if any(w.start_pause.is_unproven() for w in usable):
             self._recovery_planner = planning.Planner(
@@ -101,31 +104,9 @@
     def _start_idle(self, unit: jobs.Unit) -> bool:
         """Start a unit anywhere if its job has been idle for too long.
 
-        It does not wait for a better place then, nor beside capacity that is
-        reserved for later jobs.
-
         :returns: whether the unit was started.
         """
-        if not self._idle_limit.is_exceeded(unit):
-            return False
-        workers = idle_limit.list_workers(
-            self._ledger, unit.job.submission.terms.service
-        )
-        if not idle_limit.has_ample_room(workers, unit):
-            return False
-        planner = planning.Planner(
-            self._now,
-            self._unpaused,
-            self._ledger.tickets,
-            self._guaranteed,
-            self._idle_limit.list_heeded_reservations(unit),
-            False,
-        )
-        plan = None
-        if planner.has_local_workers(unit):
-            plan = planner.find_immediate(unit, local=True)
-        if plan is None:
-            plan = planner.find_immediate(unit, local=False)
+        plan = self._idle_planner.find_plan(unit)
         if plan is None:
             return False
         self._idle_limit.renew_promises(unit, plan)
--- a/tests/test_coordinator/test_coordinator_idle_limit.py
+++ b/tests/test_coordinator/test_coordinator_idle_limit.py
@@ -158,3 +158,31 @@
     )
     placed.update_from_list(work.RunningRun(run, '', 0.0), now)
     return placed
+
+
+def test_job_does_not_wait_long_beside_idle_suspect_workers():
+    """Guards against a job that has nothing running while there is room.
+
+    Other jobs fail on each worker again and again, so that all are suspect.
+    """
+    ledger = builders.make_ledger(workers=6)
+    for worker in ledger.workers.values():
+        worker.suspect_until = NOW + 60.0
+    job = builders.submit(ledger, 'job', builders.make_step(4))
+    waited = _decide_until(ledger, job, 30.0)
+    assert waited is not None
+    assert idle_limit.MIN_AGE_S <= waited <= LONGEST_WAIT_S
+
+
+def test_job_prefers_an_idle_worker_that_is_not_suspect():
+    """Guards against work on suspect workers while others are idle."""
+    ledger = builders.make_ledger(workers=6)
+    *suspects, sound = ledger.workers.values()
+    for worker in suspects:
+        worker.suspect_until = NOW + 60.0
+    sound.silence = 1.0
+    job = builders.submit(ledger, 'job', builders.make_step(1))
+    assert _decide_until(ledger, job, 9.0) is None
+    sound.silence = 0.0
+    builders.decide(ledger, NOW + 20.0)
+    assert builders.list_runs(ledger, job) == {0: sound.lifetime.worker}
