Don't hold idle jobs behind earlier ones while no new jobs arrive

Cause: the limit on idle time always left such capacity to earlier jobs, so that a large job would not starve behind small ones. That needs a stream of jobs: once none has arrived for 8 s, those that are left put the gang off for a limited time only, and leaving workers idle for it breaks the rule on lost jobs. The limit now heeds reservations of earlier jobs only while jobs arrive, as before up to 3 s after the promised start. Reservations for guarantees and after preemptions hold.

Bounds are unchanged.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -4,15 +4,16 @@
 larger work, because it then ends sooner or holds up less. That is no reason to
 leave it with nothing running for long while most of the service is idle.
 
-It never takes capacity that is reserved for a guarantee or after a preemption,
-and capacity that is reserved for an earlier job only once that job should have
-started. A large job would otherwise wait without end behind small ones, and
-preempt the same ones again and again.
+It never takes capacity that is reserved for a guarantee or after a preemption.
+It takes capacity that is reserved for an earlier job only once that job should
+have started, or while no new jobs arrive. A large job would otherwise wait
+without end behind small ones, and preempt the same ones again and again.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import tentative_plan
@@ -42,6 +43,11 @@
 # too short.
 MAX_DELAY_S = 3.0
 
+# Time in seconds without new jobs after which idle jobs no longer leave
+# capacity to earlier ones. The jobs that are left put these off for a limited
+# time only.
+QUIET_PERIOD_S = 8.0
+
 # Share of a service's capacity from which its reservations always hold.
 MAX_USED_SHARE = 0.5
 
@@ -73,6 +79,7 @@
     """
 
     __slots__ = (
+        '_latest_due_time',
         '_ledger',
         '_now',
         '_reserved_units',
@@ -90,6 +97,7 @@
         self._used_shares: dict[str, float] = {}
         self._working_jobs: set[str] | None = None
         self._reserved_units: list[_ReservedUnit] = []
+        self._latest_due_time: float | None = None
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
         """Return whether a unit should start wherever there is room."""
@@ -180,7 +188,19 @@
             return True
         if get_due_time(reserved.unit) > get_due_time(unit):
             return False
-        return not reserved.is_overdue(self._now)
+        return not (reserved.is_overdue(self._now) or self._is_quiet())
+
+    def _is_quiet(self) -> bool:
+        """Return whether no job has become due for some time."""
+        if self._latest_due_time is None:
+            self._latest_due_time = max(
+                (
+                    find_latest_due_time(job, self._wall)
+                    for job in self._ledger.jobs.values()
+                ),
+                default=-math.inf,
+            )
+        return self._wall - self._latest_due_time >= QUIET_PERIOD_S
 
     def _is_at_work(self, job: jobs.Job) -> bool:
         if self._working_jobs is None:
@@ -218,6 +238,21 @@
     return submission.schedule.get_due_time(unit.occurrence)
 
 
+def find_latest_due_time(job: jobs.Job, wall: float) -> float:
+    """Return the latest Unix time at which a job has become due.
+
+    :param wall: Unix time in seconds.
+    """
+    submission = job.submission
+    schedule = submission.schedule
+    if schedule is None or wall < schedule.first:
+        return submission.accepted
+    if schedule.period <= 0:
+        return schedule.first
+    elapsed_periods = int((wall - schedule.first) // schedule.period)
+    return schedule.get_due_time(min(elapsed_periods, schedule.count - 1))
+
+
 def list_workers(
     ledger: ledgers.RunLedger, service: str
 ) -> list[worker_state.Worker]:
--- a/tests/test_coordinator/builders.py
+++ b/tests/test_coordinator/builders.py
@@ -62,6 +62,12 @@
     return job
 
 
+def submit_arrival(ledger, now):
+    """Add a job that no worker may run, as a sign that jobs still arrive."""
+    step = make_step(label='none')
+    return submit(ledger, f'arrival-{now}', step, priority=2, now=now)
+
+
 def decide(ledger, now=NOW, guarantee=0):
     """Run one placement pass while all agents report."""
     for worker in ledger.workers.values():
