Revert "Don't make all workers of two failing jobs suspect"

The review shows that it opens the opposite fault: a job that has failed on more than three workers then blames none, so that a worker that fails all it starts is not found, or is in use again 6 s after it was.

--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -21,15 +21,15 @@
 # work. The time allows for two late reports.
 REPORT_TIMEOUT_S = 1.5
 
-# Time in seconds for which a suspect worker gets no new work. A stalled run
-# makes its worker suspect too.
+# Time in seconds for which a suspect worker gets no new work, and number of
+# different failed jobs that makes a worker suspect. A stalled run makes its
+# worker suspect too.
 SUSPECT_PERIOD_S = 6.0
-
-# Number of different failed jobs, and of failed runs, that makes a worker
-# suspect. Failures of a job that has failed on more workers than the latter
-# do not count, because then the job is probably the cause. One run of a gang
-# may fail on all its workers.
 SUSPECT_FAILED_JOBS = 2
+
+# Number of failed runs that makes a worker suspect. Failures of a job that has
+# failed on more than this number of workers do not count, because then the job
+# is probably the cause.
 SUSPECT_FAILED_RUNS = 3
 
 # Time in seconds after a successful run during which a worker is preferred for
@@ -68,8 +68,8 @@
         exist any more. It is put off when the grant of the worker's agent,
         the time up to which the agent may renew the worker's lease without
         hearing from the coordinator, is renewed.
-    :ivar failed_jobs: ids of the jobs of the failed runs, except those that
-        fail on many workers.
+    :ivar failed_jobs: ids of the jobs of the failed runs, except those of
+        gangs that fail on many workers.
     :ivar failed_runs: starts of units that have failed on the worker since a
         run last succeeded there. Several members of a gang that fail on the
         worker are one.
@@ -277,9 +277,11 @@
         if unit_run in self.failed_runs:
             return
         self.failed_runs.add(unit_run)
-        if len(job.failed_worker_ids) > SUSPECT_FAILED_RUNS:
+        if len(job.failed_worker_ids) <= SUSPECT_FAILED_RUNS:
+            self.blamed_runs += 1
+        elif placed.step.gang:
+            # One run of a gang may fail on all its workers at once.
             return
-        self.blamed_runs += 1
         self.failed_jobs.add(job.id)
         if (
             len(self.failed_jobs) >= SUSPECT_FAILED_JOBS
