--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -43,6 +43,10 @@
     slot: int
     number: int
 
+    def get_unit(self) -> tuple[str, int, int, int]:
+        """Return job id, occurrence, step index and slot of the unit."""
+        return (self.job, self.occurrence, self.step, self.slot)
+
 
 @dataclasses.dataclass(slots=True)
 class PlacedRun:
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -70,9 +70,9 @@
         hearing from the coordinator, is renewed.
     :ivar failed_jobs: ids of the jobs of the failed runs, except those of
         gangs that fail on many workers.
-    :ivar failed_runs: starts of units that have failed on the worker since a
-        run last succeeded there. Several members of a gang that fail on the
-        worker are one.
+    :ivar failed_runs: number of the latest failed run on the worker, by unit,
+        since a run last succeeded there. Several members of a gang that fail
+        on the worker are one.
     :ivar blamed_runs: number of these, except those of jobs that fail on many
         workers.
     :ivar has_run_lists: whether this coordinator has received the worker's
@@ -163,7 +163,7 @@
         self.silence = 0.0
         self.pending_ends: collections.deque[PendingEnd] = collections.deque()
         self.failed_jobs: set[str] = set()
-        self.failed_runs: set[placed_run.UnitRun] = set()
+        self.failed_runs: dict[tuple[str, int, int, int], int] = {}
         self.blamed_runs = 0
         self.last_success = -TRUST_PERIOD_S
         self.suspect_until = 0.0
@@ -274,9 +274,10 @@
         self.last_failed_start = max(self.last_failed_start, placed.placed_at)
         job.failed_worker_ids.add(self.lifetime.worker)
         unit_run = placed.get_unit_run()
-        if unit_run in self.failed_runs:
+        unit = unit_run.get_unit()
+        if unit_run.number <= self.failed_runs.get(unit, 0):
             return
-        self.failed_runs.add(unit_run)
+        self.failed_runs[unit] = unit_run.number
         if len(job.failed_worker_ids) <= SUSPECT_FAILED_RUNS:
             self.blamed_runs += 1
         elif placed.step.gang:
