--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -8,6 +8,7 @@
 from damaskpin.coordinator import books
 from damaskpin.coordinator import crash_watch
 from damaskpin.coordinator import lost_work
+from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import removals
 from damaskpin.coordinator import stops
@@ -93,6 +94,7 @@
         """Add a job and the active runs of its stored progress."""
         self.jobs[job.id] = job
         self.changed = True
+        outcomes.limit_failures(job)
         for run, active in list(job.iterate_active()):
             worker = self.workers.get(active.lifetime)
             if worker is None:
--- a/damaskpin/coordinator/outcomes.py
+++ b/damaskpin/coordinator/outcomes.py
@@ -78,6 +78,18 @@
     return True
 
 
+def limit_failures(job: jobs.Job) -> None:
+    """Limit the counts of failed runs to the runs that there were.
+
+    An earlier build has counted each failed member of a gang.
+    """
+    for steps in job.progress.occurrences.values():
+        for progress in steps:
+            for slot, failures in progress.failures.items():
+                latest_number = progress.numbers.get(slot, 0)
+                progress.failures[slot] = min(failures, latest_number)
+
+
 def find_progress(job: jobs.Job, run: work.Run) -> records.StepProgress | None:
     """Return the progress of a run's step.
 
