Don't count a run that has ended as crashed when its worker crashes later

Cause: an agent tells of the runs that it has called its worker for, and left out only those whose end was still listed. An end that is acknowledged is not.

Change: the agent remembers the latest ends that it has read and leaves these runs out.

--- a/damaskpin/agent/crash_log.py
+++ b/damaskpin/agent/crash_log.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.agent import attempt_state
-    from damaskpin.agent import calls
+    from damaskpin.agent import run_lists
     from damaskpin.model import work
 
 LOG = logging.getLogger(__name__)
@@ -43,22 +43,22 @@
         now: float,
         last_answer_time: float,
         lifetime: work.Lifetime,
-        lists: calls.Lists | None,
+        lists: run_lists.RunLists,
         called: dict[work.Run, attempt_state.Attempt],
     ) -> None:
         """Record that a worker process ended without notice.
 
         :param last_answer_time: time of the worker's last answer.
-        :param lists: last lists of the worker; ``None`` without lists.
+        :param lists: lists of the worker's runs.
         :param called: attempts whose start call may have reached it.
         """
         runs = set(called)
         begun = {run for run in runs if called[run].was_accepted}
-        if lists is not None:
-            listed = {row.run for row in lists.running}
+        if lists.latest is not None:
+            listed = {row.run for row in lists.latest.running}
             begun |= listed
             runs |= listed
-            runs -= {row.run for row in lists.ended}
+        runs.difference_update(lists.recent_ends)
         earliest = last_answer_time - crash_limits.RECENT_START_S
         crash = orders.Crash(
             lifetime,
--- a/damaskpin/agent/run_lists.py
+++ b/damaskpin/agent/run_lists.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from damaskpin.model import work
+
 if TYPE_CHECKING:
     from damaskpin.agent import calls
-    from damaskpin.model import work
+
+# Number of ended runs that are remembered beyond their acknowledgement, so
+# that a crash is not blamed on them. Only runs of the last seconds matter.
+MAX_RECENT_ENDS = 2 * work.MAX_LISTED_ENDS
 
 
 class RunLists:
@@ -17,15 +23,19 @@
     :ivar latest: latest lists; ``None`` without lists.
     :ivar fence: fencing token of the coordinator in the poll that returned
         them; 0 without lists.
+    :ivar recent_ends: latest runs that were listed as ended.
     :ivar recorded_serial: serial of the last ended run that the coordinator
         has recorded.
     """
 
-    __slots__ = ('fence', 'latest', 'recorded_serial')
+    __slots__ = ('fence', 'latest', 'recent_ends', 'recorded_serial')
 
     def __init__(self) -> None:
         self.latest: calls.Lists | None = None
         self.fence = 0
+        self.recent_ends: collections.deque[work.Run] = collections.deque(
+            maxlen=MAX_RECENT_ENDS
+        )
         self.recorded_serial = 0
 
     def update(self, fence: int, lists: calls.Lists) -> bool:
@@ -35,8 +45,11 @@
         """
         is_new = self.is_complete(fence) != lists.complete
         is_new |= self.fence != fence
-        if lists.ended:
-            is_new |= lists.ended[-1].serial > self._get_last_serial()
+        last_serial = self._get_last_serial()
+        for row in lists.ended:
+            if row.serial > last_serial:
+                is_new = True
+                self.recent_ends.append(row.run)
         self.fence = fence
         self.latest = lists
         return is_new
--- a/damaskpin/agent/worker_process.py
+++ b/damaskpin/agent/worker_process.py
@@ -232,7 +232,7 @@
             now,
             self.lease_tracker.get_last_answer_time(),
             self.profile.lifetime,
-            self.run_lists.latest,
+            self.run_lists,
             self.attempts.list_calls(),
         )
 
--- a/damaskpin/coordinator/crash_counts.py
+++ b/damaskpin/coordinator/crash_counts.py
@@ -104,13 +104,16 @@
     :param progress: progress of the step; changed in place.
     :param recent: whether the run had been started shortly before.
     :param begun: whether the worker had accepted or listed the run.
-    :returns: the crashes under the work item; ``None`` if this one was known
-        or the work item is done.
+    :returns: the crashes under the work item; ``None`` if this one was known,
+        the run has failed before the crash or the work item is done.
     """
     item = run.item
-    latest = progress.numbers.get(step.get_slot(item.index), 0)
+    slot = step.get_slot(item.index)
+    latest = progress.numbers.get(slot, 0)
     if item.index in progress.done or not 0 < run.number <= latest:
         return None
+    if run.number in progress.failed_runs.get(slot, ()):
+        return None
     crashes = _get_begun(progress, step).setdefault(item.index, {})
     unanswered = progress.unanswered.setdefault(item.index, set())
     if begun:
--- a/tests/test_agent/test_agent_crash_log.py
+++ b/tests/test_agent/test_agent_crash_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
@@ -56,6 +58,23 @@
     return agent.make_report(now).crashes
 
 
+@pytest.mark.parametrize('ending', [work.Ending.FAILED, work.Ending.STOPPED])
+def test_crash_is_not_blamed_on_a_run_whose_end_was_acknowledged(ending):
+    """Guards against an end that counts again, as a crash.
+
+    The worker forgets the end once it is acknowledged, and then crashes.
+    """
+    agent = _make_agent(calls.Accepted(1000))
+    row = work.EndedRun(1, RUN, ending, '')
+    for seconds, ended in ((0.5, (row,)), (1.0, ())):
+        now = NOW + seconds
+        poll = agent.make_poll(now)
+        lists = calls.Lists(1100, 1, (), ended)
+        agent.handle_poll_result(now, now, poll, lists)
+    (crash,) = _replace_worker(agent, NOW + 1.5)
+    assert crash.runs == ()
+
+
 def test_crash_after_a_start_is_reported_with_its_run():
     """Guards against work that crashes one worker after the other."""
     agent = _make_agent(calls.Accepted(1010))
--- a/tests/test_coordinator/test_coordinator_failure_identity.py
+++ b/tests/test_coordinator/test_coordinator_failure_identity.py
@@ -245,3 +245,23 @@
         crashes.record_crash(now, builders.WALL, ledger, crash)
         ledger.remove_lost_run(ledger.workers[active.lifetime], run, 'crashed')
         assert job.progress.state is work.JobState.RUNNING, f'day {day}'
+
+
+def test_crash_after_the_recorded_end_of_a_run_does_not_count():
+    """Guards against a job shown as failed although it has attempts left.
+
+    The end of the run was listed, stored and acknowledged before its worker
+    crashed; it counts as a failed run and not as a crash, too.
+    """
+    coordinator, ledger, job = reports.make_coordinator(
+        reports.make_large_step(), attempts=3
+    )
+    run = reports.find_run(ledger)
+    worker = reports.find_worker(ledger, run)
+    reports.list_end(coordinator, worker, run, FAILED)
+    reports.store(coordinator, job)
+    crash = orders.Crash(worker.lifetime, (run,), (run,), (run,))
+    reports.report(coordinator, worker, NOW + 2.0, crashes=(crash,))
+    progress = job.get_step_progress(0, 0)
+    assert progress.failures == {0: 1}
+    assert not progress.crashes
--- a/tests/test_coordinator/test_coordinator_many_runs.py
+++ b/tests/test_coordinator/test_coordinator_many_runs.py
@@ -6,6 +6,7 @@
 
 from damaskpin.agent import calls
 from damaskpin.agent import crash_log
+from damaskpin.agent import run_lists
 from damaskpin.coordinator import candidates
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -68,8 +69,10 @@
     report = fleet.agent.make_report(NOW + 1.0)
     assert len(report.running) == len(rows)
     log = crash_log.CrashLog()
+    known_lists = run_lists.RunLists()
+    known_lists.update(0, lists)
     for born in range(4):
-        log.record(NOW, NOW, work.Lifetime('w', born), lists, {})
+        log.record(NOW, NOW, work.Lifetime('w', born), known_lists, {})
     crashes = log.list_reported(NOW)
     assert crashes[-1].lifetime.born == 3
     report = msgspec.structs.replace(report, crashes=crashes)
