--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,12 @@
 	DAMASKPIN_FUZZ=long $(BIN)/python -m pytest tests -k fuzz --timeout 3600
 
 # Random plays of each pair of the fault table, for example
-# make fuzz-twice PLAYS=10000 SEED=500000. Broken plays are printed.
+# make fuzz-twice PLAYS=10000 SEED=500000. Broken plays are printed. TABLE=gangs
+# plays gangs of which several members fail, TABLE=waits what keeps work waiting.
 PLAYS ?= 2000
 SEED ?= 100000
+TABLE ?= faults
 fuzz-twice: $(VENV)/.installed
 	DAMASKPIN_FUZZ_PLAYS=$(PLAYS) DAMASKPIN_FUZZ_SEED=$(SEED) \
+	  DAMASKPIN_FUZZ_TABLE=$(TABLE) \
 	  $(BIN)/python -m tests.test_coordinator.play_fault_table
--- a/tests/test_coordinator/play_fault_table.py
+++ b/tests/test_coordinator/play_fault_table.py
@@ -1,57 +1,94 @@
-"""Long run of random plays of the fault table.
+"""Long run of random plays of a fault table.
 
-Environment variables give the number of plays (DAMASKPIN_FUZZ_PLAYS) and the
-first seed (DAMASKPIN_FUZZ_SEED). Each play has the next pair and the next
-seed; DAMASKPIN_FUZZ_EXTRA adds faults to all mixes, separated by commas. The
-mixes and seeds of broken plays are printed.
+Environment variables give the number of plays (DAMASKPIN_FUZZ_PLAYS), the
+first seed (DAMASKPIN_FUZZ_SEED) and the table (DAMASKPIN_FUZZ_TABLE): that of
+all faults, of failing gangs or of work that waits. Each play has the next pair
+and the next seed; DAMASKPIN_FUZZ_EXTRA adds faults to all mixes, separated by
+commas. The mixes and seeds of broken plays are printed.
 """
 
 from __future__ import annotations
 
+import enum
 import logging
 import os
 import sys
 import traceback
 
 from tests.test_coordinator import fault_table
+from tests.test_coordinator import gang_table
 from tests.test_coordinator import random_plays
+from tests.test_coordinator import waiting_table
 
 ACTIONS = 80
 DEFAULT_PLAYS = 2000
 DEFAULT_SEED = 100_000
+TABLES = {
+    'faults': fault_table,
+    'gangs': gang_table,
+    'waits': waiting_table,
+}
+DEFAULT_TABLE = 'faults'
+
+
+class Result(enum.Enum):
+    """Result of a play; a job that waited for too long is told apart."""
+
+    SOUND = 'sound'
+    BROKEN = 'broken'
+    WAITED = 'waited'
 
 
 def main():
     """Play the pairs in turn and return the number of broken plays."""
     plays = int(os.environ.get('DAMASKPIN_FUZZ_PLAYS') or DEFAULT_PLAYS)
     first_seed = int(os.environ.get('DAMASKPIN_FUZZ_SEED') or DEFAULT_SEED)
+    name = os.environ.get('DAMASKPIN_FUZZ_TABLE') or DEFAULT_TABLE
+    table = TABLES[name]
     extra = os.environ.get('DAMASKPIN_FUZZ_EXTRA')
     extra_faults = extra.split(',') if extra else []
     logging.disable(logging.CRITICAL)
     broken = 0
+    waits = 0
     for seed in range(first_seed, first_seed + plays):
-        row, column = fault_table.PAIRS[seed % len(fault_table.PAIRS)]
+        row, column = table.PAIRS[seed % len(table.PAIRS)]
         mix = fault_table.get_overlapping(
-            (*fault_table.make_mix(row, column), *extra_faults)
+            (*table.make_mix(row, column), *extra_faults)
         )
         # Every other pass of the table has short waits.
-        waits = random_plays.WAITS
-        if seed // len(fault_table.PAIRS) % 2:
-            waits = random_plays.SHORT_WAITS
-        try:
-            random_plays.play(seed, mix, ACTIONS, waits=waits)
-        except Exception:
-            broken += 1
-            message = traceback.format_exc().splitlines()[-1]
-            print(f'seed {seed}: {row} / {column}: {message}')
-            print(
-                f'  play({seed}, {mix}, {ACTIONS}, waits={waits})', flush=True
-            )
+        has_short_waits = seed // len(table.PAIRS) % 2
+        result = _play(seed, mix, bool(has_short_waits))
+        broken += result is Result.BROKEN
+        waits += result is Result.WAITED
         played = seed - first_seed + 1
-        if played % len(fault_table.PAIRS) == 0:
-            print(f'{played} plays, {broken} broken', flush=True)
-    print(f'{plays} plays from seed {first_seed}, {broken} broken')
-    return broken
+        if played % len(table.PAIRS) == 0:
+            print(f'{played} plays, {broken} broken, {waits} with long waits')
+            sys.stdout.flush()
+    print(
+        f'{plays} plays of {name} from seed {first_seed}, {broken} broken, '
+        f'{waits} with long waits'
+    )
+    return broken + waits
+
+
+def _play(seed, mix, has_short_waits):
+    """Play a mix and print what was wrong."""
+    waits = random_plays.WAITS
+    if has_short_waits:
+        waits = random_plays.SHORT_WAITS
+    try:
+        simulation = random_plays.play(seed, mix, ACTIONS, waits=waits)
+    except Exception:
+        message = traceback.format_exc().splitlines()[-1]
+        result = Result.BROKEN
+    else:
+        if not simulation.idle_check.breaks:
+            return Result.SOUND
+        message = next(iter(simulation.idle_check.breaks.values()))
+        result = Result.WAITED
+    print(f'seed {seed}: {message}')
+    print(f'  play({seed}, {mix}, {ACTIONS}, waits={waits})', flush=True)
+    return result
 
 
 if __name__ == '__main__':
--- a/tests/test_coordinator/test_coordinator_fault_table.py
+++ b/tests/test_coordinator/test_coordinator_fault_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import pytest
 
 from tests.test_coordinator import fault_table
@@ -25,8 +27,12 @@
 ]
 
 
+@functools.cache
 def _play_pair(seed, mix):
-    """Play a mix until each of its faults has had an effect."""
+    """Play a mix until each of its faults has had an effect.
+
+    :returns: the simulation after the play.
+    """
     for attempt in range(MAX_PLAYS):
         simulation = random_plays.play(
             seed + 1000 * attempt,
@@ -36,8 +42,10 @@
             waits=random_plays.SHORT_WAITS,
         )
         if all(simulation.disturbances.has_disturbed(f) for f in mix):
-            return
-    pytest.fail(f'a fault of {mix} has had no effect in {MAX_PLAYS} plays')
+            return simulation
+    return pytest.fail(
+        f'a fault of {mix} has had no effect in {MAX_PLAYS} plays'
+    )
 
 
 @pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
@@ -56,6 +64,24 @@
 
     Its answer, or the call itself, arrives after a later one's.
     """
+    _play_overlapping_pair(seed, row, column)
+
+
+@pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
+def test_pair_lets_no_job_wait_beside_idle_workers(seed, row, column):
+    """Guards against work that could run and does not after the last fault."""
+    simulation = _play_pair(seed, fault_table.make_mix(row, column))
+    assert not simulation.idle_check.breaks
+
+
+@pytest.mark.parametrize(('seed', 'row', 'column'), CASES)
+def test_pair_lets_no_job_wait_while_calls_overlap(seed, row, column):
+    """Guards against work that could run and does not after the last fault."""
+    simulation = _play_overlapping_pair(seed, row, column)
+    assert not simulation.idle_check.breaks
+
+
+def _play_overlapping_pair(seed, row, column):
     mix = fault_table.get_overlapping(fault_table.make_mix(row, column))
     seed += len(fault_table.PAIRS)
-    _play_pair(OTHER_SEEDS.get(seed, seed), mix)
+    return _play_pair(OTHER_SEEDS.get(seed, seed), mix)
