--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -110,6 +110,18 @@
         service = unit.job.submission.terms.service
         return self.get_used_share(service) < MAX_USED_SHARE
 
+    def is_quiet(self) -> bool:
+        """Return whether no job has become due for some time."""
+        if self._latest_due_time is None:
+            self._latest_due_time = max(
+                (
+                    find_latest_due_time(job, self._wall)
+                    for job in self._ledger.jobs.values()
+                ),
+                default=-math.inf,
+            )
+        return self._wall - self._latest_due_time >= QUIET_PERIOD_S
+
     def get_used_share(self, service: str) -> float:
         """Return the share of a service's capacity that runs use.
 
@@ -188,19 +200,7 @@
             return True
         if get_due_time(reserved.unit) > get_due_time(unit):
             return False
-        return not (reserved.is_overdue(self._now) or self._is_quiet())
-
-    def _is_quiet(self) -> bool:
-        """Return whether no job has become due for some time."""
-        if self._latest_due_time is None:
-            self._latest_due_time = max(
-                (
-                    find_latest_due_time(job, self._wall)
-                    for job in self._ledger.jobs.values()
-                ),
-                default=-math.inf,
-            )
-        return self._wall - self._latest_due_time >= QUIET_PERIOD_S
+        return not (reserved.is_overdue(self._now) or self.is_quiet())
 
     def _is_at_work(self, job: jobs.Job) -> bool:
         if self._working_jobs is None:
--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -21,7 +21,9 @@
     """Finds workers for units of idle jobs, wherever there is room.
 
     Such a unit does not wait for a better place, nor beside capacity that is
-    reserved for later jobs. Suspect workers are its last choice.
+    reserved for later jobs. Suspect workers are its last choice, and only
+    while no new jobs arrive and not for a last attempt: a failing worker with
+    room would otherwise end many jobs.
 
     :param limit: limit on idle time in this pass.
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
@@ -62,12 +64,15 @@
         ]
         sound = [w for w in usable if w.suspect_until <= self._now]
         plan = self._find_plan_on(unit, sound)
-        if plan is not None:
+        if plan is not None or not self._may_start_on_suspects(unit):
             return plan
-        if self._now - unit.ready_since < MAX_WAIT_FOR_SOUND_WORKER_S:
-            return None
         return self._find_plan_on(unit, usable)
 
+    def _may_start_on_suspects(self, unit: jobs.Unit) -> bool:
+        if unit.is_last_attempt() or not self._limit.is_quiet():
+            return False
+        return self._now - unit.ready_since >= MAX_WAIT_FOR_SOUND_WORKER_S
+
     def _find_plan_on(
         self, unit: jobs.Unit, workers: list[worker_state.Worker]
     ) -> planning.Plan | None:
--- a/tests/test_coordinator/test_coordinator_idle_limit.py
+++ b/tests/test_coordinator/test_coordinator_idle_limit.py
@@ -194,6 +194,25 @@
     assert idle_limit.MIN_AGE_S <= waited <= LONGEST_WAIT_S
 
 
+def test_job_starts_on_no_suspect_worker_while_jobs_arrive():
+    """Guards against a failing worker that uses up the attempts of jobs."""
+    ledger = builders.make_ledger(workers=6)
+    for worker in ledger.workers.values():
+        worker.suspect_until = NOW + 60.0
+    job = builders.submit(ledger, 'job', builders.make_step())
+    assert _decide_until(ledger, job, 30.0, has_arrivals=True) is None
+
+
+def test_last_attempt_starts_on_no_suspect_worker():
+    """Guards against a failing worker that ends idle jobs."""
+    ledger = builders.make_ledger(workers=6)
+    for worker in ledger.workers.values():
+        worker.suspect_until = NOW + 60.0
+    job = builders.submit(ledger, 'job', builders.make_step(), attempts=2)
+    job.get_step_progress(0, 0).failures[0] = 1
+    assert _decide_until(ledger, job, 30.0) is None
+
+
 def test_job_prefers_an_idle_worker_that_is_not_suspect():
     """Guards against work on suspect workers while others are idle."""
     ledger = builders.make_ledger(workers=6)
