Revert "Keep a worker free of later starts for a suspect of a crash"

What was for is open again: a suspect may wait behind a stream of other starts. The test that work of earlier rank still starts goes with the code that could have held it back.

--- a/damaskpin/coordinator/candidates.py
+++ b/damaskpin/coordinator/candidates.py
@@ -169,17 +169,14 @@
         unit = self._unit
         if not may_run_another_item(unit, worker, self._chosen_counts):
             return
-        probation = crashes.get_probation_left(
+        if not crashes.may_share_worker(
             self._allocation.now, self._is_suspect, worker
-        )
-        if probation and not (self._is_suspect and self._allocation.may_wait):
+        ):
             return
         demand = unit.step.get_reservation()
         option = self._allocation.find_capacity(worker, demand)
         if option is None:
             return
-        if probation > option.cost:
-            option = dataclasses.replace(option, cost=probation)
         free = self._allocation.get_free(worker)
         unused_share = measure_unused_share(worker, free, demand)
         fits = max(work.count_fits(free, demand), 1)
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -156,34 +156,16 @@
     ledger.stop_job(job, lost_work.Cause.JOB_FAILED, reason)
 
 
-def get_probation_left(
+def may_share_worker(
     now: float, suspect: bool, worker: worker_state.Worker
-) -> float:
-    """Return the seconds until a crash after a start could be attributed.
+) -> bool:
+    """Return whether a crash after a start on a worker could be attributed.
 
     A suspect unit needs a worker without another recent start, and a worker
     with a recent start of a suspect unit takes no other.
 
     :param suspect: whether the unit to start is a suspect.
     """
-    latest = worker.last_suspect_start
-    if suspect:
-        latest = max(latest, worker.last_start)
-    elif worker.kept_free_at >= now:
-        # A suspect of earlier rank waits until no start is recent.
-        return PROBATION_S
-    return max(latest + PROBATION_S - now, 0.0)
-
-
-def keep_free_of_starts(
-    now: float, worker: worker_state.Worker, expected_start: float
-) -> None:
-    """Keep units of later rank from starting on a worker in this pass.
-
-    Their starts would put off a suspect unit that waits for the worker.
-
-    :param expected_start: time at which the suspect unit is expected to start,
-        in seconds.
-    """
-    if expected_start - now <= PROBATION_S:
-        worker.kept_free_at = now
+    if now - worker.last_suspect_start < PROBATION_S:
+        return False
+    return not suspect or now - worker.last_start >= PROBATION_S
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -10,7 +10,6 @@
 
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import candidates as candidate_queues
-from damaskpin.coordinator import crashes
 from damaskpin.coordinator import refusals
 from damaskpin.coordinator import tentative_plan
 from damaskpin.model import work
@@ -110,13 +109,10 @@
         reservation = tentative_plan.Reservation(
             unit.step.get_reservation(), expected_start
         )
-        is_suspect = unit.is_suspect()
         for worker in plan.workers:
             self._reservations.setdefault(worker.lifetime, []).append(
                 reservation
             )
-            if is_suspect:
-                crashes.keep_free_of_starts(self._now, worker, expected_start)
 
     def has_local_workers(self, unit: jobs.Unit) -> bool:
         """Return whether there are workers that run the unit at full speed.
--- a/damaskpin/coordinator/tentative_plan.py
+++ b/damaskpin/coordinator/tentative_plan.py
@@ -128,11 +128,6 @@
         ] = {}
         self.cost = 0.0
 
-    @property
-    def may_wait(self) -> bool:
-        """Return whether the unit may start later."""
-        return isinstance(self._policy, WaitPolicy)
-
     def list_victims(
         self,
     ) -> list[tuple[worker_state.Worker, placed_run.PlacedRun]]:
--- a/damaskpin/coordinator/worker_obstacles.py
+++ b/damaskpin/coordinator/worker_obstacles.py
@@ -65,7 +65,7 @@
         return Obstacle.NO_TICKET
     if not candidates.may_run_another_item(unit, worker, {}):
         return Obstacle.LIMIT
-    if crashes.get_probation_left(now, unit.is_suspect(), worker):
+    if not crashes.may_share_worker(now, unit.is_suspect(), worker):
         return Obstacle.PROBATION
     free = worker.free_capacity
     for reservation in list_reservations(ledger, worker, unit):
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -81,9 +81,6 @@
     :ivar held_back_starts: number of starts that wait for room in the orders.
     :ivar reads_contents: whether the agent reads input texts that the starts
         in a message share.
-    :ivar kept_free_at: time of the latest placement pass that has kept the
-        worker free of starts for a suspect unit; see
-        :func:`damaskpin.coordinator.crashes.keep_free_of_starts`.
     :ivar last_end_serial: serial of the latest end that was recorded.
     :ivar last_failed_start: latest placement time of a run that has failed.
     :ivar last_start: time of the latest placement of a run.
@@ -114,7 +111,6 @@
         'granted_report_time',
         'has_run_lists',
         'held_back_starts',
-        'kept_free_at',
         'last_end_serial',
         'last_failed_start',
         'last_report_time',
@@ -155,7 +151,6 @@
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
         self.extension_end = -math.inf
-        self.kept_free_at = -math.inf
         self.last_end_serial = 0
         self.last_failed_start = -math.inf
         self.last_start = -math.inf
--- a/tests/test_coordinator/test_coordinator_idle_bounds.py
+++ b/tests/test_coordinator/test_coordinator_idle_bounds.py
@@ -232,24 +232,6 @@
     assert builders.list_runs(ledger, suspect)
 
 
-def test_worker_that_a_suspect_waits_for_still_takes_work_of_earlier_rank():
-    """Guards against urgent work that waits behind a suspect of a crash."""
-    ledger = builders.make_ledger(workers=1)
-    (worker,) = ledger.workers.values()
-    worker.last_start = NOW - 0.5
-    suspect = builders.submit(ledger, 'suspect', builders.make_step())
-    unit = next(suspect.iterate_ready(NOW, builders.WALL))
-    unit.get_progress().unanswered[0] = {1}
-    unit.get_progress().numbers[0] = 1
-    later = _submit_small(ledger)
-    builders.decide(ledger)
-    assert not builders.list_runs(ledger, later)
-    step = builders.make_step()
-    urgent = builders.submit(ledger, 'urgent', step, priority=0)
-    builders.decide(ledger, NOW + 0.25)
-    assert builders.list_runs(ledger, urgent)
-
-
 def _end_runs(ledger, placed_before):
     """End the runs that were placed up to a time, and their jobs."""
     for worker in ledger.workers.values():
