Let schedules not count as jobs that arrive

A job with a short period kept other jobs waiting behind earlier ones, as each due time counted as a new job (found by the review).

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -79,7 +79,7 @@
     """
 
     __slots__ = (
-        '_latest_due_time',
+        '_latest_arrival',
         '_ledger',
         '_now',
         '_reserved_units',
@@ -97,7 +97,7 @@
         self._used_shares: dict[str, float] = {}
         self._working_jobs: set[str] | None = None
         self._reserved_units: list[_ReservedUnit] = []
-        self._latest_due_time: float | None = None
+        self._latest_arrival: float | None = None
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
         """Return whether a unit should start wherever there is room."""
@@ -111,16 +111,16 @@
         return self.get_used_share(service) < MAX_USED_SHARE
 
     def is_quiet(self) -> bool:
-        """Return whether no job has become due for some time."""
-        if self._latest_due_time is None:
-            self._latest_due_time = max(
+        """Return whether no job has been accepted for some time."""
+        if self._latest_arrival is None:
+            self._latest_arrival = max(
                 (
-                    find_latest_due_time(job, self._wall)
+                    job.submission.accepted
                     for job in self._ledger.jobs.values()
                 ),
                 default=-math.inf,
             )
-        return self._wall - self._latest_due_time >= QUIET_PERIOD_S
+        return self._wall - self._latest_arrival >= QUIET_PERIOD_S
 
     def get_used_share(self, service: str) -> float:
         """Return the share of a service's capacity that runs use.
@@ -238,21 +238,6 @@
     return submission.schedule.get_due_time(unit.occurrence)
 
 
-def find_latest_due_time(job: jobs.Job, wall: float) -> float:
-    """Return the latest Unix time at which a job has become due.
-
-    :param wall: Unix time in seconds.
-    """
-    submission = job.submission
-    schedule = submission.schedule
-    if schedule is None or wall < schedule.first:
-        return submission.accepted
-    if schedule.period <= 0:
-        return schedule.first
-    elapsed_periods = int((wall - schedule.first) // schedule.period)
-    return schedule.get_due_time(min(elapsed_periods, schedule.count - 1))
-
-
 def list_workers(
     ledger: ledgers.RunLedger, service: str
 ) -> list[worker_state.Worker]:
