Limit idle time also for jobs that an entry with a fast clock accepted

The age of a job is the difference of two machines' clocks, so that a job from an entry whose clock was 5 or 10 s ahead was idle that much longer before the limit held (found by the review). The time for which its unit has been ready, by the coordinator's steady clock, counts as well now.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -101,9 +101,11 @@
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
         """Return whether a unit should start wherever there is room."""
-        if self._now - unit.ready_since < MAX_IDLE_S:
+        idle = self._now - unit.ready_since
+        if idle < MAX_IDLE_S:
             return False
-        if self._wall - get_due_time(unit) < MIN_AGE_S:
+        # The clock of the entry that accepted the job may have been ahead.
+        if max(self._wall - get_due_time(unit), idle) < MIN_AGE_S:
             return False
         if self._is_at_work(unit.job):
             return False
