Limit the idle time of each work item that lasts

The limit on idle time went by jobs: one of two work items that last was never started beside a reserved gang, with four idle workers, as the other one ran (found by the review).

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -107,6 +107,9 @@
         # The clock of the entry that accepted the job may have been ahead.
         if max(self._wall - get_due_time(unit), idle) < MIN_AGE_S:
             return False
+        if unit.step.lasting:
+            # Each of its items is owed, also in a busy service.
+            return True
         if self._is_at_work(unit.job):
             return False
         service = unit.job.submission.terms.service
