Count suspect workers by service

Suspect workers of one service used up the number of suspects for another, so that a failing worker there was not found (by the review). test_suspects_of_one_service_ leave_room_for_those_of_another failed before.

--- a/damaskpin/coordinator/suspicion.py
+++ b/damaskpin/coordinator/suspicion.py
@@ -8,8 +8,9 @@
     from damaskpin.coordinator import books as books_module
     from damaskpin.coordinator import worker_state
 
-# Largest share of suspect workers. If runs fail or stall on more, the cause is
-# probably not the workers, and other work would wait for no reason.
+# Largest share of a service's workers that may be suspect. If runs fail or stall
+# on more, the cause is probably not the workers, and other work would wait for
+# no reason.
 MAX_SUSPECT_SHARE = 0.34
 
 
@@ -22,9 +23,17 @@
     """
     if worker.suspect_until > now:
         return True
-    workers = books.workers.values()
-    suspects = sum(1 for other in workers if other.suspect_until > now)
-    return suspects < max(1, int(MAX_SUSPECT_SHARE * len(workers)))
+    if worker.profile is None:
+        return False
+    service = worker.profile.service
+    workers = 0
+    suspects = 0
+    for other in books.workers.values():
+        if other.profile is None or other.profile.service != service:
+            continue
+        workers += 1
+        suspects += other.suspect_until > now
+    return suspects < max(1, int(MAX_SUSPECT_SHARE * workers))
 
 
 def review_failures(
--- a/tests/test_coordinator/test_coordinator_failures.py
+++ b/tests/test_coordinator/test_coordinator_failures.py
@@ -4,6 +4,8 @@
 
 import logging
 
+import msgspec
+
 from damaskpin.coordinator import ends
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -160,6 +162,25 @@
     assert builders.list_runs(ledger, job)
 
 
+def test_suspects_of_one_service_leave_room_for_those_of_another():
+    """Guards against a failing worker that is not found.
+
+    Workers of another service use up the number of suspects.
+    """
+    ledger = builders.make_ledger(workers=4)
+    *others, failing = ledger.workers.values()
+    for worker in others:
+        worker.set_profile(
+            msgspec.structs.replace(worker.profile, service='other')
+        )
+        worker.suspect_until = NOW + 60.0
+    builders.submit(ledger, 'job', builders.make_step(4, 1), attempts=9)
+    builders.decide(ledger)
+    for placed in list(failing.runs.values()):
+        _end_run(ledger, failing, placed, FAILED, NOW + 1.0)
+    assert failing.suspect_until > NOW + 1.0
+
+
 def test_failed_work_item_is_the_reason_of_its_job():
     """Guards against a reason that names a gang where there is none."""
     ledger = builders.make_ledger(workers=1)
