--- a/damaskpin/coordinator/suspicion.py
+++ b/damaskpin/coordinator/suspicion.py
@@ -8,9 +8,9 @@
     from damaskpin.coordinator import books as books_module
     from damaskpin.coordinator import worker_state
 
-# Largest share of a service's workers that may be suspect. If runs fail or stall
-# on more, the cause is probably not the workers, and other work would wait for
-# no reason.
+# Largest share of a service's workers that may be suspect. If runs fail or
+# stall on more, the cause is probably not the workers, and other work would
+# wait for no reason.
 MAX_SUSPECT_SHARE = 0.34
 
 
