--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -308,10 +308,8 @@
         return self.random.random() < self.loss_rate
 
     def _find_instance(self, name):
-        for instance in self.instances:
-            if instance.name == name:
-                return instance
-        return None
+        named = (i for i in self.instances if i.name == name)
+        return next(named, None)
 
     def _is_finished(self, job_id):
         job = self.coordinator.jobs[job_id]
