Let the oracle know ends that do not count as their lease has lapsed

The oracle's check of a start against the stored record took an end for one that counts although the lease of its worker had lapsed before it was acknowledged; by the users' rule such an end is not taken note of, "for good".

--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -35,6 +35,8 @@
     :param on_end: called when a run ends.
     :param on_noted: called when a listed end is acknowledged, unless the lease
         has lapsed since the end.
+    :ivar on_void: called with each listed end that can't be acknowledged any
+        more in a way that counts, as the lease has lapsed since.
     :ivar draining: whether the worker has announced its end.
     :ivar tells_birth: whether the worker's lists contain its birth.
     :ivar busy: whether the worker is unhealthy and refuses to start runs.
@@ -51,6 +53,7 @@
         self.on_start = on_start
         self.on_end = on_end
         self.on_noted = on_noted
+        self.on_void = lambda row: None
         self.draining = False
         self.busy = False
         self.tells_birth = True
@@ -74,6 +77,8 @@
         if self.get_clock(now) >= self.lease_end:
             for run in list(self.running):
                 self._end(run, work.Ending.LAPSED)
+            for row in self.unnoted.values():
+                self.on_void(row)
             self.unnoted.clear()
         for run, active_run in list(self.running.items()):
             if active_run.stopping is not None and now >= active_run.stopping:
--- a/tests/test_coordinator/worker_processes.py
+++ b/tests/test_coordinator/worker_processes.py
@@ -51,6 +51,7 @@
             self._record_end,
             self._record_noted,
         )
+        instance.worker.on_void = simulation.oracle.record_void
         instance.worker.clock_origin = simulation.now
         instance.next_heartbeat = (
             instance.down_until + simulation.random.uniform(0.0, 1.0)
