--- a/tests/test_coordinator/test_coordinator_failure_identity.py
+++ b/tests/test_coordinator/test_coordinator_failure_identity.py
@@ -10,6 +10,7 @@
 from damaskpin.model import work
 from damaskpin.peer import orders
 from tests.test_coordinator import builders
+from tests.test_coordinator import gang_runs
 from tests.test_coordinator import reports
 
 NOW = reports.NOW
@@ -18,26 +19,6 @@
 STOPPED = work.Ending.STOPPED
 
 
-def _make_gang(attempts, count=2):
-    step = reports.make_large_step(count=count, gang=True)
-    return reports.make_coordinator(step, workers=4, attempts=attempts)
-
-
-def _list_members(ledger):
-    members = [
-        (worker, run)
-        for worker in ledger.workers.values()
-        for run in worker.runs
-    ]
-    return sorted(members, key=lambda member: member[1].item.index)
-
-
-def _list_ends(coordinator, members, endings):
-    for (worker, run), ending in zip(members, endings, strict=True):
-        serial = worker.last_end_serial + 1
-        reports.list_end(coordinator, worker, run, ending, serial)
-
-
 def _fail_all(ledger, worker, now):
     """Fail all runs of a worker; return their number."""
     runs = list(worker.runs)
@@ -54,12 +35,12 @@
     The gang's next run has begun, so that the number of runs does not limit
     the count.
     """
-    coordinator, ledger, job = _make_gang(attempts=2)
-    first, second = _list_members(ledger)
-    _list_ends(coordinator, [first], [FAILED])
+    coordinator, ledger, job = gang_runs.make_gang(attempts=2, count=2)
+    first, second = gang_runs.list_members(ledger)
+    gang_runs.list_ends(coordinator, [first], [FAILED])
     reports.remove(coordinator, ledger, second[1])
     builders.decide(ledger, NOW + 2.0)
-    assert {run.number for _, run in _list_members(ledger)} == {2}
+    assert {run.number for _, run in gang_runs.list_members(ledger)} == {2}
     successor, ledger, job = reports.replace_coordinator(
         coordinator, job, workers=4
     )
@@ -71,15 +52,17 @@
 
 def test_member_that_fails_late_after_two_failed_runs_counts_once():
     """Guards against a check of the latest failed run alone."""
-    coordinator, ledger, job = _make_gang(attempts=3)
-    first, second = _list_members(ledger)
-    _list_ends(coordinator, [first], [FAILED])
+    coordinator, ledger, job = gang_runs.make_gang(attempts=3, count=2)
+    first, second = gang_runs.list_members(ledger)
+    gang_runs.list_ends(coordinator, [first], [FAILED])
     reports.remove(coordinator, ledger, second[1])
     builders.decide(ledger, NOW + 2.0)
-    _list_ends(coordinator, _list_members(ledger), [FAILED, BROKEN])
+    gang_runs.list_ends(
+        coordinator, gang_runs.list_members(ledger), [FAILED, BROKEN]
+    )
     builders.decide(ledger, NOW + 4.0)
-    assert {run.number for _, run in _list_members(ledger)} == {3}
-    _list_ends(coordinator, [second], [FAILED])
+    assert {run.number for _, run in gang_runs.list_members(ledger)} == {3}
+    gang_runs.list_ends(coordinator, [second], [FAILED])
     assert job.get_step_progress(0, 0).failures == {0: 2}
     assert job.progress.state is work.JobState.RUNNING
 
@@ -95,7 +78,7 @@
     run = reports.find_run(ledger)
     worker = reports.remove(coordinator, ledger, run)
     builders.decide(ledger, NOW + 2.0)
-    _list_ends(coordinator, _list_members(ledger), [FAILED])
+    gang_runs.list_ends(coordinator, gang_runs.list_members(ledger), [FAILED])
     reports.list_end(
         coordinator, worker, run, FAILED, worker.last_end_serial + 1
     )
@@ -110,7 +93,9 @@
     """
     step = reports.make_large_step(count=2)
     coordinator, ledger, job = reports.make_coordinator(step, attempts=2)
-    _list_ends(coordinator, _list_members(ledger), [FAILED, FAILED])
+    gang_runs.list_ends(
+        coordinator, gang_runs.list_members(ledger), [FAILED, FAILED]
+    )
     assert job.get_step_progress(0, 0).failures == {0: 1, 1: 1}
 
 
@@ -120,20 +105,24 @@
     An earlier build has counted two members of run 1. Run 2 is stopped, and
     run 3 is the second that fails.
     """
-    coordinator, _, job = _make_gang(attempts=3)
+    coordinator, _, job = gang_runs.make_gang(attempts=3, count=2)
     step = job.get_step_progress(0, 0)
     step.failures = {0: 2}
     job.mark_changed()
     successor, ledger, job = reports.replace_coordinator(
         coordinator, job, workers=4
     )
-    _list_ends(successor, _list_members(ledger), [STOPPED, STOPPED])
+    gang_runs.list_ends(
+        successor, gang_runs.list_members(ledger), [STOPPED, STOPPED]
+    )
     builders.decide(ledger, NOW + 2.0)
-    _list_ends(successor, _list_members(ledger), [STOPPED, STOPPED])
+    gang_runs.list_ends(
+        successor, gang_runs.list_members(ledger), [STOPPED, STOPPED]
+    )
     builders.decide(ledger, NOW + 4.0)
-    members = _list_members(ledger)
+    members = gang_runs.list_members(ledger)
     assert {run.number for _, run in members} == {3}
-    _list_ends(successor, members, [FAILED, BROKEN])
+    gang_runs.list_ends(successor, members, [FAILED, BROKEN])
     assert job.progress.state is work.JobState.RUNNING
 
 
@@ -221,7 +210,7 @@
         now += 5.0
         supervision.stop_faulty_runs(now, ledger)
         now += 10.0
-        for worker, run in _list_members(ledger):
+        for worker, run in gang_runs.list_members(ledger):
             if worker.runs[run].stop_reason:
                 worker.remove_run(run)
                 job.remove_run(run)
--- a/tests/test_coordinator/test_coordinator_supervision.py
+++ b/tests/test_coordinator/test_coordinator_supervision.py
@@ -248,16 +248,7 @@
     ledger = builders.make_ledger(workers=4)
     step = builders.make_step(2, 8, 10.0, gang=True)
     job = builders.submit(ledger, 'job', step)
-    now = NOW
-    for _ in range(3):
-        builders.decide(ledger, now)
-        builders.report_all_runs_begun(ledger, now)
-        _report_progress(ledger, now + 1.0, 10.0)
-        now += 5.0
-        _report_progress(ledger, now, 10.0)
-        supervision.stop_faulty_runs(now, ledger)
-        now += 10.0
-        _end_stopped_runs(ledger, now)
+    _stall_again_and_again(ledger)
     assert job.get_step_progress(0, 0).numbers == {0: 3}
 
 
@@ -268,6 +259,15 @@
     """
     ledger = builders.make_ledger(workers=4)
     _submit_and_begin(ledger, 'job')
+    now = _stall_again_and_again(ledger)
+    (worker,) = [w for w in ledger.workers.values() if w.runs]
+    _report_progress(ledger, now, 10.0)
+    supervision.stop_faulty_runs(now, ledger)
+    assert worker.suspect_until <= now
+
+
+def _stall_again_and_again(ledger):
+    """Let all runs stall three times; return the time in seconds after it."""
     now = NOW
     for _ in range(3):
         builders.decide(ledger, now)
@@ -278,10 +278,7 @@
         supervision.stop_faulty_runs(now, ledger)
         now += 10.0
         _end_stopped_runs(ledger, now)
-    (worker,) = [w for w in ledger.workers.values() if w.runs]
-    _report_progress(ledger, now, 10.0)
-    supervision.stop_faulty_runs(now, ledger)
-    assert worker.suspect_until <= now
+    return now
 
 
 def _end_stopped_runs(ledger, now):
