--- a/damaskpin/platform/store.py
+++ b/damaskpin/platform/store.py
@@ -10,6 +10,7 @@
 
 from damaskpin import errors
 from damaskpin import transport
+from damaskpin.platform import store_wire
 from damaskpin.platform import wire
 from damaskpin.store import transactions
 
@@ -67,7 +68,7 @@
         if answer.status == 404:
             return None
         self._check_status(answer)
-        return decode_item(self._decode(answer, wire.Item))
+        return decode_item(self._decode(answer, store_wire.Item))
 
     async def list_page(
         self, prefix: str, after: str = '', stale: bool = False
@@ -88,7 +89,7 @@
             'GET', f'/kv-range?{query}', None, transfer=TRANSFER_S
         )
         self._check_status(answer)
-        page = self._decode(answer, wire.ItemPage)
+        page = self._decode(answer, store_wire.ItemPage)
         items = [decode_item(item) for item in page.items]
         return transactions.Page(
             tuple(items), page.has_more, page.store_revision
@@ -121,7 +122,7 @@
         if answer.status == 410:
             raise errors.StoreCompactedError('the store discarded the history')
         self._check_status(answer)
-        events = self._decode(answer, wire.WatchAnswer)
+        events = self._decode(answer, store_wire.WatchAnswer)
         changes = [decode_change(event) for event in events.events]
         return transactions.Changes(tuple(changes), events.store_revision)
 
@@ -136,27 +137,29 @@
             transaction may take effect now or later, while its conditions
             hold.
         """
-        body = wire.TransactionBody(
+        body = store_wire.TransactionBody(
             [
-                wire.RevisionCondition(key, revision)
+                store_wire.RevisionCondition(key, revision)
                 for key, revision in transaction.expected.items()
             ],
             [
-                wire.Write(put.key, wire.encode_value(put.value), put.lease)
+                store_wire.Write(
+                    put.key, store_wire.encode_value(put.value), put.lease
+                )
                 for put in transaction.puts
             ],
             list(transaction.removals),
         )
         answer = await self._call('POST', '/kv-txn', body)
         if answer.status == 412:
-            conflict = self._decode(answer, wire.ConflictAnswer)
+            conflict = self._decode(answer, store_wire.ConflictAnswer)
             items = [decode_item(i) for i in conflict.items if i.revision]
             return transactions.Conflict({item.key: item for item in items})
         if answer.status == 404:
             raise errors.StoreLeaseError('the lease has ended')
         self._check_status(answer)
         return transactions.Committed(
-            self._decode(answer, wire.TransactionAnswer).revision
+            self._decode(answer, store_wire.TransactionAnswer).revision
         )
 
     async def open_lease(self, ttl: float) -> transactions.Lease:
@@ -165,10 +168,10 @@
         :param ttl: seconds until the lease expires without a renewal.
         :raises damaskpin.errors.StoreError: no answer.
         """
-        body = wire.LeaseBody(int(ttl * 1000))
+        body = store_wire.LeaseBody(int(ttl * 1000))
         answer = await self._call('POST', '/kv-lease', body)
         self._check_status(answer)
-        granted = self._decode(answer, wire.LeaseBody)
+        granted = self._decode(answer, store_wire.LeaseBody)
         return transactions.Lease(granted.lease, granted.ttl_ms / 1000)
 
     async def keep_lease(self, lease: int) -> None:
@@ -239,10 +242,10 @@
             raise errors.StoreUncertainError(str(error)) from error
 
 
-def decode_item(item: wire.Item) -> transactions.StoredItem:
+def decode_item(item: store_wire.Item) -> transactions.StoredItem:
     """Convert an item of the store; a value that is not base64 is empty."""
     try:
-        value = wire.decode_value(item.value)
+        value = store_wire.decode_value(item.value)
     except errors.MalformedError as error:
         LOG.warning(
             'stored value is not base64',
@@ -254,7 +257,7 @@
     )
 
 
-def decode_change(event: wire.Item) -> transactions.Change:
+def decode_change(event: store_wire.Item) -> transactions.Change:
     """Convert an event of a watch to a stored item or a removal."""
     if event.removed:
         return transactions.Removal(event.key, event.revision)
--- a/tests/test_runtime/silence.py
+++ b/tests/test_runtime/silence.py
@@ -13,7 +13,7 @@
 from damaskpin.model import installation as installations
 from damaskpin.peer import orders
 from damaskpin.platform import store as store_client
-from damaskpin.platform import wire
+from damaskpin.platform import store_wire
 from damaskpin.runtime import clocks
 from damaskpin.runtime import configuration
 from damaskpin.runtime import mirror_follower
@@ -88,7 +88,7 @@
     def _make_item(self):
         return {
             'key': CONFIG_KEY,
-            'value': wire.encode_value(str(self.version).encode()),
+            'value': store_wire.encode_value(str(self.version).encode()),
             'revision': self.revision,
             'created': 1,
         }
