Measure the age of jobs by the coordinator's steady clock

Callers see that a job has nothing running for longer than the limit on idle time allows, by the sum of the clock steps. The age of a job and the time since the latest arrival were differences of Unix times of two entries: of the one that accepted the job and of the one that decides. Both may jump by seconds.

The ledger now records the arrival of a job by the steady clock. A job that a takeover loads is no arrival: it is as old as when the new coordinator's entry first saw it in the store, or as the Unix time tells, whichever is older. A scheduled occurrence keeps the steady time at which it was first found due.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import tentative_plan
@@ -75,37 +74,31 @@
 class IdleLimit:
     """Tells which jobs have waited for too long, in one placement pass.
 
-    :param wall: Unix time in seconds.
+    All durations are those of the coordinator's steady clock, because the Unix
+    times of the entries differ and may jump.
     """
 
     __slots__ = (
-        '_latest_arrival',
         '_ledger',
         '_now',
         '_reserved_units',
         '_used_shares',
-        '_wall',
         '_working_jobs',
     )
 
-    def __init__(
-        self, now: float, wall: float, ledger: ledgers.RunLedger
-    ) -> None:
+    def __init__(self, now: float, ledger: ledgers.RunLedger) -> None:
         self._now = now
-        self._wall = wall
         self._ledger = ledger
         self._used_shares: dict[str, float] = {}
         self._working_jobs: set[str] | None = None
         self._reserved_units: list[_ReservedUnit] = []
-        self._latest_arrival: float | None = None
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
         """Return whether a unit should start wherever there is room."""
         idle = self._now - unit.ready_since
         if idle < MAX_IDLE_S:
             return False
-        # The clock of the entry that accepted the job may have been ahead.
-        if max(self._wall - get_due_time(unit), idle) < MIN_AGE_S:
+        if max(self._now - unit.get_due_since(), idle) < MIN_AGE_S:
             return False
         if unit.step.lasting:
             # Each of its items is owed, also in a busy service.
@@ -117,15 +110,7 @@
 
     def is_quiet(self) -> bool:
         """Return whether no job has been accepted for some time."""
-        if self._latest_arrival is None:
-            self._latest_arrival = max(
-                (
-                    job.submission.accepted
-                    for job in self._ledger.jobs.values()
-                ),
-                default=-math.inf,
-            )
-        return self._wall - self._latest_arrival >= QUIET_PERIOD_S
+        return self._now - self._ledger.last_arrival >= QUIET_PERIOD_S
 
     def get_used_share(self, service: str) -> float:
         """Return the share of a service's capacity that runs use.
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import crash_counts
+from damaskpin.coordinator import job_times
 from damaskpin.coordinator import records
 from damaskpin.coordinator import unrecorded_runs
 from damaskpin.model import work
@@ -40,6 +41,10 @@
         """Return the progress of the step that the unit belongs to."""
         return self.job.get_step_progress(self.occurrence, self.step_index)
 
+    def get_due_since(self) -> float:
+        """Return the steady time since which the job should have run."""
+        return self.job.times.get_due_since(self.occurrence)
+
     def get_key(self) -> tuple[str, int, int, int]:
         """Return job id, occurrence, step index and slot of the unit."""
         return (self.job.id, self.occurrence, self.step_index, self.slot)
@@ -101,6 +106,8 @@
 
     :param submission: job as it was accepted.
     :param progress: known progress of the job; changed in place.
+    :param arrived: steady time in seconds at which it was accepted, as far as
+        is known; ``None`` for a job that is new to the coordinator.
     :ivar stored_version: latest version of the progress in the store.
     :ivar avoided_workers: ids of the workers that a unit should avoid, by the
         unit's occurrence, step index and slot; see :class:`Unit`.
@@ -113,6 +120,7 @@
     :ivar promised_starts: time in seconds at which a unit was expected to
         start when capacity was first reserved for it, by the unit's
         occurrence, step index and slot.
+    :ivar times: times of the job by the steady clock of the coordinator.
     :ivar unrecorded: runs that a worker lists and the progress lacks.
     :ivar moved_runs: numbers of the runs of a unit that were moved off
         workers on which they were stalled or slow, by the unit's occurrence,
@@ -131,13 +139,18 @@
         'revision',
         'stored_version',
         'submission',
+        'times',
         'unrecorded',
     )
 
     def __init__(
-        self, submission: work.Submission, progress: records.Progress
+        self,
+        submission: work.Submission,
+        progress: records.Progress,
+        arrived: float | None = None,
     ) -> None:
         self.submission = submission
+        self.times = job_times.JobTimes(arrived)
         self.progress = progress
         self.stored_version = progress.version
         self.revision = 0
@@ -202,7 +215,7 @@
         """
         if self.is_final() or self.cancelled:
             return
-        for occurrence in self._list_due_occurrences(wall):
+        for occurrence in self._list_due_occurrences(now, wall):
             for index, step in enumerate(self.submission.steps):
                 if not self._is_step_ready(occurrence, step):
                     continue
@@ -273,7 +286,7 @@
         self.progress.reason = reason
         self.mark_changed()
 
-    def _list_due_occurrences(self, wall: float) -> Iterator[int]:
+    def _list_due_occurrences(self, now: float, wall: float) -> Iterator[int]:
         schedule = self.submission.schedule
         finished = self.progress.finished
         if schedule is None:
@@ -283,8 +296,10 @@
         for occurrence in range(schedule.count):
             if occurrence in finished:
                 continue
-            if schedule.get_due_time(occurrence) > wall:
+            lateness = wall - schedule.get_due_time(occurrence)
+            if lateness < 0:
                 return
+            self.times.record_due(now, occurrence, lateness)
             yield occurrence
 
     def _is_step_ready(self, occurrence: int, step: work.Step) -> bool:
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import books
@@ -54,6 +55,8 @@
     :param grant: length of a grant in seconds, counted from the latest report
         of the agent that the coordinator answered.
     :param stop_time: seconds that a worker takes to stop a run.
+    :ivar last_arrival: steady time in seconds at which the newest job was
+        accepted.
     """
 
     __slots__ = (
@@ -61,11 +64,13 @@
         '_started',
         '_stop_time',
         'crash_watch',
+        'last_arrival',
     )
 
     def __init__(self, started: float, grant: float, stop_time: float) -> None:
         super().__init__()
         self._started = started
+        self.last_arrival = -math.inf
         self._grant = grant
         self._stop_time = stop_time
         self.crash_watch = crash_watch.CrashWatch()
@@ -94,6 +99,8 @@
         """Add a job and the active runs of its stored progress."""
         self.jobs[job.id] = job
         self.changed = True
+        job.times.begin(now)
+        self.last_arrival = max(self.last_arrival, job.times.arrived)
         outcomes.limit_failures(job)
         for run, active in list(job.iterate_active()):
             worker = self.workers.get(active.lifetime)
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -71,7 +71,7 @@
         self._planner = planning.Planner(
             now, unpaused, ledger.tickets, guaranteed, reservations, False
         )
-        self._idle_limit = idle_limit.IdleLimit(now, wall, ledger)
+        self._idle_limit = idle_limit.IdleLimit(now, ledger)
         self._idle_planner = idle_plans.IdlePlanner(
             now, ledger, self._idle_limit, guaranteed
         )
--- a/damaskpin/entry/view.py
+++ b/damaskpin/entry/view.py
@@ -22,6 +22,7 @@
 class CachedJob:
     """A stored job with its progress.
 
+    :param now: steady time in seconds at which this entry first saw the job.
     :ivar submission: description of the job as accepted; ``None`` until it has
         been read from the store.
     :ivar progress: progress of the job's work items.
@@ -30,14 +31,34 @@
     :ivar cancelled: whether the job has a cancellation record.
     """
 
-    __slots__ = ('cancelled', 'progress', 'revision', 'submission')
+    __slots__ = (
+        '_first_seen',
+        'cancelled',
+        'progress',
+        'revision',
+        'submission',
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        self._first_seen = now
         self.submission: work.Submission | None = None
         self.progress = records.Progress()
         self.revision = 0
         self.cancelled = False
 
+    def estimate_arrival(self, now: float, wall: float) -> float:
+        """Return the steady time in seconds by which the job was accepted.
+
+        The Unix time tells more than the time at which this entry saw the job
+        if the entry has started since.
+
+        :param now: steady time in seconds.
+        :param wall: Unix time in seconds.
+        """
+        if self.submission is None:
+            return self._first_seen
+        return min(self._first_seen, now - (wall - self.submission.accepted))
+
 
 class CachedTombstone(msgspec.Struct, frozen=True):
     """A stored tombstone.
@@ -95,9 +116,10 @@
                 count += 1
         return count
 
-    def apply(self, change: transactions.Change) -> str:
+    def apply(self, change: transactions.Change, now: float) -> str:
         """Apply a change of the store to this copy.
 
+        :param now: steady time in seconds.
         :returns: id of the changed job; empty if the key belongs to no job.
         """
         key = change.key
@@ -114,7 +136,7 @@
         ):
             if key.startswith(prefix):
                 job_id = key[len(prefix) :]
-                self._apply_job(prefix, job_id, change)
+                self._apply_job(prefix, job_id, change, now)
                 return job_id
         return ''
 
@@ -143,7 +165,7 @@
             self.entries.pop(name, None)
 
     def _apply_job(
-        self, prefix: str, job_id: str, change: transactions.Change
+        self, prefix: str, job_id: str, change: transactions.Change, now: float
     ) -> None:
         match change:
             case transactions.Removal():
@@ -153,9 +175,9 @@
                 return
         try:
             if prefix == layout.JOBS_PREFIX:
-                self._apply_job_record(job_id, change)
+                self._apply_job_record(job_id, change, now)
                 return
-            job = self._jobs.setdefault(job_id, CachedJob())
+            job = self._jobs.setdefault(job_id, CachedJob(now))
             match prefix:
                 case layout.PROGRESS_PREFIX:
                     job.progress = records.decode_progress(change.value)
@@ -169,7 +191,7 @@
             )
 
     def _apply_job_record(
-        self, job_id: str, item: transactions.StoredItem
+        self, job_id: str, item: transactions.StoredItem, now: float
     ) -> None:
         match records.decode_job_record(item.value):
             case records.Tombstone() as tombstone:
@@ -178,7 +200,7 @@
                 )
             case submission:
                 self._tombstones.pop(job_id, None)
-                job = self._jobs.setdefault(job_id, CachedJob())
+                job = self._jobs.setdefault(job_id, CachedJob(now))
                 job.submission = submission
 
 
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -258,7 +258,7 @@
         coordinator.entries = tuple(self._view.entries.values())
         self._coordinator = coordinator
         for known_job in self._view.list_jobs():
-            self._add_job(known_job)
+            self._add_job(known_job, is_loaded=True)
         self._writer = writers.ProgressWriter(
             self._store, coordinator, self.decide_and_send, self._step_down
         )
@@ -285,7 +285,14 @@
         # entry coordinates again.
         self._mirror.complete = False
 
-    def _add_job(self, known_job: views.CachedJob) -> None:
+    def _add_job(
+        self, known_job: views.CachedJob, is_loaded: bool = False
+    ) -> None:
+        """Add a job to the coordinator.
+
+        :param is_loaded: whether the coordinator begins with the job, which
+            has not arrived just now then.
+        """
         coordinator = self._coordinator
         if coordinator is None or known_job.submission is None:
             return
@@ -296,10 +303,11 @@
         # The coordinator modifies the job's progress before it is stored. It
         # gets a copy, so that the view still shows the stored progress.
         progress_copy = views.copy_progress(progress)
-        job = jobs.Job(known_job.submission, progress_copy)
+        wall = clocks.get_wall_time()
+        arrived = known_job.estimate_arrival(now, wall) if is_loaded else None
+        job = jobs.Job(known_job.submission, progress_copy, arrived)
         job.revision = known_job.revision
         coordinator.add_job(now, job)
-        wall = clocks.get_wall_time()
         LOG.info(
             'job added',
             extra={
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -274,7 +274,7 @@
                 LOG.exception('check for waiting jobs failed')
 
     def _apply_change(self, change: transactions.Change) -> None:
-        job_id = self.view.apply(change)
+        job_id = self.view.apply(change, clocks.get_monotonic_time())
         self._coordination.apply_change(change, job_id)
 
     def _apply_installation(
--- a/tests/test_coordinator/builders.py
+++ b/tests/test_coordinator/builders.py
@@ -51,9 +51,10 @@
     """Add a job to the ledger.
 
     :param now: time of its acceptance in seconds.
+    :param skew: seconds by which the clock of the accepting entry is ahead.
     """
     terms = work.Terms('q', 's', priority, more.pop('attempts', 3), 2.0, 1.0)
-    accepted = WALL + now - NOW
+    accepted = WALL + now - NOW + more.pop('skew', 0.0)
     submission = work.Submission(
         job_id, account, 'content', steps, terms, accepted, **more
     )
@@ -68,12 +69,15 @@
     return submit(ledger, f'arrival-{now}', step, priority=2, now=now)
 
 
-def decide(ledger, now=NOW, guarantee=0):
-    """Run one placement pass while all agents report."""
+def decide(ledger, now=NOW, guarantee=0, skew=0.0):
+    """Run one placement pass while all agents report.
+
+    :param skew: seconds by which the clock of the coordinator is ahead.
+    """
     for worker in ledger.workers.values():
         worker.last_report_time = now
     placement.place_ready_units(
-        now, WALL + now - NOW, ledger, lambda account: guarantee
+        now, WALL + now - NOW + skew, ledger, lambda account: guarantee
     )
 
 
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -299,7 +299,8 @@
         progress = records.Progress()
         if job_id in self.store:
             progress = records.decode_progress(self.store[job_id])
-        job = jobs.Job(self.submissions[job_id], progress)
+        submission = self.submissions[job_id]
+        job = jobs.Job(submission, progress, submission.accepted - WALL)
         self.coordinator.add_job(self.now, job)
         if job_id in self.cancelled:
             self.coordinator.cancel_job(WALL + self.now, job_id)
--- a/tests/test_coordinator/waits.py
+++ b/tests/test_coordinator/waits.py
@@ -73,7 +73,8 @@
 
     def put(self, key, value):
         """Store a value."""
-        self.view.apply(transactions.StoredItem(key, value, 1, 1))
+        item = transactions.StoredItem(key, value, 1, 1)
+        self.view.apply(item, self.now)
 
     def store(self, job):
         """Store the progress of a job."""
--- a/tests/test_runtime/test_runtime_early_cancel.py
+++ b/tests/test_runtime/test_runtime_early_cancel.py
@@ -186,7 +186,7 @@
 def _make_view(store):
     view = views.JobView()
     for item in store.items.values():
-        view.apply(item)
+        view.apply(item, 0.0)
     return view
 
 
@@ -199,7 +199,7 @@
     assert view.list_jobs() == []
     assert view.count_pending(JOB.terms.queue) == 0
     fleet.submit(0, OTHERS_JOB)
-    view.apply(fleet.store.items[JOB_KEY])
+    view.apply(fleet.store.items[JOB_KEY], 0.0)
     assert view.get(JOB.id).submission == OTHERS_JOB
     assert view.list_tombstones() == []
 
--- a/tests/test_runtime/test_runtime_requests.py
+++ b/tests/test_runtime/test_runtime_requests.py
@@ -130,7 +130,7 @@
 def test_job_of_another_account_is_not_shown():
     """Guards against a client account that sees another account's job."""
     view = views.JobView()
-    view.apply(_make_item(JOB))
+    view.apply(_make_item(JOB), 0.0)
     handler = _make_requests(FakeStore(), view)
     outcome = asyncio.run(handler.get_state(JOB.id, 'other', _get_deadline()))
     assert outcome == outcomes.JobNotFound()
--- a/tests/test_runtime/test_runtime_retention.py
+++ b/tests/test_runtime/test_runtime_retention.py
@@ -48,7 +48,7 @@
     if cancelled:
         values_by_key[layout.make_cancel_key('j')] = b'1'
     for key, value in values_by_key.items():
-        view.apply(transactions.StoredItem(key, value, 5, 5))
+        view.apply(transactions.StoredItem(key, value, 5, 5), 0.0)
     return view
 
 
