Count the idle time of a job from its last run at work

Callers see that a job whose starts come to nothing has nothing running, and that the limit on idle time never acts for it, or acts anew after each of them. The limit counted from when a unit became ready, which each withdrawn or refused start and each takeover began anew. A run that no worker had listed counted as at work for 3 s after its placement, so that the rest of its job waited as long as one of its work items was placed again and again.

The time now counts from when a worker last listed a run of the job, or the end of one; lists that an agent repeats for a silent worker are as old as the silence. Each work item of a lasting step counts by itself. An entry knows from its view of the store since when a job has no active run, so that a takeover goes on counting; a job with active runs counts from the takeover on. A start that no worker has accepted keeps the rest of its job from the limit for 3 s from the first start since the last run at work, and for 1 s by itself.

--- a/damaskpin/coordinator/ends.py
+++ b/damaskpin/coordinator/ends.py
@@ -40,6 +40,8 @@
             worker_state.PendingEnd(ended.serial, None, 0)
         )
         return
+    if known is not None:
+        known.record_work(now)
     job = placed.job
     was_final = job.is_final()
     was_done = job.is_done(ended.run.item)
--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -37,6 +37,10 @@
 # that is lost.
 MAX_UNHEARD_S = 3.0
 
+# Time in seconds for which a start counts as at work if earlier starts of its
+# job have come to nothing for longer than that.
+MAX_START_S = 1.0
+
 # Time in seconds by which the start of an earlier job may be late before idle
 # jobs may use its capacity. Estimates of the runs that it waits for are often
 # too short.
@@ -95,10 +99,9 @@
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
         """Return whether a unit should start wherever there is room."""
-        idle = self._now - unit.ready_since
-        if idle < MAX_IDLE_S:
+        if self.measure_idle(unit) < MAX_IDLE_S:
             return False
-        if max(self._now - unit.get_due_since(), idle) < MIN_AGE_S:
+        if self._now - unit.get_due_since() < MIN_AGE_S:
             return False
         if unit.step.lasting:
             # Each of its items is owed, also in a busy service.
@@ -108,6 +111,19 @@
         service = unit.job.submission.terms.service
         return self.get_used_share(service) < MAX_USED_SHARE
 
+    def measure_idle(self, unit: jobs.Unit) -> float:
+        """Return the seconds since the job of a unit last had a run at work.
+
+        Starts that come to nothing make no difference. Each work item of a
+        lasting step counts by itself.
+        """
+        times = unit.job.times
+        idle_since = times.get_job_idle_since(unit.occurrence)
+        if unit.step.lasting:
+            unit_idle_since = times.get_unit_idle_since(unit.get_key()[1:])
+            idle_since = min(idle_since, unit_idle_since)
+        return self._now - idle_since
+
     def is_quiet(self) -> bool:
         """Return whether no job has been accepted for some time."""
         return self._now - self._ledger.last_arrival >= QUIET_PERIOD_S
@@ -214,6 +230,10 @@
     if placed.stop_reason:
         return False
     heard = placed.last_listed or placed.placed_at
+    if not placed.last_listed and not placed.confirmed:
+        if now - heard <= MAX_START_S:
+            return True
+        heard = min(heard, placed.job.times.starting_since)
     if worker.silence:
         # The agent repeats the lists that it has read before.
         heard = min(heard, now - worker.silence)
--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -71,7 +71,8 @@
     def _may_start_on_suspects(self, unit: jobs.Unit) -> bool:
         if unit.is_last_attempt() or not self._limit.is_quiet():
             return False
-        return self._now - unit.ready_since >= MAX_WAIT_FOR_SOUND_WORKER_S
+        idle = self._limit.measure_idle(unit)
+        return idle >= MAX_WAIT_FOR_SOUND_WORKER_S
 
     def _find_plan_on(
         self, unit: jobs.Unit, workers: list[worker_state.Worker]
--- a/damaskpin/coordinator/job.py
+++ b/damaskpin/coordinator/job.py
@@ -106,8 +106,8 @@
 
     :param submission: job as it was accepted.
     :param progress: known progress of the job; changed in place.
-    :param arrived: steady time in seconds at which it was accepted, as far as
-        is known; ``None`` for a job that is new to the coordinator.
+    :param times: times of the job by the steady clock of the coordinator;
+        ``None`` for a job that is new to it.
     :ivar stored_version: latest version of the progress in the store.
     :ivar avoided_workers: ids of the workers that a unit should avoid, by the
         unit's occurrence, step index and slot; see :class:`Unit`.
@@ -120,7 +120,6 @@
     :ivar promised_starts: time in seconds at which a unit was expected to
         start when capacity was first reserved for it, by the unit's
         occurrence, step index and slot.
-    :ivar times: times of the job by the steady clock of the coordinator.
     :ivar unrecorded: runs that a worker lists and the progress lacks.
     :ivar moved_runs: numbers of the runs of a unit that were moved off
         workers on which they were stalled or slow, by the unit's occurrence,
@@ -147,10 +146,10 @@
         self,
         submission: work.Submission,
         progress: records.Progress,
-        arrived: float | None = None,
+        times: job_times.JobTimes | None = None,
     ) -> None:
         self.submission = submission
-        self.times = job_times.JobTimes(arrived)
+        self.times = times or job_times.JobTimes()
         self.progress = progress
         self.stored_version = progress.version
         self.revision = 0
@@ -339,8 +338,8 @@
         indexes: tuple[int, ...],
         slot: int,
     ) -> Unit:
-        ready_since = self._ready_since.setdefault(
-            (occurrence, index, slot), now
-        )
+        key = (occurrence, index, slot)
+        ready_since = self._ready_since.setdefault(key, now)
+        self.times.record_ready(now, key)
         step = self.submission.steps[index]
         return Unit(self, occurrence, index, step, indexes, slot, ready_since)
--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -104,8 +104,14 @@
     rate: float = -1.0
     best_rate: float = 0.0
 
-    def update_from_list(self, row: work.RunningRun, now: float) -> None:
-        """Update the run from its entry in the worker's list of runs."""
+    def update_from_list(
+        self, row: work.RunningRun, now: float, silence: float = 0.0
+    ) -> None:
+        """Update the run from its entry in the worker's list of runs.
+
+        :param silence: seconds since the worker has given the list.
+        """
+        self.record_work(now - silence)
         self.confirmed = True
         self.last_listed = now
         if not self.first_listed:
@@ -128,6 +134,15 @@
             self.best_rate = max(self.best_rate, self.rate)
             self._start_rate_window(now, row.percent)
 
+    def record_work(self, listed: float) -> None:
+        """Record that its worker has listed the run, or its end.
+
+        :param listed: time at which the worker has listed it, in seconds.
+        """
+        item = self.run.item
+        slot = self.step.get_slot(item.index)
+        self.job.times.record_work(listed, (item.occurrence, item.step, slot))
+
     def _start_rate_window(self, now: float, percent: float) -> None:
         self.window_start = now
         self.window_start_percent = percent
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -228,6 +228,7 @@
         assignments = [(w.lifetime, w.agent) for w in plan.workers]
         suspect = unit.is_suspect()
         self._idle_limit.record_start(unit)
+        unit.job.times.record_start(self._now)
         self._ledger.pass_trace.record_outcome(
             unit, pass_trace.Outcome.STARTED
         )
--- a/damaskpin/coordinator/run_lists.py
+++ b/damaskpin/coordinator/run_lists.py
@@ -44,7 +44,7 @@
         if placed is None:
             ledger.stop_unrecorded_run(worker, row.run)
             continue
-        placed.update_from_list(row, now)
+        placed.update_from_list(row, now, report.silence)
     for refused in report.refused:
         listed_runs.add(refused.run)
         if refused.run in running:
--- a/damaskpin/entry/view.py
+++ b/damaskpin/entry/view.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from damaskpin import errors
+from damaskpin.coordinator import job_times
 from damaskpin.coordinator import records
 from damaskpin.peer import addresses
 from damaskpin.store import layout
@@ -33,6 +35,7 @@
 
     __slots__ = (
         '_first_seen',
+        '_without_runs_since',
         'cancelled',
         'progress',
         'revision',
@@ -41,23 +44,46 @@
 
     def __init__(self, now: float) -> None:
         self._first_seen = now
+        self._without_runs_since = math.inf
         self.submission: work.Submission | None = None
         self.progress = records.Progress()
         self.revision = 0
         self.cancelled = False
 
-    def estimate_arrival(self, now: float, wall: float) -> float:
-        """Return the steady time in seconds by which the job was accepted.
+    def set_progress(
+        self, progress: records.Progress, revision: int, now: float
+    ) -> None:
+        """Replace the progress by a newer one from the store.
+
+        :param now: steady time in seconds.
+        """
+        self.progress = progress
+        self.revision = revision
+        if any(
+            step.active
+            for steps in progress.occurrences.values()
+            for step in steps
+        ):
+            self._without_runs_since = math.inf
+        else:
+            self._without_runs_since = min(self._without_runs_since, now)
+
+    def estimate_times(self, now: float, wall: float) -> job_times.JobTimes:
+        """Return what this entry knows of the times of the job.
 
         The Unix time tells more than the time at which this entry saw the job
-        if the entry has started since.
+        if the entry has started since. Starts are ordered once they are
+        stored, so that no worker runs a job whose progress has no active run.
 
         :param now: steady time in seconds.
         :param wall: Unix time in seconds.
         """
-        if self.submission is None:
-            return self._first_seen
-        return min(self._first_seen, now - (wall - self.submission.accepted))
+        arrived = self._first_seen
+        if self.submission is not None:
+            arrived = min(arrived, now - (wall - self.submission.accepted))
+        if not self.progress.begun:
+            return job_times.JobTimes(arrived)
+        return job_times.JobTimes(arrived, min(self._without_runs_since, now))
 
 
 class CachedTombstone(msgspec.Struct, frozen=True):
@@ -180,8 +206,8 @@
             job = self._jobs.setdefault(job_id, CachedJob(now))
             match prefix:
                 case layout.PROGRESS_PREFIX:
-                    job.progress = records.decode_progress(change.value)
-                    job.revision = change.revision
+                    progress = records.decode_progress(change.value)
+                    job.set_progress(progress, change.revision, now)
                 case _:
                     job.cancelled = True
         except errors.MalformedError as error:
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -304,8 +304,8 @@
         # gets a copy, so that the view still shows the stored progress.
         progress_copy = views.copy_progress(progress)
         wall = clocks.get_wall_time()
-        arrived = known_job.estimate_arrival(now, wall) if is_loaded else None
-        job = jobs.Job(known_job.submission, progress_copy, arrived)
+        times = known_job.estimate_times(now, wall) if is_loaded else None
+        job = jobs.Job(known_job.submission, progress_copy, times)
         job.revision = known_job.revision
         coordinator.add_job(now, job)
         LOG.info(
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -10,6 +10,7 @@
 from damaskpin.agent import connection_pool
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import job as jobs
+from damaskpin.coordinator import job_times
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import records
 from damaskpin.model import work
@@ -300,7 +301,10 @@
         if job_id in self.store:
             progress = records.decode_progress(self.store[job_id])
         submission = self.submissions[job_id]
-        job = jobs.Job(submission, progress, submission.accepted - WALL)
+        times = job_times.JobTimes(submission.accepted - WALL)
+        if progress.begun:
+            times.last_at_work = self.now
+        job = jobs.Job(submission, progress, times)
         self.coordinator.add_job(self.now, job)
         if job_id in self.cancelled:
             self.coordinator.cancel_job(WALL + self.now, job_id)
--- a/tests/test_coordinator/test_coordinator_idle_review.py
+++ b/tests/test_coordinator/test_coordinator_idle_review.py
@@ -81,7 +81,7 @@
     builders.decide(ledger)
     builders.report_all_runs_begun(ledger, NOW)
     step = builders.make_step(accelerators=8, estimate=30.0, data_rack='r0')
-    job = builders.submit(ledger, 'waiting', step, now=NOW + skew)
+    job = builders.submit(ledger, 'waiting', step, skew=skew)
     waited = _decide_until(ledger, job, 40.0)
     assert waited is not None
     assert waited <= LONGEST_WAIT_S
--- a/tests/test_coordinator/test_coordinator_steady_time.py
+++ b/tests/test_coordinator/test_coordinator_steady_time.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import idle_limit
 from damaskpin.coordinator import job as jobs
+from damaskpin.coordinator import job_times
 from damaskpin.coordinator import records
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -88,7 +89,8 @@
     accepted = builders.WALL + STEP_S
     steps = (builders.make_step(4),)
     submission = work.Submission('job', 'a', 'content', steps, terms, accepted)
-    job = jobs.Job(submission, records.Progress(), NOW - LONGEST_WAIT_S)
+    times = job_times.JobTimes(NOW - LONGEST_WAIT_S)
+    job = jobs.Job(submission, records.Progress(), times)
     ledger.add_job(NOW, job)
     waited = _decide_until(ledger, job, LONGEST_WAIT_S)
     assert waited is not None
--- a/tests/test_entry/test_entry_view.py
+++ b/tests/test_entry/test_entry_view.py
@@ -7,6 +7,7 @@
 
 from damaskpin.coordinator import records
 from damaskpin.entry import view as views
+from damaskpin.model import work
 from damaskpin.store import layout
 from damaskpin.store import transactions
 from tests.test_runtime import outages
@@ -68,4 +69,29 @@
     _apply(view, key, records.encode_submission(submission), now=200.0)
     _apply(view, key, records.encode_submission(submission), 2, now=220.0)
     job = view.get(submission.id)
-    assert job.estimate_arrival(260.0, wall + 60.0) == arrived
+    times = job.estimate_times(260.0, wall + 60.0)
+    assert times.arrived == arrived
+
+
+def test_job_is_idle_since_the_view_has_no_active_run_of_it():
+    """Guards against a wait that each new coordinator counts anew."""
+    view = views.JobView()
+    key = layout.make_job_key(outages.JOB.id)
+    _apply(view, key, records.encode_submission(outages.JOB), now=200.0)
+    wall = outages.JOB.accepted + 5.0
+    times = view.get(outages.JOB.id).estimate_times(205.0, wall)
+    assert times.get_job_idle_since(0) == 200.0
+    key = layout.make_progress_key(outages.JOB.id)
+    active = [records.ActiveRun(0, 1, work.Lifetime('w', 1), 'agent')]
+    for now, runs, idle_since in (
+        (210.0, active, 250.0),
+        (220.0, [], 220.0),
+        (230.0, [], 220.0),
+        (240.0, active, 250.0),
+    ):
+        step = records.StepProgress(active=runs)
+        progress = records.Progress(begun=True, occurrences={0: [step]})
+        data = records.encode_progress(progress)
+        _apply(view, key, data, int(now), now)
+        times = view.get(outages.JOB.id).estimate_times(250.0, wall + 45.0)
+        assert times.get_job_idle_since(0) == idle_since
