Start idle work off workers that refuse it

Callers see that a job has nothing running while there is room: workers in the rack of its data refuse each of its starts, and as they accept others, they have no long pauses. The limit on idle time chose local workers first, whatever they had refused. Units of idle jobs now go to a worker in another rack before one that has refused them or failed under them; such workers still come before none.

--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -21,9 +21,11 @@
     """Finds workers for units of idle jobs, wherever there is room.
 
     Such a unit does not wait for a better place, nor beside capacity that is
-    reserved for later jobs. Suspect workers are its last choice, and only
-    while no new jobs arrive and not for a last attempt: a failing worker with
-    room would otherwise end many jobs.
+    reserved for later jobs. Workers that have refused it or failed under it
+    come after all others, also after those in another rack than its data.
+    Suspect workers are its last choice, and only while no new jobs arrive and
+    not for a last attempt: a failing worker with room would otherwise end many
+    jobs.
 
     :param limit: limit on idle time in this pass.
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
@@ -63,7 +65,9 @@
             and not worker.start_pause.is_active(self._now)
         ]
         sound = [w for w in usable if w.suspect_until <= self._now]
-        plan = self._find_plan_on(unit, sound)
+        plan = self._find_plan_on(unit, list_not_avoided(unit, sound))
+        if plan is None:
+            plan = self._find_plan_on(unit, sound)
         if plan is not None or not self._may_start_on_suspects(unit):
             return plan
         return self._find_plan_on(unit, usable)
@@ -90,3 +94,11 @@
             if plan is not None:
                 return plan
         return planner.find_immediate(unit, local=False)
+
+
+def list_not_avoided(
+    unit: jobs.Unit, workers: list[worker_state.Worker]
+) -> list[worker_state.Worker]:
+    """Return the workers that have not refused a unit or failed under it."""
+    avoided = unit.job.avoided_workers.get(unit.get_key()[1:], ())
+    return [w for w in workers if w.lifetime.worker not in avoided]
--- a/tests/test_coordinator/test_coordinator_idle_cycles.py
+++ b/tests/test_coordinator/test_coordinator_idle_cycles.py
@@ -20,6 +20,7 @@
 
 TICK_S = 0.25
 WAITED_FOR_S = 30.0
+RACK_WORKERS = ('w0', 'w1', 'w2')
 
 
 def _submit_local(ledger, count=1):
@@ -53,6 +54,26 @@
     ledger.record_refusal(worker, refused)
 
 
+def test_job_leaves_a_rack_whose_workers_refuse_each_of_its_starts():
+    """Guards against a job that has nothing running while there is room.
+
+    The workers in the rack of its data accept other starts meanwhile, so that
+    they have no long pauses. Each refusal began the time without a run anew.
+    """
+    ledger = builders.make_ledger(workers=6)
+    job = _submit_local(ledger)
+    for tick in range(int(60.0 / TICK_S)):
+        now = NOW + tick * TICK_S
+        builders.decide(ledger, now)
+        for worker, placed in _list_placed(ledger, job):
+            if worker.lifetime.worker in RACK_WORKERS:
+                _refuse(ledger, worker, placed)
+        if builders.list_runs(ledger, job):
+            break
+    assert builders.list_runs(ledger, job)
+    assert idle_limit.MIN_AGE_S <= now - NOW <= LONGEST_WAIT_S
+
+
 def test_starts_that_come_to_nothing_keep_no_rest_of_a_job_waiting():
     """Guards against a job that has nothing running while there is room.
 
