Bound the time for which a guarantee reserves idle workers

Callers see that jobs have nothing running beside idle workers: a guaranteed job, or one for which runs were preempted, reserves them while the rest of its capacity does not become free, as on a worker that is gone or does not carry out a stop. Idle jobs left such capacity alone for as long as it was reserved, and the unit renewed the reservation in each pass.

It now holds until 6 s after the unit should have started, twice the time within which guaranteed work has to start.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -4,10 +4,11 @@
 larger work, because it then ends sooner or holds up less. That is no reason to
 leave it with nothing running for long while most of the service is idle.
 
-It never takes capacity that is reserved for a guarantee or after a preemption.
-It takes capacity that is reserved for an earlier job only once that job should
-have started, or while no new jobs arrive. A large job would otherwise wait
-without end behind small ones, and preempt the same ones again and again.
+It takes capacity that is reserved for a guarantee or after a preemption only
+once that work should have started long ago, and capacity that is reserved for
+an earlier job once that job should have started, or while no new jobs arrive.
+A large job would otherwise wait without end behind small ones, and preempt the
+same ones again and again.
 """
 
 from __future__ import annotations
@@ -46,6 +47,11 @@
 # too short.
 MAX_DELAY_S = 3.0
 
+# The same for capacity that is reserved for a guarantee or after a preemption.
+# It is about twice the time within which guaranteed work has to start: if its
+# capacity has not become free by then, nothing tells when it will.
+MAX_FIRM_DELAY_S = 6.0
+
 # Time in seconds without new jobs after which idle jobs no longer leave
 # capacity to earlier ones. The jobs that are left put these off for a limited
 # time only.
@@ -62,7 +68,8 @@
 class _ReservedUnit:
     """A unit for which capacity is reserved.
 
-    :ivar is_firm: whether no idle job may use the capacity.
+    :ivar is_firm: whether it is reserved for a guarantee or after a
+        preemption.
     """
 
     unit: jobs.Unit
@@ -72,7 +79,8 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the unit should have started some time ago."""
-        return now > self.unit.get_promised_start() + MAX_DELAY_S
+        max_delay = MAX_FIRM_DELAY_S if self.is_firm else MAX_DELAY_S
+        return now > self.unit.get_promised_start() + max_delay
 
 
 class IdleLimit:
@@ -160,7 +168,8 @@
 
         :param expected_start: time at which the unit is expected to start, in
             seconds.
-        :param is_firm: whether no idle job may use the capacity.
+        :param is_firm: whether it is reserved for a guarantee or after a
+            preemption.
         """
         unit.promise_start(expected_start)
         self._reserved_units.append(
@@ -203,7 +212,7 @@
     def _is_heeded(self, reserved: _ReservedUnit, unit: jobs.Unit) -> bool:
         """Return whether a unit of an idle job leaves capacity to another."""
         if reserved.is_firm:
-            return True
+            return not reserved.is_overdue(self._now)
         if get_due_time(reserved.unit) > get_due_time(unit):
             return False
         return not (reserved.is_overdue(self._now) or self.is_quiet())
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -122,7 +122,7 @@
     ) -> None:
         """Reserve the capacity of a plan whose unit can't start yet.
 
-        :param is_firm: whether idle jobs must not use the capacity.
+        :param is_firm: whether the capacity is reserved after a preemption.
         """
         self._planner.reserve(unit, plan, expected_start)
         is_firm |= unit.job.id in self._guaranteed
