Withdraw a start that its worker leaves unanswered

Callers see that a work item never starts: its worker answers polls and other starts, and never this one. The run stayed placed there without a limit, as nothing gave an ordered start up that was neither accepted nor refused.

After 5 s in contact with the worker the coordinator now orders the run to stop. The agent reports it as gone only after the worker has confirmed that a start that arrives later is void, as for any other start that is given up, so that no work item runs twice. The work item then prefers other workers. Time in which the worker is silent or the start is not ordered yet does not count.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -16,6 +16,7 @@
 from damaskpin.coordinator import run_lists
 from damaskpin.coordinator import run_orders
 from damaskpin.coordinator import supervision
+from damaskpin.coordinator import unanswered_starts
 from damaskpin.coordinator import wait_reasons
 from damaskpin.model import work
 from damaskpin.peer import orders
@@ -228,6 +229,7 @@
         ledger.changed = False
         self._next_check = now + RECHECK_INTERVAL_S
         supervision.stop_faulty_runs(now, ledger)
+        unanswered_starts.stop_unanswered_starts(now, ledger)
         placement.place_ready_units(now, wall, ledger, self._get_guarantee)
 
     def explain_waits(
--- /dev/null
+++ b/damaskpin/coordinator/unanswered_starts.py
@@ -0,0 +1,42 @@
+"""Starts that a worker neither accepts nor refuses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from damaskpin.coordinator import lost_work
+from damaskpin.coordinator import moves
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import ledger as ledgers
+
+# Time in seconds after which an ordered start is given up if its worker, which
+# answers other calls, has neither accepted nor refused it. It is as long as
+# for an accepted run that the worker does not list any more.
+MAX_ANSWER_S = 5.0
+
+REASON = 'the start has no answer'
+
+
+def stop_unanswered_starts(now: float, ledger: ledgers.RunLedger) -> None:
+    """Order runs to stop whose starts have had no answer for too long.
+
+    The worker may carry out such a start at any time. A run is therefore
+    stopped, and placed elsewhere once the worker has confirmed that.
+    """
+    for worker in list(ledger.workers.values()):
+        is_usable = worker.is_usable(now)
+        for placed in list(worker.runs.values()):
+            if placed.confirmed or placed.stop_reason:
+                continue
+            if not is_usable or placed.ordered_to is None:
+                placed.unanswered_since = 0.0
+                continue
+            if not placed.unanswered_since:
+                placed.unanswered_since = now
+            if now - placed.unanswered_since <= MAX_ANSWER_S:
+                continue
+            moves.avoid_worker(placed, worker)
+            ledger.stop_run(
+                worker, placed, lost_work.Cause.NOT_STARTED, REASON
+            )
