Decide by what workers list whether idle work has room

Callers see that a job has nothing running although most of the service is idle. The limit on idle time took the room and the used share from the books, where runs that no worker lists take capacity until it is certain that they do not exist: starts without an answer, stops under way and runs of restarted workers. The rule on lost jobs and the watch for waits go by what the workers list.

The limit now goes by it too, and shares the search for room with the watch (free_room). Where an idle job starts is still decided by the free capacity of the books, so that no worker gets more than it holds. The log line of the watch still tells the used share by the books (used_share_books).

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -16,8 +16,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import free_room
 from damaskpin.coordinator import tentative_plan
-from damaskpin.model import work
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,6 +27,7 @@
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import planning
     from damaskpin.coordinator import worker_state
+    from damaskpin.model import work
 
 # Age in seconds from which a job must not stay idle, and the time in seconds
 # for which its next unit may still be idle then.
@@ -60,9 +61,6 @@
 # Share of a service's capacity from which its reservations always hold.
 MAX_USED_SHARE = 0.5
 
-# Room that a unit must find, as a multiple of its demand.
-ROOM_FACTOR = 2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ReservedUnit:
@@ -92,16 +90,18 @@
 
     __slots__ = (
         '_ledger',
+        '_listed_room',
         '_now',
         '_reserved_units',
-        '_used_shares',
+        '_usable_room',
         '_working_jobs',
     )
 
     def __init__(self, now: float, ledger: ledgers.RunLedger) -> None:
         self._now = now
         self._ledger = ledger
-        self._used_shares: dict[str, float] = {}
+        self._usable_room: free_room.FreeRoom | None = None
+        self._listed_room: free_room.FreeRoom | None = None
         self._working_jobs: set[str] | None = None
         self._reserved_units: list[_ReservedUnit] = []
 
@@ -137,20 +137,38 @@
         return self._now - self._ledger.last_arrival >= QUIET_PERIOD_S
 
     def get_used_share(self, service: str) -> float:
-        """Return the share of a service's capacity that runs use.
+        """Return the share of a service's capacity that listed runs use.
+
+        Only usable workers count.
+        """
+        if self._usable_room is None:
+            self._usable_room = free_room.FreeRoom(
+                list_listed_room(
+                    self._now,
+                    (
+                        worker
+                        for worker in self._ledger.workers.values()
+                        if worker.is_usable(self._now)
+                    ),
+                )
+            )
+        return self._usable_room.get_used_share(service)
+
+    def has_ample_room(self, unit: jobs.Unit) -> bool:
+        """Return whether a unit finds room several times over by the lists.
 
-        Only usable workers count. The runs of others stay in the books until
-        they have certainly ended.
+        Where it may start is decided by the books.
         """
-        share = self._used_shares.get(service)
-        if share is None:
-            share = measure_used_share(
-                worker
-                for worker in list_workers(self._ledger, service)
-                if worker.is_usable(self._now)
+        if self._listed_room is None:
+            self._listed_room = free_room.FreeRoom(
+                list_listed_room(self._now, self._ledger.workers.values())
+            )
+        service = unit.job.submission.terms.service
+        return bool(
+            self._listed_room.has_ample_room(
+                service, unit.step, len(unit.indexes)
             )
-            self._used_shares[service] = share
-        return share
+        )
 
     def record_start(self, unit: jobs.Unit) -> None:
         """Record that the job of a unit is no longer idle."""
@@ -268,42 +286,46 @@
     ]
 
 
-def measure_used_share(workers: Iterable[worker_state.Worker]) -> float:
-    """Return the share of the workers' capacity in use, in core equivalents.
+def measure_used_share(
+    now: float, ledger: ledgers.RunLedger, service: str
+) -> float:
+    """Return the share of a service in use by the books.
 
-    Accelerators count as the cores that they cost as much as.
+    Only usable workers count. The runs of others stay in the books until they
+    have certainly ended.
     """
-    capacity = 0
-    used = 0
-    for worker in workers:
-        if worker.profile is None:
-            continue
-        total = count_core_equivalents(worker.profile.capacity)
-        capacity += total
-        used += total - count_core_equivalents(worker.free_capacity)
-    return used / max(capacity, 1)
-
+    room = free_room.FreeRoom(
+        free_room.FreeWorker(worker.profile, worker.free_capacity)
+        for worker in ledger.workers.values()
+        if worker.profile is not None and worker.is_usable(now)
+    )
+    return room.get_used_share(service)
 
-def count_core_equivalents(resources: work.Resources) -> int:
-    """Return processors and accelerators in thousandths of a core."""
-    accelerators = resources.accelerators * work.CORES_PER_ACCELERATOR * 1000
-    return resources.cpu + accelerators
 
+def list_listed_room(
+    now: float, workers: Iterable[worker_state.Worker]
+) -> list[free_room.FreeWorker]:
+    """Return the room on workers that is free by their own lists.
 
-def has_ample_room(
-    workers: Iterable[worker_state.Worker], unit: jobs.Unit
-) -> bool:
-    """Return whether a unit finds room several times over."""
-    demand = unit.step.get_reservation()
-    needed = ROOM_FACTOR * len(unit.indexes)
+    Runs that may exist although no list has them take capacity in the books
+    only. New starts count as listed for some time. Draining workers and those
+    whose lists are not known are left out.
+    """
+    room = []
     for worker in workers:
-        if unit.step.label and (
-            worker.profile is None
-            or unit.step.label not in worker.profile.labels
-        ):
+        profile = worker.profile
+        if profile is None or profile.draining or not worker.has_run_lists:
             continue
-        free = worker.free_capacity
-        while needed and free.can_fit(demand):
-            free = free.minus(demand)
-            needed -= 1
-    return not needed
+        free = profile.capacity
+        for placed in worker.runs.values():
+            if is_listed(now, placed):
+                free = free.minus(placed.reserved)
+        room.append(free_room.FreeWorker(profile, free))
+    return room
+
+
+def is_listed(now: float, placed: placed_run.PlacedRun) -> bool:
+    """Return whether a worker lists a run, or will soon as it was placed."""
+    if placed.last_listed:
+        return not placed.missing_since
+    return not placed.stop_reason and now - placed.placed_at <= MAX_START_S
--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -56,7 +56,7 @@
         workers = idle_limit.list_workers(
             self._ledger, unit.job.submission.terms.service
         )
-        if not idle_limit.has_ample_room(workers, unit):
+        if not self._limit.has_ample_room(unit):
             return None
         usable = [
             worker
--- a/damaskpin/coordinator/listed_runs.py
+++ b/damaskpin/coordinator/listed_runs.py
@@ -5,13 +5,12 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from damaskpin.coordinator import idle_limit
-from damaskpin.model import work
+from damaskpin.coordinator import free_room
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from damaskpin.coordinator import due_steps
+    from damaskpin.model import work
     from damaskpin.peer import orders
 
     FindReservation = Callable[[work.Run], work.Resources | None]
@@ -29,19 +28,6 @@
 MAX_SEARCHES = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerRoom:
-    """Room on a worker, by its own lists.
-
-    :ivar free: capacity that its listed and newly accepted runs leave.
-    :ivar running: runs that it lists.
-    """
-
-    lifetime: work.Lifetime
-    free: work.Resources
-    running: tuple[work.RunningRun, ...]
-
-
 @dataclasses.dataclass(slots=True)
 class WorkerLists:
     """Latest report on one lifetime of a worker.
@@ -156,105 +142,28 @@
             del self.last_listed[job_id]
 
 
-class ListedRoom:
-    """Free capacity of the workers by their own lists, at one moment.
+def find_room(
+    now: float, listed: ListedRuns, find_reservation: FindReservation
+) -> free_room.FreeRoom:
+    """Return the room on the workers by their own lists.
+
+    Draining workers are left out.
 
     :param now: steady time in seconds.
     :param find_reservation: returns the capacity that a run takes.
     """
-
-    __slots__ = ('_free', '_has_room', '_largest', '_used_shares')
-
-    def __init__(
-        self,
-        now: float,
-        listed: ListedRuns,
-        find_reservation: FindReservation,
-    ) -> None:
-        self._free: dict[str, list[tuple[WorkerLists, work.Resources]]] = {}
-        self._largest: dict[str, work.Resources] = {}
-        self._used_shares: dict[str, float] = {}
-        self._has_room: dict[tuple[str, str, work.Resources, int], bool] = {}
-        capacities: dict[str, int] = {}
-        free_capacities: dict[str, int] = {}
-        for lists in listed.workers.values():
-            profile = lists.profile
-            if profile.draining:
-                continue
-            free = profile.capacity
-            runs = [row.run for row in lists.running]
-            runs.extend(lists.list_accepted(now))
-            for run in runs:
-                reservation = find_reservation(run)
-                if reservation is not None:
-                    free = free.minus(reservation)
-            service = profile.service
-            self._free.setdefault(service, []).append((lists, free))
-            self._largest[service] = combine_largest(
-                self._largest.get(service, free), free
-            )
-            capacities[service] = capacities.get(
-                service, 0
-            ) + idle_limit.count_core_equivalents(profile.capacity)
-            free_capacities[service] = free_capacities.get(
-                service, 0
-            ) + idle_limit.count_core_equivalents(free)
-        for service, capacity in capacities.items():
-            used = capacity - free_capacities[service]
-            self._used_shares[service] = used / max(capacity, 1)
-
-    def get_used_share(self, service: str) -> float:
-        """Return the share of a service that listed runs use; 1 without it."""
-        return self._used_shares.get(service, 1.0)
-
-    def has_ample_room(self, due: due_steps.DueStep) -> bool | None:
-        """Return whether the next unit of a step finds room twice over.
-
-        :returns: ``None`` if there were too many other searches.
-        """
-        step = due.step
-        demand = step.get_reservation()
-        largest = self._largest.get(due.service)
-        if largest is None or not largest.can_fit(demand):
-            return False
-        needed = idle_limit.ROOM_FACTOR * due.count_together()
-        key = (due.service, step.label, demand, needed)
-        known = self._has_room.get(key)
-        if known is None and len(self._has_room) < MAX_SEARCHES:
-            known = self._search(due.service, step.label, demand, needed)
-            self._has_room[key] = known
-        return known
-
-    def _search(
-        self, service: str, label: str, demand: work.Resources, needed: int
-    ) -> bool:
-        """Return whether so many work items find room."""
-        for lists, free in self._free[service]:
-            if label and label not in lists.profile.labels:
-                continue
-            needed -= max(work.count_fits(free, demand), 0)
-            if needed <= 0:
-                return True
-        return False
-
-    def list_workers(self, due: due_steps.DueStep) -> list[WorkerRoom]:
-        """Return the workers with room for one work item of a step."""
-        step = due.step
-        demand = step.get_reservation()
-        return [
-            WorkerRoom(lists.profile.lifetime, free, lists.running)
-            for lists, free in self._free.get(due.service, ())
-            if free.can_fit(demand)
-            and (not step.label or step.label in lists.profile.labels)
-        ]
-
-
-def combine_largest(
-    first: work.Resources, second: work.Resources
-) -> work.Resources:
-    """Return the larger amount of each resource."""
-    return work.Resources(
-        max(first.cpu, second.cpu),
-        max(first.memory, second.memory),
-        max(first.accelerators, second.accelerators),
-    )
+    workers = []
+    for lists in listed.workers.values():
+        if lists.profile.draining:
+            continue
+        free = lists.profile.capacity
+        runs = [row.run for row in lists.running]
+        runs.extend(lists.list_accepted(now))
+        for run in runs:
+            reservation = find_reservation(run)
+            if reservation is not None:
+                free = free.minus(reservation)
+        workers.append(
+            free_room.FreeWorker(lists.profile, free, lists.running)
+        )
+    return free_room.FreeRoom(workers, MAX_SEARCHES)
--- a/damaskpin/coordinator/wait_reasons.py
+++ b/damaskpin/coordinator/wait_reasons.py
@@ -17,8 +17,8 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import due_steps
+    from damaskpin.coordinator import free_room
     from damaskpin.coordinator import ledger as ledgers
-    from damaskpin.coordinator import listed_runs
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import worker_state
 
@@ -56,7 +56,7 @@
     """
 
     due: due_steps.DueStep
-    workers: list[listed_runs.WorkerRoom]
+    workers: list[free_room.FreeWorker]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -97,13 +97,13 @@
             known = placements.get(placed.run.item.job)
             if known is not None:
                 known.append((worker, placed))
-    limit = idle_limit.IdleLimit(now, ledger)
     explanations = []
     for question in questions:
         placed_runs = placements[question.due.submission.id]
         reason, fields = _explain_one(now, ledger, question, placed_runs)
         fields['used_share_books'] = round(
-            limit.get_used_share(question.due.service), 3
+            idle_limit.measure_used_share(now, ledger, question.due.service),
+            3,
         )
         fields['last_pass'] = _describe_pass_age(now, ledger)
         fields['agents'] = _count_agents(now, ledger)
@@ -220,8 +220,8 @@
     outcome = ledger.pass_trace.outcomes.get(unit.get_key())
     is_held_back = crashes.is_held_back(now, ledger, unit)
     obstacles = {
-        room.lifetime: worker_obstacles.find_obstacle(
-            now, ledger, ledger.workers.get(room.lifetime), unit
+        room.profile.lifetime: worker_obstacles.find_obstacle(
+            now, ledger, ledger.workers.get(room.profile.lifetime), unit
         )
         for room in question.workers
     }
@@ -241,7 +241,7 @@
         'suspect': unit.is_suspect(),
         'in_pass': 'held back' if is_held_back else str(outcome or 'not seen'),
         'workers': {
-            room.lifetime.worker: worker_obstacles.describe_worker(
+            room.profile.lifetime.worker: worker_obstacles.describe_worker(
                 now, ledger, room, unit
             )
             for room in question.workers[:MAX_LOGGED_WORKERS]
--- a/damaskpin/coordinator/worker_obstacles.py
+++ b/damaskpin/coordinator/worker_obstacles.py
@@ -13,9 +13,9 @@
 from damaskpin.coordinator import run_stages
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import free_room
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
-    from damaskpin.coordinator import listed_runs
     from damaskpin.coordinator import pass_trace
     from damaskpin.coordinator import worker_state
     from damaskpin.model import work
@@ -85,7 +85,7 @@
 def describe_worker(
     now: float,
     ledger: ledgers.RunLedger,
-    room: listed_runs.WorkerRoom,
+    room: free_room.FreeWorker,
     unit: jobs.Unit,
 ) -> str:
     """Return the obstacle on a worker, with what the books have there.
@@ -93,7 +93,7 @@
     :param now: steady time in seconds.
     :param room: room on the worker by its own lists.
     """
-    worker = ledger.workers.get(room.lifetime)
+    worker = ledger.workers.get(room.profile.lifetime)
     obstacle = find_obstacle(now, ledger, worker, unit)
     parts = [obstacle.value]
     if worker is None:
@@ -112,7 +112,7 @@
 
 
 def describe_difference(
-    now: float, worker: worker_state.Worker, room: listed_runs.WorkerRoom
+    now: float, worker: worker_state.Worker, room: free_room.FreeWorker
 ) -> list[str]:
     """Return how the books of a worker differ from its lists.
 
--- a/damaskpin/entry/work_watch.py
+++ b/damaskpin/entry/work_watch.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import coordinator as coordinators
+    from damaskpin.coordinator import free_room
     from damaskpin.entry import view as views
     from damaskpin.model import work
     from damaskpin.peer import orders
@@ -128,9 +129,7 @@
         self._waits = self._find_idle_jobs(now)
         if not (former or self._waits):
             return
-        room = listed_runs.ListedRoom(
-            now, self._listed, self._find_reservation
-        )
+        room = listed_runs.find_room(now, self._listed, self._find_reservation)
         self._update_room(now, wall, room)
         for job_id, wait in former.items():
             # A run that was listed between two checks has begun a new wait.
@@ -161,7 +160,7 @@
         return waits
 
     def _update_room(
-        self, now: float, wall: float, room: listed_runs.ListedRoom
+        self, now: float, wall: float, room: free_room.FreeRoom
     ) -> None:
         """Find the idle jobs for which there is room."""
         # Those that were looked at longest ago come first, as the number of
@@ -183,7 +182,7 @@
                 wait.room_since = min(wait.room_since, now)
 
     def _find_startable(
-        self, job_id: str, room: listed_runs.ListedRoom, wall: float
+        self, job_id: str, room: free_room.FreeRoom, wall: float
     ) -> tuple[due_steps.DueStep | None, bool]:
         """Return a due step of a job for which there is ample room.
 
@@ -199,7 +198,9 @@
         for due in due_steps.iterate_due_steps(
             job.submission, job.progress, wall
         ):
-            has_room = room.has_ample_room(due)
+            has_room = room.has_ample_room(
+                service, due.step, due.count_together()
+            )
             if has_room:
                 return (due, True)
             is_known = is_known and has_room is not None
@@ -218,7 +219,7 @@
         self,
         now: float,
         wall: float,
-        room: listed_runs.ListedRoom,
+        room: free_room.FreeRoom,
         coordinator: coordinators.Coordinator | None,
         has_lease: bool,
     ) -> None:
@@ -232,7 +233,9 @@
         waiting.sort(key=lambda row: (not row[1].reason, row[1].room_since))
         del waiting[MAX_LOGGED_JOBS:]
         questions = [
-            wait_reasons.Question(due, room.list_workers(due))
+            wait_reasons.Question(
+                due, room.list_workers(due.service, due.step)
+            )
             for _, _, due in waiting
         ]
         if coordinator is None:
