--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -4,10 +4,11 @@
 larger work, because it then ends sooner or holds up less. That is no reason to
 leave it with nothing running for long while most of the service is idle.
 
-It never takes capacity that is reserved for a guarantee or after a preemption.
-It takes capacity that is reserved for an earlier job only once that job should
-have started, or while no new jobs arrive. A large job would otherwise wait
-without end behind small ones, and preempt the same ones again and again.
+It takes capacity that is reserved for a guarantee or after a preemption only
+once that work should have started long ago, and capacity that is reserved for
+an earlier job once that job should have started, or while no new jobs arrive.
+A large job would otherwise wait without end behind small ones, and preempt the
+same ones again and again.
 """
 
 from __future__ import annotations
@@ -15,8 +16,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import free_room
 from damaskpin.coordinator import tentative_plan
-from damaskpin.model import work
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,6 +27,7 @@
     from damaskpin.coordinator import placed_run
     from damaskpin.coordinator import planning
     from damaskpin.coordinator import worker_state
+    from damaskpin.model import work
 
 # Age in seconds from which a job must not stay idle, and the time in seconds
 # for which its next unit may still be idle then.
@@ -37,11 +39,20 @@
 # that is lost.
 MAX_UNHEARD_S = 3.0
 
+# Time in seconds for which a start counts as at work if earlier starts of its
+# job have come to nothing for longer than that.
+MAX_START_S = 1.0
+
 # Time in seconds by which the start of an earlier job may be late before idle
 # jobs may use its capacity. Estimates of the runs that it waits for are often
 # too short.
 MAX_DELAY_S = 3.0
 
+# The same for capacity that is reserved for a guarantee or after a preemption.
+# It is about twice the time within which guaranteed work has to start: if its
+# capacity has not become free by then, nothing tells when it will.
+MAX_FIRM_DELAY_S = 6.0
+
 # Time in seconds without new jobs after which idle jobs no longer leave
 # capacity to earlier ones. The jobs that are left put these off for a limited
 # time only.
@@ -50,15 +61,13 @@
 # Share of a service's capacity from which its reservations always hold.
 MAX_USED_SHARE = 0.5
 
-# Room that a unit must find, as a multiple of its demand.
-ROOM_FACTOR = 2
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ReservedUnit:
     """A unit for which capacity is reserved.
 
-    :ivar is_firm: whether no idle job may use the capacity.
+    :ivar is_firm: whether it is reserved for a guarantee or after a
+        preemption.
     """
 
     unit: jobs.Unit
@@ -68,7 +77,8 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the unit should have started some time ago."""
-        return now > self.unit.get_promised_start() + MAX_DELAY_S
+        max_delay = MAX_FIRM_DELAY_S if self.is_firm else MAX_DELAY_S
+        return now > self.unit.get_promised_start() + max_delay
 
 
 class IdleLimit:
@@ -80,25 +90,26 @@
 
     __slots__ = (
         '_ledger',
+        '_listed_room',
         '_now',
         '_reserved_units',
-        '_used_shares',
+        '_usable_room',
         '_working_jobs',
     )
 
     def __init__(self, now: float, ledger: ledgers.RunLedger) -> None:
         self._now = now
         self._ledger = ledger
-        self._used_shares: dict[str, float] = {}
+        self._usable_room: free_room.FreeRoom | None = None
+        self._listed_room: free_room.FreeRoom | None = None
         self._working_jobs: set[str] | None = None
         self._reserved_units: list[_ReservedUnit] = []
 
     def is_exceeded(self, unit: jobs.Unit) -> bool:
         """Return whether a unit should start wherever there is room."""
-        idle = self._now - unit.ready_since
-        if idle < MAX_IDLE_S:
+        if self.measure_idle(unit) < MAX_IDLE_S:
             return False
-        if max(self._now - unit.get_due_since(), idle) < MIN_AGE_S:
+        if self._now - unit.get_due_since() < MIN_AGE_S:
             return False
         if unit.step.lasting:
             # Each of its items is owed, also in a busy service.
@@ -108,25 +119,56 @@
         service = unit.job.submission.terms.service
         return self.get_used_share(service) < MAX_USED_SHARE
 
+    def measure_idle(self, unit: jobs.Unit) -> float:
+        """Return the seconds since the job of a unit last had a run at work.
+
+        Starts that come to nothing make no difference. Each work item of a
+        lasting step counts by itself.
+        """
+        times = unit.job.times
+        idle_since = times.get_job_idle_since(unit.occurrence)
+        if unit.step.lasting:
+            unit_idle_since = times.get_unit_idle_since(unit.get_key()[1:])
+            idle_since = min(idle_since, unit_idle_since)
+        return self._now - idle_since
+
     def is_quiet(self) -> bool:
         """Return whether no job has been accepted for some time."""
         return self._now - self._ledger.last_arrival >= QUIET_PERIOD_S
 
     def get_used_share(self, service: str) -> float:
-        """Return the share of a service's capacity that runs use.
+        """Return the share of a service's capacity that listed runs use.
+
+        Only usable workers count.
+        """
+        if self._usable_room is None:
+            self._usable_room = free_room.FreeRoom(
+                list_listed_room(
+                    self._now,
+                    (
+                        worker
+                        for worker in self._ledger.workers.values()
+                        if worker.is_usable(self._now)
+                    ),
+                )
+            )
+        return self._usable_room.get_used_share(service)
+
+    def has_ample_room(self, unit: jobs.Unit) -> bool:
+        """Return whether a unit finds room several times over by the lists.
 
-        Only usable workers count. The runs of others stay in the books until
-        they have certainly ended.
+        Where it may start is decided by the books.
         """
-        share = self._used_shares.get(service)
-        if share is None:
-            share = measure_used_share(
-                worker
-                for worker in list_workers(self._ledger, service)
-                if worker.is_usable(self._now)
+        if self._listed_room is None:
+            self._listed_room = free_room.FreeRoom(
+                list_listed_room(self._now, self._ledger.workers.values())
             )
-            self._used_shares[service] = share
-        return share
+        service = unit.job.submission.terms.service
+        return bool(
+            self._listed_room.has_ample_room(
+                service, unit.step, len(unit.indexes)
+            )
+        )
 
     def record_start(self, unit: jobs.Unit) -> None:
         """Record that the job of a unit is no longer idle."""
@@ -144,7 +186,8 @@
 
         :param expected_start: time at which the unit is expected to start, in
             seconds.
-        :param is_firm: whether no idle job may use the capacity.
+        :param is_firm: whether it is reserved for a guarantee or after a
+            preemption.
         """
         unit.promise_start(expected_start)
         self._reserved_units.append(
@@ -187,7 +230,7 @@
     def _is_heeded(self, reserved: _ReservedUnit, unit: jobs.Unit) -> bool:
         """Return whether a unit of an idle job leaves capacity to another."""
         if reserved.is_firm:
-            return True
+            return not reserved.is_overdue(self._now)
         if get_due_time(reserved.unit) > get_due_time(unit):
             return False
         return not (reserved.is_overdue(self._now) or self.is_quiet())
@@ -214,6 +257,10 @@
     if placed.stop_reason:
         return False
     heard = placed.last_listed or placed.placed_at
+    if not placed.last_listed and not placed.confirmed:
+        if now - heard <= MAX_START_S:
+            return True
+        heard = min(heard, placed.job.times.starting_since)
     if worker.silence:
         # The agent repeats the lists that it has read before.
         heard = min(heard, now - worker.silence)
@@ -239,42 +286,46 @@
     ]
 
 
-def measure_used_share(workers: Iterable[worker_state.Worker]) -> float:
-    """Return the share of the workers' capacity in use, in core equivalents.
+def measure_used_share(
+    now: float, ledger: ledgers.RunLedger, service: str
+) -> float:
+    """Return the share of a service in use by the books.
 
-    Accelerators count as the cores that they cost as much as.
+    Only usable workers count. The runs of others stay in the books until they
+    have certainly ended.
     """
-    capacity = 0
-    used = 0
-    for worker in workers:
-        if worker.profile is None:
-            continue
-        total = count_core_equivalents(worker.profile.capacity)
-        capacity += total
-        used += total - count_core_equivalents(worker.free_capacity)
-    return used / max(capacity, 1)
-
+    room = free_room.FreeRoom(
+        free_room.FreeWorker(worker.profile, worker.free_capacity)
+        for worker in ledger.workers.values()
+        if worker.profile is not None and worker.is_usable(now)
+    )
+    return room.get_used_share(service)
 
-def count_core_equivalents(resources: work.Resources) -> int:
-    """Return processors and accelerators in thousandths of a core."""
-    accelerators = resources.accelerators * work.CORES_PER_ACCELERATOR * 1000
-    return resources.cpu + accelerators
 
+def list_listed_room(
+    now: float, workers: Iterable[worker_state.Worker]
+) -> list[free_room.FreeWorker]:
+    """Return the room on workers that is free by their own lists.
 
-def has_ample_room(
-    workers: Iterable[worker_state.Worker], unit: jobs.Unit
-) -> bool:
-    """Return whether a unit finds room several times over."""
-    demand = unit.step.get_reservation()
-    needed = ROOM_FACTOR * len(unit.indexes)
+    Runs that may exist although no list has them take capacity in the books
+    only. New starts count as listed for some time. Draining workers and those
+    whose lists are not known are left out.
+    """
+    room = []
     for worker in workers:
-        if unit.step.label and (
-            worker.profile is None
-            or unit.step.label not in worker.profile.labels
-        ):
+        profile = worker.profile
+        if profile is None or profile.draining or not worker.has_run_lists:
             continue
-        free = worker.free_capacity
-        while needed and free.can_fit(demand):
-            free = free.minus(demand)
-            needed -= 1
-    return not needed
+        free = profile.capacity
+        for placed in worker.runs.values():
+            if is_listed(now, placed):
+                free = free.minus(placed.reserved)
+        room.append(free_room.FreeWorker(profile, free))
+    return room
+
+
+def is_listed(now: float, placed: placed_run.PlacedRun) -> bool:
+    """Return whether a worker lists a run, or will soon as it was placed."""
+    if placed.last_listed:
+        return not placed.missing_since
+    return not placed.stop_reason and now - placed.placed_at <= MAX_START_S
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -122,7 +122,7 @@
     ) -> None:
         """Reserve the capacity of a plan whose unit can't start yet.
 
-        :param is_firm: whether idle jobs must not use the capacity.
+        :param is_firm: whether the capacity is reserved after a preemption.
         """
         self._planner.reserve(unit, plan, expected_start)
         is_firm |= unit.job.id in self._guaranteed
@@ -228,6 +228,7 @@
         assignments = [(w.lifetime, w.agent) for w in plan.workers]
         suspect = unit.is_suspect()
         self._idle_limit.record_start(unit)
+        unit.job.times.record_start(self._now)
         self._ledger.pass_trace.record_outcome(
             unit, pass_trace.Outcome.STARTED
         )
