Start suspects of crashes beside others once their job is idle for too long

A job had nothing running for 3 to 15 s while workers with room were idle: a suspect of a crash needs a worker without a start in the last 2.5 s, and other work keeps off a worker on which a suspect was started in that time. Where work of others, or other suspects, start on each worker more often than that, neither wait had a limit.

A unit over the limit on idle time now starts apart if there is room for that, and otherwise beside others. Of the workers, those where a crash could be attributed still come first. A crash soon after starts of several units is no longer evidence against those that are suspects already: it counts as the crashes under older runs, towards the limit of five in any case, which bounds killers as before. The first crash under a work item counts as recent in any case, as it makes the item a suspect. The agent's report names all recent runs, so that this holds for a coordinator that has just taken over; nothing new is stored.

--- a/damaskpin/coordinator/candidates.py
+++ b/damaskpin/coordinator/candidates.py
@@ -53,6 +53,8 @@
     :param group: workers that may be used.
     :param allocation: tentative plan of the unit, which tells the capacity
         that is left on each worker.
+    :param isolates_suspects: whether a worker is left out if a crash after
+        the start could not be attributed; such a worker is avoided otherwise.
     """
 
     __slots__ = (
@@ -62,6 +64,7 @@
         '_chosen_counts',
         '_heap',
         '_is_suspect',
+        '_isolates_suspects',
         '_items_left',
         '_positions',
         '_prefers_trusted',
@@ -73,9 +76,11 @@
         unit: jobs.Unit,
         group: list[worker_state.Worker],
         allocation: tentative_plan.TentativePlan,
+        isolates_suspects: bool,
     ) -> None:
         self._unit = unit
         self._allocation = allocation
+        self._isolates_suspects = isolates_suspects
         self._positions = {
             worker.lifetime: position for position, worker in enumerate(group)
         }
@@ -146,6 +151,8 @@
             or worker.lifetime.worker in self._avoided_workers
         ):
             return True
+        if not self._may_share(worker):
+            return True
         if self._is_suspect and worker.runs:
             # Another crash would end these runs, too.
             return True
@@ -153,6 +160,11 @@
             self._allocation.now
         )
 
+    def _may_share(self, worker: worker_state.Worker) -> bool:
+        return crashes.may_share_worker(
+            self._allocation.now, self._is_suspect, worker
+        )
+
     def _get_gang_preference(self, candidate: Candidate) -> int:
         """Return the sort key by which a gang prefers a worker.
 
@@ -169,9 +181,7 @@
         unit = self._unit
         if not may_run_another_item(unit, worker, self._chosen_counts):
             return
-        if not crashes.may_share_worker(
-            self._allocation.now, self._is_suspect, worker
-        ):
+        if self._isolates_suspects and not self._may_share(worker):
             return
         demand = unit.step.get_reservation()
         option = self._allocation.find_capacity(worker, demand)
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -2,10 +2,12 @@
 
 A work item may crash each worker that starts it. After the first crash it is
 started where no other run is new, and nothing else is started there for a
-while, which tells it from its bystanders. Its third start also waits until no
-workers crash for which no start is to blame, which tells it from chance.
-A start call without an answer proves no start: the worker may have
-crashed for another reason before it carried the call out.
+while, which tells it from its bystanders. Where it would have to wait long for
+that, it starts beside others; a crash of these starts is no evidence against
+a suspect, and counts towards the limit on crashes of any kind. Its third start
+also waits until no workers crash for which no start is to blame, which tells
+it from chance. A start call without an answer proves no start: the worker may
+have crashed for another reason before it carried the call out.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 from damaskpin.coordinator import crash_counts
 from damaskpin.coordinator import events
 from damaskpin.coordinator import lost_work
+from damaskpin.coordinator import outcomes
 from damaskpin.model import crash_limits
 from damaskpin.model import work
 
@@ -47,7 +50,7 @@
         job = ledger.jobs.get(run.item.job)
         if job is None or job.is_final():
             continue
-        recent = run in crash.recent
+        recent = run in crash.recent and _is_attributable(job, run, crash)
         begun = run in crash.begun
         counts = _record(job, run, recent, begun)
         if counts is None:
@@ -117,6 +120,29 @@
     return ledger.crash_watch.is_chance_likely(now, len(ledger.workers))
 
 
+def _is_attributable(
+    job: jobs.Job, run: work.Run, crash: orders.Crash
+) -> bool:
+    """Return whether a crash counts as one that a recent run may have caused.
+
+    It does so for a suspect only if no other unit had started on the worker
+    lately, too. The first crash counts in any case, so that the work item is a
+    suspect from then on.
+    """
+    item = run.item
+    progress = outcomes.find_progress(job, run)
+    if progress is None:
+        return True
+    step = job.submission.steps[item.step]
+    counts = crash_counts.get_counts(progress, step, item.index)
+    if not {*counts.recent, *counts.unanswered} - {run.number}:
+        return True
+    if not step.gang:
+        return crash.recent == (run,)
+    gang_run = run.get_gang_run()
+    return all(other.get_gang_run() == gang_run for other in crash.recent)
+
+
 def _record(
     job: jobs.Job, run: work.Run, recent: bool, begun: bool
 ) -> crash_counts.CrashCounts | None:
--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -23,7 +23,9 @@
     Such a unit does not wait for a better place, nor beside capacity that is
     reserved for later jobs. Suspect workers are its last choice, and only
     while no new jobs arrive and not for a last attempt: a failing worker with
-    room would otherwise end many jobs.
+    room would otherwise end many jobs. A suspect of crashes starts apart from
+    other units only if there is room for that, as these may keep on starting
+    on all workers.
 
     :param limit: limit on idle time in this pass.
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
@@ -75,6 +77,17 @@
 
     def _find_plan_on(
         self, unit: jobs.Unit, workers: list[worker_state.Worker]
+    ) -> planning.Plan | None:
+        plan = self._find_plan_apart(unit, workers, True)
+        if plan is not None:
+            return plan
+        return self._find_plan_apart(unit, workers, False)
+
+    def _find_plan_apart(
+        self,
+        unit: jobs.Unit,
+        workers: list[worker_state.Worker],
+        isolates_suspects: bool,
     ) -> planning.Plan | None:
         planner = planning.Planner(
             self._now,
@@ -83,6 +96,7 @@
             self._guaranteed,
             self._limit.list_heeded_reservations(unit),
             False,
+            isolates_suspects,
         )
         if planner.has_local_workers(unit):
             plan = planner.find_immediate(unit, local=True)
--- a/damaskpin/coordinator/planning.py
+++ b/damaskpin/coordinator/planning.py
@@ -61,10 +61,13 @@
     :param reservations: reserved capacity by worker, which is extended.
     :param includes_refusing: whether the plans may use workers that can't get
         a unit now because they have refused starts.
+    :param isolates_suspects: whether suspects of crashes and other units stay
+        off the workers on which the other kind was started lately.
     """
 
     __slots__ = (
         '_guaranteed',
+        '_isolates_suspects',
         '_limits_units',
         '_now',
         '_reservations',
@@ -82,8 +85,10 @@
         guaranteed: set[str],
         reservations: dict[work.Lifetime, list[tentative_plan.Reservation]],
         includes_refusing: bool,
+        isolates_suspects: bool = True,
     ) -> None:
         self._now = now
+        self._isolates_suspects = isolates_suspects
         self._guaranteed = guaranteed
         self._limits_units = not includes_refusing and any(
             worker.start_pause.is_unproven() for worker in workers
@@ -236,7 +241,7 @@
         )
         demand = unit.step.get_reservation()
         candidate_queue = candidate_queues.CandidateQueue(
-            unit, group, allocation
+            unit, group, allocation, self._isolates_suspects
         )
         chosen: list[worker_state.Worker] = []
         unused_share = 0.0
