Don't hold back a job for crashes at its own unanswered starts

Work of a job waited for up to 12 s beside room, anew with each run, while other work items of the same job crashed their workers without an answer to the start call. Such a crash has no run that is known to have begun, so that it counted as a sign of chance, and a start that could be the last one waits for the end of these signs. The job's own starts explain the crash as well as chance does, so that they are no sign for its other work now. The review before a job is given up counts them as before.

Test: test_unanswered_starts_of_a_job_do_not_hold_back_its_other_work[True] fails on the code before (the work is not started); [False] shows that such crashes of other jobs hold it back as before.

--- a/damaskpin/coordinator/crash_watch.py
+++ b/damaskpin/coordinator/crash_watch.py
@@ -31,37 +31,50 @@
 
     A crash is unexplained if no run is known to have begun on the worker
     shortly before. Work that crashes its workers leaves none of these behind,
-    unless no answer to its starts arrives.
+    unless no answer to its starts arrives. Such a crash is no sign for the
+    job that was being started.
     """
 
     __slots__ = ('_reviews', '_unexplained')
 
     def __init__(self) -> None:
-        self._unexplained: dict[work.Lifetime, float] = {}
+        # Time of the record, and the jobs that were being started there.
+        self._unexplained: dict[
+            work.Lifetime, tuple[float, frozenset[str]]
+        ] = {}
         self._reviews: dict[work.Run, float] = {}
 
     def record(self, now: float, crash: orders.Crash) -> None:
         """Record a crash, if no start explains it; repeats are ignored."""
         if set(crash.recent) & set(crash.begun):
             return
-        for lifetime, recorded in list(self._unexplained.items()):
+        for lifetime, (recorded, _) in list(self._unexplained.items()):
             if now - recorded > MEMORY_S:
                 del self._unexplained[lifetime]
-        self._unexplained.setdefault(crash.lifetime, now)
+        jobs = frozenset(run.item.job for run in crash.recent)
+        self._unexplained.setdefault(crash.lifetime, (now, jobs))
 
-    def count_signs(self, now: float) -> int:
-        """Return the number of unexplained crashes of the last seconds."""
+    def count_signs(self, now: float, job_id: str = '') -> int:
+        """Return the number of unexplained crashes of the last seconds.
+
+        :param job_id: job whose own starts may explain crashes; empty for
+            none.
+        """
         return sum(
-            now - recorded <= SIGN_PERIOD_S
-            for recorded in self._unexplained.values()
+            now - recorded <= SIGN_PERIOD_S and job_id not in jobs
+            for recorded, jobs in self._unexplained.values()
         )
 
-    def is_chance_likely(self, now: float, workers: int) -> bool:
+    def is_chance_likely(
+        self, now: float, workers: int, job_id: str = ''
+    ) -> bool:
         """Return whether workers crash for other reasons than their work.
 
         :param workers: number of known workers.
+        :param job_id: job whose own starts may explain crashes; empty for
+            none.
         """
-        signs = self.count_signs(now)
+        signs = self.count_signs(now, job_id)
         return signs > 0 and signs >= MIN_SIGN_SHARE * workers
 
     def schedule_review(self, now: float, run: work.Run) -> None:
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -100,7 +100,8 @@
 
     It waits for the review of its crashes. If these may be due to chance, its
     further try waits until no workers crash by chance, so that another crash
-    would be its own.
+    would be its own. Crashes at unanswered starts of the same job do not keep
+    it waiting, as these may be its own.
     """
     progress = unit.get_progress()
     if not (
@@ -117,7 +118,9 @@
             return True
     if not needs_shelter or now - unit.ready_since > MAX_SHELTER_WAIT_S:
         return False
-    return ledger.crash_watch.is_chance_likely(now, len(ledger.workers))
+    return ledger.crash_watch.is_chance_likely(
+        now, len(ledger.workers), unit.job.id
+    )
 
 
 def _is_attributable(
--- a/tests/test_coordinator/test_coordinator_crash_watch.py
+++ b/tests/test_coordinator/test_coordinator_crash_watch.py
@@ -4,6 +4,8 @@
 
 import logging
 
+import pytest
+
 from damaskpin.coordinator import crash_watch
 from damaskpin.coordinator import crashes
 from damaskpin.model import crash_limits as limits
@@ -100,6 +102,24 @@
         builders.decide(ledger, now)
 
 
+@pytest.mark.parametrize('is_own', [False, True])
+def test_unanswered_starts_of_a_job_do_not_hold_back_its_other_work(is_own):
+    """Guards against a job that waits beside room for its own crashes.
+
+    Its work items crash one worker each after a start call without an answer.
+    Such crashes of another job hold it back.
+    """
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    now = _crash_repeatedly(ledger, job, limits.MAX_SUSPECTED_CRASHES - 1)
+    other_id = job.id if is_own else 'other'
+    run = work.Run(work.Item(other_id, 0, 0, 1), 1)
+    crash = orders.Crash(work.Lifetime('crashed', 1), (run,), (run,))
+    crashes.record_crash(now, WALL, ledger, crash)
+    builders.decide(ledger, now + 1.0)
+    assert bool(list(job.iterate_active())) is is_own
+
+
 def test_work_that_ends_before_the_review_is_not_given_up():
     """Guards against failing work whose later run has ended successfully.
 
