Shelter idle work only briefly from crashes that starts of others may cause

A work item whose next crash could end its job waits until no workers crash by chance, for 12 s at most, anew with each run. Crashes at start calls without an answer count as signs of chance. Work of other jobs that crashes its workers before they answer leaves such signs without an end, and the job had nothing running meanwhile beside idle workers.

If the job is over the limit on idle time and its unit has been ready for 2 s, only the crashes of workers on which nothing was started hold it back now. These end with the faults, at the latest 6 s after the last one is reported.

Test: test_unanswered_starts_of_others_do_not_hold_back_idle_work_for_long fails on the code before (still waiting after 3.5 s).

--- a/damaskpin/coordinator/crash_watch.py
+++ b/damaskpin/coordinator/crash_watch.py
@@ -74,8 +74,18 @@
         :param job_id: job whose own starts may explain crashes; empty for
             none.
         """
-        signs = self.count_signs(now, job_id)
-        return signs > 0 and signs >= MIN_SIGN_SHARE * workers
+        return _are_many(self.count_signs(now, job_id), workers)
+
+    def is_chance_certain(self, now: float, workers: int) -> bool:
+        """Return whether so many workers crash on which nothing was started.
+
+        :param workers: number of known workers.
+        """
+        signs = sum(
+            now - recorded <= SIGN_PERIOD_S and not jobs
+            for recorded, jobs in self._unexplained.values()
+        )
+        return _are_many(signs, workers)
 
     def schedule_review(self, now: float, run: work.Run) -> None:
         """Schedule the decision whether the work item of a run is given up."""
@@ -91,3 +101,7 @@
         for run in due:
             del self._reviews[run]
         return due
+
+
+def _are_many(signs: int, workers: int) -> bool:
+    return signs > 0 and signs >= MIN_SIGN_SHARE * workers
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -22,6 +22,7 @@
 from damaskpin.model import work
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import idle_limit
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import worker_state
@@ -36,6 +37,11 @@
 # workers crash by chance. The limits of its crashes hold beyond it.
 MAX_SHELTER_WAIT_S = 12.0
 
+# The same if its job has been idle for too long, and the only crashes are
+# those of workers that were starting work. That of other jobs may go on
+# crashing them.
+MAX_IDLE_SHELTER_WAIT_S = 2.0
+
 
 def record_crash(
     now: float, wall: float, ledger: ledgers.RunLedger, crash: orders.Crash
@@ -94,7 +100,10 @@
 
 
 def is_held_back(
-    now: float, ledger: ledgers.RunLedger, unit: jobs.Unit
+    now: float,
+    ledger: ledgers.RunLedger,
+    unit: jobs.Unit,
+    limit: idle_limit.IdleLimit,
 ) -> bool:
     """Return whether a unit must not start yet.
 
@@ -102,6 +111,8 @@
     further try waits until no workers crash by chance, so that another crash
     would be its own. Crashes at unanswered starts of the same job do not keep
     it waiting, as these may be its own.
+
+    :param limit: limit on idle time.
     """
     progress = unit.get_progress()
     if not (
@@ -116,11 +127,16 @@
         needs_shelter = True
         if ledger.crash_watch.has_review(unit.get_item(index)):
             return True
-    if not needs_shelter or now - unit.ready_since > MAX_SHELTER_WAIT_S:
+    waited = now - unit.ready_since
+    if not needs_shelter or waited > MAX_SHELTER_WAIT_S:
         return False
-    return ledger.crash_watch.is_chance_likely(
-        now, len(ledger.workers), unit.job.id
-    )
+    watch = ledger.crash_watch
+    workers = len(ledger.workers)
+    if not watch.is_chance_likely(now, workers, unit.job.id):
+        return False
+    if waited < MAX_IDLE_SHELTER_WAIT_S or not limit.is_exceeded(unit):
+        return True
+    return watch.is_chance_certain(now, workers)
 
 
 def _is_attributable(
--- a/damaskpin/coordinator/ready_units.py
+++ b/damaskpin/coordinator/ready_units.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import crashes
+from damaskpin.coordinator import idle_limit
 from damaskpin.coordinator import ranking
 
 if TYPE_CHECKING:
@@ -19,12 +20,13 @@
 
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
     """
+    limit = idle_limit.IdleLimit(now, wall, ledger)
     units: list[jobs.Unit] = []
     for job in ledger.jobs.values():
         units.extend(
             unit
             for unit in job.iterate_ready(now, wall)
-            if not crashes.is_held_back(now, ledger, unit)
+            if not crashes.is_held_back(now, ledger, unit, limit)
         )
     units.sort(key=lambda unit: ranking.get_sort_key(unit, wall, guaranteed))
     return units
--- a/damaskpin/coordinator/wait_reasons.py
+++ b/damaskpin/coordinator/wait_reasons.py
@@ -101,7 +101,9 @@
     explanations = []
     for question in questions:
         placed_runs = placements[question.due.submission.id]
-        reason, fields = _explain_one(now, ledger, question, placed_runs)
+        reason, fields = _explain_one(
+            now, ledger, limit, question, placed_runs
+        )
         fields['used_share_books'] = round(
             limit.get_used_share(question.due.service), 3
         )
@@ -118,6 +120,7 @@
 def _explain_one(
     now: float,
     ledger: ledgers.RunLedger,
+    limit: idle_limit.IdleLimit,
     question: Question,
     placements: Placements,
 ) -> tuple[str, dict[str, object]]:
@@ -132,7 +135,7 @@
     unit = find_ready_unit(job, due, now)
     if unit is None:
         return _explain_blocking(now, job, due, placements), {}
-    return _explain_unit(now, ledger, question, unit)
+    return _explain_unit(now, ledger, limit, question, unit)
 
 
 def _is_due_in_books(job: jobs.Job, due: due_steps.DueStep) -> bool:
@@ -213,12 +216,13 @@
 def _explain_unit(
     now: float,
     ledger: ledgers.RunLedger,
+    limit: idle_limit.IdleLimit,
     question: Question,
     unit: jobs.Unit,
 ) -> tuple[str, dict[str, object]]:
     """Return why a unit waits that the books count as ready."""
     outcome = ledger.pass_trace.outcomes.get(unit.get_key())
-    is_held_back = crashes.is_held_back(now, ledger, unit)
+    is_held_back = crashes.is_held_back(now, ledger, unit, limit)
     obstacles = {
         room.lifetime: worker_obstacles.find_obstacle(
             now, ledger, ledger.workers.get(room.lifetime), unit
--- a/tests/test_coordinator/idle_causes.py
+++ b/tests/test_coordinator/idle_causes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from damaskpin.coordinator import crashes
+from damaskpin.coordinator import idle_limit
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import worker_obstacles
 
@@ -26,7 +27,8 @@
     if not units:
         return 'not ready by the books'
     unit = units[0]
-    if crashes.is_held_back(now, ledger, unit):
+    limit = idle_limit.IdleLimit(now, simulation.get_wall(), ledger)
+    if crashes.is_held_back(now, ledger, unit, limit):
         reviewed = any(
             ledger.crash_watch.has_review(unit.get_item(index))
             for index in unit.indexes
--- a/tests/test_coordinator/test_coordinator_crash_watch.py
+++ b/tests/test_coordinator/test_coordinator_crash_watch.py
@@ -15,6 +15,9 @@
 
 WALL = builders.WALL
 
+# Time in seconds for which a job may wait beside room.
+MAX_WAIT_S = 3.0
+
 
 def _crash_under(ledger, job, now):
     """Crash the worker of a job's only run, which had just begun."""
@@ -120,6 +123,25 @@
     assert bool(list(job.iterate_active())) is is_own
 
 
+def test_unanswered_starts_of_others_do_not_hold_back_idle_work_for_long():
+    """Guards against a job that waits beside room for killers of others.
+
+    These crash their workers without an answer, one after the other.
+    """
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'j', builders.make_step())
+    begin = _crash_repeatedly(ledger, job, limits.MAX_SUSPECTED_CRASHES - 1)
+    now = begin
+    while not list(job.iterate_active()):
+        assert now <= begin + MAX_WAIT_S
+        run = work.Run(work.Item(f'killer-{now}', 0, 0, 0), 1)
+        lifetime = work.Lifetime(f'crashed-{now}', 1)
+        crash = orders.Crash(lifetime, (run,), (run,))
+        crashes.record_crash(now, WALL, ledger, crash)
+        now += 0.5
+        builders.decide(ledger, now)
+
+
 def test_work_that_ends_before_the_review_is_not_given_up():
     """Guards against failing work whose later run has ended successfully.
 
