Let a last attempt start on workers that are suspect for stalls only

A job whose work item was at its last attempt had nothing running for 6 s and longer beside idle workers if runs had stalled on all of these: an idle unit starts on suspect workers after 2 s while no jobs arrive, and a last attempt never did, as a failing worker would end its job. A stall is no attempt (the run is moved), and a worker that is suspect without a failed run since its last success is so for stalls. A last attempt starts there now, too.

It still starts on no suspect worker that has failed runs, so that up to 6 s of waiting remain there, anew with each failure.

Tests: test_last_attempt_does_not_wait_long_beside_workers_with_stalls fails on the code before (no start in 30 s). Its neighbour had suspect workers without any failed run, although it guards against a failing worker; it has a failed run on each now and asks for the same, under a name that says so.

--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -22,10 +22,11 @@
 
     Such a unit does not wait for a better place, nor beside capacity that is
     reserved for later jobs. Suspect workers are its last choice, and only
-    while no new jobs arrive and not for a last attempt: a failing worker with
-    room would otherwise end many jobs. A suspect of crashes starts apart from
-    other units only if there is room for that, as these may keep on starting
-    on all workers.
+    while no new jobs arrive. A last attempt starts on those only on which no
+    run has failed, as a failing worker with room would otherwise end many
+    jobs; runs that stall do not count as attempts. A suspect of crashes starts
+    apart from other units only if there is room for that, as these may keep on
+    starting on all workers.
 
     :param limit: limit on idle time in this pass.
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
@@ -68,10 +69,12 @@
         plan = self._find_plan_on(unit, sound)
         if plan is not None or not self._may_start_on_suspects(unit):
             return plan
+        if unit.is_last_attempt():
+            usable = [w for w in usable if not w.has_failed_since_success()]
         return self._find_plan_on(unit, usable)
 
     def _may_start_on_suspects(self, unit: jobs.Unit) -> bool:
-        if unit.is_last_attempt() or not self._limit.is_quiet():
+        if not self._limit.is_quiet():
             return False
         return self._now - unit.ready_since >= MAX_WAIT_FOR_SOUND_WORKER_S
 
