--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -2,10 +2,12 @@
 
 A work item may crash each worker that starts it. After the first crash it is
 started where no other run is new, and nothing else is started there for a
-while, which tells it from its bystanders. Its third start also waits until no
-workers crash for which no start is to blame, which tells it from chance.
-A start call without an answer proves no start: the worker may have
-crashed for another reason before it carried the call out.
+while, which tells it from its bystanders. Where it would have to wait long for
+that, it starts beside others; a crash of these starts is no evidence against
+a suspect, and counts towards the limit on crashes of any kind. Its third start
+also waits until no workers crash for which no start is to blame, which tells
+it from chance. A start call without an answer proves no start: the worker may
+have crashed for another reason before it carried the call out.
 """
 
 from __future__ import annotations
@@ -15,10 +17,12 @@
 from damaskpin.coordinator import crash_counts
 from damaskpin.coordinator import events
 from damaskpin.coordinator import lost_work
+from damaskpin.coordinator import outcomes
 from damaskpin.model import crash_limits
 from damaskpin.model import work
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import idle_limit
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import worker_state
@@ -33,6 +37,11 @@
 # workers crash by chance. The limits of its crashes hold beyond it.
 MAX_SHELTER_WAIT_S = 12.0
 
+# The same if its job has been idle for too long, and the only crashes are
+# those of workers that were starting work. That of other jobs may go on
+# crashing them.
+MAX_IDLE_SHELTER_WAIT_S = 2.0
+
 
 def record_crash(
     now: float, wall: float, ledger: ledgers.RunLedger, crash: orders.Crash
@@ -47,7 +56,7 @@
         job = ledger.jobs.get(run.item.job)
         if job is None or job.is_final():
             continue
-        recent = run in crash.recent
+        recent = run in crash.recent and _is_attributable(job, run, crash)
         begun = run in crash.begun
         counts = _record(job, run, recent, begun)
         if counts is None:
@@ -91,13 +100,19 @@
 
 
 def is_held_back(
-    now: float, ledger: ledgers.RunLedger, unit: jobs.Unit
+    now: float,
+    ledger: ledgers.RunLedger,
+    unit: jobs.Unit,
+    limit: idle_limit.IdleLimit,
 ) -> bool:
     """Return whether a unit must not start yet.
 
     It waits for the review of its crashes. If these may be due to chance, its
     further try waits until no workers crash by chance, so that another crash
-    would be its own.
+    would be its own. Crashes at unanswered starts of the same job do not keep
+    it waiting, as these may be its own.
+
+    :param limit: limit on idle time.
     """
     progress = unit.get_progress()
     if not (
@@ -112,9 +127,39 @@
         needs_shelter = True
         if ledger.crash_watch.has_review(unit.get_item(index)):
             return True
-    if not needs_shelter or now - unit.ready_since > MAX_SHELTER_WAIT_S:
+    waited = now - unit.ready_since
+    if not needs_shelter or waited > MAX_SHELTER_WAIT_S:
         return False
-    return ledger.crash_watch.is_chance_likely(now, len(ledger.workers))
+    watch = ledger.crash_watch
+    workers = len(ledger.workers)
+    if not watch.is_chance_likely(now, workers, unit.job.id):
+        return False
+    if waited < MAX_IDLE_SHELTER_WAIT_S or not limit.is_exceeded(unit):
+        return True
+    return watch.is_chance_certain(now, workers)
+
+
+def _is_attributable(
+    job: jobs.Job, run: work.Run, crash: orders.Crash
+) -> bool:
+    """Return whether a crash counts as one that a recent run may have caused.
+
+    It does so for a suspect only if no other unit had started on the worker
+    lately, too. The first crash counts in any case, so that the work item is a
+    suspect from then on.
+    """
+    item = run.item
+    progress = outcomes.find_progress(job, run)
+    if progress is None:
+        return True
+    step = job.submission.steps[item.step]
+    counts = crash_counts.get_counts(progress, step, item.index)
+    if not {*counts.recent, *counts.unanswered} - {run.number}:
+        return True
+    if not step.gang:
+        return crash.recent == (run,)
+    gang_run = run.get_gang_run()
+    return all(other.get_gang_run() == gang_run for other in crash.recent)
 
 
 def _record(
