Record silent agents so that a takeover does not restart their grant

What callers see: a work item on a machine that is lost waits for 14.7 s, and for longer if a coordinator changes meanwhile, beside idle workers.

Cause: the agent of a lost worker may renew the worker's lease until its grant ends, which counts from its latest answered report. A new coordinator does not know that time and counted from its own start.

The coordinator now stores which agents have not reported for 2 s and how old their latest answered reports are. From the time at which a record is made it answers no later report of an agent in it until a record without the agent is stored; orders that repeat the answer to an earlier report renew nothing. An entry therefore may count the age from the time at which it saw the record, by its own clock. Why that is safe:

- Each write expects the leader key unchanged, and a coordinator counts on the record only once its copy of the store has reached its own election.
It sees exactly what its predecessors have stored, and no later write of theirs takes effect.
- The key is overwritten and never removed, and each write expects the revision of the one before, so that a late copy of a write can't bring a record back.
- Only the record of the coordinator just before counts.
One of an earlier build answers recorded agents without knowing.
An entry that has listed the store since it first saw that coordinator may have missed another one, and counts from its own start.
- Workers whose lease may outlast the grant, as only their coordinator knows, are not recorded.
- A report of a recorded agent brings back the bound without the record.

While the store is away the coordinator has no valid lease and answers nobody; the time of silence starts anew when it goes on, so that an outage makes no agent silent. A returning agent waits for one write of the store.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -15,6 +15,7 @@
 from damaskpin.coordinator import removals
 from damaskpin.coordinator import run_lists
 from damaskpin.coordinator import run_orders
+from damaskpin.coordinator import silent_agents
 from damaskpin.coordinator import supervision
 from damaskpin.coordinator import wait_reasons
 from damaskpin.model import work
@@ -159,6 +160,7 @@
         :returns: the worker that the report is about; ``None`` if there is
             none or the report is outdated.
         """
+        self._ledger.record_report(now, report.agent)
         if not self._agent_processes.admit(report):
             LOG.info(
                 'overtaken report ignored',
@@ -270,6 +272,9 @@
         """
         self._sequence += 1
         worker.orders_due = False
+        self._ledger.silent_agents.record_answer(
+            worker.agent, worker.last_report_time
+        )
         if not worker.silence:
             latest_run_end = self._ledger.get_latest_run_end(
                 worker.last_report_time
@@ -304,12 +309,39 @@
         The orders of the returned workers no longer count as due.
         """
         due_workers = [
-            w for w in self.workers.values() if w.orders_due and w.address
+            w
+            for w in self.workers.values()
+            if w.orders_due and w.address and self.may_answer(w)
         ]
         for worker in due_workers:
             worker.orders_due = False
         return due_workers
 
+    def may_answer(self, worker: worker_state.Worker) -> bool:
+        """Return whether orders may be made for a worker now.
+
+        They may not if its agent has reported again and the stored record of
+        the silent agents may still have it.
+        """
+        return self._ledger.silent_agents.may_answer(
+            worker.agent, worker.last_report_time
+        )
+
+    def make_due_silence_record(
+        self, now: float
+    ) -> silent_agents.SilenceRecord | None:
+        """Return the record of silent agents that is to be written, if any."""
+        return self._ledger.silent_agents.make_due_record(
+            now, self.fence, self.workers.values()
+        )
+
+    def record_silences_stored(self) -> None:
+        """Record that the latest record of silent agents is stored."""
+        released = self._ledger.silent_agents.record_stored()
+        for worker in self.workers.values():
+            if worker.agent in released:
+                worker.orders_due = True
+
     def _get_guarantee(self, account: str) -> int:
         if self._installation is None:
             return 0
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -11,6 +11,7 @@
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import silent_agents
 from damaskpin.coordinator import stops
 from damaskpin.coordinator import worker_state
 from damaskpin.model import leases
@@ -54,6 +55,10 @@
     :param grant: length of a grant in seconds, counted from the latest report
         of the agent that the coordinator answered.
     :param stop_time: seconds that a worker takes to stop a run.
+    :param former_answers: time in seconds of the latest report that a former
+        coordinator may have answered, by agent, for those that it has
+        recorded as silent.
+    :ivar silent_agents: times of the agents' reports.
     """
 
     __slots__ = (
@@ -61,14 +66,24 @@
         '_started',
         '_stop_time',
         'crash_watch',
+        'silent_agents',
     )
 
-    def __init__(self, started: float, grant: float, stop_time: float) -> None:
+    def __init__(
+        self,
+        started: float,
+        grant: float,
+        stop_time: float,
+        former_answers: dict[str, float] | None = None,
+    ) -> None:
         super().__init__()
         self._started = started
         self._grant = grant
         self._stop_time = stop_time
         self.crash_watch = crash_watch.CrashWatch()
+        self.silent_agents = silent_agents.SilentAgents(
+            started, former_answers
+        )
 
     def get_latest_run_end(self, report_time: float) -> float:
         """Return the time by which all runs of a worker have certainly ended.
@@ -98,7 +113,15 @@
         for run, active in list(job.iterate_active()):
             worker = self.workers.get(active.lifetime)
             if worker is None:
-                worker = self._add_worker(now, active.lifetime, active.agent)
+                # A former coordinator may have answered reports of the
+                # worker's agent, and so moved the end of the agent's grant,
+                # until this coordinator started or the agent was recorded.
+                last_answer = self.silent_agents.get_former_answer(
+                    active.agent, max(now, self._started)
+                )
+                worker = self._add_worker(
+                    last_answer, active.lifetime, active.agent
+                )
             step = job.submission.steps[run.item.step]
             reserved = step.get_reservation()
             version = job.stored_version
@@ -235,6 +258,19 @@
         """
         stops.stop_gang(self, member, cause, reason)
 
+    def record_report(self, now: float, agent: str) -> None:
+        """Record that a report of an agent has arrived."""
+        if not self.silent_agents.record_report(now, agent):
+            return
+        # The agent may get a grant again, so its runs are kept for as long as
+        # without the record of the former coordinator.
+        latest_run_end = self.get_latest_run_end(self._started)
+        for worker in self.workers.values():
+            if worker.agent == agent:
+                worker.latest_run_end = max(
+                    worker.latest_run_end, latest_run_end
+                )
+
     def drain_worker(self, now: float, worker: worker_state.Worker) -> None:
         """Order runs on a draining worker to stop.
 
@@ -290,12 +326,14 @@
         )
 
     def _add_worker(
-        self, now: float, lifetime: work.Lifetime, agent: str
+        self, last_answer: float, lifetime: work.Lifetime, agent: str
     ) -> worker_state.Worker:
-        # A former coordinator may have answered reports of the worker's
-        # agent, and so moved the end of the agent's grant, until this
-        # coordinator started.
-        latest_run_end = self.get_latest_run_end(max(now, self._started))
+        """Add a worker.
+
+        :param last_answer: latest time in seconds at which a report of the
+            worker's agent may have arrived that a coordinator has answered.
+        """
+        latest_run_end = self.get_latest_run_end(last_answer)
         worker = worker_state.Worker(lifetime, agent, latest_run_end)
         self.workers[lifetime] = worker
         return worker
--- /dev/null
+++ b/damaskpin/coordinator/silent_agents.py
@@ -0,0 +1,223 @@
+"""Agents that have not reported for some time, and their stored record.
+
+An agent that is lost with its machine may renew its worker's lease until the
+end of its grant, which counts from the latest report that a coordinator has
+answered. The record tells the next coordinator how long ago that was. From the
+time at which a record is made, the coordinator answers no later report of an
+agent in it until a record without the agent is stored.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from damaskpin import decoding
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from damaskpin.coordinator import worker_state
+
+# Seconds without a report after which an agent is recorded as silent. An agent
+# that has lost its coordinator asks other entries before that.
+MIN_SILENCE_S = 2.0
+
+# Minimum time in seconds between two checks for newly silent agents. Those of
+# a zone that is lost are then recorded in one or two writes.
+CHECK_INTERVAL_S = 0.5
+
+# Longest interval in seconds between two checks of a coordinator that answers
+# reports without a break.
+MAX_CHECK_GAP_S = 1.0
+
+# Maximum number of agents in a record. The runs of others are kept for as long
+# as without a record.
+MAX_AGENTS = 500
+
+
+class SilenceRecord(msgspec.Struct, frozen=True):
+    """Stored record of the silent agents.
+
+    :ivar fence: fencing token of the coordinator that made the record. The
+        record proves nothing once another coordinator has followed.
+    :ivar number: number of the record, from 1 for each coordinator.
+    :ivar ages: seconds since the latest answered report, when the record was
+        made, by the agent's instance id.
+    """
+
+    fence: int
+    number: int
+    ages: dict[str, float]
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER = msgspec.json.Decoder(SilenceRecord)
+
+
+def encode_record(record: SilenceRecord) -> bytes:
+    """Return the stored form of a record as JSON."""
+    return _ENCODER.encode(record)
+
+
+def decode_record(data: bytes) -> SilenceRecord:
+    """Return a record from its stored form.
+
+    :raises damaskpin.errors.MalformedError: the data is malformed.
+    """
+    return decoding.decode(_DECODER.decode, data)
+
+
+class SilentAgents:
+    """Times of the agents' reports under one coordinator.
+
+    :param started: time at which the coordinator began, in seconds. Former
+        coordinators may have answered reports until then.
+    :param former_answers: time in seconds of the latest report that a former
+        coordinator may have answered, by agent, for those that it has
+        recorded as silent.
+    """
+
+    __slots__ = (
+        '_answers',
+        '_former_answers',
+        '_last_check',
+        '_listed',
+        '_next_check',
+        '_number',
+        '_reports',
+        '_started',
+        '_steady_since',
+        '_written',
+    )
+
+    def __init__(
+        self, started: float, former_answers: dict[str, float] | None = None
+    ) -> None:
+        self._started = started
+        self._former_answers = dict(former_answers or {})
+        self._reports: dict[str, float] = {}
+        self._answers: dict[str, float] = {}
+        self._listed: frozenset[str] = frozenset()
+        self._written: frozenset[str] | None = None
+        self._number = 0
+        self._last_check = started
+        self._steady_since = started
+        self._next_check = started
+
+    def get_former_answer(self, agent: str, default: float) -> float:
+        """Return the latest time of a report that others answered.
+
+        :param default: time in seconds for agents without a record.
+        """
+        return min(self._former_answers.get(agent, default), default)
+
+    def get_last_answer(self, agent: str) -> float:
+        """Return the time of the agent's latest answered report in seconds."""
+        answer = self._answers.get(agent)
+        if answer is None:
+            return self.get_former_answer(agent, self._started)
+        return answer
+
+    def record_report(self, now: float, agent: str) -> bool:
+        """Record that a report of an agent has arrived.
+
+        :returns: whether the record of a former coordinator had the agent,
+            which proves nothing about it from now on.
+        """
+        self._reports[agent] = now
+        if agent in self._listed:
+            self._next_check = now
+        return self._former_answers.pop(agent, None) is not None
+
+    def record_answer(self, agent: str, report_time: float) -> None:
+        """Record that a report of an agent is answered with orders.
+
+        :param report_time: time in seconds at which the report arrived.
+        """
+        latest = max(self.get_last_answer(agent), report_time)
+        self._answers[agent] = latest
+
+    def may_answer(self, agent: str, report_time: float) -> bool:
+        """Return whether orders may answer a report of an agent.
+
+        Orders that repeat the answer to an earlier report renew nothing.
+
+        :param report_time: time in seconds at which the report arrived.
+        """
+        if agent not in self._listed and agent not in (self._written or ()):
+            return True
+        return report_time <= self.get_last_answer(agent)
+
+    def make_due_record(
+        self,
+        now: float,
+        fence: int,
+        workers: Iterable[worker_state.Worker],
+    ) -> SilenceRecord | None:
+        """Return the record that is to be written now, if any.
+
+        From then on the agents in it get no answer. The record must be written
+        again until it is stored or another coordinator has followed.
+        """
+        self._note_time(now)
+        if self._written is not None or now < self._next_check:
+            return None
+        self._next_check = now + CHECK_INTERVAL_S
+        ages = self._get_ages(now, workers)
+        if ages.keys() == self._listed:
+            return None
+        self._written = frozenset(ages)
+        self._number += 1
+        return SilenceRecord(fence, self._number, ages)
+
+    def record_stored(self) -> frozenset[str]:
+        """Record that the latest record is stored.
+
+        :returns: agents whose reports may be answered again.
+        """
+        if self._written is None:
+            return frozenset()
+        released = self._listed - self._written
+        if any(
+            self._reports.get(agent, self._started)
+            > self.get_last_answer(agent)
+            for agent in self._written
+        ):
+            self._next_check = self._last_check
+        self._listed = self._written
+        self._written = None
+        return released
+
+    def _note_time(self, now: float) -> None:
+        """Start the time without reports anew after a break in answering."""
+        if now - self._last_check > MAX_CHECK_GAP_S:
+            self._steady_since = now
+        self._last_check = now
+
+    def _get_ages(
+        self, now: float, workers: Iterable[worker_state.Worker]
+    ) -> dict[str, float]:
+        """Return the seconds since the latest answer, by silent agent."""
+        silent: set[str] = set()
+        excluded: set[str] = set()
+        for worker in workers:
+            if worker.get_last_lease_end() > worker.latest_run_end:
+                # Its lease may outlast the grant, as only this coordinator
+                # knows.
+                excluded.add(worker.agent)
+            elif worker.runs and self._is_silent(now, worker.agent):
+                silent.add(worker.agent)
+        answers = sorted(
+            (self.get_last_answer(agent), agent) for agent in silent - excluded
+        )
+        return {agent: now - answer for answer, agent in answers[:MAX_AGENTS]}
+
+    def _is_silent(self, now: float, agent: str) -> bool:
+        if agent in self._former_answers:
+            # The next coordinator may follow before the agent has been silent
+            # for long under this one.
+            return True
+        report_time = self._reports.get(agent, self._started)
+        return now - max(report_time, self._steady_since) > MIN_SILENCE_S
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -11,12 +11,14 @@
 from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
+from damaskpin.entry import stored_silences
 from damaskpin.entry import view as views
 from damaskpin.entry import work_watch
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
 from damaskpin.runtime import leadership as leaderships
 from damaskpin.runtime import pacing
+from damaskpin.runtime import silence_writer
 from damaskpin.runtime import writer as writers
 from damaskpin.store import layout
 from damaskpin.store import transactions
@@ -54,11 +56,13 @@
         '_mirror',
         '_pacer',
         '_settings',
+        '_silence_writer',
+        '_silences',
         '_store',
         '_view',
         '_watch',
         '_writer',
-        '_writer_task',
+        '_writer_tasks',
     )
 
     def __init__(
@@ -82,7 +86,9 @@
         self._watch = work_watch.WorkWatch(view)
         self._coordinator: coordinators.Coordinator | None = None
         self._writer: writers.ProgressWriter | None = None
-        self._writer_task: asyncio.Task[None] | None = None
+        self._silences = stored_silences.StoredSilences()
+        self._silence_writer: silence_writer.SilenceWriter | None = None
+        self._writer_tasks: list[asyncio.Task[None]] = []
 
     @property
     def counts(self) -> collections.Counter[str]:
@@ -115,6 +121,8 @@
             self._pacer.record_pass(now, clocks.get_monotonic_time())
         if self._writer is not None and coordinator.list_unstored_jobs():
             self._writer.wake()
+        if self._silence_writer is not None:
+            self._silence_writer.wake()
         for worker in coordinator.pop_due_workers():
             self._post_orders(worker)
 
@@ -161,11 +169,12 @@
             self._coordinator.apply_advisor_answer(sent, question, tickets)
 
     def stop(self) -> None:
-        """Stop the progress writer and discard the coordinator."""
-        if self._writer_task is not None:
-            self._writer_task.cancel()
-        self._writer_task = None
+        """Stop the writers and discard the coordinator."""
+        for task in self._writer_tasks:
+            task.cancel()
+        self._writer_tasks = []
         self._writer = None
+        self._silence_writer = None
         self._coordinator = None
 
     def set_installation(
@@ -183,6 +192,8 @@
         :param job_id: id of the changed job; empty if the change is not
             about a job.
         """
+        now = clocks.get_monotonic_time()
+        self._silences.apply(now, change, self._mirror.listings)
         coordinator = self._coordinator
         if coordinator is None:
             return
@@ -227,7 +238,7 @@
             frame.address,
         )
         asyncio.get_running_loop().call_soon(self.decide_and_send)
-        if worker is None:
+        if worker is None or not coordinator.may_answer(worker):
             return orders.Redirect(
                 self._exchange.address, coordinator.fence, coordinator.entries
             )
@@ -247,7 +258,10 @@
     def _make_coordinator(self, fence: int) -> None:
         now = clocks.get_monotonic_time()
         ledger = ledgers.RunLedger(
-            now, self._settings.grant_duration, self._settings.stop_time
+            now,
+            self._settings.grant_duration,
+            self._settings.stop_time,
+            self._silences.get_answers(fence),
         )
         coordinator = coordinators.Coordinator(
             self._settings.instance,
@@ -262,21 +276,32 @@
         self._writer = writers.ProgressWriter(
             self._store, coordinator, self.decide_and_send, self._step_down
         )
-        self._writer_task = asyncio.ensure_future(self._write(self._writer))
+        self._silence_writer = silence_writer.SilenceWriter(
+            self._store,
+            coordinator,
+            self._silences.revision,
+            self.decide_and_send,
+            self._step_down,
+        )
+        for writer in (self._writer, self._silence_writer):
+            task = asyncio.ensure_future(self._write(writer))
+            self._writer_tasks.append(task)
         LOG.info(
             'coordinator started',
             extra={'fence': fence, 'jobs': len(coordinator.jobs)},
         )
 
-    async def _write(self, writer: writers.ProgressWriter) -> None:
+    async def _write(
+        self, writer: writers.ProgressWriter | silence_writer.SilenceWriter
+    ) -> None:
         try:
             await writer.run()
         except Exception:
             # Scheduling decisions are sent to agents only after they are
             # stored, so unstored ones may be dropped. The next coordinator
             # loads its state from the store.
-            LOG.exception('progress writer failed')
-            self._step_down('the progress writer failed')
+            LOG.exception('writer failed')
+            self._step_down('a writer failed')
 
     def _step_down(self, reason: str) -> None:
         self._leadership.step_down(reason)
@@ -318,6 +343,8 @@
                 return None
             if worker.lifetime not in coordinator.workers:
                 return None
+            if not coordinator.may_answer(worker):
+                return None
             return coordinator.make_orders(worker)
 
         self._exchange.post(worker.address, 'orders', build)
--- a/damaskpin/store/layout.py
+++ b/damaskpin/store/layout.py
@@ -8,6 +8,7 @@
 CANCELS_PREFIX = ROOT_PREFIX + 'cancels/'
 ENTRIES_PREFIX = ROOT_PREFIX + 'entries/'
 LEADER_KEY = ROOT_PREFIX + 'leader'
+SILENCES_KEY = ROOT_PREFIX + 'silences'
 
 
 def make_job_key(job_id: str) -> str:
--- a/damaskpin/store/mirror.py
+++ b/damaskpin/store/mirror.py
@@ -22,6 +22,7 @@
     :ivar items: newest known item of each key.
     :ivar revision: store revision up to which the copy is current.
     :ivar complete: whether a full listing has been applied.
+    :ivar listings: number of listings that were applied.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         '_key_revisions',
         'complete',
         'items',
+        'listings',
         'prefix',
         'revision',
     )
@@ -40,6 +42,7 @@
         self._key_revisions: dict[str, int] = {}
         self.revision = 0
         self.complete = False
+        self.listings = 0
 
     def replace(
         self, items: Iterable[transactions.StoredItem], revision: int
@@ -51,6 +54,7 @@
 
         :param revision: revision of the store before the listing was read.
         """
+        self.listings += 1
         listed = set()
         for item in items:
             listed.add(item.key)
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -79,7 +79,7 @@
         self.tick_s = TICK_S
         self.disturbances = disturbances.Disturbances(self)
         self._links = links.Links(self)
-        self._store_writes = store_writes.StoreWrites(self)
+        self.store_writes = store_writes.StoreWrites(self)
         self._calls = worker_calls.WorkerCalls(self, self._send)
         self._events = []
         self._event_numbers = itertools.count()
@@ -158,7 +158,8 @@
     def replace_coordinator(self):
         """Start a new coordinator from the stored progress."""
         self.fence += 1
-        ledger = ledgers.RunLedger(self.now, GRANT_S, STOP_S)
+        former = self.store_writes.silences.get_answers()
+        ledger = ledgers.RunLedger(self.now, GRANT_S, STOP_S, former)
         self.coordinator = coordinators.Coordinator(
             'c', self.fence, ledger, None
         )
@@ -245,7 +246,7 @@
                 self.restart_worker(instance)
         self.crashing_workers.clear()
         self.coordinator.decide(self.now, self.get_wall())
-        self._store_writes.advance()
+        self.store_writes.advance()
         for worker in self.coordinator.pop_due_workers():
             instance = self._find_instance(worker.agent)
             if instance is None:
--- a/tests/test_coordinator/store_writes.py
+++ b/tests/test_coordinator/store_writes.py
@@ -4,6 +4,7 @@
 
 from damaskpin.coordinator import records
 from tests.test_coordinator import disturbances
+from tests.test_coordinator import silence_writes
 
 
 class StoreWrites:
@@ -13,16 +14,19 @@
     write has no effect once another coordinator has taken over.
 
     :param simulation: simulation with the coordinator and the store.
+    :ivar silences: writes of the record of silent agents.
     """
 
     def __init__(self, simulation):
         self._simulation = simulation
         self._pending = set()
+        self.silences = silence_writes.SilenceWrites(simulation)
 
     def advance(self):
         """Write the progress that is not stored yet."""
         simulation = self._simulation
         coordinator = simulation.coordinator
+        self.silences.advance()
         for job in coordinator.list_unstored_jobs():
             if simulation.is_lost():
                 continue
