Give a recorded agent that returns a limited grant at once

What callers see: since silent agents are recorded, the agent of a machine that was cut off gets its grant only after a write of the store.

The record now leaves out one second of the age of the latest answered report. Within this second the coordinator may renew the grant without a change of the record: it echoes the agent's own time of the former answer plus one second, to the same process of the agent only, in orders that say nothing of runs. The record is still true, as the agent's grant ends with the time that it says. The price is that a takeover adds this second to the time for which the runs of a lost machine are kept.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -15,7 +15,7 @@
 from damaskpin.coordinator import removals
 from damaskpin.coordinator import run_lists
 from damaskpin.coordinator import run_orders
-from damaskpin.coordinator import silent_agents
+from damaskpin.coordinator import silence_records
 from damaskpin.coordinator import supervision
 from damaskpin.coordinator import wait_reasons
 from damaskpin.model import work
@@ -46,6 +46,7 @@
     :param ledger: jobs, workers and runs.
     :param installation: configuration; ``None`` until it is known.
     :ivar entries: addresses of all entries, for the orders.
+    :ivar silence_records: records of the agents that do not report.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         '_sequence',
         'entries',
         'fence',
+        'silence_records',
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         self.fence = fence
         self._ledger = ledger
         self._agent_processes = agent_processes.AgentProcesses()
+        self.silence_records = silence_records.SilenceRecords(ledger, fence)
         self._installation = installation
         self._sequence = 0
         self._next_check = 0.0
@@ -160,7 +163,7 @@
         :returns: the worker that the report is about; ``None`` if there is
             none or the report is outdated.
         """
-        self._ledger.record_report(now, report.agent)
+        self.silence_records.record_report(now, report.agent)
         if not self._agent_processes.admit(report):
             LOG.info(
                 'overtaken report ignored',
@@ -264,6 +267,28 @@
         tickets.record_answer(sent, question, rows)
         self._ledger.changed = True
 
+    def make_answer(self, worker: worker_state.Worker) -> orders.Orders | None:
+        """Return the answer to the latest report about a worker.
+
+        An agent that the stored record of the silent agents may still have
+        gets a limited grant and no orders about runs, or none at all.
+        """
+        if self.may_answer(worker):
+            return self.make_orders(worker)
+        echo = self.silence_records.renew_limited_grant(worker)
+        if echo is None:
+            return None
+        self._sequence += 1
+        return orders.make_grant(
+            self.fence,
+            self._sequence,
+            self._instance,
+            echo,
+            self.entries,
+            worker.process,
+            self._agent_processes.get_session(worker.agent),
+        )
+
     def make_orders(self, worker: worker_state.Worker) -> orders.Orders:
         """Return the current orders for a worker.
 
@@ -276,12 +301,8 @@
             worker.agent, worker.last_report_time
         )
         if not worker.silence:
-            latest_run_end = self._ledger.get_latest_run_end(
-                worker.last_report_time
-            )
-            worker.latest_run_end = max(worker.latest_run_end, latest_run_end)
-            worker.granted_report_time = max(
-                worker.granted_report_time, worker.report_time
+            self._ledger.renew_grant(
+                worker, worker.last_report_time, worker.report_time
             )
         process = self._agent_processes.get_process(worker.agent)
         about_runs = run_orders.list_run_orders(self._ledger, worker, process)
@@ -318,30 +339,11 @@
         return due_workers
 
     def may_answer(self, worker: worker_state.Worker) -> bool:
-        """Return whether orders may be made for a worker now.
-
-        They may not if its agent has reported again and the stored record of
-        the silent agents may still have it.
-        """
+        """Return whether orders may answer the latest report on a worker."""
         return self._ledger.silent_agents.may_answer(
             worker.agent, worker.last_report_time
         )
 
-    def make_due_silence_record(
-        self, now: float
-    ) -> silent_agents.SilenceRecord | None:
-        """Return the record of silent agents that is to be written, if any."""
-        return self._ledger.silent_agents.make_due_record(
-            now, self.fence, self.workers.values()
-        )
-
-    def record_silences_stored(self) -> None:
-        """Record that the latest record of silent agents is stored."""
-        released = self._ledger.silent_agents.record_stored()
-        for worker in self.workers.values():
-            if worker.agent in released:
-                worker.orders_due = True
-
     def _get_guarantee(self, account: str) -> int:
         if self._installation is None:
             return 0
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -94,6 +94,20 @@
         grant_end = report_time + self._grant * (1 + leases.MAX_CLOCK_SLOWDOWN)
         return grant_end + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
 
+    def renew_grant(
+        self, worker: worker_state.Worker, answered: float, echo: float
+    ) -> None:
+        """Record that orders renew the grant of a worker's agent.
+
+        :param answered: time in seconds at which the report arrived that the
+            orders answer.
+        :param echo: time of the report by the agent's clock.
+        """
+        latest_run_end = self.get_latest_run_end(answered)
+        worker.latest_run_end = max(worker.latest_run_end, latest_run_end)
+        worker.granted_report_time = max(worker.granted_report_time, echo)
+        worker.granted_report = (worker.process, echo)
+
     def cap_latest_run_end(
         self, now: float, worker: worker_state.Worker, lapse: float
     ) -> None:
@@ -258,19 +272,6 @@
         """
         stops.stop_gang(self, member, cause, reason)
 
-    def record_report(self, now: float, agent: str) -> None:
-        """Record that a report of an agent has arrived."""
-        if not self.silent_agents.record_report(now, agent):
-            return
-        # The agent may get a grant again, so its runs are kept for as long as
-        # without the record of the former coordinator.
-        latest_run_end = self.get_latest_run_end(self._started)
-        for worker in self.workers.values():
-            if worker.agent == agent:
-                worker.latest_run_end = max(
-                    worker.latest_run_end, latest_run_end
-                )
-
     def drain_worker(self, now: float, worker: worker_state.Worker) -> None:
         """Order runs on a draining worker to stop.
 
--- /dev/null
+++ b/damaskpin/coordinator/silence_records.py
@@ -0,0 +1,68 @@
+"""Records of silent agents against the books of a coordinator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from damaskpin.coordinator import ledger as ledgers
+    from damaskpin.coordinator import silent_agents
+    from damaskpin.coordinator import worker_state
+
+
+class SilenceRecords:
+    """Makes the records, and applies to the books what follows from them.
+
+    :param ledger: workers and runs, with the times of the agents' reports.
+    :param fence: fencing token of the coordinator.
+    :ivar fence: fencing token of the coordinator.
+    """
+
+    __slots__ = ('_ledger', 'fence')
+
+    def __init__(self, ledger: ledgers.RunLedger, fence: int) -> None:
+        self._ledger = ledger
+        self.fence = fence
+
+    def record_report(self, now: float, agent: str) -> None:
+        """Record that a report of an agent has arrived."""
+        silent_agents = self._ledger.silent_agents
+        if not silent_agents.record_report(now, agent):
+            return
+        # The agent may get a grant again, so its runs are kept for as long as
+        # without the record of the former coordinator.
+        latest_run_end = self._ledger.get_latest_run_end(silent_agents.started)
+        for worker in self._ledger.workers.values():
+            if worker.agent == agent:
+                worker.latest_run_end = max(
+                    worker.latest_run_end, latest_run_end
+                )
+
+    def renew_limited_grant(self, worker: worker_state.Worker) -> float | None:
+        """Renew the grant of a recorded agent, up to what the record says.
+
+        :returns: time of the report to be echoed, by the agent's clock;
+            ``None`` if the agent may get no grant.
+        """
+        limit = self._ledger.silent_agents.get_grant_limit(worker)
+        if limit is None or worker.silence:
+            return None
+        answered = min(worker.last_report_time, limit.answer)
+        echo = min(worker.report_time, limit.echo)
+        self._ledger.renew_grant(worker, answered, echo)
+        return echo
+
+    def make_due_record(
+        self, now: float
+    ) -> silent_agents.SilenceRecord | None:
+        """Return the record that is to be written now, if any."""
+        return self._ledger.silent_agents.make_due_record(
+            now, self.fence, self._ledger.workers.values()
+        )
+
+    def record_stored(self) -> None:
+        """Record that the latest record is stored."""
+        released = self._ledger.silent_agents.record_stored()
+        for worker in self._ledger.workers.values():
+            if worker.agent in released:
+                worker.orders_due = True
--- a/damaskpin/coordinator/silent_agents.py
+++ b/damaskpin/coordinator/silent_agents.py
@@ -4,7 +4,8 @@
 end of its grant, which counts from the latest report that a coordinator has
 answered. The record tells the next coordinator how long ago that was. From the
 time at which a record is made, the coordinator answers no later report of an
-agent in it until a record without the agent is stored.
+agent in it until a record without the agent is stored. An agent that returns
+meanwhile gets a grant that is limited by what the record says.
 """
 
 from __future__ import annotations
@@ -32,6 +33,11 @@
 # reports without a break.
 MAX_CHECK_GAP_S = 1.0
 
+# Seconds that are added to the time of the latest answered report in a record.
+# Within them an agent that returns gets a grant at once, so that the time that
+# the store takes does not count towards a cut that the grant just outlasts.
+GRANT_ALLOWANCE_S = 1.0
+
 # Maximum number of agents in a record. The runs of others are kept for as long
 # as without a record.
 MAX_AGENTS = 500
@@ -52,6 +58,21 @@
     ages: dict[str, float]
 
 
+class GrantLimit(msgspec.Struct, frozen=True):
+    """Limit of the grant of a recorded agent.
+
+    :ivar process: process of the agent that may have the grant; empty for
+        none.
+    :ivar echo: latest time of a report to be echoed, by the agent's clock.
+    :ivar answer: time in seconds to which the record moves the latest answered
+        report.
+    """
+
+    process: str
+    echo: float
+    answer: float
+
+
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(SilenceRecord)
 
@@ -77,28 +98,32 @@
     :param former_answers: time in seconds of the latest report that a former
         coordinator may have answered, by agent, for those that it has
         recorded as silent.
+    :ivar started: time at which the coordinator began, in seconds.
     """
 
     __slots__ = (
         '_answers',
         '_former_answers',
         '_last_check',
+        '_limits',
         '_listed',
         '_next_check',
         '_number',
         '_reports',
-        '_started',
         '_steady_since',
         '_written',
+        'started',
     )
 
     def __init__(
         self, started: float, former_answers: dict[str, float] | None = None
     ) -> None:
-        self._started = started
+        self.started = started
         self._former_answers = dict(former_answers or {})
         self._reports: dict[str, float] = {}
         self._answers: dict[str, float] = {}
+        # Of the agents in the stored record and in the one that is written.
+        self._limits: dict[str, GrantLimit] = {}
         self._listed: frozenset[str] = frozenset()
         self._written: frozenset[str] | None = None
         self._number = 0
@@ -114,10 +139,16 @@
         return min(self._former_answers.get(agent, default), default)
 
     def get_last_answer(self, agent: str) -> float:
-        """Return the time of the agent's latest answered report in seconds."""
+        """Return the time of the agent's latest answered report in seconds.
+
+        For a recorded agent, it is the time that the record says.
+        """
+        limit = self._limits.get(agent)
+        if limit is not None:
+            return limit.answer
         answer = self._answers.get(agent)
         if answer is None:
-            return self.get_former_answer(agent, self._started)
+            return self.get_former_answer(agent, self.started)
         return answer
 
     def record_report(self, now: float, agent: str) -> bool:
@@ -146,9 +177,20 @@
 
         :param report_time: time in seconds at which the report arrived.
         """
-        if agent not in self._listed and agent not in (self._written or ()):
-            return True
-        return report_time <= self.get_last_answer(agent)
+        limit = self._limits.get(agent)
+        return limit is None or report_time <= limit.answer
+
+    def get_grant_limit(
+        self, worker: worker_state.Worker
+    ) -> GrantLimit | None:
+        """Return the limit of the grant that a recorded agent may get.
+
+        :returns: ``None`` if it may get none.
+        """
+        limit = self._limits.get(worker.agent)
+        if limit is None or not limit.process:
+            return None
+        return limit if limit.process == worker.process else None
 
     def make_due_record(
         self,
@@ -165,11 +207,15 @@
         if self._written is not None or now < self._next_check:
             return None
         self._next_check = now + CHECK_INTERVAL_S
-        ages = self._get_ages(now, workers)
-        if ages.keys() == self._listed:
+        silent = self._find_silent(now, workers)
+        if silent.keys() == self._listed:
             return None
-        self._written = frozenset(ages)
+        for agent, worker in silent.items():
+            if agent not in self._limits:
+                self._limits[agent] = self._make_limit(worker)
+        self._written = frozenset(silent)
         self._number += 1
+        ages = {agent: now - self._limits[agent].answer for agent in silent}
         return SilenceRecord(fence, self._number, ages)
 
     def record_stored(self) -> frozenset[str]:
@@ -181,11 +227,14 @@
             return frozenset()
         released = self._listed - self._written
         if any(
-            self._reports.get(agent, self._started)
+            self._reports.get(agent, self.started)
             > self.get_last_answer(agent)
             for agent in self._written
         ):
             self._next_check = self._last_check
+        for agent in released:
+            # The limited grants that it may have had count as an answer.
+            self._answers[agent] = self._limits.pop(agent).answer
         self._listed = self._written
         self._written = None
         return released
@@ -196,28 +245,42 @@
             self._steady_since = now
         self._last_check = now
 
-    def _get_ages(
+    def _find_silent(
         self, now: float, workers: Iterable[worker_state.Worker]
-    ) -> dict[str, float]:
-        """Return the seconds since the latest answer, by silent agent."""
-        silent: set[str] = set()
+    ) -> dict[str, worker_state.Worker]:
+        """Return the silent agents, each with its latest worker."""
+        silent: dict[str, worker_state.Worker] = {}
         excluded: set[str] = set()
         for worker in workers:
+            agent = worker.agent
             if worker.get_last_lease_end() > worker.latest_run_end:
                 # Its lease may outlast the grant, as only this coordinator
                 # knows.
-                excluded.add(worker.agent)
-            elif worker.runs and self._is_silent(now, worker.agent):
-                silent.add(worker.agent)
-        answers = sorted(
-            (self.get_last_answer(agent), agent) for agent in silent - excluded
+                excluded.add(agent)
+            elif worker.runs and self._is_silent(now, agent):
+                other = silent.get(agent, worker)
+                if other.last_report_time <= worker.last_report_time:
+                    silent[agent] = worker
+        names = sorted(silent.keys() - excluded, key=self.get_last_answer)
+        return {agent: silent[agent] for agent in names[:MAX_AGENTS]}
+
+    def _make_limit(self, worker: worker_state.Worker) -> GrantLimit:
+        """Return the limit of the grant of an agent that is recorded now."""
+        answer = self.get_last_answer(worker.agent)
+        process, report_time = worker.granted_report
+        if worker.agent not in self._answers or not process:
+            # The agent's latest grant is another coordinator's.
+            return GrantLimit('', 0.0, answer)
+        return GrantLimit(
+            process,
+            report_time + GRANT_ALLOWANCE_S,
+            answer + GRANT_ALLOWANCE_S,
         )
-        return {agent: now - answer for answer, agent in answers[:MAX_AGENTS]}
 
     def _is_silent(self, now: float, agent: str) -> bool:
         if agent in self._former_answers:
             # The next coordinator may follow before the agent has been silent
             # for long under this one.
             return True
-        report_time = self._reports.get(agent, self._started)
+        report_time = self._reports.get(agent, self.started)
         return now - max(report_time, self._steady_since) > MIN_SILENCE_S
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -95,6 +95,8 @@
     :ivar process: process of the agent that made that report.
     :ivar granted_report_time: time of the latest report whose answer renewed
         the agent's grant, by the agent's clock.
+    :ivar granted_report: process of the agent that last had its grant renewed,
+        and the time of its report, by its clock.
     :ivar silence: seconds since the worker last answered its agent; 0 while
         the two are in contact.
     :ivar start_pause: pause after starts that the worker has refused.
@@ -108,6 +110,7 @@
         'failed_jobs',
         'failed_runs',
         'free_capacity',
+        'granted_report',
         'granted_report_time',
         'has_run_lists',
         'held_back_starts',
@@ -147,6 +150,7 @@
         self.last_report_time = 0.0
         self.report_time = 0.0
         self.process = ''
+        self.granted_report = ('', 0.0)
         self.granted_report_time = 0.0
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -131,6 +131,31 @@
         return msgspec.structs.replace(start, content=content)
 
 
+def make_grant(
+    fence: int,
+    sequence: int,
+    coordinator: str,
+    echo: float,
+    entries: tuple[str, ...],
+    process: str,
+    session: int,
+) -> Orders:
+    """Return orders for no worker, which only renew the agent's grant."""
+    return Orders(
+        fence,
+        sequence,
+        coordinator,
+        work.Lifetime('', 0),
+        echo,
+        0,
+        (),
+        (),
+        entries,
+        process,
+        session,
+    )
+
+
 class Report(bases.Message):
     """State of a worker, reported by its agent to the coordinator.
 
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -238,11 +238,10 @@
             frame.address,
         )
         asyncio.get_running_loop().call_soon(self.decide_and_send)
-        if worker is None or not coordinator.may_answer(worker):
-            return orders.Redirect(
-                self._exchange.address, coordinator.fence, coordinator.entries
-            )
-        return coordinator.make_orders(worker)
+        answer = worker and coordinator.make_answer(worker)
+        return answer or orders.Redirect(
+            self._exchange.address, coordinator.fence, coordinator.entries
+        )
 
     def _sync_with_leadership(self) -> None:
         fence = self._leadership.fence
@@ -278,7 +277,7 @@
         )
         self._silence_writer = silence_writer.SilenceWriter(
             self._store,
-            coordinator,
+            coordinator.silence_records,
             self._silences.revision,
             self.decide_and_send,
             self._step_down,
--- a/damaskpin/runtime/silence_writer.py
+++ b/damaskpin/runtime/silence_writer.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from damaskpin.coordinator import coordinator as coordinators
+    from damaskpin.coordinator import silence_records
     from damaskpin.store import interface
 
 LOG = logging.getLogger(__name__)
@@ -32,7 +32,7 @@
     can't bring back an earlier record.
 
     :param store: client of the store.
-    :param coordinator: coordinator that makes the records.
+    :param records: makes the records of this coordinator.
     :param revision: store revision of the present record; 0 without one.
     :param on_stored: called after each stored record.
     :param step_down: called with a reason when another entry has become the
@@ -40,8 +40,8 @@
     """
 
     __slots__ = (
-        '_coordinator',
         '_on_stored',
+        '_records',
         '_revision',
         '_step_down',
         '_store',
@@ -51,13 +51,13 @@
     def __init__(
         self,
         store: interface.Store,
-        coordinator: coordinators.Coordinator,
+        records: silence_records.SilenceRecords,
         revision: int,
         on_stored: Callable[[], None],
         step_down: Callable[[str], None],
     ) -> None:
         self._store = store
-        self._coordinator = coordinator
+        self._records = records
         self._revision = revision
         self._on_stored = on_stored
         self._step_down = step_down
@@ -72,9 +72,7 @@
         while True:
             await self._wake_event.wait()
             self._wake_event.clear()
-            record = self._coordinator.make_due_silence_record(
-                clocks.get_monotonic_time()
-            )
+            record = self._records.make_due_record(clocks.get_monotonic_time())
             if record is None:
                 continue
             if not await self._write(silent_agents.encode_record(record)):
@@ -82,7 +80,7 @@
             LOG.info(
                 'silent agents recorded', extra={'agents': len(record.ages)}
             )
-            self._coordinator.record_silences_stored()
+            self._records.record_stored()
             self._on_stored()
 
     async def _write(self, value: bytes) -> bool:
@@ -92,7 +90,7 @@
         """
         key = layout.SILENCES_KEY
         transaction = transactions.Transaction(
-            {layout.LEADER_KEY: self._coordinator.fence, key: self._revision},
+            {layout.LEADER_KEY: self._records.fence, key: self._revision},
             (transactions.Put(key, value),),
         )
         while True:
