--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -12,6 +12,7 @@
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import silent_agents
 from damaskpin.coordinator import stops
 from damaskpin.coordinator import worker_state
 from damaskpin.model import leases
@@ -55,8 +56,12 @@
     :param grant: length of a grant in seconds, counted from the latest report
         of the agent that the coordinator answered.
     :param stop_time: seconds that a worker takes to stop a run.
+    :param former_answers: time in seconds of the latest report that a former
+        coordinator may have answered, by agent, for those that it has
+        recorded as silent.
     :ivar last_arrival: steady time in seconds at which the newest job was
         accepted.
+    :ivar silent_agents: times of the agents' reports.
     """
 
     __slots__ = (
@@ -65,15 +70,25 @@
         '_stop_time',
         'crash_watch',
         'last_arrival',
+        'silent_agents',
     )
 
-    def __init__(self, started: float, grant: float, stop_time: float) -> None:
+    def __init__(
+        self,
+        started: float,
+        grant: float,
+        stop_time: float,
+        former_answers: dict[str, float] | None = None,
+    ) -> None:
         super().__init__()
         self._started = started
         self.last_arrival = -math.inf
         self._grant = grant
         self._stop_time = stop_time
         self.crash_watch = crash_watch.CrashWatch()
+        self.silent_agents = silent_agents.SilentAgents(
+            started, former_answers
+        )
 
     def get_latest_run_end(self, report_time: float) -> float:
         """Return the time by which all runs of a worker have certainly ended.
@@ -84,6 +99,20 @@
         grant_end = report_time + self._grant * (1 + leases.MAX_CLOCK_SLOWDOWN)
         return grant_end + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
 
+    def renew_grant(
+        self, worker: worker_state.Worker, answered: float, echo: float
+    ) -> None:
+        """Record that orders renew the grant of a worker's agent.
+
+        :param answered: time in seconds at which the report arrived that the
+            orders answer.
+        :param echo: time of the report by the agent's clock.
+        """
+        latest_run_end = self.get_latest_run_end(answered)
+        worker.latest_run_end = max(worker.latest_run_end, latest_run_end)
+        worker.granted_report_time = max(worker.granted_report_time, echo)
+        worker.granted_report = (worker.process, echo)
+
     def cap_latest_run_end(
         self, now: float, worker: worker_state.Worker, lapse: float
     ) -> None:
@@ -105,7 +134,15 @@
         for run, active in list(job.iterate_active()):
             worker = self.workers.get(active.lifetime)
             if worker is None:
-                worker = self._add_worker(now, active.lifetime, active.agent)
+                # A former coordinator may have answered reports of the
+                # worker's agent, and so moved the end of the agent's grant,
+                # until this coordinator started or the agent was recorded.
+                last_answer = self.silent_agents.get_former_answer(
+                    active.agent, max(now, self._started)
+                )
+                worker = self._add_worker(
+                    last_answer, active.lifetime, active.agent
+                )
             step = job.submission.steps[run.item.step]
             reserved = step.get_reservation()
             version = job.stored_version
@@ -297,12 +334,14 @@
         )
 
     def _add_worker(
-        self, now: float, lifetime: work.Lifetime, agent: str
+        self, last_answer: float, lifetime: work.Lifetime, agent: str
     ) -> worker_state.Worker:
-        # A former coordinator may have answered reports of the worker's
-        # agent, and so moved the end of the agent's grant, until this
-        # coordinator started.
-        latest_run_end = self.get_latest_run_end(max(now, self._started))
+        """Add a worker.
+
+        :param last_answer: latest time in seconds at which a report of the
+            worker's agent may have arrived that a coordinator has answered.
+        """
+        latest_run_end = self.get_latest_run_end(last_answer)
         worker = worker_state.Worker(lifetime, agent, latest_run_end)
         self.workers[lifetime] = worker
         return worker
