Play a busy fleet that loses all processes at once

Its runs lasted for 1 to 2 s on 6 workers.

The table 'losses' of the fuzzer has 11 workers and such traffic for 30 s. In its middle or near its end all processes end and come back: with their id or with another, only agents and coordinator, without some workers, or with workers that are lost again. Each row disturbs what comes after.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 
 # Random plays of each pair of the fault table, for example
 # make fuzz-twice PLAYS=10000 SEED=500000. Broken plays are printed. TABLE=gangs
-# plays gangs of which several members fail, TABLE=waits what keeps work waiting.
+# plays gangs of which several members fail, TABLE=waits what keeps work waiting,
+# TABLE=losses a fleet with wide jobs that loses all processes at once.
 PLAYS ?= 2000
 SEED ?= 100000
 TABLE ?= faults
--- a/tests/test_coordinator/fakeworker.py
+++ b/tests/test_coordinator/fakeworker.py
@@ -37,6 +37,8 @@
         has lapsed since the end.
     :ivar on_void: called with each listed end that can't be acknowledged any
         more in a way that counts, as the lease has lapsed since.
+    :ivar get_percent: function of an active run and the time that returns the
+        progress that the worker lists, in percent.
     :ivar draining: whether the worker has announced its end.
     :ivar tells_birth: whether the worker's lists contain its birth.
     :ivar busy: whether the worker is unhealthy and refuses to start runs.
@@ -54,6 +56,7 @@
         self.on_end = on_end
         self.on_noted = on_noted
         self.on_void = lambda row: None
+        self.get_percent = lambda active_run, now: 10.0
         self.draining = False
         self.busy = False
         self.tells_birth = True
@@ -122,7 +125,11 @@
         """Return the lists of running and ended runs."""
         ended = tuple(self.ended[: work.MAX_LISTED_ENDS])
         rows = tuple(
-            work.RunningRun(run, self._get_checkpoint(active_run, now), 10.0)
+            work.RunningRun(
+                run,
+                self._get_checkpoint(active_run, now),
+                self.get_percent(active_run, now),
+            )
             for run, active_run in self.running.items()
         )
         return calls.Lists(
--- a/tests/test_coordinator/idle_check.py
+++ b/tests/test_coordinator/idle_check.py
@@ -107,6 +107,7 @@
         cause = idle_causes.find_cause(self._simulation, job_id)
         causes[cause] += 1
         wait = now - since
+        self._record_cause(wait, cause)
         is_late = now - self._healed >= FINISH_S
         if wait > self.longest_s:
             self.longest_s = wait
@@ -121,6 +122,9 @@
             )
         assert not self._is_limit or not self.breaks, self.breaks[job_id]
 
+    def _record_cause(self, wait, cause):
+        """Record what keeps a job that has waited for some seconds."""
+
     def _list_ready_units(self, job_id):
         """Return the steps with ready work, by the store.
 
--- a/tests/test_coordinator/play_fault_table.py
+++ b/tests/test_coordinator/play_fault_table.py
@@ -2,7 +2,8 @@
 
 Environment variables give the number of plays (DAMASKPIN_FUZZ_PLAYS), the
 first seed (DAMASKPIN_FUZZ_SEED) and the table (DAMASKPIN_FUZZ_TABLE): that of
-all faults, of failing gangs or of work that waits. Each play has the next pair
+all faults, of failing gangs, of work that waits or of losses of all processes
+at once. Each play has the next pair
 and the next seed; DAMASKPIN_FUZZ_EXTRA adds faults to all mixes, separated by
 commas. The mixes and seeds of broken plays are printed.
 """
@@ -17,6 +18,8 @@
 
 from tests.test_coordinator import fault_table
 from tests.test_coordinator import gang_table
+from tests.test_coordinator import loss_plays
+from tests.test_coordinator import loss_table
 from tests.test_coordinator import random_plays
 from tests.test_coordinator import waiting_table
 
@@ -27,7 +30,10 @@
     'faults': fault_table,
     'gangs': gang_table,
     'waits': waiting_table,
+    'losses': loss_table,
 }
+# Functions that play a table other than by single actions.
+PLAYERS = {'losses': loss_plays.play}
 DEFAULT_TABLE = 'faults'
 
 
@@ -57,7 +63,8 @@
         )
         # Every other pass of the table has short waits.
         has_short_waits = seed // len(table.PAIRS) % 2
-        result = _play(seed, mix, bool(has_short_waits))
+        player = PLAYERS.get(name, random_plays.play)
+        result = _play(player, seed, mix, bool(has_short_waits))
         broken += result is Result.BROKEN
         waits += result is Result.WAITED
         played = seed - first_seed + 1
@@ -71,13 +78,16 @@
     return broken + waits
 
 
-def _play(seed, mix, has_short_waits):
-    """Play a mix and print what was wrong."""
+def _play(player, seed, mix, has_short_waits):
+    """Play a mix and print what was wrong.
+
+    :param player: function that plays it.
+    """
     waits = random_plays.WAITS
     if has_short_waits:
         waits = random_plays.SHORT_WAITS
     try:
-        simulation = random_plays.play(seed, mix, ACTIONS, waits=waits)
+        simulation = player(seed, mix, ACTIONS, waits=waits)
     except Exception:
         message = traceback.format_exc().splitlines()[-1]
         result = Result.BROKEN
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -101,7 +101,7 @@
             (index + 1) * interval: fault for index, fault in enumerate(names)
         }
     for index in range(actions):
-        _act(rng, simulation, faults, due_faults.get(index))
+        act(rng, simulation, faults, due_faults.get(index))
         simulation.run(rng.choice(waits))
     waiting_actions.submit_last(simulation, faults)
     simulation.heal_and_finish()
@@ -147,7 +147,11 @@
         simulation.cancel(rng.choice(sorted(simulation.submissions)))
 
 
-def _act(rng, simulation, faults, action=None):
+def act(rng, simulation, faults, action=None):
+    """Carry out an action or bring about a fault.
+
+    :param action: its name; drawn if it is ``None``.
+    """
     if action is None:
         action = rng.choice(
             (*faults, 'submit', 'submit', 'end', 'wait', 'wait')
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -62,6 +62,10 @@
     :ivar idle_check: check of idle jobs since the last fault; ``None`` before.
     """
 
+    # Capacity of each worker, and longest time until all jobs have ended.
+    capacity = CAPACITY
+    heal_s = HEAL_S
+
     def __init__(self, seed, instances=3, has_overlapping_calls=False):
         self.random = random.Random(seed)
         self.now = 100.0
@@ -131,7 +135,7 @@
             instance.down_until = self.now + self.start_time
             if may_keep_id and self.random.random() < 0.5:
                 name = instance.worker.lifetime.worker
-        self.processes.start(instance, name, CAPACITY)
+        self.processes.start(instance, name, self.capacity)
 
     def set_slow_rate(self, rate):
         """Set the share of slow calls and answers where calls overlap."""
@@ -209,25 +213,22 @@
         self.disturbances.clear()
         self.set_slow_rate(0.0)
         for instance in self.instances:
+            worker = instance.worker
             instance.frozen_until = 0.0
-            instance.disconnected = False
-            instance.unresponsive = False
-            instance.worker.busy = False
-            instance.worker.tells_birth = True
-            if (
-                instance.worker.draining
-                or instance.worker.capacity != CAPACITY
-            ):
+            instance.disconnected = instance.unresponsive = False
+            worker.busy = False
+            worker.tells_birth = True
+            if worker.draining or worker.capacity != self.capacity:
                 self.restart_worker(instance, may_keep_id=False)
         self.idle_check = idle_check.IdleCheck(self, self.limits_waits)
-        for _ in range(int(HEAL_S / self.tick_s)):
+        for _ in range(int(self.heal_s / self.tick_s)):
             self._advance()
             self._end_old_runs()
             self.idle_check.observe()
             if all(self._is_finished(job_id) for job_id in self.submissions):
                 return
         raise AssertionError(
-            'some jobs did not end within 90 s after the last fault'
+            f'some jobs did not end {self.heal_s} s after the last fault'
         )
 
     # One time step
--- a/tests/test_coordinator/waiting_actions.py
+++ b/tests/test_coordinator/waiting_actions.py
@@ -9,7 +9,6 @@
 import math
 
 from damaskpin.model import work
-from tests.test_coordinator import simulation as simulations
 
 INSTANCES = 6
 USUAL_INSTANCES = 3
@@ -182,7 +181,7 @@
     name = instance.worker.lifetime.worker
     instance.worker.crash()
     instance.down_until = simulation.now + simulation.start_time
-    simulation.processes.start(instance, name, simulations.CAPACITY)
+    simulation.processes.start(instance, name, simulation.capacity)
 
 
 def restart_and_lose(rng, simulation, instance):
