Tell how long a waiting job was idle and unchanged before a takeover

The line about a job that waits beside room rested on what its entry had seen since it began to coordinate. A wait that began before a takeover, or while no entry coordinated, or that two entries shared, seemed to begin with each of them, and no line told of the whole.

Each entry sees all changes of the store. It now keeps, by its steady clock, since when the progress of each job is unchanged, and since when no run of it that may exist is stored. A start is stored before it is ordered, so the job has been idle since then. An entry that has coordinated before also keeps the idle time by its own lists, until the progress changes. Both lines have 'unchanged' and 'coordinating' (seconds) in addition, and 'idle' spans takeovers as far as this is known; 'with_room' does not, as room is only known from reports. The line is now logged by damaskpin.entry.job_waits.

The tests of the ages fail before: the watch has no follow(), and after a takeover 'idle' begins at the first check.

--- a/damaskpin/entry/work_watch.py
+++ b/damaskpin/entry/work_watch.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import logging
 import math
 from typing import TYPE_CHECKING
@@ -16,6 +15,8 @@
 from damaskpin.coordinator import due_steps
 from damaskpin.coordinator import listed_runs
 from damaskpin.coordinator import wait_reasons
+from damaskpin.entry import job_ages
+from damaskpin.entry import job_waits
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import coordinator as coordinators
@@ -42,41 +43,6 @@
 MIN_LINE_INTERVAL_S = 1.0
 
 
-@dataclasses.dataclass(slots=True)
-class Wait:
-    """A job of which no worker lists a run.
-
-    :ivar idle_since: time in seconds of the latest list with a run of it, or
-        else of the first check.
-    :ivar room_since: time in seconds since which there is room for a work item
-        whose turn has come; infinite while there is none.
-    :ivar searched_at: time in seconds of the latest search for room.
-    :ivar due: step of this work item.
-    :ivar reason: reason that was logged last; empty before.
-    :ivar reason_seconds: seconds with room by the reason that was found.
-    :ivar logged_at: time of the latest line in seconds.
-    """
-
-    idle_since: float
-    room_since: float = math.inf
-    searched_at: float = -math.inf
-    due: due_steps.DueStep | None = None
-    reason: str = ''
-    logged_at: float = -math.inf
-    reason_seconds: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    def add_reason(self, reason: str) -> None:
-        """Count the time of one check under a reason."""
-        seconds = self.reason_seconds.get(reason, 0.0)
-        self.reason_seconds[reason] = seconds + CHECK_INTERVAL_S
-
-    def end_room(self) -> None:
-        """Record that there is no room for the job any more."""
-        self.room_since = math.inf
-        self.reason = ''
-        self.reason_seconds.clear()
-
-
 class WorkWatch:
     """Finds accepted jobs that wait beside room.
 
@@ -85,13 +51,26 @@
         metrics.
     """
 
-    __slots__ = ('_listed', '_next_check', '_view', '_waits', 'counts')
+    __slots__ = (
+        '_ages',
+        '_coordinating_since',
+        '_fence',
+        '_listed',
+        '_next_check',
+        '_view',
+        '_waits',
+        'counts',
+    )
 
     def __init__(self, view: views.JobView) -> None:
         self._view = view
         self._listed = listed_runs.ListedRuns()
-        self._waits: dict[str, Wait] = {}
+        self._waits: dict[str, job_waits.Wait] = {}
+        self._ages = job_ages.JobAges()
         self._next_check = 0.0
+        # Fencing token of this entry's coordinator, and the first check of it.
+        self._fence: int | None = None
+        self._coordinating_since = 0.0
         self.counts: collections.Counter[str] = collections.Counter()
 
     def record_report(self, now: float, report: orders.Report) -> None:
@@ -101,11 +80,23 @@
         """
         self._listed.record(now, report)
 
-    def forget(self) -> None:
-        """Forget all reports and waits, as another entry coordinates."""
-        if self._waits or self._listed.workers:
-            self._waits = {}
+    def follow(self, now: float) -> None:
+        """Follow the stored jobs only, as another entry coordinates.
+
+        All reports and waits are forgotten, but not since when jobs are idle.
+
+        :param now: steady time in seconds.
+        """
+        for job_id, wait in self._waits.items():
+            self._ages.record_idle(job_id, wait.idle_since)
+        self._waits = {}
+        if self._listed.workers:
             self._listed = listed_runs.ListedRuns()
+        self._fence = None
+        if now < self._next_check:
+            return
+        self._next_check = now + CHECK_INTERVAL_S
+        self._ages.update(now, self._view.list_jobs())
 
     def check(
         self,
@@ -124,6 +115,11 @@
         if now < self._next_check:
             return
         self._next_check = now + CHECK_INTERVAL_S
+        fence = None if coordinator is None else coordinator.fence
+        if fence != self._fence:
+            self._fence = fence
+            self._coordinating_since = now
+        self._ages.update(now, self._view.list_jobs())
         former = self._waits
         self._waits = self._find_idle_jobs(now)
         if not (former or self._waits):
@@ -138,10 +134,10 @@
                 self._log_end(now, job_id, wait)
         self._log_waits(now, wall, room, coordinator, has_lease)
 
-    def _find_idle_jobs(self, now: float) -> dict[str, Wait]:
+    def _find_idle_jobs(self, now: float) -> dict[str, job_waits.Wait]:
         """Return the unfinished jobs of which no worker lists a run."""
         running = self._listed.find_running_jobs(now, MAX_WAIT_S)
-        waits: dict[str, Wait] = {}
+        waits: dict[str, job_waits.Wait] = {}
         unfinished: set[str] = set()
         for job in self._view.list_jobs():
             if job.submission is None or job.cancelled:
@@ -155,7 +151,9 @@
             last_listed = self._listed.last_listed.get(job_id, -math.inf)
             wait = self._waits.get(job_id)
             if wait is None or wait.idle_since < last_listed:
-                wait = Wait(now if last_listed < 0 else last_listed)
+                if last_listed < 0:
+                    last_listed = min(self._ages.get_idle_since(job_id), now)
+                wait = job_waits.Wait(last_listed)
             waits[job_id] = wait
         self._listed.forget_jobs(unfinished)
         return waits
@@ -244,7 +242,7 @@
         for (job_id, wait, due), explanation in zip(
             waiting, explanations, strict=True
         ):
-            wait.add_reason(explanation.reason)
+            wait.add_reason(explanation.reason, CHECK_INTERVAL_S)
             if now - wait.room_since < MAX_WAIT_S:
                 continue
             if explanation.reason == wait.reason:
@@ -255,10 +253,14 @@
                 self.counts[explanation.reason] += 1
             wait.reason = explanation.reason
             wait.logged_at = now
-            used_share = room.get_used_share(due.service)
-            log_wait(now, wall, job_id, wait, due, used_share, explanation)
-
-    def _log_end(self, now: float, job_id: str, wait: Wait) -> None:
+            fields = {
+                'used_share': round(room.get_used_share(due.service), 3),
+                **self._describe_ages(now, job_id),
+                **explanation.fields,
+            }
+            job_waits.log_wait(now, wall, job_id, wait, due, fields)
+
+    def _log_end(self, now: float, job_id: str, wait: job_waits.Wait) -> None:
         """Log that a job waits no more, and why."""
         LOG.info(
             'job waits no more',
@@ -269,9 +271,28 @@
                 'with_room': round(now - wait.room_since, 3),
                 'idle': round(now - wait.idle_since, 3),
                 'end': self._find_end(job_id),
+                **self._describe_ages(now, job_id),
             },
         )
 
+    def _describe_ages(
+        self, now: float, job_id: str
+    ) -> dict[str, float | None]:
+        """Return the age of a job's progress and of the coordinator.
+
+        :returns: ``unchanged`` and ``coordinating`` in seconds; ``None`` if
+            the job has ended or this entry does not coordinate.
+        """
+        ages: dict[str, float | None] = dict.fromkeys(
+            ('unchanged', 'coordinating')
+        )
+        changed = self._ages.get_changed(job_id)
+        if not math.isinf(changed):
+            ages['unchanged'] = round(now - changed, 3)
+        if self._fence is not None:
+            ages['coordinating'] = round(now - self._coordinating_since, 3)
+        return ages
+
     def _find_end(self, job_id: str) -> str:
         """Return what has ended a wait."""
         job = self._view.get(job_id)
@@ -283,36 +304,3 @@
         if wait is not None and wait.due is None:
             return 'no room, or no step due'
         return 'running'
-
-
-def log_wait(
-    now: float,
-    wall: float,
-    job_id: str,
-    wait: Wait,
-    due: due_steps.DueStep,
-    used_share: float,
-    explanation: wait_reasons.Explanation,
-) -> None:
-    """Log a job that waits, with its reason.
-
-    :param used_share: share of the service that the listed runs use.
-    """
-    submission = due.submission
-    LOG.warning(
-        'job waits although there is room',
-        extra={
-            'job': job_id,
-            'occurrence': due.occurrence,
-            'step': due.step_index,
-            'reason': explanation.reason,
-            'reasons': dict(wait.reason_seconds),
-            'with_room': round(now - wait.room_since, 3),
-            'idle': round(now - wait.idle_since, 3),
-            'age': round(wall - submission.accepted, 3),
-            'used_share': round(used_share, 3),
-            'priority': submission.terms.priority,
-            'label': due.step.label,
-            **explanation.fields,
-        },
-    )
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -120,12 +120,13 @@
 
     def watch_waits(self) -> None:
         """Log jobs that wait, unless another entry coordinates."""
+        now = clocks.get_monotonic_time()
         address, _ = leaderships.parse_leader(self._view.leader)
         if address and address != self._settings.address:
-            self._watch.forget()
+            self._watch.follow(now)
             return
         self._watch.check(
-            clocks.get_monotonic_time(),
+            now,
             clocks.get_wall_time(),
             self._coordinator,
             self._leadership.is_leader(),
--- a/tests/test_coordinator/waits.py
+++ b/tests/test_coordinator/waits.py
@@ -37,6 +37,7 @@
     :ivar decides: whether placement passes are made.
     :ivar leads: whether the coordinator holds a valid lease.
     :ivar is_stopped: whether the entry has discarded its coordinator.
+    :ivar follows: whether another entry coordinates.
     """
 
     def __init__(self, workers=2, rack_size=3):
@@ -57,7 +58,9 @@
         self.decides = True
         self.leads = True
         self.is_stopped = False
+        self.follows = False
         self.sequence = 0
+        self.revision = 0
         self.now = NOW
 
     def submit(self, *steps, job_id='job', **more):
@@ -73,7 +76,11 @@
 
     def put(self, key, value):
         """Store a value."""
-        self.view.apply(transactions.StoredItem(key, value, 1, 1))
+        self.revision += 1
+        item = transactions.StoredItem(
+            key, value, self.revision, self.revision
+        )
+        self.view.apply(item)
 
     def store(self, job):
         """Store the progress of a job."""
@@ -113,7 +120,10 @@
             if self.decides:
                 self.coordinator.decide(self.now, wall)
             coordinator = None if self.is_stopped else self.coordinator
-            self.watch.check(self.now, wall, coordinator, self.leads)
+            if self.follows:
+                self.watch.follow(self.now)
+            else:
+                self.watch.check(self.now, wall, coordinator, self.leads)
             self.now += STEP_S
 
     def make_report(self, agent, profile, sequence):
--- a/tests/test_entry/test_entry_work_watch.py
+++ b/tests/test_entry/test_entry_work_watch.py
@@ -304,7 +304,7 @@
     """Guards against lines from an entry that sees no reports any more."""
     scene = _make_idle_scene()
     scene.play(LATE_S)
-    scene.watch.forget()
+    scene.watch.follow(scene.now)
     scene.lists = []
     scene.play(2 * LATE_S)
     assert len(waits.list_waits(caplog)) == 1
