Lose all processes also if the traffic of a play ends before

With waits of up to 2 s between actions a play of the losses ended its traffic before the time of the loss and had none (: its check of holds was None). Its loss comes at the end of the traffic then.

--- a/tests/test_coordinator/loss_plays.py
+++ b/tests/test_coordinator/loss_plays.py
@@ -68,6 +68,8 @@
             _lose_all(rng, simulation, loss, faults, has_each_fault)
         _act(rng, simulation, faults)
         simulation.run(min(rng.choice(waits), 2.0))
+    if simulation.hold_check is None:
+        _lose_all(rng, simulation, loss, faults, has_each_fault)
     while simulation.now < loss_time + AFTER_LOSS_S:
         _act(rng, simulation, faults, has_traffic=False)
         simulation.run(min(rng.choice(waits), 2.0))
