--- a/tests/test_coordinator/fleet_simulation.py
+++ b/tests/test_coordinator/fleet_simulation.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import run_stages
 from damaskpin.model import work
+from damaskpin.platform import settings
 from tests.test_coordinator import idle_check
 from tests.test_coordinator import simulation as simulations
 from tests.test_coordinator import waiting_actions
@@ -105,6 +106,10 @@
             if index % waiting_actions.LABEL_INTERVAL == 0:
                 instance.labels += (waiting_actions.LABEL,)
 
+    def get_grant(self):
+        """Return the grant of the program's agents in seconds."""
+        return settings.GRANT_DURATION_S
+
     def replace_coordinator(self):
         """Start a new coordinator, which knows the guarantees."""
         super().replace_coordinator()
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -96,8 +96,7 @@
         self.idle_check = None
         self.crashing_jobs = set()
         self.crashing_workers = []
-        self.loss_rate = 0.0
-        self.delay_rate = 0.0
+        self.loss_rate = self.delay_rate = 0.0
         self.start_time = START_S
         self.late_start_s = None
         self.late_starts = []
@@ -117,6 +116,10 @@
         """Return the Unix time in seconds."""
         return WALL + self.now
 
+    def get_grant(self):
+        """Return the grant of the agents in seconds."""
+        return GRANT_S
+
     def schedule(self, delay, action):
         """Call a function after a delay in seconds."""
         entry = (self.now + delay, next(self._event_numbers), action)
@@ -148,8 +151,9 @@
     def restart_agent(self, instance):
         instance.frozen_until = 0.0
         instance.waiting.clear()
+        grant = self.get_grant()
         instance.agent = agents.Agent(
-            instance.name, GRANT_S, LEASE_S, STOP_S, fakeworker.MAX_LEASE_S
+            instance.name, grant, LEASE_S, STOP_S, fakeworker.MAX_LEASE_S
         )
         instance.agent.start(self.now)
         instance.pool = connection_pool.ConnectionPool(
@@ -162,7 +166,7 @@
     def replace_coordinator(self):
         """Start a new coordinator from the stored progress."""
         self.fence += 1
-        ledger = ledgers.RunLedger(self.now, GRANT_S, STOP_S)
+        ledger = ledgers.RunLedger(self.now, self.get_grant(), STOP_S)
         self.coordinator = coordinators.Coordinator(
             'c', self.fence, ledger, None
         )
@@ -206,8 +210,7 @@
 
     def heal_and_finish(self):
         """Remove all faults, and finish all runs until all jobs have ended."""
-        self.loss_rate = 0.0
-        self.delay_rate = 0.0
+        self.loss_rate = self.delay_rate = 0.0
         self.processes.late_heartbeat_rate = 0.0
         self.processes.lost_heartbeat_rate = 0.0
         self.disturbances.clear()
@@ -309,8 +312,7 @@
         return self.random.random() < self.loss_rate
 
     def _find_instance(self, name):
-        named = (i for i in self.instances if i.name == name)
-        return next(named, None)
+        return next((i for i in self.instances if i.name == name), None)
 
     def _is_finished(self, job_id):
         job = self.coordinator.jobs[job_id]
@@ -319,9 +321,8 @@
     def _end_old_runs(self):
         for instance in self.instances:
             for run, active_run in list(instance.worker.running.items()):
-                if self.now - active_run.began < self.run_s:
-                    continue
-                if run not in instance.worker.running:
+                age = self.now - active_run.began
+                if age < self.run_s or run not in instance.worker.running:
                     continue
                 if self._is_gang_complete(run):
                     instance.worker.finish(run, work.Ending.DONE)
@@ -332,13 +333,12 @@
         step = self.submissions[run.item.job].steps[run.item.step]
         if not step.gang:
             return True
-        present = [
-            other
+        present = sum(
+            other.get_gang_run() == run.get_gang_run()
             for instance in self.instances
             for other in instance.worker.running
-            if other.get_gang_run() == run.get_gang_run()
-        ]
-        return len(present) == step.count
+        )
+        return present == step.count
 
     def _end_gang(self, run):
         step = self.submissions[run.item.job].steps[run.item.step]
