--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -98,10 +98,9 @@
         self.crashing_workers = []
         self.loss_rate = self.delay_rate = 0.0
         self.start_time = START_S
-        self.late_start_s = None
+        self.late_start_s = self.late_report_s = None
         self.late_starts = []
         self.late_calls_outlive_processes = True
-        self.late_report_s = None
         for instance in self.instances:
             self.restart_worker(instance)
             self.restart_agent(instance)
@@ -303,7 +302,8 @@
         progress = records.Progress()
         if job_id in self.store:
             progress = records.decode_progress(self.store[job_id])
-        job = jobs.Job(self.submissions[job_id], progress)
+        submission = self.submissions[job_id]
+        job = jobs.Job(submission, progress, submission.accepted - WALL)
         self.coordinator.add_job(self.now, job)
         if job_id in self.cancelled:
             self.coordinator.cancel_job(WALL + self.now, job_id)
--- a/tests/test_coordinator/waits.py
+++ b/tests/test_coordinator/waits.py
@@ -80,7 +80,7 @@
         item = transactions.StoredItem(
             key, value, self.revision, self.revision
         )
-        self.view.apply(item)
+        self.view.apply(item, self.now)
 
     def store(self, job):
         """Store the progress of a job."""
