--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -63,6 +63,10 @@
     :ivar idle_check: check of idle jobs since the last fault; ``None`` before.
     """
 
+    # Capacity of each worker, and longest time until all jobs have ended.
+    capacity = CAPACITY
+    heal_s = HEAL_S
+
     def __init__(self, seed, instances=3, has_overlapping_calls=False):
         self.random = random.Random(seed)
         self.now = 100.0
@@ -93,13 +97,11 @@
         self.idle_check = None
         self.crashing_jobs = set()
         self.crashing_workers = []
-        self.loss_rate = 0.0
-        self.delay_rate = 0.0
+        self.loss_rate = self.delay_rate = 0.0
         self.start_time = START_S
-        self.late_start_s = None
+        self.late_start_s = self.late_report_s = None
         self.late_starts = []
         self.late_calls_outlive_processes = True
-        self.late_report_s = None
         for instance in self.instances:
             self.restart_worker(instance)
             self.restart_agent(instance)
@@ -114,6 +116,10 @@
         """Return the Unix time in seconds."""
         return WALL + self.now
 
+    def get_grant(self):
+        """Return the grant of the agents in seconds."""
+        return GRANT_S
+
     def schedule(self, delay, action):
         """Call a function after a delay in seconds."""
         entry = (self.now + delay, next(self._event_numbers), action)
@@ -132,7 +138,7 @@
             instance.down_until = self.now + self.start_time
             if may_keep_id and self.random.random() < 0.5:
                 name = instance.worker.lifetime.worker
-        self.processes.start(instance, name, CAPACITY)
+        self.processes.start(instance, name, self.capacity)
 
     def set_slow_rate(self, rate):
         """Set the share of slow calls and answers where calls overlap."""
@@ -145,8 +151,9 @@
     def restart_agent(self, instance):
         instance.frozen_until = 0.0
         instance.waiting.clear()
+        grant = self.get_grant()
         instance.agent = agents.Agent(
-            instance.name, GRANT_S, LEASE_S, STOP_S, fakeworker.MAX_LEASE_S
+            instance.name, grant, LEASE_S, STOP_S, fakeworker.MAX_LEASE_S
         )
         instance.agent.start(self.now)
         instance.pool = connection_pool.ConnectionPool(
@@ -160,7 +167,7 @@
         """Start a new coordinator from the stored progress."""
         self.fence += 1
         former = self.store_writes.silences.get_answers()
-        ledger = ledgers.RunLedger(self.now, GRANT_S, STOP_S, former)
+        ledger = ledgers.RunLedger(self.now, self.get_grant(), STOP_S, former)
         self.coordinator = coordinators.Coordinator(
             'c', self.fence, ledger, None
         )
@@ -204,32 +211,28 @@
 
     def heal_and_finish(self):
         """Remove all faults, and finish all runs until all jobs have ended."""
-        self.loss_rate = 0.0
-        self.delay_rate = 0.0
+        self.loss_rate = self.delay_rate = 0.0
         self.processes.late_heartbeat_rate = 0.0
         self.processes.lost_heartbeat_rate = 0.0
         self.disturbances.clear()
         self.set_slow_rate(0.0)
         for instance in self.instances:
+            worker = instance.worker
             instance.frozen_until = 0.0
-            instance.disconnected = False
-            instance.unresponsive = False
-            instance.worker.busy = False
-            instance.worker.tells_birth = True
-            if (
-                instance.worker.draining
-                or instance.worker.capacity != CAPACITY
-            ):
+            instance.disconnected = instance.unresponsive = False
+            worker.busy = False
+            worker.tells_birth = True
+            if worker.draining or worker.capacity != self.capacity:
                 self.restart_worker(instance, may_keep_id=False)
         self.idle_check = idle_check.IdleCheck(self, self.limits_waits)
-        for _ in range(int(HEAL_S / self.tick_s)):
+        for _ in range(int(self.heal_s / self.tick_s)):
             self._advance()
             self._end_old_runs()
             self.idle_check.observe()
             if all(self._is_finished(job_id) for job_id in self.submissions):
                 return
         raise AssertionError(
-            'some jobs did not end within 90 s after the last fault'
+            f'some jobs did not end {self.heal_s} s after the last fault'
         )
 
     # One time step
@@ -314,8 +317,7 @@
         return self.random.random() < self.loss_rate
 
     def _find_instance(self, name):
-        named = (i for i in self.instances if i.name == name)
-        return next(named, None)
+        return next((i for i in self.instances if i.name == name), None)
 
     def _is_finished(self, job_id):
         job = self.coordinator.jobs[job_id]
@@ -324,9 +326,8 @@
     def _end_old_runs(self):
         for instance in self.instances:
             for run, active_run in list(instance.worker.running.items()):
-                if self.now - active_run.began < self.run_s:
-                    continue
-                if run not in instance.worker.running:
+                age = self.now - active_run.began
+                if age < self.run_s or run not in instance.worker.running:
                     continue
                 if self._is_gang_complete(run):
                     instance.worker.finish(run, work.Ending.DONE)
@@ -337,13 +338,12 @@
         step = self.submissions[run.item.job].steps[run.item.step]
         if not step.gang:
             return True
-        present = [
-            other
+        present = sum(
+            other.get_gang_run() == run.get_gang_run()
             for instance in self.instances
             for other in instance.worker.running
-            if other.get_gang_run() == run.get_gang_run()
-        ]
-        return len(present) == step.count
+        )
+        return present == step.count
 
     def _end_gang(self, run):
         step = self.submissions[run.item.job].steps[run.item.step]
--- a/tests/test_runtime/test_runtime_silent_agents.py
+++ b/tests/test_runtime/test_runtime_silent_agents.py
@@ -115,7 +115,8 @@
         return self.coordination.handle_report(frame, message)
 
     def _apply(self, change):
-        job_id = self._view.apply(change)
+        now = clocks.get_monotonic_time()
+        job_id = self._view.apply(change, now)
         self.coordination.apply_change(change, job_id)
 
 
