--- a/damaskpin/coordinator/wait_reasons.py
+++ b/damaskpin/coordinator/wait_reasons.py
@@ -97,6 +97,7 @@
             known = placements.get(placed.run.item.job)
             if known is not None:
                 known.append((worker, placed))
+    limit = idle_limit.IdleLimit(now, ledger)
     explanations = []
     for question in questions:
         placed_runs = placements[question.due.submission.id]
