--- a/tests/test_coordinator/idle_causes.py
+++ b/tests/test_coordinator/idle_causes.py
@@ -27,7 +27,7 @@
     if not units:
         return 'not ready by the books'
     unit = units[0]
-    limit = idle_limit.IdleLimit(now, simulation.get_wall(), ledger)
+    limit = idle_limit.IdleLimit(now, ledger)
     if crashes.is_held_back(now, ledger, unit, limit):
         reviewed = any(
             ledger.crash_watch.has_review(unit.get_item(index))
