--- a/tests/test_runtime/test_runtime_coordination.py
+++ b/tests/test_runtime/test_runtime_coordination.py
@@ -38,9 +38,7 @@
     settings = types.SimpleNamespace(
         grant_duration=13.5, stop_time=0.4, instance='e', address='tcp://e'
     )
-    mirror = types.SimpleNamespace(
-        revision=FENCE, complete=True, listings=1
-    )
+    mirror = types.SimpleNamespace(revision=FENCE, complete=True, listings=1)
     config = types.SimpleNamespace(installation=None)
     return coordinations.Coordination(
         settings, None, view, mirror, leadership, None, config
