--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -8,6 +8,7 @@
 from damaskpin.coordinator import advice
 from damaskpin.coordinator import advisor_questions
 from damaskpin.coordinator import agent_processes
+from damaskpin.coordinator import contact
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
@@ -193,29 +194,7 @@
         worker.report_time = report.time
         worker.process = report.process
         worker.reads_contents = report.reads_contents
-        if bool(report.silence) != bool(worker.silence):
-            LOG.info(
-                'worker does not answer'
-                if report.silence
-                else 'worker answers again',
-                extra={
-                    'worker': profile.lifetime.worker,
-                    'silent': round(report.silence, 3),
-                    'runs': len(worker.runs),
-                },
-            )
-            self._ledger.changed = True
-        worker.silence = report.silence
-        if (
-            report.silence
-            and report.fence == self.fence
-            and report.time > worker.granted_report_time
-        ):
-            # Only a report newer than the one whose answer last renewed the
-            # agent's grant may shorten the time for which runs are kept. An
-            # agent that does not know this coordinator yet may have had a
-            # later grant from the former one.
-            self._ledger.cap_latest_run_end(now, worker, report.lapse)
+        contact.record_contact(now, self._ledger, self.fence, worker, report)
         draining = worker.profile is not None and worker.profile.draining
         worker.set_profile(profile)
         if report.list_fence == self.fence:
--- a/damaskpin/coordinator/records.py
+++ b/damaskpin/coordinator/records.py
@@ -146,3 +146,11 @@
         except errors.MalformedError:
             # The data is neither, and most likely a submission.
             raise error from None
+
+
+def has_active_run(progress: Progress) -> bool:
+    """Return whether a run of a job is recorded that may exist."""
+    for steps in progress.occurrences.values():
+        if any(step.active for step in steps):
+            return True
+    return False
--- a/damaskpin/entry/job_ages.py
+++ b/damaskpin/entry/job_ages.py
@@ -6,10 +6,11 @@
 import math
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import records
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from damaskpin.coordinator import records
     from damaskpin.entry import view as views
 
 
@@ -54,7 +55,7 @@
                 # A start is stored before it is ordered, so that a job whose
                 # records have no active run has had none in between.
                 idle_since = math.inf
-                if not has_active_run(job.progress):
+                if not records.has_active_run(job.progress):
                     idle_since = now if age is None else age.idle_since
                     idle_since = min(idle_since, now)
                 age = JobAge(job.revision, now, idle_since)
@@ -85,11 +86,3 @@
         """
         age = self._ages.get(job_id)
         return math.inf if age is None else age.idle_since
-
-
-def has_active_run(progress: records.Progress) -> bool:
-    """Return whether a run of a job is recorded that may exist."""
-    for steps in progress.occurrences.values():
-        if any(step.active for step in steps):
-            return True
-    return False
--- a/damaskpin/entry/view.py
+++ b/damaskpin/entry/view.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from damaskpin import errors
+from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import job_times
 from damaskpin.coordinator import records
 from damaskpin.peer import addresses
@@ -59,11 +60,7 @@
         """
         self.progress = progress
         self.revision = revision
-        if any(
-            step.active
-            for steps in progress.occurrences.values()
-            for step in steps
-        ):
+        if records.has_active_run(progress):
             self._without_runs_since = math.inf
         else:
             self._without_runs_since = min(self._without_runs_since, now)
@@ -233,3 +230,29 @@
 def copy_progress(progress: records.Progress) -> records.Progress:
     """Return a deep copy of a job's progress."""
     return records.decode_progress(records.encode_progress(progress))
+
+
+def make_job(
+    now: float, wall: float, known_job: CachedJob, is_loaded: bool
+) -> jobs.Job | None:
+    """Return a stored job for a coordinator, which may change its progress.
+
+    The job has a copy of the progress, so that the view still shows what is
+    stored.
+
+    :param now: steady time in seconds.
+    :param wall: Unix time in seconds.
+    :param is_loaded: whether the coordinator begins with the job, which has
+        not arrived just now then.
+    :returns: ``None`` if its submission is not known yet, or if it has ended
+        and never had a run.
+    """
+    progress = known_job.progress
+    if known_job.submission is None:
+        return None
+    if progress.state.is_final() and not progress.occurrences:
+        return None
+    times = known_job.estimate_times(now, wall) if is_loaded else None
+    job = jobs.Job(known_job.submission, copy_progress(progress), times)
+    job.revision = known_job.revision
+    return job
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import coordinator as coordinators
-from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
 from damaskpin.entry import stored_silences
@@ -319,25 +318,19 @@
             has not arrived just now then.
         """
         coordinator = self._coordinator
-        if coordinator is None or known_job.submission is None:
+        if coordinator is None:
             return
         now = clocks.get_monotonic_time()
-        progress = known_job.progress
-        if progress.state.is_final() and not progress.occurrences:
-            return
-        # The coordinator modifies the job's progress before it is stored. It
-        # gets a copy, so that the view still shows the stored progress.
-        progress_copy = views.copy_progress(progress)
         wall = clocks.get_wall_time()
-        times = known_job.estimate_times(now, wall) if is_loaded else None
-        job = jobs.Job(known_job.submission, progress_copy, times)
-        job.revision = known_job.revision
+        job = views.make_job(now, wall, known_job, is_loaded)
+        if job is None:
+            return
         coordinator.add_job(now, job)
         LOG.info(
             'job added',
             extra={
                 'job': job.id,
-                'age': round(wall - known_job.submission.accepted, 3),
+                'age': round(wall - job.submission.accepted, 3),
                 'cancelled': known_job.cancelled,
             },
         )
