Free the runs of a lost worker that was restarted

A job had nothing running for up to 36.7 s while workers were idle: its run was on a worker that was restarted with its id and then lost with its agent. The coordinator kept such runs until the grant of the agent was over and 22 s more, as a late call to the former process could start them on the new one, or set the longest lease there.

The agent now reports which start calls may still be carried out: those under way or without an answer for up to 15 s, across processes of the worker and coordinators. A run without one has ended with its process, unless complete lists of the next one have it. Once the agent has not reported for 5 s the coordinator removes such runs.

The tokens of calls rise when another process of the worker is found, also above calls under way, so that the first answered poll of the new process voids them. A lease that such a call has set counts from before that poll. The extension of the lease therefore ends with lists from such a poll, unless a run with an undecided start is left, and the longest lease is waited for. It stays with equal tokens (last epoch), shared session numbers, agents and coordinators of earlier releases, and while the worker is silent.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -102,6 +102,7 @@
         """Start the agent; ignore orders that answer earlier reports."""
         self._worker.lease_tracker.ignore_earlier_grants(now)
         self._worker.acknowledgements.start(now)
+        self._worker.undecided_starts.start(now)
 
     def handle_heartbeat(
         self, now: float, profile: orders.WorkerProfile, clock: int | None
--- a/damaskpin/agent/fencing.py
+++ b/damaskpin/agent/fencing.py
@@ -27,12 +27,14 @@
     :ivar epoch: number of times that the token has risen in this session.
     """
 
-    __slots__ = ('epoch', 'fence', 'session')
+    __slots__ = ('_former', 'epoch', 'fence', 'session')
 
     def __init__(self) -> None:
         self.fence = 0
         self.session = 0
         self.epoch = 0
+        # Highest token of a call to a former process of the worker.
+        self._former = 0
 
     @property
     def value(self) -> int:
@@ -64,6 +66,22 @@
         self.epoch += 1
         return self.epoch == MAX_EPOCH
 
+    def outrank_former_process(self) -> None:
+        """Raise the token above all calls to the process that has ended."""
+        self._former = self.value
+        self.outrank(self.value)
+
+    def voids_former_calls(self, token: int) -> bool:
+        """Return whether a call voids all calls to former processes.
+
+        It has a higher token than they, also those of former processes of the
+        agent, if its session has a number of its own.
+
+        :param token: token of a call that the worker has answered.
+        """
+        session = (token >> EPOCH_BITS) & MAX_SESSION
+        return token > self._former and 0 < session < MAX_SESSION
+
     def catch_up(self, token: int) -> None:
         """Raise the token after a refusal, where a former process was higher.
 
--- a/damaskpin/agent/reports.py
+++ b/damaskpin/agent/reports.py
@@ -67,4 +67,8 @@
         session.process,
         lists_complete,
         True,
+        worker.undecided_starts.list_undecided(now),
+        worker.undecided_starts.knows_all_calls(now),
+        worker.undecided_starts.list_decided(now),
+        lists_fence != 0 and lists.former_calls_void,
     )
--- a/damaskpin/agent/run_lists.py
+++ b/damaskpin/agent/run_lists.py
@@ -26,9 +26,17 @@
     :ivar recent_ends: latest runs that were listed as ended.
     :ivar recorded_serial: serial of the last ended run that the coordinator
         has recorded.
+    :ivar former_calls_void: whether the worker refuses calls that were made
+        for its former processes, since it has answered a poll.
     """
 
-    __slots__ = ('fence', 'latest', 'recent_ends', 'recorded_serial')
+    __slots__ = (
+        'fence',
+        'former_calls_void',
+        'latest',
+        'recent_ends',
+        'recorded_serial',
+    )
 
     def __init__(self) -> None:
         self.latest: calls.Lists | None = None
@@ -37,6 +45,7 @@
             maxlen=MAX_RECENT_ENDS
         )
         self.recorded_serial = 0
+        self.former_calls_void = False
 
     def update(self, fence: int, lists: calls.Lists) -> bool:
         """Replace the lists by those of a later poll.
--- a/damaskpin/agent/worker_calls.py
+++ b/damaskpin/agent/worker_calls.py
@@ -67,12 +67,15 @@
             or worker.lease_tracker.get_certain_lease(now) < MIN_START_LEASE_S
         ):
             return due_calls
-        due_calls.extend(
-            worker.attempts.collect_due_starts(
-                now, profile.lifetime, worker.token, until, has_lists
-            )
+        starts = worker.attempts.collect_due_starts(
+            now, profile.lifetime, worker.token, until, has_lists
         )
-        return due_calls
+        for call in starts:
+            # Coordinators of earlier releases give no session numbers and
+            # don't tell reliably whether an order is repeated.
+            is_own = not call.order.repeated and worker.token.session > 0
+            worker.undecided_starts.record_call(call.order.run, is_own)
+        return [*due_calls, *starts]
 
     def make_poll(self, now: float) -> calls.PollCall | None:
         """Return the next call that renews the lease and lists the runs.
@@ -155,6 +158,9 @@
     ) -> None:
         """Handle the result of a start call."""
         self._outrank(now, call, result)
+        self._worker.undecided_starts.record_result(
+            now, call.order.run, result
+        )
         if isinstance(result, calls.OtherProcess):
             self._handle_other_process(now, call, result)
             return
@@ -270,6 +276,8 @@
             self._session.report_requested = True
         worker.lease_tracker.record_answer(now, sent, lists.clock)
         worker.acknowledgements.record_lists(lists)
+        if worker.token.voids_former_calls(call.token):
+            worker.run_lists.former_calls_void = True
         if worker.run_lists.update(call.fence, lists):
             self._session.report_requested = True
         worker.attempts.apply_running(now, lists)
--- a/damaskpin/agent/worker_process.py
+++ b/damaskpin/agent/worker_process.py
@@ -17,6 +17,7 @@
 from damaskpin.agent import fencing
 from damaskpin.agent import run_lists
 from damaskpin.agent import successor
+from damaskpin.agent import undecided_starts
 
 if TYPE_CHECKING:
     from damaskpin.agent import lease_tracker as lease_trackers
@@ -34,6 +35,7 @@
     :ivar profile: profile in the worker's latest heartbeat; ``None`` without a
         known worker.
     :ivar token: token of the next call to the worker.
+    :ivar undecided_starts: start calls that may still be carried out.
     :ivar departure: notices of leaving, and processes that have ended.
     :ivar crash_log: crashes of the worker.
     """
@@ -49,6 +51,7 @@
         'profile',
         'run_lists',
         'token',
+        'undecided_starts',
     )
 
     def __init__(
@@ -64,6 +67,7 @@
         self.lease_tracker = lease_tracker
         self.run_lists = run_lists.RunLists()
         self.attempts = attempts.Attempts()
+        self.undecided_starts = undecided_starts.UndecidedStarts()
         self.acknowledgements = acknowledgements.Acknowledgements()
         self.crash_log = crash_log.CrashLog()
 
@@ -238,7 +242,8 @@
 
     def _discard_state(self) -> None:
         # The next process has seen no token yet.
-        self.token.outrank(self.token.value)
+        self.token.outrank_former_process()
+        self.undecided_starts.end_process()
         self.profile = None
         self.run_lists = run_lists.RunLists()
         self.lease_tracker.reset()
--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -222,6 +222,7 @@
         """Place ready units, and stop expired, faulty and preempted runs."""
         ledger = self._ledger
         ledger.remove_expired_workers(now)
+        ledger.remove_replaced_runs(now)
         crashes.review_crashes(now, wall, ledger)
         if not ledger.changed and now < self._next_check:
             return
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -37,6 +37,10 @@
 # the longest lease there.
 RESTART_LEASE_EXTENSION_S = 22.0
 
+# Time in seconds without a report after which an agent counts as lost, so that
+# it will not confirm a stop. Reports may be late by some seconds.
+LOST_AGENT_TIMEOUT_S = 5.0
+
 # Stop reason of the runs on a worker that was restarted with the same id.
 RESTART_REASON = 'the worker was restarted'
 
@@ -54,19 +58,28 @@
     :param grant: length of a grant in seconds, counted from the latest report
         of the agent that the coordinator answered.
     :param stop_time: seconds that a worker takes to stop a run.
+    :param longest_lease: longest lease in seconds that a worker allows.
     """
 
     __slots__ = (
         '_grant',
+        '_longest_lease',
         '_started',
         '_stop_time',
         'crash_watch',
     )
 
-    def __init__(self, started: float, grant: float, stop_time: float) -> None:
+    def __init__(
+        self,
+        started: float,
+        grant: float,
+        stop_time: float,
+        longest_lease: float = 0.0,
+    ) -> None:
         super().__init__()
         self._started = started
         self._grant = grant
+        self._longest_lease = longest_lease
         self._stop_time = stop_time
         self.crash_watch = crash_watch.CrashWatch()
 
@@ -169,6 +182,20 @@
                 now, worker.lifetime, removals.Proof.LEASE_ENDED
             )
 
+    def remove_replaced_runs(self, now: float) -> None:
+        """Remove the runs that have ended with a process of a lost worker.
+
+        Unless the agent is lost, they are stopped like the others.
+        """
+        for worker in self.workers.values():
+            if now - worker.last_report_time <= LOST_AGENT_TIMEOUT_S:
+                continue
+            for run, placed in list(worker.runs.items()):
+                if placed.ended_with_process:
+                    self.remove_lost_run(
+                        worker, run, removals.Proof.PROCESS_REPLACED
+                    )
+
     def remove_lost_run(
         self,
         worker: worker_state.Worker,
@@ -256,6 +283,30 @@
                     'the worker is draining',
                 )
 
+    def end_lease_extension(
+        self, now: float, worker: worker_state.Worker, report: orders.Report
+    ) -> None:
+        """End the extension of a lease that no late call can set any more.
+
+        A late call has set it before the worker gave the reported lists.
+        """
+        if not worker.lease_extension or not report.former_calls_void:
+            return
+        if worker.silence:
+            # The end that the agent reports must not be put off.
+            return
+        for placed in worker.runs.values():
+            is_transferred = placed.stop_reason == RESTART_REASON
+            if is_transferred and not placed.ended_with_process:
+                return
+        worker.lease_extension = 0.0
+        lease = self._longest_lease / (1 - leases.MAX_CLOCK_SLOWDOWN)
+        worker.latest_run_end = max(
+            worker.latest_run_end,
+            self.get_latest_run_end(now),
+            now + lease + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time,
+        )
+
     def _transfer_runs_to_new_lifetime(
         self, now: float, former: worker_state.Worker, lifetime: work.Lifetime
     ) -> None:
@@ -263,7 +314,8 @@
 
         A start call that was sent to the worker's former process may reach
         its new process, even later, because the worker has kept its id. Each
-        run is therefore stopped on the new process before it is removed.
+        run is therefore stopped on the new process before it is removed,
+        unless its agent is lost.
 
         :param former: worker with its former lifetime.
         :param lifetime: new lifetime of the worker.
@@ -281,6 +333,7 @@
             placed.stop_cause = lost_work.Cause.WORKER_RESTARTED
             worker.add_run(placed)
         worker.orders_due = True
+        worker.has_former_process = True
         # A call whose lease end is a time of the former process's clock may
         # have set the longest lease that the new process allows. All such
         # calls were sent before the agent reported the new process.
--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -9,6 +9,7 @@
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import lost_work
     from damaskpin.model import work
+    from damaskpin.peer import orders
 
 # Progress that is needed to compute a rate, in percent, because reported
 # progress is imprecise.
@@ -67,6 +68,8 @@
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
     :ivar stop_cause: cause under which the work that the stop loses is booked;
         ``None`` if it is not to be stopped.
+    :ivar ended_with_process: whether the run has certainly ended with a former
+        process of its worker; see ``removals.Proof.PROCESS_REPLACED``.
     :ivar checkpoint: latest checkpoint that the worker has listed.
     :ivar percent: latest progress that the worker has listed.
     :ivar first_percent: progress when the worker first listed the run.
@@ -93,6 +96,7 @@
     first_listed: float = 0.0
     stop_reason: str = ''
     stop_cause: lost_work.Cause | None = None
+    ended_with_process: bool = False
     checkpoint: str = ''
     percent: float = 0.0
     first_percent: float = 0.0
@@ -143,6 +147,22 @@
             self.run.number,
         )
 
+    def is_start_decided(self, report: orders.Report) -> bool:
+        """Return whether no start call for the run may be carried out.
+
+        The agent knows its own calls, and in time that those of its former
+        processes can't be carried out any more.
+        """
+        if report.undecided is None or self.run in report.undecided:
+            return False
+        if report.knows_all_calls or self.run in report.decided:
+            return True
+        if self.ordered_to is None:
+            # A former coordinator may have ordered the start, unless this one
+            # has placed the run.
+            return self.placed_at > 0
+        return bool(report.process) and self.ordered_to == report.process
+
     def is_in_same_gang_run(self, other: PlacedRun) -> bool:
         """Return whether two runs belong to the same start of a gang."""
         return (
--- a/damaskpin/coordinator/removals.py
+++ b/damaskpin/coordinator/removals.py
@@ -2,8 +2,8 @@
 
 A run that was removed too early would be started a second time beside the
 first, so each removal names its proof. The runs of a worker that was restarted
-with the same id are not removed but moved to its new lifetime, and an order to
-stop a run removes nothing.
+with the same id are moved to its new lifetime, and are removed there, and an
+order to stop a run removes nothing.
 """
 
 from __future__ import annotations
@@ -40,6 +40,9 @@
     - ``NEVER_STARTED``: the first complete lists that the worker gave this
       coordinator lack the run, and starts that a former coordinator ordered
       are refused since.
+    - ``PROCESS_REPLACED``: the process of the worker has ended, complete lists
+      of the next process lack the run, and no start call for it may still be
+      carried out.
     - ``WORKER_LEFT``: the agent reports that the worker has given notice and
       ended.
     - ``OTHER_WORKER``: the agent has read lists of a worker with another id
@@ -51,6 +54,7 @@
     END_LISTED = 'the worker has listed the end'
     REFUSED = 'refused'
     NEVER_STARTED = 'the run was never started'
+    PROCESS_REPLACED = 'the process of the worker was replaced'
     WORKER_LEFT = 'the worker has left'
     OTHER_WORKER = 'the agent has a new worker'
     LEASE_ENDED = 'the lease of the silent worker has ended'
--- a/damaskpin/coordinator/run_lists.py
+++ b/damaskpin/coordinator/run_lists.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import worker_state
+    from damaskpin.model import work
     from damaskpin.peer import orders
 
 
@@ -55,6 +56,8 @@
         # A run that is not listed may have ended. Its end follows once the
         # listed ones are acknowledged.
         return
+    _judge_replaced_runs(worker, report, listed_runs)
+    ledger.end_lease_extension(now, worker, report)
     for run, placed in list(worker.runs.items()):
         if placed.is_missing(now, run in listed_runs):
             # The missing run is stopped and not removed at once: the
@@ -76,3 +79,24 @@
         if run in listed_runs or placed.stop_reason == ledgers.RESTART_REASON:
             continue
         ledger.remove_lost_run(worker, run, removals.Proof.NEVER_STARTED)
+
+
+def _judge_replaced_runs(
+    worker: worker_state.Worker,
+    report: orders.Report,
+    listed_runs: set[work.Run],
+) -> None:
+    """Judge which runs of a former process have certainly ended with it.
+
+    The next process may have carried out a late start call of others.
+
+    :param report: report with complete lists.
+    """
+    for run, placed in worker.runs.items():
+        if placed.stop_reason != ledgers.RESTART_REASON:
+            continue
+        placed.ended_with_process = (
+            run not in listed_runs
+            and run not in report.accepted
+            and placed.is_start_decided(report)
+        )
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -89,6 +89,8 @@
     :ivar lease_extension: seconds after ``latest_run_end`` for which the lease
         of a restarted worker may still last; 0 for other workers.
     :ivar extension_end: time in seconds up to which it may be extended.
+    :ivar has_former_process: whether the process has followed another one of
+        the same id.
     :ivar pending_ends: recorded ends that may not be stored yet, in the order
         of their serials.
     :ivar report_time: time of the latest report, by the agent's clock.
@@ -109,6 +111,7 @@
         'failed_runs',
         'free_capacity',
         'granted_report_time',
+        'has_former_process',
         'has_run_lists',
         'held_back_starts',
         'last_end_serial',
@@ -151,6 +154,7 @@
         self.latest_run_end = latest_run_end
         self.lease_extension = 0.0
         self.extension_end = -math.inf
+        self.has_former_process = False
         self.last_end_serial = 0
         self.last_failed_start = -math.inf
         self.last_start = -math.inf
@@ -214,7 +218,7 @@
 
         A process that has listed an end counts as any other.
         """
-        return self.lease_extension > 0 and not self.last_end_serial
+        return self.has_former_process and not self.last_end_serial
 
     def is_reporting(self, now: float) -> bool:
         """Return whether the agent of the worker has reported recently."""
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -162,6 +162,15 @@
     :ivar lists_complete: whether the worker returned all its unacknowledged
         ends; see :meth:`has_all_runs`. An older agent does not tell.
     :ivar reads_contents: whether the agent reads the ``contents`` of orders.
+    :ivar undecided: runs with a start call, under way or without an answer,
+        that may still be carried out; ``None`` from an agent that does not
+        tell.
+    :ivar knows_all_calls: whether ``undecided`` has all such runs. Otherwise
+        calls of a former process of the agent may be missing.
+    :ivar decided: runs of former processes of the worker that certainly have
+        no such call; empty if ``knows_all_calls`` tells it of all others.
+    :ivar former_calls_void: whether the worker refuses all calls that were
+        made for its former processes, since before it gave these lists.
     """
 
     agent: str
@@ -181,6 +190,10 @@
     process: str = ''
     lists_complete: bool = True
     reads_contents: bool = False
+    undecided: tuple[work.Run, ...] | None = None
+    knows_all_calls: bool = False
+    decided: tuple[work.Run, ...] = ()
+    former_calls_void: bool = False
 
     def has_all_runs(self) -> bool:
         """Return whether a run that the lists lack is absent from the worker.
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -247,7 +247,10 @@
     def _make_coordinator(self, fence: int) -> None:
         now = clocks.get_monotonic_time()
         ledger = ledgers.RunLedger(
-            now, self._settings.grant_duration, self._settings.stop_time
+            now,
+            self._settings.grant_duration,
+            self._settings.stop_time,
+            self._settings.longest_lease,
         )
         coordinator = coordinators.Coordinator(
             self._settings.instance,
--- a/tests/test_coordinator/test_coordinator_idle_work.py
+++ b/tests/test_coordinator/test_coordinator_idle_work.py
@@ -69,7 +69,7 @@
     (instance,) = [i for i in simulation.instances if i.worker.running]
     waiting_actions.restart(simulation, instance)
     while not any(
-        worker.lease_extension
+        worker.is_restarted()
         for worker in simulation.coordinator.workers.values()
     ):
         simulation.run(simulation.tick_s)
