--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -261,6 +261,7 @@
             self._settings.grant_duration,
             self._settings.stop_time,
             self._silences.get_answers(fence),
+            self._settings.longest_lease,
         )
         coordinator = coordinators.Coordinator(
             self._settings.instance,
