--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -14,6 +14,7 @@
 from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import placement
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import restarts
 from damaskpin.coordinator import run_lists
 from damaskpin.coordinator import run_orders
 from damaskpin.coordinator import silence_records
@@ -207,7 +208,7 @@
         """Place ready units, and stop expired, faulty and preempted runs."""
         ledger = self._ledger
         ledger.remove_expired_workers(now)
-        ledger.remove_replaced_runs(now)
+        restarts.remove_replaced_runs(now, ledger)
         crashes.review_crashes(now, wall, ledger)
         if not ledger.changed and now < self._next_check:
             return
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -12,6 +12,7 @@
 from damaskpin.coordinator import outcomes
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import restarts
 from damaskpin.coordinator import silent_agents
 from damaskpin.coordinator import stops
 from damaskpin.coordinator import worker_state
@@ -33,19 +34,6 @@
 # time that it reported.
 DRAIN_TIME_MARGIN_S = 1.5
 
-# Time in seconds by which the lease of a restarted worker may outlast the
-# grant of its agent: a worker's longest lease plus the longest delay of a
-# call. A delayed call to the former process may reach the new process and set
-# the longest lease there.
-RESTART_LEASE_EXTENSION_S = 22.0
-
-# Time in seconds without a report after which an agent counts as lost, so that
-# it will not confirm a stop. Reports may be late by some seconds.
-LOST_AGENT_TIMEOUT_S = 5.0
-
-# Stop reason of the runs on a worker that was restarted with the same id.
-RESTART_REASON = 'the worker was restarted'
-
 
 class RunLedger(books.Books):
     """Ledger of the jobs, the workers and the runs that may exist.
@@ -121,6 +109,11 @@
         worker.granted_report_time = max(worker.granted_report_time, echo)
         worker.granted_report = (worker.process, echo)
 
+    def get_longest_lease_end(self, now: float) -> float:
+        """Return the time by which a lease that is set now has ended."""
+        lease = self._longest_lease / (1 - leases.MAX_CLOCK_SLOWDOWN)
+        return now + lease + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
+
     def cap_latest_run_end(
         self, now: float, worker: worker_state.Worker, lapse: float
     ) -> None:
@@ -148,7 +141,7 @@
                 last_answer = self.silent_agents.get_former_answer(
                     active.agent, max(now, self._started)
                 )
-                worker = self._add_worker(
+                worker = self.add_worker(
                     last_answer, active.lifetime, active.agent
                 )
             step = job.submission.steps[run.item.step]
@@ -188,14 +181,14 @@
                     return None
                 continue
             if other.lifetime.worker == lifetime.worker:
-                self._transfer_runs_to_new_lifetime(now, other, lifetime)
+                restarts.transfer_runs(now, self, other, lifetime)
                 continue
             self.remove_worker(
                 now, other.lifetime, removals.Proof.OTHER_WORKER
             )
         worker = self.workers.get(lifetime)
         if worker is None:
-            worker = self._add_worker(now, lifetime, agent)
+            worker = self.add_worker(now, lifetime, agent)
             LOG.info(
                 'worker added',
                 extra={'worker': lifetime.worker, 'agent': agent},
@@ -221,20 +214,6 @@
                 now, worker.lifetime, removals.Proof.LEASE_ENDED
             )
 
-    def remove_replaced_runs(self, now: float) -> None:
-        """Remove the runs that have ended with a process of a lost worker.
-
-        Unless the agent is lost, they are stopped like the others.
-        """
-        for worker in self.workers.values():
-            if now - worker.last_report_time <= LOST_AGENT_TIMEOUT_S:
-                continue
-            for run, placed in list(worker.runs.items()):
-                if placed.ended_with_process:
-                    self.remove_lost_run(
-                        worker, run, removals.Proof.PROCESS_REPLACED
-                    )
-
     def remove_lost_run(
         self,
         worker: worker_state.Worker,
@@ -322,66 +301,7 @@
                     'the worker is draining',
                 )
 
-    def end_lease_extension(
-        self, now: float, worker: worker_state.Worker, report: orders.Report
-    ) -> None:
-        """End the extension of a lease that no late call can set any more.
-
-        A late call has set it before the worker gave the reported lists.
-        """
-        if not worker.lease_extension or not report.former_calls_void:
-            return
-        if worker.silence:
-            # The end that the agent reports must not be put off.
-            return
-        for placed in worker.runs.values():
-            is_transferred = placed.stop_reason == RESTART_REASON
-            if is_transferred and not placed.ended_with_process:
-                return
-        worker.lease_extension = 0.0
-        lease = self._longest_lease / (1 - leases.MAX_CLOCK_SLOWDOWN)
-        worker.latest_run_end = max(
-            worker.latest_run_end,
-            self.get_latest_run_end(now),
-            now + lease + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time,
-        )
-
-    def _transfer_runs_to_new_lifetime(
-        self, now: float, former: worker_state.Worker, lifetime: work.Lifetime
-    ) -> None:
-        """Transfer the runs of a restarted worker to its new lifetime.
-
-        A start call that was sent to the worker's former process may reach
-        its new process, even later, because the worker has kept its id. Each
-        run is therefore stopped on the new process before it is removed,
-        unless its agent is lost.
-
-        :param former: worker with its former lifetime.
-        :param lifetime: new lifetime of the worker.
-        """
-        del self.workers[former.lifetime]
-        worker = self.workers.get(lifetime)
-        if worker is None:
-            worker = self._add_worker(now, lifetime, former.agent)
-        LOG.info(
-            'worker restarted with the same id',
-            extra={'worker': lifetime.worker, 'runs': len(former.runs)},
-        )
-        for placed in former.runs.values():
-            placed.stop_reason = RESTART_REASON
-            placed.stop_cause = lost_work.Cause.WORKER_RESTARTED
-            worker.add_run(placed)
-        worker.orders_due = True
-        worker.has_former_process = True
-        # A call whose lease end is a time of the former process's clock may
-        # have set the longest lease that the new process allows. All such
-        # calls were sent before the agent reported the new process.
-        worker.lease_extension = RESTART_LEASE_EXTENSION_S
-        worker.extension_end = (
-            self.get_latest_run_end(now) + RESTART_LEASE_EXTENSION_S
-        )
-
-    def _add_worker(
+    def add_worker(
         self, last_answer: float, lifetime: work.Lifetime, agent: str
     ) -> worker_state.Worker:
         """Add a worker.
--- a/damaskpin/coordinator/run_lists.py
+++ b/damaskpin/coordinator/run_lists.py
@@ -5,12 +5,13 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import ends
-from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import refusals
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import restarts
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import worker_state
     from damaskpin.model import work
     from damaskpin.peer import orders
@@ -57,7 +58,7 @@
         # listed ones are acknowledged.
         return
     _judge_replaced_runs(worker, report, listed_runs)
-    ledger.end_lease_extension(now, worker, report)
+    restarts.end_lease_extension(now, ledger, worker, report)
     for run, placed in list(worker.runs.items()):
         if placed.is_missing(now, run in listed_runs):
             # The missing run is stopped and not removed at once: the
@@ -76,7 +77,7 @@
     worker.has_run_lists = True
     ledger.changed = True
     for run, placed in list(worker.runs.items()):
-        if run in listed_runs or placed.stop_reason == ledgers.RESTART_REASON:
+        if run in listed_runs or placed.stop_reason == restarts.RESTART_REASON:
             continue
         ledger.remove_lost_run(worker, run, removals.Proof.NEVER_STARTED)
 
@@ -93,7 +94,7 @@
     :param report: report with complete lists.
     """
     for run, placed in worker.runs.items():
-        if placed.stop_reason != ledgers.RESTART_REASON:
+        if placed.stop_reason != restarts.RESTART_REASON:
             continue
         placed.ended_with_process = (
             run not in listed_runs
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -207,7 +207,7 @@
                 coordinator.forget_job(job_id)
             return
         if job_id not in coordinator.jobs:
-            self._add_job(known_job)
+            self._add_job(known_job, is_loaded=False)
         elif known_job.cancelled:
             coordinator.cancel_job(clocks.get_wall_time(), job_id)
         asyncio.get_running_loop().call_soon(self.decide_and_send)
@@ -310,9 +310,7 @@
         # entry coordinates again.
         self._mirror.complete = False
 
-    def _add_job(
-        self, known_job: views.CachedJob, is_loaded: bool = False
-    ) -> None:
+    def _add_job(self, known_job: views.CachedJob, is_loaded: bool) -> None:
         """Add a job to the coordinator.
 
         :param is_loaded: whether the coordinator begins with the job, which
--- a/tests/test_coordinator/idle_causes.py
+++ b/tests/test_coordinator/idle_causes.py
@@ -4,7 +4,7 @@
 
 from damaskpin.coordinator import crashes
 from damaskpin.coordinator import idle_limit
-from damaskpin.coordinator import ledger as ledgers
+from damaskpin.coordinator import restarts
 from damaskpin.coordinator import worker_obstacles
 
 
@@ -57,7 +57,7 @@
                 words.append('whose agent is silent')
             elif worker.silence:
                 words.append('that is silent')
-            if placed.stop_reason == ledgers.RESTART_REASON:
+            if placed.stop_reason == restarts.RESTART_REASON:
                 words.append('and of a former process')
             elif placed.stop_reason:
                 words.append('and to be stopped')
--- a/tests/test_coordinator/test_coordinator_idle_bounds.py
+++ b/tests/test_coordinator/test_coordinator_idle_bounds.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import placed_run
+from damaskpin.coordinator import restarts
 from damaskpin.model import work
 from tests.test_coordinator import builders
 
@@ -199,7 +200,7 @@
     ledger = ledgers.RunLedger(NOW, GRANT_S, STOP_S)
     ledger.find_worker(NOW, 'agent', work.Lifetime('w', 1), True)
     worker = ledger.find_worker(NOW, 'agent', work.Lifetime('w', 2), True)
-    lapse = worker.latest_run_end + ledgers.RESTART_LEASE_EXTENSION_S
+    lapse = worker.latest_run_end + restarts.RESTART_LEASE_EXTENSION_S
     ledger.remove_expired_workers(lapse - 0.1)
     assert ledger.workers
     ledger.remove_expired_workers(lapse + 0.1)
--- a/tests/test_coordinator/test_coordinator_replaced_processes.py
+++ b/tests/test_coordinator/test_coordinator_replaced_processes.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import restarts
 from tests.test_coordinator import restart_plays
 
 PLAYS = 24
@@ -69,7 +69,7 @@
     under way, which their next process carries out. The runs are removed as
     soon as the proof holds, and not only once the agent is lost.
     """
-    monkeypatch.setattr(ledgers, 'LOST_AGENT_TIMEOUT_S', -1.0)
+    monkeypatch.setattr(restarts, 'LOST_AGENT_TIMEOUT_S', -1.0)
     seen = Removals(monkeypatch)
     for seed in range(FIRST_SEED, FIRST_SEED + PLAYS):
         # Late copies of starts whose stop was confirmed break promises in some
--- a/tests/test_coordinator/test_coordinator_replaced_runs.py
+++ b/tests/test_coordinator/test_coordinator_replaced_runs.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
-from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import removals
+from damaskpin.coordinator import restarts
 from damaskpin.model import leases
 from damaskpin.model import work
 from tests.test_coordinator import builders
@@ -36,7 +36,9 @@
     :returns: the worker by the books of the coordinator.
     """
     known = _report_next_process(coordinator, worker, **more)
-    coordinator.decide(NOW + 1.1 + ledgers.LOST_AGENT_TIMEOUT_S, builders.WALL)
+    coordinator.decide(
+        NOW + 1.1 + restarts.LOST_AGENT_TIMEOUT_S, builders.WALL
+    )
     return known
 
 
@@ -171,7 +173,7 @@
     coordinator, _, worker, _ = _make_coordinator_with_ordered_run()
     more = {'former_calls_void': True, **more}
     known = _report_next_process(coordinator, worker, **more)
-    assert known.lease_extension == ledgers.RESTART_LEASE_EXTENSION_S
+    assert known.lease_extension == restarts.RESTART_LEASE_EXTENSION_S
 
 
 def test_removal_with_the_process_is_logged_with_its_proof(caplog):
