--- a/damaskpin/coordinator/restarts.py
+++ b/damaskpin/coordinator/restarts.py
@@ -95,12 +95,14 @@
         is_transferred = placed.stop_reason == RESTART_REASON
         if is_transferred and not placed.ended_with_process:
             return
-    grant_end = ledger.get_latest_run_end(now)
-    if ledger.get_longest_lease_end(now) > grant_end:
-        # The record of silent agents counts on the grant only.
-        return
-    worker.lease_extension = 0.0
-    worker.latest_run_end = max(worker.latest_run_end, grant_end)
+    worker.latest_run_end = max(
+        worker.latest_run_end, ledger.get_latest_run_end(now)
+    )
+    longest_lease_end = ledger.get_longest_lease_end(now)
+    if longest_lease_end > worker.latest_run_end:
+        worker.extension_end = min(worker.extension_end, longest_lease_end)
+    else:
+        worker.lease_extension = 0.0
 
 
 def remove_replaced_runs(now: float, ledger: ledgers.RunLedger) -> None:
