Count only starts by the limit on idle time as new work

Callers saw: a job with several work items in a step has nothing running for as long as the rack of its data refuses its starts, beside an idle rack. A job with one work item leaves the rack after 10 s.

Cause: a start counts as work for 1 s, also after starts of its job have come to nothing for long, so that the limit starts one unit at a time. Starts of a job's other units that are made otherwise count as well. With several work items whose refusals come one after the other, one of them is always new, and the limit on idle time is never exceeded.

Evidence: with 2 and 10 work items, refused 0.25, 0.75 and 1.5 s after each start, no start left the rack within 60 s (the test got None); with 1 work item it passed. Once earlier starts have come to nothing for long, only starts that the limit has made count now, and all nine cases pass.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -39,8 +39,9 @@
 # that is lost.
 MAX_UNHEARD_S = 3.0
 
-# Time in seconds for which a start counts as at work if earlier starts of its
-# job have come to nothing for longer than that.
+# Time in seconds for which a start by this limit counts as at work if earlier
+# starts of its job have come to nothing for longer than that. Other starts do
+# not count then: of a job with many work items, one is always new.
 MAX_START_S = 1.0
 
 # Time in seconds by which the start of an earlier job may be late before idle
@@ -258,9 +259,11 @@
         return False
     heard = placed.last_listed or placed.placed_at
     if not placed.last_listed and not placed.confirmed:
-        if now - heard <= MAX_START_S:
+        times = placed.job.times
+        is_idle_start = placed.placed_at == times.last_idle_start
+        if is_idle_start and now - heard <= MAX_START_S:
             return True
-        heard = min(heard, placed.job.times.starting_since)
+        heard = min(heard, times.starting_since)
     if worker.silence:
         # The agent repeats the lists that it has read before.
         heard = min(heard, now - worker.silence)
--- a/damaskpin/coordinator/job_times.py
+++ b/damaskpin/coordinator/job_times.py
@@ -23,6 +23,8 @@
         the end of one.
     :ivar starting_since: time of the first start of the job since then;
         infinite without one.
+    :ivar last_idle_start: time of the latest start by the limit on idle time;
+        -infinity without one.
     """
 
     __slots__ = (
@@ -30,6 +32,7 @@
         '_due_since',
         '_idle_since',
         'last_at_work',
+        'last_idle_start',
         'starting_since',
     )
 
@@ -40,6 +43,7 @@
         self._due_since: dict[int, float] = {}
         self._idle_since: dict[UnitKey, float] = {}
         self.last_at_work = last_at_work
+        self.last_idle_start = -math.inf
         self.starting_since = math.inf
 
     @property
@@ -67,6 +71,10 @@
         """Record that a run of the job was placed."""
         self.starting_since = min(self.starting_since, now)
 
+    def record_idle_start(self, now: float) -> None:
+        """Record that the limit on idle time has started a unit of the job."""
+        self.last_idle_start = now
+
     def record_work(self, listed: float, unit: UnitKey) -> None:
         """Record that a worker has listed a run of a unit, or its end.
 
--- a/damaskpin/coordinator/placement.py
+++ b/damaskpin/coordinator/placement.py
@@ -110,6 +110,7 @@
         if plan is None:
             return False
         self._idle_limit.renew_promises(unit, plan)
+        unit.job.times.record_idle_start(self._now)
         self._start(unit, plan)
         return True
 
