Count the limit of a guarantee's reservation from its beginning

Callers saw: a job of a lower rank has nothing running beside idle workers for as long as guaranteed work, which has reserved them, waits for runs of its own guarantee that take long.

Cause: the 6 s after which idle jobs may use such capacity were counted from the time at which the guaranteed work was expected to start, so that a run of 60 s held idle workers for 66 s.

Evidence: beside a run of 20 and of 60 s that a guaranteed gang waits for, a small job waited for 25.25 and 65.25 s in a trial (5 of 6 workers idle); the test allows 16 s and failed. The time now counts from the reservation. The second test shows that the gang preempts the small job in the first pass in which its capacity is free, and starts within a second of the end of its run.

Lasting work on such capacity is not preempted, before as after this change.

--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -5,8 +5,8 @@
 leave it with nothing running for long while most of the service is idle.
 
 It takes capacity that is reserved for a guarantee or after a preemption only
-once that work should have started long ago, and capacity that is reserved for
-an earlier job once that job should have started, or while no new jobs arrive.
+once it has been reserved for long, and capacity that is reserved for an
+earlier job once that job should have started, or while no new jobs arrive.
 A large job would otherwise wait without end behind small ones, and preempt the
 same ones again and again.
 """
@@ -49,9 +49,10 @@
 # too short.
 MAX_DELAY_S = 3.0
 
-# The same for capacity that is reserved for a guarantee or after a preemption.
-# It is about twice the time within which guaranteed work has to start: if its
-# capacity has not become free by then, nothing tells when it will.
+# Time in seconds for which capacity is reserved for a guarantee or after a
+# preemption before idle jobs may use it, also if the start is expected later:
+# guaranteed work can stop theirs once it can start. It is about twice the time
+# within which guaranteed work has to start.
 MAX_FIRM_DELAY_S = 6.0
 
 # Time in seconds without new jobs after which idle jobs no longer leave
@@ -77,7 +78,7 @@
     is_firm: bool
 
     def is_overdue(self, now: float) -> bool:
-        """Return whether the unit should have started some time ago."""
+        """Return whether idle jobs may use the capacity by now."""
         max_delay = MAX_FIRM_DELAY_S if self.is_firm else MAX_DELAY_S
         return now > self.unit.get_promised_start() + max_delay
 
@@ -190,7 +191,7 @@
         :param is_firm: whether it is reserved for a guarantee or after a
             preemption.
         """
-        unit.promise_start(expected_start)
+        unit.promise_start(self._now if is_firm else expected_start)
         self._reserved_units.append(
             _ReservedUnit(unit, plan, expected_start, is_firm)
         )
--- a/tests/test_coordinator/test_coordinator_idle_second_review.py
+++ b/tests/test_coordinator/test_coordinator_idle_second_review.py
@@ -5,6 +5,7 @@
 import pytest
 
 from damaskpin.coordinator import idle_limit
+from damaskpin.model import work
 from damaskpin.peer import orders
 from tests.test_coordinator import builders
 
@@ -13,6 +14,8 @@
 PLAY_S = 60.0
 
 RACK = 'r0'
+# Accelerators of all workers and of the run that the gang waits for.
+GUARANTEE = 52
 # Time in seconds after which a job is over the limit on idle time, if its
 # starts come to nothing: the age, a wait and the time of one more start.
 LONGEST_S = (
@@ -72,3 +75,67 @@
     waited = _play_refusals(count, delay)
     assert waited is not None
     assert waited <= LONGEST_S
+
+
+def _make_far_start(estimate):
+    """Return a ledger with a guaranteed gang that waits for a long run.
+
+    The run draws on the guarantee, too, so that it is not preempted.
+
+    :param estimate: seconds until the run should end.
+    """
+    ledger = builders.make_ledger()
+    step = builders.make_step(accelerators=4, estimate=estimate)
+    builders.submit(ledger, 'running', step, priority=0)
+    builders.decide(ledger, guarantee=GUARANTEE)
+    builders.report_all_runs_begun(ledger, NOW)
+    step = builders.make_step(6, accelerators=8, gang=True, estimate=20.0)
+    builders.submit(ledger, 'gang', step, priority=0)
+    step = builders.make_step(estimate=100.0)
+    builders.submit(ledger, 'small', step, priority=2)
+    return ledger
+
+
+def _wait_for_start(ledger, job_id, now):
+    """Let time pass until a job has a run; return the seconds."""
+    waited = 0.0
+    while not builders.list_runs(ledger, ledger.jobs[job_id]):
+        builders.decide(ledger, now + waited, guarantee=GUARANTEE)
+        builders.report_all_runs_begun(ledger, now + waited)
+        waited += TICK_S
+        assert waited <= PLAY_S
+    return waited - TICK_S
+
+
+def _end_runs(ledger, is_ending):
+    """Remove the runs that have ended."""
+    for worker in ledger.workers.values():
+        for run, placed in list(worker.runs.items()):
+            if is_ending(placed):
+                worker.remove_run(run)
+                placed.job.remove_run(run)
+
+
+@pytest.mark.parametrize('estimate', [5.0, 20.0, 60.0])
+def test_guaranteed_work_that_waits_for_long_runs_leaves_idle_workers(
+    estimate,
+):
+    """Guards against idle workers that are reserved for a far start."""
+    ledger = _make_far_start(estimate)
+    waited = _wait_for_start(ledger, 'small', NOW)
+    assert waited <= idle_limit.MIN_AGE_S + idle_limit.MAX_FIRM_DELAY_S
+
+
+@pytest.mark.parametrize('estimate', [20.0, 60.0])
+def test_guaranteed_work_starts_soon_after_a_long_run(estimate):
+    """Guards against a guarantee that is broken by idle work."""
+    ledger = _make_far_start(estimate)
+    now = NOW + _wait_for_start(ledger, 'small', NOW)
+    running = ledger.jobs['running']
+    _end_runs(ledger, lambda placed: placed.job is running)
+    running.finish(work.JobState.COMPLETED, builders.WALL)
+    now += TICK_S
+    builders.decide(ledger, now, guarantee=GUARANTEE)
+    assert builders.list_stopping_jobs(ledger) == ['small']
+    _end_runs(ledger, lambda placed: placed.stop_reason)
+    assert _wait_for_start(ledger, 'gang', now + 1.0) <= 1.0
