Show a clock of unanswered starts that begins anew

A worker that is silent for half a second now and then never reaches the 5 s without an answer after which its start is stopped, so that the job waits there. Listed as known: a shorter count of silent times needs a decision on what a start without an answer proves on a worker that is silent at times.

--- a/tests/test_coordinator/test_coordinator_idle_second_review.py
+++ b/tests/test_coordinator/test_coordinator_idle_second_review.py
@@ -5,6 +5,7 @@
 import pytest
 
 from damaskpin.coordinator import idle_limit
+from damaskpin.coordinator import unanswered_starts
 from damaskpin.model import work
 from damaskpin.peer import orders
 from tests.test_coordinator import builders
@@ -139,3 +140,27 @@
     assert builders.list_stopping_jobs(ledger) == ['small']
     _end_runs(ledger, lambda placed: placed.stop_reason)
     assert _wait_for_start(ledger, 'gang', now + 1.0) <= 1.0
+
+
+def test_start_without_an_answer_is_stopped_on_a_flapping_worker():
+    """Guards against a clock of a wait that begins anew with each silence."""
+    ledger = builders.make_ledger()
+    job = builders.submit(ledger, 'job', builders.make_step())
+    builders.decide(ledger)
+    ((worker, placed),) = [
+        (worker, placed)
+        for worker in ledger.workers.values()
+        for placed in worker.runs.values()
+    ]
+    assert placed.job is job
+    placed.ordered_to = ''
+    silence_s = 0.5
+    interval_s = unanswered_starts.MAX_ANSWER_S - 1.0
+    now = NOW
+    while not placed.stop_reason:
+        worker.last_report_time = now
+        is_silent = (now - NOW) % interval_s >= interval_s - silence_s
+        worker.silence = 1.0 if is_silent else 0.0
+        unanswered_starts.stop_unanswered_starts(now, ledger)
+        now += TICK_S
+        assert now - NOW <= 3 * unanswered_starts.MAX_ANSWER_S
