Search for room for idle work only where the result can differ

A placement pass took twice as long as before with many jobs over the limit on idle time: the same workers were searched again for each way in which suspects or avoided workers may count, also where there were none.

A search on the same workers finds the same plan, and suspects keep off others only while some worker has had a start lately.

--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import crashes
 from damaskpin.coordinator import idle_limit
 from damaskpin.coordinator import planning
 
@@ -67,11 +68,14 @@
             and not worker.start_pause.is_active(self._now)
         ]
         sound = [w for w in usable if w.suspect_until <= self._now]
-        plan = self._find_plan_on(unit, list_not_avoided(unit, sound))
-        if plan is None:
+        preferred = list_not_avoided(unit, sound)
+        plan = self._find_plan_on(unit, preferred)
+        if plan is None and len(preferred) < len(sound):
             plan = self._find_plan_on(unit, sound)
-        if plan is not None or not self._may_start_on_suspects(unit):
+        if plan is not None or len(sound) == len(usable):
             return plan
+        if not self._may_start_on_suspects(unit):
+            return None
         if unit.is_last_attempt():
             usable = [w for w in usable if not w.has_failed_since_success()]
         return self._find_plan_on(unit, usable)
@@ -88,6 +92,12 @@
         plan = self._find_plan_apart(unit, workers, True)
         if plan is not None:
             return plan
+        suspect = unit.is_suspect()
+        if all(
+            crashes.may_share_worker(self._now, suspect, worker)
+            for worker in workers
+        ):
+            return None
         return self._find_plan_apart(unit, workers, False)
 
     def _find_plan_apart(
