Don't give up starts that wait for other start calls

Callers saw: a gang with many members on one worker never starts, if the worker takes more than 5 s for all of their start calls.

Cause: an agent makes eight start calls at once, and the 5 s after which a start without an answer is given up also ran for the starts behind these. The stop of one member ended the gang, and each further try was as slow.

On a worker that answers none, no start moves up, so all are given up after 5 s as before.

--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -64,6 +64,8 @@
         ordered, empty if it does not tell its id; ``None`` before.
     :ivar unanswered_since: time since which the ordered start waits for the
         answer of a worker that answers other calls; 0 if it does not.
+    :ivar unanswered_before: number of earlier starts on the worker that waited
+        for their answers at the latest check.
     :ivar first_listed: time at which the worker first listed the run; 0
         before.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
@@ -93,6 +95,7 @@
     suspect: bool = False
     ordered_to: str | None = None
     unanswered_since: float = 0.0
+    unanswered_before: int = 0
     first_listed: float = 0.0
     stop_reason: str = ''
     stop_cause: lost_work.Cause | None = None
--- a/tests/test_coordinator/test_coordinator_unanswered_starts.py
+++ b/tests/test_coordinator/test_coordinator_unanswered_starts.py
@@ -145,3 +145,46 @@
     worker.last_report_time = NOW + 7.0
     unanswered_starts.stop_unanswered_starts(NOW + 7.0, ledger)
     assert not placed.stop_reason
+
+
+def _order_many_starts(count, gang=True):
+    """Return a ledger and its worker, to which many starts are ordered."""
+    capacity = work.Resources(count * 1000, count * 1000, 0)
+    ledger = builders.make_ledger(workers=1, capacity=capacity)
+    step = builders.make_step(count, 0, estimate=60.0, gang=gang)
+    builders.submit(ledger, 'job', step)
+    builders.decide(ledger)
+    (worker,) = ledger.workers.values()
+    for placed in worker.runs.values():
+        placed.ordered_to = ''
+    return ledger, worker
+
+
+def test_start_that_waits_for_other_start_calls_is_not_stopped():
+    """Guards against a gang that never starts as some members start late.
+
+    The stop of a member ends all of them, and the next try was as slow.
+    """
+    ledger, worker = _order_many_starts(100)
+    accepted_per_tick = 4
+    now = NOW
+    while not all(placed.confirmed for placed in worker.runs.values()):
+        worker.last_report_time = now
+        unanswered_starts.stop_unanswered_starts(now, ledger)
+        waiting = [p for p in worker.runs.values() if not p.confirmed]
+        for placed in waiting[:accepted_per_tick]:
+            placed.confirmed = True
+        assert not any(placed.stop_reason for placed in worker.runs.values())
+        now += TICK_S
+    assert now - NOW > unanswered_starts.MAX_ANSWER_S
+
+
+def test_all_starts_are_stopped_on_a_worker_that_answers_none():
+    """Guards against starts that wait for their turn without end."""
+    ledger, worker = _order_many_starts(100, gang=False)
+    now = NOW
+    while now <= NOW + unanswered_starts.MAX_ANSWER_S + TICK_S:
+        worker.last_report_time = now
+        unanswered_starts.stop_unanswered_starts(now, ledger)
+        now += TICK_S
+    assert all(placed.stop_reason for placed in worker.runs.values())
