--- a/damaskpin/coordinator/idle_limit.py
+++ b/damaskpin/coordinator/idle_limit.py
@@ -5,8 +5,8 @@
 leave it with nothing running for long while most of the service is idle.
 
 It takes capacity that is reserved for a guarantee or after a preemption only
-once that work should have started long ago, and capacity that is reserved for
-an earlier job once that job should have started, or while no new jobs arrive.
+once it has been reserved for long, and capacity that is reserved for an
+earlier job once that job should have started, or while no new jobs arrive.
 A large job would otherwise wait without end behind small ones, and preempt the
 same ones again and again.
 """
@@ -39,8 +39,9 @@
 # that is lost.
 MAX_UNHEARD_S = 3.0
 
-# Time in seconds for which a start counts as at work if earlier starts of its
-# job have come to nothing for longer than that.
+# Time in seconds for which a start by this limit counts as at work if earlier
+# starts of its job have come to nothing for longer than that. Other starts do
+# not count then: of a job with many work items, one is always new.
 MAX_START_S = 1.0
 
 # Time in seconds by which the start of an earlier job may be late before idle
@@ -48,9 +49,10 @@
 # too short.
 MAX_DELAY_S = 3.0
 
-# The same for capacity that is reserved for a guarantee or after a preemption.
-# It is about twice the time within which guaranteed work has to start: if its
-# capacity has not become free by then, nothing tells when it will.
+# Time in seconds for which capacity is reserved for a guarantee or after a
+# preemption before idle jobs may use it, also if the start is expected later:
+# guaranteed work can stop theirs once it can start. It is about twice the time
+# within which guaranteed work has to start.
 MAX_FIRM_DELAY_S = 6.0
 
 # Time in seconds without new jobs after which idle jobs no longer leave
@@ -76,7 +78,7 @@
     is_firm: bool
 
     def is_overdue(self, now: float) -> bool:
-        """Return whether the unit should have started some time ago."""
+        """Return whether idle jobs may use the capacity by now."""
         max_delay = MAX_FIRM_DELAY_S if self.is_firm else MAX_DELAY_S
         return now > self.unit.get_promised_start() + max_delay
 
@@ -189,7 +191,7 @@
         :param is_firm: whether it is reserved for a guarantee or after a
             preemption.
         """
-        unit.promise_start(expected_start)
+        unit.promise_start(self._now if is_firm else expected_start)
         self._reserved_units.append(
             _ReservedUnit(unit, plan, expected_start, is_firm)
         )
@@ -258,9 +260,11 @@
         return False
     heard = placed.last_listed or placed.placed_at
     if not placed.last_listed and not placed.confirmed:
-        if now - heard <= MAX_START_S:
+        times = placed.job.times
+        is_idle_start = placed.placed_at == times.last_idle_start
+        if is_idle_start and now - heard <= MAX_START_S:
             return True
-        heard = min(heard, placed.job.times.starting_since)
+        heard = min(heard, times.starting_since)
     if worker.silence:
         # The agent repeats the lists that it has read before.
         heard = min(heard, now - worker.silence)
