--- a/damaskpin/coordinator/crash_watch.py
+++ b/damaskpin/coordinator/crash_watch.py
@@ -76,7 +76,7 @@
         """
         return _are_many(self.count_signs(now, job_id), workers)
 
-    def is_chance_certain(self, now: float, workers: int) -> bool:
+    def are_idle_workers_crashing(self, now: float, workers: int) -> bool:
         """Return whether so many workers crash on which nothing was started.
 
         :param workers: number of known workers.
--- a/damaskpin/coordinator/crashes.py
+++ b/damaskpin/coordinator/crashes.py
@@ -32,14 +32,13 @@
 # agent and the way of the order.
 PROBATION_S = crash_limits.RECENT_START_S + 0.5
 
-
 # Longest time in seconds for which the start of a work item is put off because
 # workers crash by chance. The limits of its crashes hold beyond it.
 MAX_SHELTER_WAIT_S = 12.0
 
-# The same if its job has been idle for too long, and the only crashes are
-# those of workers that were starting work. That of other jobs may go on
-# crashing them.
+# The same if its job has been idle for too long and only workers that were
+# starting work have crashed. Other jobs, whose work crashes them, may go on to
+# do so.
 MAX_IDLE_SHELTER_WAIT_S = 2.0
 
 
@@ -136,7 +135,7 @@
         return False
     if waited < MAX_IDLE_SHELTER_WAIT_S or not limit.is_exceeded(unit):
         return True
-    return watch.is_chance_certain(now, workers)
+    return watch.are_idle_workers_crashing(now, workers)
 
 
 def _is_attributable(
--- a/damaskpin/coordinator/idle_plans.py
+++ b/damaskpin/coordinator/idle_plans.py
@@ -22,13 +22,18 @@
     """Finds workers for units of idle jobs, wherever there is room.
 
     Such a unit does not wait for a better place, nor beside capacity that is
-    reserved for later jobs. Workers that have refused it or failed under it
-    come after all others, also after those in another rack than its data.
-    Suspect workers are its last choice, and only while no new jobs arrive. A
-    last attempt starts on those only on which no run has failed, as a failing
-    worker with room would otherwise end many jobs; runs that stall do not
-    count as attempts. A suspect of crashes starts apart from other units only
-    if there is room for that, as these may keep on starting on all workers.
+    reserved for later jobs. Its choices, the best first:
+
+    - workers that have neither refused it nor failed under it, in the rack of
+      its data before others;
+    - the other workers that are not suspect;
+    - suspect workers, while no new jobs arrive. A last attempt starts only on
+      those without a failed run, as a failing worker with room would
+      otherwise end many jobs; runs that stall do not count as attempts.
+
+    Among each of these, suspects of crashes start apart from other units if
+    there is room for that, and beside them otherwise, as other units may keep
+    on starting on all workers.
 
     :param limit: limit on idle time in this pass.
     :param guaranteed: ids of the jobs that draw on their account's guarantee.
@@ -89,7 +94,7 @@
     def _find_plan_on(
         self, unit: jobs.Unit, workers: list[worker_state.Worker]
     ) -> planning.Plan | None:
-        plan = self._find_plan_apart(unit, workers, True)
+        plan = self._search(unit, workers, True)
         if plan is not None:
             return plan
         suspect = unit.is_suspect()
@@ -98,9 +103,9 @@
             for worker in workers
         ):
             return None
-        return self._find_plan_apart(unit, workers, False)
+        return self._search(unit, workers, False)
 
-    def _find_plan_apart(
+    def _search(
         self,
         unit: jobs.Unit,
         workers: list[worker_state.Worker],
--- a/damaskpin/coordinator/job_times.py
+++ b/damaskpin/coordinator/job_times.py
@@ -64,7 +64,11 @@
         self._due_since.setdefault(occurrence, now - max(lateness, 0.0))
 
     def record_ready(self, now: float, unit: UnitKey) -> None:
-        """Record that a unit is ready, unless its starts came to nothing."""
+        """Record that a unit is ready.
+
+        The time is kept if the unit was ready before and none of its starts
+        has been listed since.
+        """
         self._idle_since.setdefault(unit, now)
 
     def record_start(self, now: float) -> None:
--- a/damaskpin/coordinator/placed_run.py
+++ b/damaskpin/coordinator/placed_run.py
@@ -121,6 +121,8 @@
 
         :param silence: seconds since the worker has given the list.
         """
+        # The agent of a silent worker repeats its latest list, which counts
+        # as heard of but tells nothing of work since.
         self.record_work(now - silence)
         self.confirmed = True
         self.last_listed = now
--- a/damaskpin/coordinator/silent_agents.py
+++ b/damaskpin/coordinator/silent_agents.py
@@ -203,7 +203,7 @@
         From then on the agents in it get no answer. The record must be written
         again until it is stored or another coordinator has followed.
         """
-        self._note_time(now)
+        self._detect_break(now)
         if self._written is not None or now < self._next_check:
             return None
         self._next_check = now + CHECK_INTERVAL_S
@@ -239,7 +239,7 @@
         self._written = None
         return released
 
-    def _note_time(self, now: float) -> None:
+    def _detect_break(self, now: float) -> None:
         """Start the time without reports anew after a break in answering."""
         if now - self._last_check > MAX_CHECK_GAP_S:
             self._steady_since = now
--- a/damaskpin/entry/job_ages.py
+++ b/damaskpin/entry/job_ages.py
@@ -1,4 +1,8 @@
-"""Times since when the stored jobs are unchanged, and have no run."""
+"""Times since when the stored jobs are unchanged, and have no run.
+
+They are for the log only. The limit on idle time goes by the times in
+:mod:`damaskpin.coordinator.job_times`.
+"""
 
 from __future__ import annotations
 
--- a/tests/test_coordinator/fleet_simulation.py
+++ b/tests/test_coordinator/fleet_simulation.py
@@ -7,6 +7,7 @@
 from damaskpin.coordinator import run_stages
 from damaskpin.model import work
 from damaskpin.platform import settings
+from tests.test_coordinator import gang_members
 from tests.test_coordinator import idle_check
 from tests.test_coordinator import simulation as simulations
 from tests.test_coordinator import waiting_actions
@@ -200,6 +201,6 @@
                     continue
                 if run.item.job in self.failing_jobs:
                     instance.worker.finish(run, work.Ending.FAILED)
-                elif self._is_gang_complete(run):
+                elif gang_members.is_complete(self, run):
                     instance.worker.finish(run, work.Ending.DONE)
-                    self._end_gang(run)
+                    gang_members.finish_members(self, run)
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -16,6 +16,7 @@
 from damaskpin.model import work
 from tests.test_coordinator import disturbances
 from tests.test_coordinator import fakeworker
+from tests.test_coordinator import gang_members
 from tests.test_coordinator import idle_check
 from tests.test_coordinator import instance as instances_module
 from tests.test_coordinator import links
@@ -198,11 +199,13 @@
         if not running:
             return
         worker, run = running[choice % len(running)]
-        if ending is work.Ending.DONE and not self._is_gang_complete(run):
+        if ending is work.Ending.DONE and not gang_members.is_complete(
+            self, run
+        ):
             return
         worker.finish(run, ending)
         if ending is work.Ending.DONE:
-            self._end_gang(run)
+            gang_members.finish_members(self, run)
 
     def run(self, seconds):
         """Advance the time in steps."""
@@ -329,27 +332,6 @@
                 age = self.now - active_run.began
                 if age < self.run_s or run not in instance.worker.running:
                     continue
-                if self._is_gang_complete(run):
+                if gang_members.is_complete(self, run):
                     instance.worker.finish(run, work.Ending.DONE)
-                    self._end_gang(run)
-
-    def _is_gang_complete(self, run):
-        """Return whether all members of a run's gang are running."""
-        step = self.submissions[run.item.job].steps[run.item.step]
-        if not step.gang:
-            return True
-        present = sum(
-            other.get_gang_run() == run.get_gang_run()
-            for instance in self.instances
-            for other in instance.worker.running
-        )
-        return present == step.count
-
-    def _end_gang(self, run):
-        step = self.submissions[run.item.job].steps[run.item.step]
-        if not step.gang:
-            return
-        for instance in self.instances:
-            for other in list(instance.worker.running):
-                if other.get_gang_run() == run.get_gang_run():
-                    instance.worker.finish(other, work.Ending.DONE)
+                    gang_members.finish_members(self, run)
--- a/tests/test_coordinator/test_coordinator_chance_crashes.py
+++ b/tests/test_coordinator/test_coordinator_chance_crashes.py
@@ -8,6 +8,7 @@
 
 from damaskpin.agent import calls
 from damaskpin.model import work
+from tests.test_coordinator import gang_members
 from tests.test_coordinator import simulation as simulations
 
 DEMAND = work.Resources(800, 500, 0)
@@ -121,9 +122,9 @@
                     continue
                 if self.random.random() >= END_SHARE:
                     continue
-                if self._is_gang_complete(run):
+                if gang_members.is_complete(self, run):
                     instance.worker.finish(run, work.Ending.DONE)
-                    self._end_gang(run)
+                    gang_members.finish_members(self, run)
 
     def _send(self, instance, call):
         result = super()._send(instance, call)
