--- /dev/null
+++ b/review/second/script.py
@@ -0,0 +1,55 @@
+"""Frame of a script: folder, record, clean-up and exit status."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import sys
+import tempfile
+import traceback
+
+from review.second import fleet as fleets
+
+HELD = 0
+BROKEN = 1
+NOT_RUN = 2
+
+# Longest time of a script in seconds.
+TIME_LIMIT_S = 110.0
+
+
+def has_trouble():
+    """Return whether the script brings the disruption about."""
+    return os.environ.get('TROUBLE', '1') != '0'
+
+
+def run(play, folder):
+    """Play a case and exit with its result.
+
+    :param play: coroutine function that takes the record and a temporary
+        folder, and returns a description of the broken rule or an empty text.
+    :param folder: folder of the case, which gets ``record.txt``.
+    """
+    record = fleets.Record(pathlib.Path(folder) / 'record.txt')
+    record.write('script begins', trouble=has_trouble())
+    with _make_folder() as scratch:
+        try:
+            broken = asyncio.run(
+                asyncio.wait_for(play(record, scratch), TIME_LIMIT_S)
+            )
+        except Exception as error:
+            traceback.print_exc()
+            record.write('the case could not run', error=repr(error))
+            sys.exit(NOT_RUN)
+    record.write(f'rule broken: {broken}' if broken else 'rule held')
+    print(f'rule broken: {broken}' if broken else 'rule held')
+    sys.exit(BROKEN if broken else HELD)
+
+
+def _make_folder():
+    """Return a temporary folder, or the one that KEEP names, which stays."""
+    kept = os.environ.get('KEEP')
+    if not kept:
+        return tempfile.TemporaryDirectory()
+    os.makedirs(kept, exist_ok=True)
+    return contextlib.nullcontext(kept)
