--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -23,6 +23,9 @@
 PREFIX = '/jobs/'
 KEY = 'review-key'
 
+# Kinds of the workers, which are the first of their labels, in turn.
+KINDS = ('a', 'b')
+
 # Ports of each machine by their use; all machines have the same, as on a day
 # of the platform.
 PORT_USES = ('peer', 'front', 'ready', 'control', 'app', 'metrics', 'store')
@@ -318,7 +321,7 @@
             'control': f'{machine.ip}:{self.ports["control"]}',
             'service': 's',
             'zone': 'z1',
-            'labels': ['a', f'r1-{index // 3}'],
+            'labels': [KINDS[index % len(KINDS)], f'r1-{index // 3}'],
             'capacity': {'cpu': 128000, 'memMb': 262144, 'gpu': 8},
             'heartbeatMs': 1500,
             'stopMs': self.bounds['stopMs'],
