Show a start on a draining worker after a late heartbeat

A late heartbeat with a lower sequence number says that the worker is ready, and the next leader places work on it.

--- a/review/second/client.py
+++ b/review/second/client.py
@@ -55,16 +55,21 @@
     async def submit(self, job, steps, work_ms, **fields):
         """Submit a job at the first entry until it is accepted.
 
+        :raises TimeoutError: it was not accepted within 20 s.
+        """
+        entry = self._fleet.entries[0]
+        await self.submit_at(entry, job, steps, work_ms, **fields)
+
+    async def submit_at(self, entry, job, steps, work_ms, **fields):
+        """Submit a job at an entry until it is accepted.
+
         :raises TimeoutError: it was not accepted within 20 s.
         """
         body = {'spec': json.dumps({'work_ms': work_ms}), 'steps': steps}
         deadline = time.monotonic() + 20
         while time.monotonic() < deadline:
             status, _ = await self.send(
-                self._fleet.entries[0],
-                'POST',
-                fleets.PREFIX + job,
-                {**body, **fields},
+                entry, 'POST', fleets.PREFIX + job, {**body, **fields}
             )
             if status == 200:
                 return
--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -156,13 +156,16 @@
 
     :param folder: temporary folder for settings and logs.
     :param record: record of the script.
+    :param late_ping_ms: delay of the heartbeat that is due when a worker
+        begins to drain.
     :ivar store: stand-in of the store.
     """
 
-    def __init__(self, folder, record, entries, sides, bounds=None):
+    def __init__(self, folder, record, entries, sides, late_ping_ms=0):
         self.folder = pathlib.Path(folder)
         self.record = record
-        self.bounds = {**BOUNDS, **(bounds or {})}
+        self.bounds = BOUNDS
+        self._late_ping_ms = late_ping_ms
         self.store = stores.Store()
         self.entries = [
             Machine(f'front-{i}', f'127.0.1.{i + 1}', f'127.0.3.{i + 1}')
@@ -324,6 +327,7 @@
             'labels': [KINDS[index % len(KINDS)], f'r1-{index // 3}'],
             'capacity': {'cpu': 128000, 'memMb': 262144, 'gpu': 8},
             'heartbeatMs': 1500,
+            'latePingMs': self._late_ping_ms,
             'stopMs': self.bounds['stopMs'],
             'holdMaxMs': self.bounds['holdMaxMs'],
         }
