Show two runs at once after a cut of a worker and a standstill

A worker is cut off for 5.5 s, and its machine is suspended for 4 s from then. The reported end of its lease passes meanwhile by the coordinator's clock.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,110 +1,15 @@
-"""A machine is cut off and then suspended; its run goes on beside another."""
+"""A worker is cut off, and its machine is then suspended."""
 
-import asyncio
+import functools
 import pathlib
-import signal
-import time
 
-from review.second import client as clients
-from review.second import fleet as fleets
-from review.second import runs
 from review.second import script
+from review.second import standstill
 
-JOB = '00000000000000a1'
-
-# Longest cut and longest standstill of the site file, in seconds.
-CUT_S = 12.0
-STANDSTILL_S = 4.0
-
-# Time of the cut in seconds after which the machine stands still.
-STANDSTILL_BEGINS_S = 11.5
-
-# Time in seconds that is observed after the standstill.
-OBSERVED_S = 6.0
-
-
-async def play(record, folder):
-    """Play the case and return how the rule was broken, if it was."""
-    fleet = fleets.Fleet(folder, record, entries=3, sides=2)
-    try:
-        await fleet.start()
-        resumed = await play_on(fleet)
-    finally:
-        await fleet.close()
-    events = fleet.read_worker_events()
-    runs.record_events(record, events)
-    return find_overlap(runs.list_runs(events), resumed)
-
-
-async def play_on(fleet):
-    """Run a long job, and disturb the machine that runs it.
-
-    :returns: time at which the machine works again.
-    """
-    client = clients.Client(fleet)
-    step = {
-        'count': 1,
-        'cpu': 52000,
-        'memMb': 1000,
-        'gpu': 8,
-        'estimateMs': 60000,
-    }
-    await client.submit('00000000000000a0', [{**step, 'estimateMs': 200}], 200)
-    await client.wait_for_state('00000000000000a0', 'completed', 20)
-    await client.submit(JOB, [step], 60000)
-    machine = await clients.wait_for(
-        lambda: find_machine(fleet), 10, 'no worker runs the job'
-    )
-    await asyncio.sleep(3.0)
-    began = time.monotonic()
-    if script.has_trouble():
-        fleet.cut(machine)
-    await asyncio.sleep(STANDSTILL_BEGINS_S)
-    if script.has_trouble():
-        machine.daemon.send(signal.SIGSTOP)
-        machine.worker.send(signal.SIGSTOP)
-        fleet.record.write('suspended', machine=machine.name)
-    await asyncio.sleep(began + CUT_S - time.monotonic())
-    fleet.heal()
-    await asyncio.sleep(
-        began + STANDSTILL_BEGINS_S + STANDSTILL_S - time.monotonic()
-    )
-    resumed = time.monotonic()
-    machine.daemon.send(signal.SIGCONT)
-    machine.worker.send(signal.SIGCONT)
-    fleet.record.write('resumed', machine=machine.name)
-    await asyncio.sleep(OBSERVED_S)
-    return resumed
-
-
-def find_machine(fleet):
-    """Return the machine whose worker runs the job."""
-    for run in runs.list_runs(fleet.read_worker_events()):
-        if run.task.startswith(JOB):
-            return fleet.sides[int(run.worker.removeprefix('i-'), 16)]
-    return None
-
-
-def find_overlap(known, resumed):
-    """Return which two runs of the job were at work at the same time.
-
-    The time of the standstill is left out, as a run does not work then.
-    """
-    found = [run for run in known if run.task.startswith(JOB)]
-    for first in found:
-        for second in found:
-            if first.number >= second.number:
-                continue
-            begin = max(first.began, second.began, resumed)
-            end = min(first.ended, second.ended)
-            if end > begin:
-                return (
-                    f'TWICE: run {first.number} on {first.worker} and run '
-                    f'{second.number} on {second.worker} of {first.task} '
-                    f'work at the same time for {end - begin:.2f} s'
-                )
-    return ''
-
+PLAN = standstill.Plan(cuts_worker=True, cut=5.5, standstill_begins=5.4)
 
 if __name__ == '__main__':
-    script.run(play, pathlib.Path(__file__).parent)
+    script.run(
+        functools.partial(standstill.play, PLAN),
+        pathlib.Path(__file__).parent,
+    )
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-cd "$(dirname "$0")/../.." || exit 2
-exec env PYTHONPATH=".:target/deps" python3 review/7/case.py
+cd "$(dirname "$0")" || exit 2
+folder=$PWD
+cd ../.. || exit 2
+exec env PYTHONPATH=".:target/deps" python3 "$folder/case.py"
--- a/review/second/fleet.py
+++ b/review/second/fleet.py
@@ -139,6 +139,8 @@
     :ivar worker: stand-in of the worker; ``None`` on a front machine.
     :ivar store_way: proxy between the daemon and the store.
     :ivar peer_way: proxy on which other daemons reach this one.
+    :ivar worker_ways: proxies between the daemon and the worker, one for each
+        direction of calls; none on a front machine.
     """
 
     def __init__(self, name, ip, peer_ip):
@@ -149,6 +151,13 @@
         self.worker = None
         self.store_way = None
         self.peer_way = None
+        self.worker_ways = []
+
+    @property
+    def ways(self):
+        """Return all proxies of the machine."""
+        ways = [self.store_way, self.peer_way, *self.worker_ways]
+        return [way for way in ways if way is not None]
 
 
 class Fleet:
@@ -212,9 +221,8 @@
             for process in (machine.daemon, machine.worker):
                 if process is not None:
                     process.kill()
-            for way in (machine.store_way, machine.peer_way):
-                if way is not None:
-                    way.close()
+            for way in machine.ways:
+                way.close()
         if self._leases is not None:
             self._leases.cancel()
             self._server.stop()
@@ -244,11 +252,17 @@
             other.peer_way.cut_names.add(machine.name)
         self.record.write('cut off', machine=machine.name)
 
+    def cut_worker(self, machine):
+        """Partition the worker of a machine from all machines."""
+        for way in machine.worker_ways:
+            way.is_cut = True
+        self.record.write('worker cut off', machine=machine.name)
+
     def heal(self):
         """End all cuts."""
         for machine in self.machines:
-            machine.store_way.heal()
-            machine.peer_way.heal()
+            for way in machine.ways:
+                way.heal()
         self.record.write('cuts ended')
 
     def read_worker_events(self):
@@ -261,6 +275,12 @@
         await machine.store_way.start(machine.ip, self.ports['store'])
         machine.peer_way = proxies.Proxy((machine.ip, self.ports['peer']))
         await machine.peer_way.start(machine.peer_ip, self.ports['peer'])
+        if machine not in self.sides:
+            return
+        for use in ('app', 'control'):
+            way = proxies.Proxy((machine.ip, self.ports[use]))
+            await way.start(machine.peer_ip, self.ports[use])
+            machine.worker_ways.append(way)
 
     def _make_daemon(self, machine):
         is_side = machine in self.sides
@@ -312,7 +332,7 @@
             'platform': {'addr': f'{machine.ip}:{ports["store"]}'},
         }
         if is_side:
-            settings['app'] = f'{machine.ip}:{ports["app"]}'
+            settings['app'] = f'{machine.peer_ip}:{ports["app"]}'
             settings['service'] = 's'
         return settings
 
@@ -321,7 +341,7 @@
             'id': f'i-{index:08x}',
             'log': str(self.worker_log),
             'app': f'{machine.ip}:{self.ports["app"]}',
-            'control': f'{machine.ip}:{self.ports["control"]}',
+            'control': f'{machine.peer_ip}:{self.ports["control"]}',
             'service': 's',
             'zone': 'z1',
             'labels': [KINDS[index % len(KINDS)], f'r1-{index // 3}'],
