--- a/review/second/script.py
+++ b/review/second/script.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -34,10 +35,8 @@
     record.write('script begins', trouble=has_trouble())
     with _make_folder() as scratch:
         try:
-            broken = asyncio.run(
-                asyncio.wait_for(play(record, scratch), TIME_LIMIT_S)
-            )
-        except Exception as error:
+            broken = asyncio.run(_play_in_time(play, record, scratch))
+        except (Exception, asyncio.CancelledError) as error:
             traceback.print_exc()
             record.write('the case could not run', error=repr(error))
             sys.exit(NOT_RUN)
@@ -46,6 +45,14 @@
     sys.exit(BROKEN if broken else HELD)
 
 
+async def _play_in_time(play, record, folder):
+    """Play a case; SIGTERM and the time limit end all its processes."""
+    task = asyncio.ensure_future(play(record, folder))
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, TIME_LIMIT_S)
+
+
 def _make_folder():
     """Return a temporary folder, or the one that KEEP names, which stays."""
     kept = os.environ.get('KEEP')
