Follow the end of a silent worker's lease while its agent reports

Callers saw two runs of a work item at work for 0.42 s: a worker is cut off from its agent for 5.5 s, and its machine suspended for 4 s at the end of the cut.

Cause: the coordinator counted the reported end of the lease by its own clock and kept the smallest end ever reported. The lease counts on the worker's clock, which stands still while the machine is suspended. Evidence: in the case's record the successor starts 9.0 s after the cut began, the first run is stopped after the machine has resumed at 9.4 s.

Change: coordinator/run_ends.py answers when the runs of a worker have ended. A later report of the same process of the agent replaces the earlier one, and after the last one there is an allowance for one suspension. The agent takes it off the delay of calls without an answer, which contains it. The simulation suspends machines with their worker's clock, and an agent that is cut off makes its reports, as the real one does.

--- a/damaskpin/agent/reports.py
+++ b/damaskpin/agent/reports.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from damaskpin.model import leases
 from damaskpin.peer import orders
 
 if TYPE_CHECKING:
@@ -36,7 +37,10 @@
     sequence = session.record_report(now)
     silence, lapse = worker.lease_tracker.report_silence(now)
     if silence:
-        lapse = max(lapse, worker.attempts.get_undecided_time(now))
+        # The coordinator adds the time of a suspension to what is reported;
+        # the longest delay of a call contains it.
+        undecided = worker.attempts.get_undecided_time(now)
+        lapse = max(lapse, undecided - leases.MAX_SUSPENSION_S)
     worker.attempts.report_needed = False
     running: tuple[work.RunningRun, ...] = ()
     ended: tuple[work.EndedRun, ...] = ()
--- a/damaskpin/coordinator/contact.py
+++ b/damaskpin/coordinator/contact.py
@@ -35,10 +35,10 @@
         and report.time > worker.granted_report_time
     ):
         # Only a report newer than the one whose answer last renewed the
-        # agent's grant may shorten the time for which runs are kept. An
+        # agent's grant tells of the time for which runs are kept. An
         # agent that does not know this coordinator yet may have had a
         # later grant from the former one.
-        ledger.cap_latest_run_end(now, worker, report.lapse)
+        ledger.run_ends.apply_silence(now, worker, report)
 
 
 def _log_change(worker: worker_state.Worker, report: orders.Report) -> None:
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -13,23 +13,18 @@
 from damaskpin.coordinator import placed_run
 from damaskpin.coordinator import removals
 from damaskpin.coordinator import restarts
+from damaskpin.coordinator import run_ends
 from damaskpin.coordinator import silent_agents
 from damaskpin.coordinator import stops
 from damaskpin.coordinator import worker_state
-from damaskpin.model import leases
-from damaskpin.model import work
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
+    from damaskpin.model import work
     from damaskpin.peer import orders
 
 LOG = logging.getLogger(__name__)
 
-# Margin in seconds that is added to the remaining lease that an agent reports
-# for a silent worker. The agent checks its clock only at intervals, and if it
-# is alive it reports the end of the lease itself.
-REPORTED_LEASE_MARGIN_S = 1.0
-
 # Time in seconds for which a draining worker often stays beyond the remaining
 # time that it reported.
 DRAIN_TIME_MARGIN_S = 1.5
@@ -54,16 +49,15 @@
     :param longest_lease: longest lease in seconds that a worker allows.
     :ivar last_arrival: steady time in seconds at which the newest job was
         accepted.
+    :ivar run_ends: latest ends of the workers' runs.
     :ivar silent_agents: times of the agents' reports.
     """
 
     __slots__ = (
-        '_grant',
-        '_longest_lease',
         '_started',
-        '_stop_time',
         'crash_watch',
         'last_arrival',
+        'run_ends',
         'silent_agents',
     )
 
@@ -78,23 +72,12 @@
         super().__init__()
         self._started = started
         self.last_arrival = -math.inf
-        self._grant = grant
-        self._longest_lease = longest_lease
-        self._stop_time = stop_time
+        self.run_ends = run_ends.RunEnds(grant, stop_time, longest_lease)
         self.crash_watch = crash_watch.CrashWatch()
         self.silent_agents = silent_agents.SilentAgents(
             started, former_answers
         )
 
-    def get_latest_run_end(self, report_time: float) -> float:
-        """Return the time by which all runs of a worker have certainly ended.
-
-        :param report_time: time of the latest report of the worker's agent
-            that the coordinator answered, in seconds.
-        """
-        grant_end = report_time + self._grant * (1 + leases.MAX_CLOCK_SLOWDOWN)
-        return grant_end + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
-
     def renew_grant(
         self, worker: worker_state.Worker, answered: float, echo: float
     ) -> None:
@@ -104,27 +87,10 @@
             orders answer.
         :param echo: time of the report by the agent's clock.
         """
-        latest_run_end = self.get_latest_run_end(answered)
-        worker.latest_run_end = max(worker.latest_run_end, latest_run_end)
+        self.run_ends.renew(worker, answered)
         worker.granted_report_time = max(worker.granted_report_time, echo)
         worker.granted_report = (worker.process, echo)
 
-    def get_longest_lease_end(self, now: float) -> float:
-        """Return the time by which a lease that is set now has ended."""
-        lease = self._longest_lease / (1 - leases.MAX_CLOCK_SLOWDOWN)
-        return now + lease + leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
-
-    def cap_latest_run_end(
-        self, now: float, worker: worker_state.Worker, lapse: float
-    ) -> None:
-        """Shorten the time for which a silent worker's runs are kept.
-
-        :param lapse: seconds until the worker's lease ends, as its agent
-            reports.
-        """
-        lease_end = now + lapse + REPORTED_LEASE_MARGIN_S
-        worker.latest_run_end = min(worker.latest_run_end, lease_end)
-
     def add_job(self, now: float, job: jobs.Job) -> None:
         """Add a job and the active runs of its stored progress."""
         self.jobs[job.id] = job
@@ -309,7 +275,7 @@
         :param last_answer: latest time in seconds at which a report of the
             worker's agent may have arrived that a coordinator has answered.
         """
-        latest_run_end = self.get_latest_run_end(last_answer)
+        latest_run_end = self.run_ends.get_granted_end(last_answer)
         worker = worker_state.Worker(lifetime, agent, latest_run_end)
         self.workers[lifetime] = worker
         return worker
--- a/damaskpin/coordinator/restarts.py
+++ b/damaskpin/coordinator/restarts.py
@@ -20,12 +20,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Time in seconds by which the lease of a restarted worker may outlast the
-# grant of its agent: a worker's longest lease plus the longest delay of a
-# call. A delayed call to the former process may reach the new process and set
-# the longest lease there.
-RESTART_LEASE_EXTENSION_S = 22.0
-
 # Time in seconds without a report after which an agent counts as lost, so that
 # it will not confirm a stop. Reports may be late by some seconds.
 LOST_AGENT_TIMEOUT_S = 5.0
@@ -65,13 +59,7 @@
         worker.add_run(placed)
     worker.orders_due = True
     worker.has_former_process = True
-    # A call whose lease end is a time of the former process's clock may have
-    # set the longest lease that the new process allows. All such calls were
-    # sent before the agent reported the new process.
-    worker.lease_extension = RESTART_LEASE_EXTENSION_S
-    worker.extension_end = (
-        ledger.get_latest_run_end(now) + RESTART_LEASE_EXTENSION_S
-    )
+    ledger.run_ends.extend_restarted(now, worker)
 
 
 def end_lease_extension(
@@ -95,14 +83,7 @@
         is_transferred = placed.stop_reason == RESTART_REASON
         if is_transferred and not placed.ended_with_process:
             return
-    worker.latest_run_end = max(
-        worker.latest_run_end, ledger.get_latest_run_end(now)
-    )
-    longest_lease_end = ledger.get_longest_lease_end(now)
-    if longest_lease_end > worker.latest_run_end:
-        worker.extension_end = min(worker.extension_end, longest_lease_end)
-    else:
-        worker.lease_extension = 0.0
+    ledger.run_ends.shorten_extension(now, worker)
 
 
 def remove_replaced_runs(now: float, ledger: ledgers.RunLedger) -> None:
--- a/damaskpin/coordinator/silence_records.py
+++ b/damaskpin/coordinator/silence_records.py
@@ -31,7 +31,9 @@
             return
         # The agent may get a grant again, so its runs are kept for as long as
         # without the record of the former coordinator.
-        latest_run_end = self._ledger.get_latest_run_end(silent_agents.started)
+        latest_run_end = self._ledger.run_ends.get_granted_end(
+            silent_agents.started
+        )
         for worker in self._ledger.workers.values():
             if worker.agent == agent:
                 worker.latest_run_end = max(
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -89,6 +89,8 @@
     :ivar lease_extension: seconds after ``latest_run_end`` for which the lease
         of a restarted worker may still last; 0 for other workers.
     :ivar extension_end: time in seconds up to which it may be extended.
+    :ivar run_end_reporter: process of the agent whose report last told the end
+        of the silent worker's lease; empty if a later grant was given.
     :ivar has_former_process: whether the process has followed another one of
         the same id.
     :ivar pending_ends: recorded ends that may not be stored yet, in the order
@@ -132,6 +134,7 @@
         'profile',
         'reads_contents',
         'report_time',
+        'run_end_reporter',
         'runs',
         'silence',
         'start_pause',
@@ -156,6 +159,7 @@
         self.granted_report = ('', 0.0)
         self.granted_report_time = 0.0
         self.latest_run_end = latest_run_end
+        self.run_end_reporter = ''
         self.lease_extension = 0.0
         self.extension_end = -math.inf
         self.has_former_process = False
--- a/tests/test_coordinator/gang_members.py
+++ b/tests/test_coordinator/gang_members.py
@@ -17,6 +17,7 @@
         other.get_gang_run() == run.get_gang_run()
         for instance in simulation.instances
         for other in instance.worker.running
+        if not instance.is_suspended(simulation.now)
     )
     return present == step.count
 
--- a/tests/test_coordinator/overlapping_calls.py
+++ b/tests/test_coordinator/overlapping_calls.py
@@ -101,6 +101,8 @@
             if not worker.alive:
                 self._waiting_polls.remove(item)
                 continue
+            if now < worker.resumes_at:
+                continue
             worker.advance(now)
             if worker.ended or now >= until:
                 self._waiting_polls.remove(item)
@@ -160,6 +162,12 @@
         """Let the worker carry out a call."""
         now = self._simulation.now
         instance = transmission.exchange.instance
+        if instance.is_suspended(now):
+            self._simulation.schedule(
+                instance.suspended_until - now,
+                lambda: self._arrive(transmission),
+            )
+            return
         worker = transmission.worker
         if self._simulation.late_calls_outlive_processes:
             worker = instance.worker
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -201,6 +201,10 @@
             simulation.processes.shrink(instance)
         case 'standstills':
             simulation.freeze_agent(instance, rng.uniform(1.0, 20.0))
+        case 'suspended machines':
+            simulation.suspend_machine(
+                instance, rng.uniform(0.3, simulations.MAX_SUSPENSION_S)
+            )
         case 'unheard leaves':
             simulation.processes.leave(instance, is_heard=False)
         case 'wait':
