Allow for a suspension after the end of a grant, and stop what outlasts it

Callers saw two runs of a work item at work for 0.41 s: a machine is cut off for 12 s and suspended for 4 s shortly before the cut ends.

Cause: a lease that a worker holds when its machine is suspended ends later by the whole suspension, and nothing that the agent does afterwards is in time. The coordinator counted the end of the grant without it.

Change: RunEnds adds MAX_SUSPENSION_S (4.0 s) to the end of a grant, too. One allowance is too short if two suspensions fit into what is left of a lease, so the agent stops runs that a worker still has after the grant.

Rules go first: the grant is 11.0 s.

Tests that name the latest end of a run add the suspension; those of the lease that an agent gives take it off, so that they are as strict as before.

--- a/damaskpin/agent/attempts.py
+++ b/damaskpin/agent/attempts.py
@@ -56,28 +56,26 @@
         """Record an order to start a run unless the run is known already."""
         attempt = self._attempts_by_run.get(order.run)
         if attempt is None:
-            attempt = states.Attempt(
-                order.run,
-                order,
-                states.State.PENDING,
-            )
+            attempt = states.Attempt(order.run, order, states.State.PENDING)
             if order.repeated:
                 attempt.undecided_until = now + calls.MAX_CALL_DELAY_S
             self._attempts_by_run[order.run] = attempt
         attempt.last_ordered_at = now
 
-    def order_stop(self, now: float, run: work.Run) -> None:
-        """Record an order to stop a run."""
-        attempt = self._attempts_by_run.get(run)
-        if attempt is None:
-            attempt = states.Attempt(
-                run, None, states.State.STOPPING, 'stopped'
-            )
-            self._attempts_by_run[run] = attempt
+    def order_stop(self, now: float, run: work.Run) -> bool:
+        """Record an order to stop a run.
+
+        :returns: whether the run was not being stopped before.
+        """
+        attempt = self._attempts_by_run.setdefault(
+            run, states.Attempt(run, None, states.State.ACCEPTED)
+        )
         attempt.last_ordered_at = now
         is_accepted = attempt.state is states.State.ACCEPTED
-        if attempt.is_unsettled_start or is_accepted:
-            attempt.stop(now, 'stopped')
+        if not attempt.is_unsettled_start and not is_accepted:
+            return False
+        attempt.stop(now, 'stopped')
+        return True
 
     def withdraw_starts(
         self, now: float, ordered: set[work.Run], listed: set[work.Run]
--- a/damaskpin/agent/events.py
+++ b/damaskpin/agent/events.py
@@ -145,6 +145,17 @@
     )
 
 
+def log_outlasting_runs(lifetime: work.Lifetime, run_count: int) -> None:
+    """Log that runs are stopped as their lease has outlasted the grant.
+
+    :param run_count: number of runs that the worker has listed.
+    """
+    LOG.warning(
+        'runs outlast the grant and are stopped',
+        extra={'worker': lifetime.worker, 'runs': run_count},
+    )
+
+
 def log_new_process_id(reason: str, process: str, former: str) -> None:
     """Log that the agent reports under a new process id.
 
--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+import math
+
 from damaskpin.model import leases
 
 # Seconds after its last answer at which a worker counts as silent, if the
@@ -27,6 +29,11 @@
 # lease.
 MAX_READING_AGE_S = 0.8
 
+# Seconds after a suspension of the machine for which runs that outlast the
+# grant are kept, so that the coordinator may renew it. The time of a stop
+# later they have ended, before the next suspension that is allowed for.
+RENEWAL_GRACE_S = 1.2
+
 
 class LeaseTracker:
     """Tracks how long a worker has been silent and when its lease expires.
@@ -46,6 +53,7 @@
 
     __slots__ = (
         '_clock',
+        '_counted_end',
         '_earliest_read_time',
         '_elapsed_time',
         '_elapsed_time_at_read',
@@ -59,6 +67,7 @@
         '_lease_expiry',
         '_longest_lease',
         '_min_echo_time',
+        '_resumed_at',
         '_stop_time',
     )
 
@@ -71,6 +80,10 @@
     ) -> None:
         self._grant = grant
         self._grant_deadline = 0.0
+        # Latest time at which the lease ends unless the machine is suspended,
+        # as the coordinator counts it; unknown before the first grant.
+        self._counted_end = math.inf
+        self._resumed_at = -math.inf
         # Grants that answer reports sent up to ``_min_echo_time`` are ignored,
         # because the coordinator was told that the agent does not renew the
         # lease.
@@ -108,9 +121,10 @@
         Must be called at least four times a second, because at most
         ``MAX_ELAPSED_STEP_S`` is added per call.
         """
-        self._elapsed_time += min(
-            max(now - self._last_advance_time, 0.0), MAX_ELAPSED_STEP_S
-        )
+        step = max(now - self._last_advance_time, 0.0)
+        if step > MAX_ELAPSED_STEP_S:
+            self._resumed_at = now
+        self._elapsed_time += min(step, MAX_ELAPSED_STEP_S)
         self._last_advance_time = now
 
     def record_heartbeat(self, now: float, clock: int | None) -> None:
@@ -180,7 +194,10 @@
             return (0.0, 0.0)
         self._grant_deadline = 0.0
         self._min_echo_time = now
-        return (silence, self.get_lease_remaining())
+        lapse = self.get_lease_remaining()
+        lease_end = now + lapse - leases.LEASE_EXPIRY_MARGIN_S
+        self._counted_end = min(self._counted_end, lease_end - self._stop_time)
+        return (silence, lapse)
 
     def record_grant(self, now: float, echo: float) -> None:
         """Record the coordinator's permission to renew the worker's lease.
@@ -191,11 +208,31 @@
         :param echo: time in seconds of the report that the coordinator
             answered.
         """
-        if self._min_echo_time < echo <= now:
-            self._grant_deadline = max(
-                self._grant_deadline, echo + self._grant
+        if not self._min_echo_time < echo <= now:
+            return
+        deadline = echo + self._grant
+        if deadline > self._grant_deadline:
+            self._grant_deadline = deadline
+            self._counted_end = (
+                deadline + self._grant * leases.MAX_CLOCK_SLOWDOWN
             )
 
+    def must_end_runs(self, now: float) -> bool:
+        """Return whether the worker's runs outlast the grant and must stop.
+
+        A lease that outlasts the time that the coordinator counts was held
+        while the machine was suspended. The coordinator allows for one
+        suspension, so the runs have to end before the next one may begin.
+        """
+        latest = min(
+            self._counted_end + leases.MAX_SUSPENSION_S,
+            self._resumed_at + RENEWAL_GRACE_S,
+        )
+        if now <= self._counted_end or now < latest:
+            return False
+        margins = leases.LEASE_EXPIRY_MARGIN_S + self._stop_time
+        return self.get_lease_remaining() > margins
+
     def get_certain_lease(self, now: float) -> float:
         """Return the seconds of lease that a renewal certainly gives.
 
--- a/damaskpin/agent/run_lists.py
+++ b/damaskpin/agent/run_lists.py
@@ -81,11 +81,17 @@
         listed = {row.run for row in self.latest.running}
         return listed | {row.run for row in self.latest.ended}
 
+    def list_running(self) -> list[work.Run]:
+        """Return the runs that are listed as running."""
+        if self.latest is None:
+            return []
+        return [row.run for row in self.latest.running]
+
     def remove_running(self) -> list[work.Run]:
         """Remove the running runs from the lists and return them."""
         if self.latest is None:
             return []
-        running = [row.run for row in self.latest.running]
+        running = self.list_running()
         self.latest = msgspec.structs.replace(self.latest, running=())
         return running
 
--- a/damaskpin/agent/worker_calls.py
+++ b/damaskpin/agent/worker_calls.py
@@ -51,6 +51,8 @@
         if worker.lease_tracker.is_lease_expired(now):
             worker.handle_expired_lease(now)
             return []
+        if worker.lease_tracker.must_end_runs(now):
+            worker.stop_outlasting_runs(now)
         due_calls: list[calls.StartCall | calls.StopCall] = []
         due_calls.extend(
             worker.attempts.collect_due_stops(
--- a/damaskpin/agent/worker_process.py
+++ b/damaskpin/agent/worker_process.py
@@ -198,6 +198,14 @@
         if self._candidate is not None:
             self.replace(now)
 
+    def stop_outlasting_runs(self, now: float) -> None:
+        """Stop the runs of a lease that has outlasted the grant."""
+        stopped_count = 0
+        for run in self.run_lists.list_running():
+            stopped_count += self.attempts.order_stop(now, run)
+        if stopped_count and self.profile is not None:
+            events.log_outlasting_runs(self.profile.lifetime, stopped_count)
+
     def _refuse_runs_of_expired_lease(self, now: float) -> None:
         """Mark the runs of a worker whose lease has expired as refused.
 
--- a/damaskpin/coordinator/run_ends.py
+++ b/damaskpin/coordinator/run_ends.py
@@ -3,7 +3,8 @@
 A worker's runs end with its lease at the latest. The end of a lease is known
 from the grants of the worker's agent, from what the agent reports of a silent
 worker, and from the replacement of the worker's process. The lease counts on
-the worker's clock, which stands still while its machine is suspended.
+the worker's clock, which stands still while its machine is suspended, so that
+each end allows for a suspension after the evidence that it follows from.
 """
 
 from __future__ import annotations
@@ -44,7 +45,9 @@
     ) -> None:
         self._grant = grant
         self._longest_lease = longest_lease
-        self._end_margin = leases.LEASE_EXPIRY_MARGIN_S + stop_time
+        self._end_margin = (
+            leases.LEASE_EXPIRY_MARGIN_S + stop_time + leases.MAX_SUSPENSION_S
+        )
 
     def get_granted_end(self, report_time: float) -> float:
         """Return the time by which all runs under a grant have ended.
--- a/damaskpin/platform/settings.py
+++ b/damaskpin/platform/settings.py
@@ -23,9 +23,10 @@
 MAX_LEASE_S = 7.0
 
 # Seconds for which an agent without contact to the coordinator keeps renewing
-# its worker's lease. Network partitions of an instance last up to 12 s and
-# must not end its runs.
-GRANT_DURATION_S = 13.5
+# its worker's lease. It outlasts an outage of all entries of 9.5 s with their
+# restart. The work of a lost instance waits for it and for a suspension, and
+# must start again within 17 s.
+GRANT_DURATION_S = 11.0
 
 # Names of the fields of ``Bounds`` in the settings file.
 BOUND_NAMES = {
--- a/tests/test_agent/test_agent_lease_properties.py
+++ b/tests/test_agent/test_agent_lease_properties.py
@@ -71,6 +71,8 @@
         echo = self._now - age
         # The coordinator received the report at its own time or later.
         latest_run_end = self._ledger.run_ends.get_granted_end(echo)
+        # The time of a suspension is left for one that follows.
+        latest_run_end -= leases.MAX_SUSPENSION_S
         self._latest_run_end = max(self._latest_run_end, latest_run_end)
         start = orders.StartOrder(work.Run(ITEM, self._sequence), 'spec', '')
         message = orders.Orders(
--- a/tests/test_coordinator/test_coordinator_replaced_runs.py
+++ b/tests/test_coordinator/test_coordinator_replaced_runs.py
@@ -155,6 +155,7 @@
     ledger.run_ends._longest_lease = LONGEST_LEASE_S
     known = _report_next_process(coordinator, worker, former_calls_void=True)
     lease_end = NOW + 1.0 + LONGEST_LEASE_S / (1 - leases.MAX_CLOCK_SLOWDOWN)
+    lease_end += leases.MAX_SUSPENSION_S
     assert known.get_last_lease_end() >= lease_end + builders.STOP_S
     assert known.get_last_lease_end() <= lease_end + builders.STOP_S + 1.0
     assert coordinator.make_orders(known).restarted
--- a/tests/test_coordinator/test_coordinator_suspended_machines.py
+++ b/tests/test_coordinator/test_coordinator_suspended_machines.py
@@ -43,6 +43,42 @@
     assert _count_starts(simulation) > 1, 'the run has no successor'
 
 
+@pytest.mark.parametrize('begin', [2.0, 3.0, 4.0, 5.0, 5.5, 5.9])
+def test_end_of_a_grant_allows_for_a_suspension(begin):
+    """Guards against a run that executes twice.
+
+    A machine is cut off and then suspended, so that a lease within the grant
+    of its agent ends after the grant.
+    """
+    simulation, instance = _start_run()
+    instance.disconnected = True
+    simulation.run(begin)
+    simulation.suspend_machine(instance, simulations.MAX_SUSPENSION_S)
+    simulation.run(OBSERVED_S)
+    assert _count_starts(simulation) > 1, 'the run has no successor'
+
+
+@pytest.mark.parametrize('has_overlapping_calls', [False, True])
+@pytest.mark.parametrize('pause', [2.5, 2.8, 3.2])
+@pytest.mark.parametrize('begin', [1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 5.5])
+def test_second_suspension_within_a_lease_leaves_no_run(
+    begin, pause, has_overlapping_calls
+):
+    """Guards against a run that executes twice.
+
+    A machine that is cut off is suspended several times. The coordinator
+    allows for one suspension, so that the agent must end the runs before.
+    """
+    simulation, instance = _start_run(has_overlapping_calls)
+    instance.disconnected = True
+    simulation.run(begin)
+    for _ in range(3):
+        simulation.suspend_machine(instance, simulations.MAX_SUSPENSION_S)
+        simulation.run(simulations.MAX_SUSPENSION_S + pause)
+    simulation.run(OBSERVED_S)
+    assert _count_starts(simulation) > 1, 'the run has no successor'
+
+
 @pytest.mark.parametrize('begin', [1.0, 2.0, 3.0])
 def test_reports_after_a_suspension_put_off_the_end_of_a_lease(begin):
     """Guards against a run that executes twice.
--- a/tests/test_runtime/test_runtime_silent_agents.py
+++ b/tests/test_runtime/test_runtime_silent_agents.py
@@ -9,6 +9,7 @@
 from damaskpin.coordinator import records
 from damaskpin.coordinator import silent_agents
 from damaskpin.entry import view as views
+from damaskpin.model import leases
 from damaskpin.model import work
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
@@ -241,6 +242,7 @@
         successor.coordination.decide_and_send()
         counts = successor.coordination.counts
         bound = answered + GRANT_S * 1.02 + STOP_S + 0.5
+        bound += leases.MAX_SUSPENSION_S
         await clock.advance(successor, bound - 1.0 - clock.now)
         assert not counts['lost']
         # The successor saw the record up to half a second after it was made.
