Count no suspension of the machine as silence of its worker

Cause: the poll under way ends without an answer while the machine is suspended, and the time since the last answer included the suspension, so that the worker counted as silent at once. From a report of silence on the agent renews the lease only after a new grant, which it can't get in a cut.

Change: silence counts the time in which the machine ran, as the agent's count of the lease does.

--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -56,6 +56,7 @@
         '_counted_end',
         '_earliest_read_time',
         '_elapsed_time',
+        '_elapsed_time_at_answer',
         '_elapsed_time_at_read',
         '_grant',
         '_grant_deadline',
@@ -100,6 +101,7 @@
         self._clock: int | None = None
         self._earliest_read_time = 0.0
         self._elapsed_time_at_read = 0.0
+        self._elapsed_time_at_answer = self._elapsed_time
         self._lease_expiry = 0
         self._last_answer_time = 0.0
         self._last_poll_failed = False
@@ -139,7 +141,7 @@
         # A previous agent process may have renewed the lease for its full
         # duration, so the latest possible expiry is assumed.
         self._lease_expiry = clock + int(self._longest_lease * 1000)
-        self._last_answer_time = now
+        self._record_answer_time(now)
         self._set_clock(now, now, clock)
 
     def record_answer(self, now: float, sent: float, clock: int) -> None:
@@ -154,7 +156,7 @@
             self._has_answered_poll = True
             assumed_expiry = clock + int(self._longest_lease * 1000)
             self._lease_expiry = max(self._lease_expiry, assumed_expiry)
-        self._last_answer_time = now
+        self._record_answer_time(now)
         self._last_poll_failed = False
         self._set_clock(now, sent, clock)
 
@@ -171,11 +173,16 @@
         return self._last_answer_time
 
     def get_silence(self, now: float) -> float:
-        """Return the seconds since a silent worker's last answer, else 0."""
-        if (
-            not self._last_poll_failed
-            or now - self._last_answer_time <= SILENCE_THRESHOLD_S
-        ):
+        """Return the seconds since a silent worker's last answer, else 0.
+
+        A worker is not silent because its machine was suspended, in which time
+        it could not answer.
+        """
+        if not self._last_poll_failed:
+            return 0.0
+        self.advance_elapsed_time(now)
+        awake = self._elapsed_time - self._elapsed_time_at_answer
+        if awake <= SILENCE_THRESHOLD_S:
             return 0.0
         return now - self._last_answer_time
 
@@ -253,6 +260,7 @@
             Renewing the lease of a worker that may be dead would only delay
             its expiry.
         """
+        self.advance_elapsed_time(now)
         if self._clock is None or self._last_poll_failed:
             return None
         renewal_time = self._get_renewal_time(now)
@@ -295,6 +303,12 @@
         """Return the greatest age in seconds of the worker's clock reading."""
         return now - self._earliest_read_time
 
+    def _record_answer_time(self, now: float) -> None:
+        """Record that the worker has answered or sent a heartbeat."""
+        self.advance_elapsed_time(now)
+        self._last_answer_time = now
+        self._elapsed_time_at_answer = self._elapsed_time
+
     def _set_clock(self, now: float, earliest: float, clock: int) -> None:
         """Record a reading of the worker's clock.
 
--- a/tests/test_agent/test_agent_suspensions.py
+++ b/tests/test_agent/test_agent_suspensions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from damaskpin.agent import agent as agents
 from damaskpin.agent import calls
 from damaskpin.model import leases
@@ -74,6 +76,21 @@
                 self.stopped.append(call.run)
 
 
+@pytest.mark.parametrize('seconds', [1.5, leases.MAX_SUSPENSION_S, 8.0])
+def test_suspension_is_no_silence_of_the_worker(seconds):
+    """Guards against a lease that is not renewed after a suspension.
+
+    The poll under way ends without an answer, and the time since the last
+    answer is that of the suspension, in which the worker could give none.
+    """
+    machine = Machine()
+    machine.suspend(seconds)
+    machine.poll(is_answered=False)
+    assert not machine.agent.make_report(machine.now).silence
+    machine.poll()
+    assert machine.poll().until is not None, 'the lease is not renewed'
+
+
 def test_runs_that_outlast_the_grant_are_stopped():
     """Guards against a run that executes twice.
 
