--- a/tests/test_soak/test_soak_short.py
+++ b/tests/test_soak/test_soak_short.py
@@ -8,6 +8,7 @@
 import pytest
 
 from soak import __main__ as soak
+from tests.test_soak import suspensions
 
 # A seed without a known failure, and seeds that failed once with the cause.
 SEEDS = [
@@ -31,6 +32,17 @@
     assert asyncio.run(soak.run_seed(seed, seconds, tmp_path)) == []
 
 
+@pytest.mark.timeout(120)
+def test_guarantees_hold_while_machines_are_suspended(tmp_path, monkeypatch):
+    """As above; agents stand still together with the clocks of their workers.
+
+    Guards against successors of runs whose lease ends later for that.
+    """
+    logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
+    monkeypatch.setattr(soak.fleets, 'Fleet', suspensions.SuspendingFleet)
+    assert asyncio.run(soak.run_seed(11, 8.0, tmp_path)) == []
+
+
 @pytest.mark.timeout(120)
 def test_submitted_job_completes(tmp_path):
     """A job passes the entry, store, coordinator, agent and worker."""
