--- a/tests/test_coordinator/instance.py
+++ b/tests/test_coordinator/instance.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+# Longest time in seconds for which a machine is suspended, as the longest of
+# the site files, and shortest time that it is awake between two suspensions.
+MAX_SUSPENSION_S = 4.0
+MIN_AWAKE_S = 2.5
+
 
 class Instance:
     """An instance with a worker and the agent beside it.
@@ -51,7 +56,12 @@
         return now < self.suspended_until
 
     def suspend(self, now, seconds):
-        """Suspend the machine; the worker's clock stands still meanwhile."""
+        """Suspend the machine with its agent, its worker and their clocks.
+
+        Nothing happens if it has not been awake for long enough.
+        """
+        if now - self.suspended_until < MIN_AWAKE_S:
+            return
         self.suspended_until = now + seconds
         self.next_heartbeat = max(self.next_heartbeat, self.suspended_until)
         self.worker.suspend(now, seconds)
--- a/tests/test_coordinator/random_plays.py
+++ b/tests/test_coordinator/random_plays.py
@@ -6,6 +6,7 @@
 
 from damaskpin.model import work
 from tests.test_coordinator import fault_actions
+from tests.test_coordinator import instance as instances
 from tests.test_coordinator import simulation as simulations
 from tests.test_coordinator import waiting_actions
 
@@ -202,8 +203,8 @@
         case 'standstills':
             simulation.freeze_agent(instance, rng.uniform(1.0, 20.0))
         case 'suspended machines':
-            simulation.suspend_machine(
-                instance, rng.uniform(0.3, simulations.MAX_SUSPENSION_S)
+            instance.suspend(
+                simulation.now, rng.uniform(0.3, instances.MAX_SUSPENSION_S)
             )
         case 'unheard leaves':
             simulation.processes.leave(instance, is_heard=False)
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -31,10 +31,6 @@
 STOP_S = 0.5
 TICK_S = 0.1
 WALL = 1_000_000.0
-# Longest time in seconds for which a machine is suspended, as the longest of
-# the site files, and shortest time that it is awake between two suspensions.
-MAX_SUSPENSION_S = 4.0
-MIN_AWAKE_S = 2.5
 # Time in seconds that a worker's process takes to start.
 START_S = 0.3
 CAPACITY = work.Resources(4000, 4000, 4)
@@ -153,14 +149,6 @@
         """Suspend an agent's process; its machine and its worker go on."""
         instance.frozen_until = self.now + seconds
 
-    def suspend_machine(self, instance, seconds):
-        """Suspend a machine with its agent, its worker and their clocks.
-
-        It is awake for some time between two suspensions.
-        """
-        if self.now - instance.suspended_until >= MIN_AWAKE_S:
-            instance.suspend(self.now, seconds)
-
     def restart_agent(self, instance):
         instance.frozen_until = 0.0
         instance.waiting.clear()
--- a/tests/test_coordinator/test_coordinator_suspended_machines.py
+++ b/tests/test_coordinator/test_coordinator_suspended_machines.py
@@ -5,6 +5,7 @@
 import pytest
 
 from damaskpin.model import work
+from tests.test_coordinator import instance as instances
 from tests.test_coordinator import simulation as simulations
 
 LONG_STEP = (work.Step(count=1, demand=simulations.CAPACITY, estimate=60.0),)
@@ -38,7 +39,7 @@
     simulation, instance = _start_run()
     instance.unresponsive = True
     simulation.run(begin)
-    simulation.suspend_machine(instance, simulations.MAX_SUSPENSION_S)
+    instance.suspend(simulation.now, instances.MAX_SUSPENSION_S)
     simulation.run(OBSERVED_S)
     assert _count_starts(simulation) > 1, 'the run has no successor'
 
@@ -53,7 +54,7 @@
     simulation, instance = _start_run()
     instance.disconnected = True
     simulation.run(begin)
-    simulation.suspend_machine(instance, simulations.MAX_SUSPENSION_S)
+    instance.suspend(simulation.now, instances.MAX_SUSPENSION_S)
     simulation.run(OBSERVED_S)
     assert _count_starts(simulation) > 1, 'the run has no successor'
 
@@ -73,8 +74,8 @@
     instance.disconnected = True
     simulation.run(begin)
     for _ in range(3):
-        simulation.suspend_machine(instance, simulations.MAX_SUSPENSION_S)
-        simulation.run(simulations.MAX_SUSPENSION_S + pause)
+        instance.suspend(simulation.now, instances.MAX_SUSPENSION_S)
+        simulation.run(instances.MAX_SUSPENSION_S + pause)
     simulation.run(OBSERVED_S)
     assert _count_starts(simulation) > 1, 'the run has no successor'
 
@@ -90,7 +91,7 @@
     instance.unresponsive = True
     simulation.run(begin)
     for _ in range(3):
-        simulation.suspend_machine(instance, simulations.MAX_SUSPENSION_S)
-        simulation.run(simulations.MAX_SUSPENSION_S + simulations.MIN_AWAKE_S)
+        instance.suspend(simulation.now, instances.MAX_SUSPENSION_S)
+        simulation.run(instances.MAX_SUSPENSION_S + instances.MIN_AWAKE_S)
     simulation.run(OBSERVED_S)
     assert _count_starts(simulation) > 1, 'the run has no successor'
--- a/tests/test_coordinator/worker_processes.py
+++ b/tests/test_coordinator/worker_processes.py
@@ -58,7 +58,7 @@
             instance.down_until = max(
                 instance.down_until, instance.suspended_until
             )
-            instance.suspend(
+            instance.worker.suspend(
                 simulation.now, instance.suspended_until - simulation.now
             )
         instance.next_heartbeat = (
@@ -140,11 +140,9 @@
         simulation = self._simulation
         if instance.worker is not worker:
             return
-        if instance.is_suspended(simulation.now):
-            simulation.schedule(
-                instance.suspended_until - simulation.now,
-                lambda: self._send_leave(instance, worker, is_heard),
-            )
+        if self._postpone(
+            instance, lambda: self._send_leave(instance, worker, is_heard)
+        ):
             return
         name = worker.lifetime.worker
         if is_heard and not instance.is_frozen(simulation.now):
@@ -166,16 +164,19 @@
         )
 
     def _end(self, instance, worker):
-        simulation = self._simulation
         if instance.worker is not worker:
             return
-        if instance.is_suspended(simulation.now):
-            simulation.schedule(
-                instance.suspended_until - simulation.now,
-                lambda: self._end(instance, worker),
-            )
+        if self._postpone(instance, lambda: self._end(instance, worker)):
             return
-        simulation.restart_worker(instance)
+        self._simulation.restart_worker(instance)
+
+    def _postpone(self, instance, action):
+        """Put off what a suspended machine does; return whether it is one."""
+        simulation = self._simulation
+        if not instance.is_suspended(simulation.now):
+            return False
+        simulation.schedule(instance.suspended_until - simulation.now, action)
+        return True
 
     # Called by the workers
 
