Log from which evidence the runs of a lost worker are kept

After a takeover the logs did not tell whether the end of a lost worker's runs was counted from an answered report, from a record of silent agents or from the takeover, so that the first two hypotheses of the incident differed by arithmetic only. Each worker now has the evidence of its end: 'worker lost', 'run removed' at the end of a lease and the runs in 'job waits although there is room' tell it, and 'coordinator started' counts the workers that no agent has reported yet. No decision changes.

--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import math
 from typing import TYPE_CHECKING
@@ -101,14 +102,8 @@
         for run, active in list(job.iterate_active()):
             worker = self.workers.get(active.lifetime)
             if worker is None:
-                # A former coordinator may have answered reports of the
-                # worker's agent, and so moved the end of the agent's grant,
-                # until this coordinator started or the agent was recorded.
-                last_answer = self.silent_agents.get_former_answer(
-                    active.agent, max(now, self._started)
-                )
-                worker = self.add_worker(
-                    last_answer, active.lifetime, active.agent
+                worker = self._add_unheard_worker(
+                    now, active.lifetime, active.agent
                 )
             step = job.submission.steps[run.item.step]
             reserved = step.get_reservation()
@@ -123,6 +118,23 @@
                 worker.orders_due = True
             worker.add_run(placed)
 
+    def describe_unheard_workers(self, now: float) -> dict[str, object]:
+        """Return log fields of the workers that no agent has reported yet.
+
+        :returns: ``unheard_workers`` by the evidence that their runs are kept
+            for, and ``runs_end_in``, the seconds until the last of these runs
+            have certainly ended.
+        """
+        unheard = [w for w in self.workers.values() if not w.last_report_time]
+        ends = [worker.get_last_lease_end() for worker in unheard]
+        counts = collections.Counter(
+            str(worker.run_end_evidence) for worker in unheard
+        )
+        return {
+            'unheard_workers': dict(counts),
+            'runs_end_in': round(max(ends) - now, 3) if ends else None,
+        }
+
     def find_worker(
         self,
         now: float,
@@ -267,15 +279,36 @@
                     'the worker is draining',
                 )
 
+    def _add_unheard_worker(
+        self, now: float, lifetime: work.Lifetime, agent: str
+    ) -> worker_state.Worker:
+        """Add a worker with a stored run that no agent has reported.
+
+        A former coordinator may have answered reports of the worker's agent,
+        and so moved the end of the agent's grant, until this coordinator
+        started or the agent was recorded.
+        """
+        takeover = max(now, self._started)
+        last_answer = self.silent_agents.get_former_answer(agent, takeover)
+        evidence = run_ends.Evidence.SILENCE_RECORD
+        if last_answer >= takeover:
+            evidence = run_ends.Evidence.TAKEOVER
+        return self.add_worker(last_answer, lifetime, agent, evidence)
+
     def add_worker(
-        self, last_answer: float, lifetime: work.Lifetime, agent: str
+        self,
+        last_answer: float,
+        lifetime: work.Lifetime,
+        agent: str,
+        evidence: run_ends.Evidence = run_ends.Evidence.ANSWER,
     ) -> worker_state.Worker:
         """Add a worker.
 
         :param last_answer: latest time in seconds at which a report of the
             worker's agent may have arrived that a coordinator has answered.
+        :param evidence: what that time follows from.
         """
         latest_run_end = self.run_ends.get_granted_end(last_answer)
-        worker = worker_state.Worker(lifetime, agent, latest_run_end)
+        worker = worker_state.Worker(lifetime, agent, latest_run_end, evidence)
         self.workers[lifetime] = worker
         return worker
--- a/damaskpin/coordinator/removals.py
+++ b/damaskpin/coordinator/removals.py
@@ -105,6 +105,7 @@
             'heard_ago': round(now - worker.last_report_time, 3)
             if worker.last_report_time
             else None,
+            'evidence': str(worker.run_end_evidence),
             'runs': len(worker.runs),
         },
     )
@@ -138,9 +139,13 @@
     job.unrecorded.discard(run)
     cause = _find_cause(placed, proof)
     # Nothing is known of the run after its worker last listed it.
-    lost = books.lost_work.record(cause, placed, placed.last_listed)
+    more: dict[str, object] = dict(
+        books.lost_work.record(cause, placed, placed.last_listed)
+    )
+    if proof is Proof.LEASE_ENDED:
+        more['evidence'] = str(worker.run_end_evidence)
     events.log_run(
-        'run removed', run, worker, reason, proof=str(proof), **lost
+        'run removed', run, worker, reason, proof=str(proof), **more
     )
     if placed.step.gang:
         stops.stop_gang(books, placed, cause, reason)
--- a/damaskpin/coordinator/run_ends.py
+++ b/damaskpin/coordinator/run_ends.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from damaskpin.model import leases
@@ -29,6 +30,22 @@
 RESTART_LEASE_EXTENSION_S = 22.0
 
 
+class Evidence(enum.StrEnum):
+    """What the latest end of a worker's runs follows from, as logs tell it.
+
+    - ``ANSWER``: latest report of the agent that this coordinator answered.
+    - ``REPORTED_LEASE``: end of a silent worker's lease, as its agent reports.
+    - ``SILENCE_RECORD``: record of silent agents of the former coordinator.
+    - ``TAKEOVER``: start of this coordinator, as the former one may have
+      answered reports until then.
+    """
+
+    ANSWER = 'answered report'
+    REPORTED_LEASE = 'reported lease'
+    SILENCE_RECORD = 'record of silent agents'
+    TAKEOVER = 'takeover'
+
+
 class RunEnds:
     """Derives the latest end of a worker's runs from the evidence of it.
 
@@ -64,10 +81,18 @@
         :param answered: time in seconds at which the report arrived that the
             orders answer.
         """
-        granted_end = self.get_granted_end(answered)
-        worker.latest_run_end = max(worker.latest_run_end, granted_end)
+        self._put_off(worker, answered, Evidence.ANSWER)
         worker.run_end_reporter = ''
 
+    def put_off_until_takeover(
+        self, worker: worker_state.Worker, started: float
+    ) -> None:
+        """Put off the end as if reports had been answered until a takeover.
+
+        :param started: time of the takeover in seconds.
+        """
+        self._put_off(worker, started, Evidence.TAKEOVER)
+
     def apply_silence(
         self, now: float, worker: worker_state.Worker, report: orders.Report
     ) -> None:
@@ -88,6 +113,7 @@
         if worker.run_end_reporter != report.process:
             reported_end = min(reported_end, worker.latest_run_end)
         worker.latest_run_end = reported_end
+        worker.run_end_evidence = Evidence.REPORTED_LEASE
         worker.run_end_reporter = report.process
 
     def extend_restarted(
@@ -108,14 +134,25 @@
         self, now: float, worker: worker_state.Worker
     ) -> None:
         """Bound an extension by the longest lease, as set until now."""
-        granted_end = self.get_granted_end(now)
-        worker.latest_run_end = max(worker.latest_run_end, granted_end)
+        self._put_off(worker, now, Evidence.ANSWER)
         longest_lease_end = self._get_longest_lease_end(now)
         if longest_lease_end > worker.latest_run_end:
             worker.extension_end = min(worker.extension_end, longest_lease_end)
         else:
             worker.lease_extension = 0.0
 
+    def _put_off(
+        self, worker: worker_state.Worker, answered: float, evidence: Evidence
+    ) -> None:
+        """Put off the end of a worker's runs to that of a grant.
+
+        :param answered: time in seconds of the report that counts as answered.
+        """
+        granted_end = self.get_granted_end(answered)
+        if granted_end > worker.latest_run_end:
+            worker.latest_run_end = granted_end
+            worker.run_end_evidence = evidence
+
     def _get_longest_lease_end(self, now: float) -> float:
         """Return the time by which a lease that is set now has ended."""
         lease = self._longest_lease / (1 - leases.MAX_CLOCK_SLOWDOWN)
--- a/damaskpin/coordinator/run_stages.py
+++ b/damaskpin/coordinator/run_stages.py
@@ -56,7 +56,8 @@
     :param now: steady time in seconds.
     :returns: ``age`` since its placement, ``listed`` since it was last in a
         list and ``until`` its latest possible end are in seconds; the first
-        two are ``None`` if this coordinator has not seen that.
+        two are ``None`` if this coordinator has not seen that. ``evidence``
+        tells what the latest end follows from.
     """
     item = placed.run.item
     described: dict[str, object] = {
@@ -69,6 +70,7 @@
         'until': round(
             worker.latest_run_end + worker.lease_extension - now, 3
         ),
+        'evidence': worker.run_end_evidence.value,
     }
     if placed.placed_at > 0:
         described['age'] = round(now - placed.placed_at, 3)
--- a/damaskpin/coordinator/silence_records.py
+++ b/damaskpin/coordinator/silence_records.py
@@ -31,13 +31,10 @@
             return
         # The agent may get a grant again, so its runs are kept for as long as
         # without the record of the former coordinator.
-        latest_run_end = self._ledger.run_ends.get_granted_end(
-            silent_agents.started
-        )
         for worker in self._ledger.workers.values():
             if worker.agent == agent:
-                worker.latest_run_end = max(
-                    worker.latest_run_end, latest_run_end
+                self._ledger.run_ends.put_off_until_takeover(
+                    worker, silent_agents.started
                 )
 
     def renew_limited_grant(self, worker: worker_state.Worker) -> float | None:
--- a/damaskpin/coordinator/worker_state.py
+++ b/damaskpin/coordinator/worker_state.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from damaskpin.coordinator import job as jobs
     from damaskpin.coordinator import placed_run
+    from damaskpin.coordinator import run_ends
     from damaskpin.peer import orders
 
 # A worker whose agent has not reported for this time, in seconds, gets no new
@@ -89,6 +90,7 @@
     :ivar lease_extension: seconds after ``latest_run_end`` for which the lease
         of a restarted worker may still last; 0 for other workers.
     :ivar extension_end: time in seconds up to which it may be extended.
+    :ivar run_end_evidence: what ``latest_run_end`` follows from.
     :ivar run_end_reporter: process of the agent whose report last told the end
         of the silent worker's lease; empty if a later grant was given.
     :ivar has_former_process: whether the process has followed another one of
@@ -134,6 +136,7 @@
         'profile',
         'reads_contents',
         'report_time',
+        'run_end_evidence',
         'run_end_reporter',
         'runs',
         'silence',
@@ -142,7 +145,11 @@
     )
 
     def __init__(
-        self, lifetime: work.Lifetime, agent: str, latest_run_end: float
+        self,
+        lifetime: work.Lifetime,
+        agent: str,
+        latest_run_end: float,
+        run_end_evidence: run_ends.Evidence,
     ) -> None:
         self.lifetime = lifetime
         self.agent = agent
@@ -159,6 +166,7 @@
         self.granted_report = ('', 0.0)
         self.granted_report_time = 0.0
         self.latest_run_end = latest_run_end
+        self.run_end_evidence = run_end_evidence
         self.run_end_reporter = ''
         self.lease_extension = 0.0
         self.extension_end = -math.inf
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -288,7 +288,11 @@
             self._writer_tasks.append(task)
         LOG.info(
             'coordinator started',
-            extra={'fence': fence, 'jobs': len(coordinator.jobs)},
+            extra={
+                'fence': fence,
+                'jobs': len(coordinator.jobs),
+                **ledger.describe_unheard_workers(now),
+            },
         )
 
     async def _write(
