Count grants from the leader's lease, so that a takeover knows their end

Callers saw jobs of which nothing ran for too long after an outage of the store or a loss of entries: the next coordinator kept the runs of lost workers as if the former one had answered their agents until the takeover.

Cause: the end of a grant depended on reports that only the coordinator that had answered them knew. Without a record of silent agents its successor had no evidence, and counted from its own start.

A grant now counts from the latest renewal of the coordinator's own lease, if that is earlier than the report that it answers. The leader key ends with that lease, so that its end tells the next leader the latest time from which a grant of the former one counts. A record of the term, which outlives the key, tells the time to live of the lease and whether the leader has ended it earlier; an election fails if another term has begun since the record was read.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import advice
@@ -10,6 +11,7 @@
 from damaskpin.coordinator import agent_processes
 from damaskpin.coordinator import contact
 from damaskpin.coordinator import crashes
+from damaskpin.coordinator import grants
 from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
 from damaskpin.coordinator import placement
@@ -49,6 +51,8 @@
     :param ledger: jobs, workers and runs.
     :param installation: configuration; ``None`` until it is known.
     :ivar entries: addresses of all entries, for the orders.
+    :ivar lease_renewed: time in seconds of the latest confirmed renewal of
+        this coordinator's lease.
     :ivar silence_records: records of the agents that do not report.
     """
 
@@ -61,6 +65,7 @@
         '_sequence',
         'entries',
         'fence',
+        'lease_renewed',
         'silence_records',
     )
 
@@ -80,6 +85,7 @@
         self._sequence = 0
         self._next_check = 0.0
         self.entries: tuple[str, ...] = ()
+        self.lease_renewed = math.inf
 
     @property
     def jobs(self) -> dict[str, job_module.Job]:
@@ -218,6 +224,10 @@
         unanswered_starts.stop_unanswered_starts(now, ledger)
         placement.place_ready_units(now, wall, ledger, self._get_guarantee)
 
+    def describe_unheard_workers(self, now: float) -> dict[str, object]:
+        """Return log fields of the workers that no agent has reported yet."""
+        return self._ledger.describe_unheard_workers(now)
+
     def explain_waits(
         self, now: float, wall: float, questions: list[wait_reasons.Question]
     ) -> list[wait_reasons.Explanation]:
@@ -258,7 +268,8 @@
         """
         if self.may_answer(worker):
             return self.make_orders(worker)
-        echo = self.silence_records.renew_limited_grant(worker)
+        start = grants.find_grant_start(worker, self.lease_renewed)
+        echo = self.silence_records.renew_limited_grant(worker, start)
         if echo is None:
             return None
         self._sequence += 1
@@ -283,10 +294,9 @@
         self._ledger.silent_agents.record_answer(
             worker.agent, worker.last_report_time
         )
+        start = grants.find_grant_start(worker, self.lease_renewed)
         if not worker.silence:
-            self._ledger.renew_grant(
-                worker, worker.last_report_time, worker.report_time
-            )
+            self._ledger.renew_grant(worker, start)
         process = self._agent_processes.get_process(worker.agent)
         about_runs = run_orders.list_run_orders(self._ledger, worker, process)
         return orders.Orders(
@@ -296,7 +306,7 @@
             worker.lifetime,
             # A time of a former process was read on a clock that may have
             # started anew.
-            worker.report_time if worker.process == process else 0.0,
+            start.echo if worker.process == process else 0.0,
             worker.get_acknowledged_end_serial(),
             about_runs.starts,
             about_runs.stops,
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -20,6 +20,7 @@
 from damaskpin.coordinator import worker_state
 
 if TYPE_CHECKING:
+    from damaskpin.coordinator import grants
     from damaskpin.coordinator import job as jobs
     from damaskpin.model import work
     from damaskpin.peer import orders
@@ -36,9 +37,9 @@
 
     A grant is the time up to which an agent may renew its worker's lease
     without hearing from the coordinator. Each answered report of the agent
-    moves the end of the grant. A lifetime is one process of a worker, from
-    its start to its end; a worker that restarts has a new lifetime and may
-    keep its id.
+    moves the end of the grant; :mod:`damaskpin.coordinator.grants` has the
+    details. A lifetime is one process of a worker, from its start to its end;
+    a worker that restarts has a new lifetime and may keep its id.
 
     :param started: time at which this coordinator began, in seconds.
     :param grant: length of a grant in seconds, counted from the latest report
@@ -48,6 +49,8 @@
         coordinator may have answered, by agent, for those that it has
         recorded as silent.
     :param longest_lease: longest lease in seconds that a worker allows.
+    :param last_former_grant: latest time in seconds from which a grant of a
+        former coordinator counts; ``None`` if it is not known.
     :ivar last_arrival: steady time in seconds at which the newest job was
         accepted.
     :ivar run_ends: latest ends of the workers' runs.
@@ -55,7 +58,6 @@
     """
 
     __slots__ = (
-        '_started',
         'crash_watch',
         'last_arrival',
         'run_ends',
@@ -69,28 +71,28 @@
         stop_time: float,
         former_answers: dict[str, float] | None = None,
         longest_lease: float = 0.0,
+        last_former_grant: float | None = None,
     ) -> None:
         super().__init__()
-        self._started = started
         self.last_arrival = -math.inf
         self.run_ends = run_ends.RunEnds(grant, stop_time, longest_lease)
         self.crash_watch = crash_watch.CrashWatch()
         self.silent_agents = silent_agents.SilentAgents(
-            started, former_answers
+            started, former_answers, last_former_grant
         )
 
     def renew_grant(
-        self, worker: worker_state.Worker, answered: float, echo: float
+        self, worker: worker_state.Worker, start: grants.GrantStart
     ) -> None:
         """Record that orders renew the grant of a worker's agent.
 
-        :param answered: time in seconds at which the report arrived that the
-            orders answer.
-        :param echo: time of the report by the agent's clock.
+        :param start: time from which the grant counts.
         """
-        self.run_ends.renew(worker, answered)
-        worker.granted_report_time = max(worker.granted_report_time, echo)
-        worker.granted_report = (worker.process, echo)
+        self.run_ends.renew(worker, start.answered)
+        worker.granted_report_time = max(
+            worker.granted_report_time, start.echo
+        )
+        worker.granted_report = (worker.process, start.echo)
 
     def add_job(self, now: float, job: jobs.Job) -> None:
         """Add a job and the active runs of its stored progress."""
@@ -102,8 +104,12 @@
         for run, active in list(job.iterate_active()):
             worker = self.workers.get(active.lifetime)
             if worker is None:
-                worker = self._add_unheard_worker(
-                    now, active.lifetime, active.agent
+                # A former coordinator may have given grants to its agent.
+                answered, evidence = self.silent_agents.find_former_answer(
+                    active.agent
+                )
+                worker = self.add_worker(
+                    answered, active.lifetime, active.agent, evidence
                 )
             step = job.submission.steps[run.item.step]
             reserved = step.get_reservation()
@@ -279,22 +285,6 @@
                     'the worker is draining',
                 )
 
-    def _add_unheard_worker(
-        self, now: float, lifetime: work.Lifetime, agent: str
-    ) -> worker_state.Worker:
-        """Add a worker with a stored run that no agent has reported.
-
-        A former coordinator may have answered reports of the worker's agent,
-        and so moved the end of the agent's grant, until this coordinator
-        started or the agent was recorded.
-        """
-        takeover = max(now, self._started)
-        last_answer = self.silent_agents.get_former_answer(agent, takeover)
-        evidence = run_ends.Evidence.SILENCE_RECORD
-        if last_answer >= takeover:
-            evidence = run_ends.Evidence.TAKEOVER
-        return self.add_worker(last_answer, lifetime, agent, evidence)
-
     def add_worker(
         self,
         last_answer: float,
--- a/damaskpin/coordinator/run_ends.py
+++ b/damaskpin/coordinator/run_ends.py
@@ -36,6 +36,7 @@
     - ``ANSWER``: latest report of the agent that this coordinator answered.
     - ``REPORTED_LEASE``: end of a silent worker's lease, as its agent reports.
     - ``SILENCE_RECORD``: record of silent agents of the former coordinator.
+    - ``FORMER_LEASE``: end of the former coordinator's lease as leader.
     - ``TAKEOVER``: start of this coordinator, as the former one may have
       answered reports until then.
     """
@@ -43,6 +44,7 @@
     ANSWER = 'answered report'
     REPORTED_LEASE = 'reported lease'
     SILENCE_RECORD = 'record of silent agents'
+    FORMER_LEASE = 'lease of the former coordinator'
     TAKEOVER = 'takeover'
 
 
@@ -81,17 +83,21 @@
         :param answered: time in seconds at which the report arrived that the
             orders answer.
         """
-        self._put_off(worker, answered, Evidence.ANSWER)
+        self.put_off(worker, answered, Evidence.ANSWER)
         worker.run_end_reporter = ''
 
-    def put_off_until_takeover(
-        self, worker: worker_state.Worker, started: float
+    def put_off(
+        self, worker: worker_state.Worker, answered: float, evidence: Evidence
     ) -> None:
-        """Put off the end as if reports had been answered until a takeover.
+        """Put off the end of a worker's runs to that of a grant.
 
-        :param started: time of the takeover in seconds.
+        :param answered: time in seconds of the report that counts as answered.
+        :param evidence: what that time follows from.
         """
-        self._put_off(worker, started, Evidence.TAKEOVER)
+        granted_end = self.get_granted_end(answered)
+        if granted_end > worker.latest_run_end:
+            worker.latest_run_end = granted_end
+            worker.run_end_evidence = evidence
 
     def apply_silence(
         self, now: float, worker: worker_state.Worker, report: orders.Report
@@ -134,25 +140,13 @@
         self, now: float, worker: worker_state.Worker
     ) -> None:
         """Bound an extension by the longest lease, as set until now."""
-        self._put_off(worker, now, Evidence.ANSWER)
+        self.put_off(worker, now, Evidence.ANSWER)
         longest_lease_end = self._get_longest_lease_end(now)
         if longest_lease_end > worker.latest_run_end:
             worker.extension_end = min(worker.extension_end, longest_lease_end)
         else:
             worker.lease_extension = 0.0
 
-    def _put_off(
-        self, worker: worker_state.Worker, answered: float, evidence: Evidence
-    ) -> None:
-        """Put off the end of a worker's runs to that of a grant.
-
-        :param answered: time in seconds of the report that counts as answered.
-        """
-        granted_end = self.get_granted_end(answered)
-        if granted_end > worker.latest_run_end:
-            worker.latest_run_end = granted_end
-            worker.run_end_evidence = evidence
-
     def _get_longest_lease_end(self, now: float) -> float:
         """Return the time by which a lease that is set now has ended."""
         lease = self._longest_lease / (1 - leases.MAX_CLOCK_SLOWDOWN)
--- a/damaskpin/coordinator/silence_records.py
+++ b/damaskpin/coordinator/silence_records.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from damaskpin.coordinator import grants
+
 if TYPE_CHECKING:
     from damaskpin.coordinator import ledger as ledgers
     from damaskpin.coordinator import silent_agents
@@ -29,27 +31,30 @@
         silent_agents = self._ledger.silent_agents
         if not silent_agents.record_report(now, agent):
             return
+        last_grant, evidence = silent_agents.find_former_answer(agent)
         # The agent may get a grant again, so its runs are kept for as long as
         # without the record of the former coordinator.
         for worker in self._ledger.workers.values():
             if worker.agent == agent:
-                self._ledger.run_ends.put_off_until_takeover(
-                    worker, silent_agents.started
-                )
+                self._ledger.run_ends.put_off(worker, last_grant, evidence)
 
-    def renew_limited_grant(self, worker: worker_state.Worker) -> float | None:
+    def renew_limited_grant(
+        self, worker: worker_state.Worker, start: grants.GrantStart
+    ) -> float | None:
         """Renew the grant of a recorded agent, up to what the record says.
 
+        :param start: time from which the grant would count without a record.
         :returns: time of the report to be echoed, by the agent's clock;
             ``None`` if the agent may get no grant.
         """
         limit = self._ledger.silent_agents.get_grant_limit(worker)
         if limit is None or worker.silence:
             return None
-        answered = min(worker.last_report_time, limit.answer)
-        echo = min(worker.report_time, limit.echo)
-        self._ledger.renew_grant(worker, answered, echo)
-        return echo
+        limited = grants.GrantStart(
+            min(start.answered, limit.answer), min(start.echo, limit.echo)
+        )
+        self._ledger.renew_grant(worker, limited)
+        return limited.echo
 
     def make_due_record(
         self, now: float
--- a/damaskpin/coordinator/silent_agents.py
+++ b/damaskpin/coordinator/silent_agents.py
@@ -10,11 +10,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from damaskpin import decoding
+from damaskpin.coordinator import run_ends
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -98,6 +100,8 @@
     :param former_answers: time in seconds of the latest report that a former
         coordinator may have answered, by agent, for those that it has
         recorded as silent.
+    :param last_former_grant: latest time in seconds from which a grant of a
+        former coordinator counts; ``None`` if it is not known.
     :ivar started: time at which the coordinator began, in seconds.
     """
 
@@ -105,6 +109,7 @@
         '_answers',
         '_former_answers',
         '_last_check',
+        '_last_former_grant',
         '_limits',
         '_listed',
         '_next_check',
@@ -116,10 +121,16 @@
     )
 
     def __init__(
-        self, started: float, former_answers: dict[str, float] | None = None
+        self,
+        started: float,
+        former_answers: dict[str, float] | None = None,
+        last_former_grant: float | None = None,
     ) -> None:
         self.started = started
         self._former_answers = dict(former_answers or {})
+        self._last_former_grant = started
+        if last_former_grant is not None:
+            self._last_former_grant = min(last_former_grant, started)
         self._reports: dict[str, float] = {}
         self._answers: dict[str, float] = {}
         # Of the agents in the stored record and in the one that is written.
@@ -131,12 +142,20 @@
         self._steady_since = started
         self._next_check = started
 
-    def get_former_answer(self, agent: str, default: float) -> float:
+    def find_former_answer(
+        self, agent: str
+    ) -> tuple[float, run_ends.Evidence]:
         """Return the latest time of a report that others answered.
 
-        :param default: time in seconds for agents without a record.
+        :returns: the time in seconds, and what it follows from.
         """
-        return min(self._former_answers.get(agent, default), default)
+        last_grant = self._last_former_grant
+        recorded = self._former_answers.get(agent, last_grant)
+        if recorded < last_grant:
+            return (recorded, run_ends.Evidence.SILENCE_RECORD)
+        if last_grant < self.started:
+            return (last_grant, run_ends.Evidence.FORMER_LEASE)
+        return (self.started, run_ends.Evidence.TAKEOVER)
 
     def get_last_answer(self, agent: str) -> float:
         """Return the time of the agent's latest answered report in seconds.
@@ -148,7 +167,7 @@
             return limit.answer
         answer = self._answers.get(agent)
         if answer is None:
-            return self.get_former_answer(agent, self.started)
+            return self.find_former_answer(agent)[0]
         return answer
 
     def record_report(self, now: float, agent: str) -> bool:
@@ -227,8 +246,7 @@
             return frozenset()
         released = self._listed - self._written
         if any(
-            self._reports.get(agent, self.started)
-            > self.get_last_answer(agent)
+            self._reports.get(agent, -math.inf) > self.get_last_answer(agent)
             for agent in self._written
         ):
             self._next_check = self._last_check
--- a/damaskpin/entry/view.py
+++ b/damaskpin/entry/view.py
@@ -12,6 +12,7 @@
 from damaskpin.coordinator import job as jobs
 from damaskpin.coordinator import job_times
 from damaskpin.coordinator import records
+from damaskpin.entry import leader_term
 from damaskpin.peer import addresses
 from damaskpin.store import layout
 from damaskpin.store import transactions
@@ -100,15 +101,17 @@
     :ivar entries: addresses of all entries by name.
     :ivar leader: stored record of the leader, which is the entry that runs the
         coordinator; ``None`` without a leader.
+    :ivar leader_term: latest term of a leader.
     """
 
-    __slots__ = ('_jobs', '_tombstones', 'entries', 'leader')
+    __slots__ = ('_jobs', '_tombstones', 'entries', 'leader', 'leader_term')
 
     def __init__(self) -> None:
         self._jobs: dict[str, CachedJob] = {}
         self._tombstones: dict[str, CachedTombstone] = {}
         self.entries: dict[str, str] = {}
         self.leader: transactions.StoredItem | None = None
+        self.leader_term = leader_term.LeaderTerm()
 
     def get(self, job_id: str) -> CachedJob | None:
         """Return an accepted job by its id, or ``None`` if it is not known."""
@@ -146,6 +149,8 @@
         :returns: id of the changed job; empty if the key belongs to no job.
         """
         key = change.key
+        if key in (layout.LEADER_KEY, layout.TERM_KEY):
+            self.leader_term.apply(now, change)
         if key == layout.LEADER_KEY:
             self._update_current_leader(change)
             return ''
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -1,8 +1,8 @@
 """Messages between entries and the agents beside the workers.
 
 The lifetime of a worker is the identity of its process: a restarted worker has
-another lifetime, even if it keeps its id. The echo in orders is the time of
-the agent's report that they answer.
+another lifetime, even if it keeps its id. The echo in orders is the time from
+which the grant in them counts.
 
 Every message may be lost, duplicated, delayed or reordered. Orders and
 reports always contain the complete current state, so that a later message
@@ -91,9 +91,10 @@
     :ivar sequence: number that increases with each message of this
         coordinator.
     :ivar lifetime: identity of the worker process that the orders are for.
-    :ivar echo: ``time`` of the agent's latest report that the coordinator has
-        handled, returned unchanged. The agent may renew the worker's lease
-        for a fixed time after it.
+    :ivar echo: time from which the grant counts, by the agent's clock: the
+        ``time`` of its latest report that the coordinator has handled or, if
+        that is earlier, the latest renewal of the coordinator's own lease. The
+        agent may renew the worker's lease for a fixed time after it.
     :ivar observed: serial number of the last ended run that the coordinator
         has recorded.
     :ivar starts: runs to start whose start was not confirmed yet.
@@ -161,7 +162,7 @@
 
     :ivar agent: instance id of the agent.
     :ivar time: when the report was made, in seconds on the agent's clock; the
-        coordinator returns it as ``echo`` of its orders.
+        ``echo`` of the orders that answer it is not later.
     :ivar sequence: number that increases with each report of this agent.
     :ivar profile: properties of the worker; ``None`` before the worker's
         first heartbeat.
@@ -178,8 +179,7 @@
         while the worker responds.
     :ivar lapse: seconds until the lease of an unresponsive worker has
         certainly ended, or 0 while the worker responds. From then on the agent
-        renews the lease only after orders whose ``echo`` is the time of a
-        later report.
+        renews the lease only after orders with a later ``echo``.
     :ivar crashes: latest crashes of workers; they are repeated, as a cut or a
         new coordinator may hide a report.
     :ivar process: random id of the agent's process; empty from an agent that
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -7,14 +7,13 @@
 import logging
 from typing import TYPE_CHECKING
 
-from damaskpin.coordinator import coordinator as coordinators
-from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import lost_work
 from damaskpin.entry import stored_silences
 from damaskpin.entry import view as views
 from damaskpin.entry import work_watch
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
+from damaskpin.runtime import coordinator_factory
 from damaskpin.runtime import leadership as leaderships
 from damaskpin.runtime import pacing
 from damaskpin.runtime import silence_writer
@@ -24,6 +23,7 @@
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import advice
+    from damaskpin.coordinator import coordinator as coordinators
     from damaskpin.coordinator import worker_state
     from damaskpin.model import installation as installations
     from damaskpin.peer import exchange as exchanges
@@ -231,6 +231,7 @@
             return orders.Redirect(leader[0], leader[1], entries)
         if coordinator.is_superseded(report):
             return orders.Superseded(report.process)
+        coordinator.lease_renewed = self._leadership.renewed
         worker = coordinator.handle_report(
             clocks.get_monotonic_time(),
             clocks.get_wall_time(),
@@ -256,17 +257,11 @@
 
     def _make_coordinator(self, fence: int) -> None:
         now = clocks.get_monotonic_time()
-        ledger = ledgers.RunLedger(
+        coordinator = coordinator_factory.make_coordinator(
             now,
-            self._settings.grant_duration,
-            self._settings.stop_time,
-            self._silences.get_answers(fence),
-            self._settings.longest_lease,
-        )
-        coordinator = coordinators.Coordinator(
-            self._settings.instance,
-            fence,
-            ledger,
+            self._settings,
+            self._leadership,
+            self._silences,
             self._config_watcher.installation,
         )
         coordinator.entries = tuple(self._view.entries.values())
@@ -291,7 +286,7 @@
             extra={
                 'fence': fence,
                 'jobs': len(coordinator.jobs),
-                **ledger.describe_unheard_workers(now),
+                **coordinator.describe_unheard_workers(now),
             },
         )
 
@@ -349,6 +344,7 @@
                 return None
             if not coordinator.may_answer(worker):
                 return None
+            coordinator.lease_renewed = self._leadership.renewed
             return coordinator.make_orders(worker)
 
         self._exchange.post(worker.address, 'orders', build)
--- a/damaskpin/runtime/leadership.py
+++ b/damaskpin/runtime/leadership.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpin import errors
+from damaskpin.entry import leader_term
 from damaskpin.runtime import clocks
 from damaskpin.store import layout
 from damaskpin.store import transactions
@@ -50,6 +51,10 @@
     :param is_ready: returns whether the view shows all keys of the store.
     :param cores: number of processor cores that this entry may use.
     :ivar fence: fencing token of this entry as leader; 0 while not elected.
+    :ivar renewed: time in seconds of the latest renewal of the lease that the
+        store has confirmed, counted from before the call.
+    :ivar last_former_grant: latest time in seconds from which a grant of an
+        earlier leader counts; ``None`` if it is not known.
     """
 
     __slots__ = (
@@ -59,11 +64,14 @@
         '_is_ready',
         '_lease',
         '_lease_expiry',
+        '_nonce',
         '_resigned',
         '_store',
         '_view',
         '_was_leader',
         'fence',
+        'last_former_grant',
+        'renewed',
     )
 
     def __init__(
@@ -83,9 +91,12 @@
         self._address = address
         self._lease = 0
         self._lease_expiry = 0.0
+        self._nonce = ''
         self._resigned = False
         self._was_leader = False
         self.fence = 0
+        self.renewed = 0.0
+        self.last_former_grant: float | None = None
 
     def is_leader(self) -> bool:
         """Return whether this entry's lease on the leader key is valid."""
@@ -111,14 +122,35 @@
         """
         self._resigned = True
         lease = self._lease
+        fence = self.fence
         self.step_down('resigned')
         if not lease:
             return
         try:
-            await self._store.end_lease(lease)
+            # The next leader relies on a lease that ends by itself, unless
+            # the record of the term tells otherwise.
+            if fence and await self._record_resignation(fence):
+                await self._store.end_lease(lease)
         except errors.StoreError as error:
             LOG.info('leader lease not ended', extra={'error': str(error)})
 
+    async def _record_resignation(self, fence: int) -> bool:
+        """Write into the record of the term that its lease ends earlier.
+
+        :returns: whether this was still the latest term.
+        """
+        record = leader_term.TermRecord(self._nonce, LEASE_TTL_S, True)
+        transaction = transactions.Transaction(
+            {layout.LEADER_KEY: fence, layout.TERM_KEY: fence},
+            (
+                transactions.Put(
+                    layout.TERM_KEY, leader_term.encode_record(record)
+                ),
+            ),
+        )
+        result = await self._store.commit(transaction)
+        return isinstance(result, transactions.Committed)
+
     def step_down(self, reason: str) -> None:
         """Stop acting as coordinator; the leader key's lease may run on."""
         if self.fence:
@@ -141,6 +173,9 @@
     async def _campaign(self) -> None:
         # The lease runs from the arrival of the call that opens it.
         send_time = clocks.get_monotonic_time()
+        former_term = self._view.leader_term
+        former_revision = former_term.revision
+        last_former_grant = former_term.find_last_grant(send_time)
         try:
             lease = await self._store.open_lease(LEASE_TTL_S)
         except errors.StoreError as error:
@@ -158,10 +193,17 @@
         if self._view.leader is not None or self._resigned:
             return
         nonce = secrets.token_hex(4)
-        value = f'{self._address} {self._instance} {nonce}'.encode()
+        value = leader_term.encode_leader(self._address, self._instance, nonce)
+        record = leader_term.TermRecord(nonce, min(lease.ttl, LEASE_TTL_S))
+        # No other term may have begun since the former one was read.
         transaction = transactions.Transaction(
-            {layout.LEADER_KEY: 0},
-            (transactions.Put(layout.LEADER_KEY, value, lease.id),),
+            {layout.LEADER_KEY: 0, layout.TERM_KEY: former_revision},
+            (
+                transactions.Put(layout.LEADER_KEY, value, lease.id),
+                transactions.Put(
+                    layout.TERM_KEY, leader_term.encode_record(record)
+                ),
+            ),
         )
         try:
             result = await self._store.commit(transaction)
@@ -175,6 +217,9 @@
         self.fence = fence
         self._lease = lease.id
         self._lease_expiry = send_time + lease.ttl
+        self._nonce = nonce
+        self.renewed = send_time
+        self.last_former_grant = last_former_grant
         LOG.info('elected as coordinator', extra={'fence': fence})
 
     async def _read_election_result(self) -> transactions.Conflict | None:
@@ -198,6 +243,7 @@
             await self._store.keep_lease(lease)
             if self._lease == lease:
                 self._lease_expiry = send_time + LEASE_TTL_S
+                self.renewed = send_time
         except errors.StoreLeaseError:
             self.step_down('the lease has expired')
             return
--- a/tests/test_coordinator/test_coordinator_silent_agents.py
+++ b/tests/test_coordinator/test_coordinator_silent_agents.py
@@ -239,12 +239,12 @@
     ledger = ledgers.RunLedger(
         STARTED, builders.GRANT_S, builders.STOP_S, {AGENT: STARTED - 5.0}
     )
-    former = ledger.silent_agents.get_former_answer(AGENT, STARTED)
+    former, _ = ledger.silent_agents.find_former_answer(AGENT)
     assert former == STARTED - 5.0
     silence_records.SilenceRecords(ledger, 4).record_report(
         STARTED + 1.0, AGENT
     )
-    answer = ledger.silent_agents.get_former_answer(AGENT, STARTED)
+    answer, _ = ledger.silent_agents.find_former_answer(AGENT)
     assert answer == STARTED
 
 
--- a/tests/test_runtime/test_runtime_coordination.py
+++ b/tests/test_runtime/test_runtime_coordination.py
@@ -68,7 +68,9 @@
         view = views.JobView()
         now = clocks.get_monotonic_time()
         view.apply(_make_change('a' * 16), now - 30.0)
-        leadership = types.SimpleNamespace(fence=FENCE, is_leader=lambda: True)
+        leadership = types.SimpleNamespace(
+            fence=FENCE, is_leader=lambda: True, last_former_grant=None
+        )
         coordination = _make_coordination(view, leadership)
         coordination.decide_and_send()
         change = _make_change('b' * 16)
--- a/tests/test_runtime/test_runtime_silent_agents.py
+++ b/tests/test_runtime/test_runtime_silent_agents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 import pytest
 
@@ -32,6 +33,9 @@
 
 
 class _Leadership:
+    renewed = math.inf
+    last_former_grant = None
+
     def __init__(self, fence):
         self.fence = fence
 
--- /dev/null
+++ b/tests/test_runtime/test_runtime_terms.py
@@ -0,0 +1,175 @@
+"""Tests of the record of a leader's term and of what the next one takes."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from damaskpin import errors
+from damaskpin.entry import view as views
+from damaskpin.runtime import clocks
+from damaskpin.runtime import leadership as leaderships
+from damaskpin.store import layout
+from damaskpin.store import mirror as mirrors
+from damaskpin.store import transactions
+from tests.test_runtime import versioned_store
+
+LEASE = 7
+
+
+class _Store(versioned_store.VersionedStore):
+    """Store with leases, whose time is that of the test.
+
+    :ivar is_cut: whether calls get no answer.
+    :ivar ended: leases that were ended.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.is_cut = False
+        self.ended = []
+
+    async def open_lease(self, ttl):
+        return transactions.Lease(LEASE, ttl)
+
+    async def keep_lease(self, lease):
+        if self.is_cut:
+            raise errors.StoreUncertainError('cut off')
+
+    async def end_lease(self, lease):
+        self.ended.append(lease)
+        self.items.pop(layout.LEADER_KEY, None)
+        self.revision += 1
+
+    async def commit(self, transaction):
+        if self.is_cut:
+            raise errors.StoreUncertainError('cut off')
+        return await super().commit(transaction)
+
+
+class _Entry:
+    """An entry that follows the store and may be elected."""
+
+    def __init__(self, store, name):
+        self.view = views.JobView()
+        self.mirror = mirrors.Mirror(
+            layout.ROOT_PREFIX,
+            lambda change: self.view.apply(change, store.now),
+        )
+        self._store = store
+        self.leadership = leaderships.Leadership(
+            store, self.view, name, f'tcp://{name}', lambda: True, cores=2.0
+        )
+        self.follow()
+
+    def follow(self):
+        """List the store."""
+        self.mirror.replace(self._store.items.values(), self._store.revision)
+
+    async def campaign(self):
+        self.follow()
+        await self.leadership._campaign()
+        self.follow()
+
+
+@pytest.fixture
+def store(monkeypatch):
+    store = _Store()
+
+    async def sleep(seconds):
+        store.now += seconds
+
+    monkeypatch.setattr(clocks, 'get_monotonic_time', lambda: store.now)
+    monkeypatch.setattr(leaderships.asyncio, 'sleep', sleep)
+    return store
+
+
+def _end_lease(store):
+    """Let the lease on the leader key end by itself."""
+    del store.items[layout.LEADER_KEY]
+    store.revision += 1
+
+
+def test_next_leader_knows_the_last_renewal_of_the_lost_one(store):
+    """Guards against a takeover that counts all grants from its own time."""
+
+    async def play():
+        first, second = _Entry(store, 'a'), _Entry(store, 'b')
+        await first.campaign()
+        assert first.leadership.last_former_grant is None
+        second.follow()
+        await first.leadership._renew_lease()
+        renewed = first.leadership.renewed
+        store.now = renewed + leaderships.LEASE_TTL_S
+        _end_lease(store)
+        second.follow()
+        store.now += 2.0
+        await second.campaign()
+        assert second.leadership.fence
+        last_grant = second.leadership.last_former_grant
+        assert renewed <= last_grant <= renewed + 0.1
+
+    asyncio.run(play())
+
+
+def test_renewal_without_an_answer_does_not_count(store):
+    """Guards against grants that count from a renewal the store never saw."""
+
+    async def play():
+        entry = _Entry(store, 'a')
+        await entry.campaign()
+        renewed = entry.leadership.renewed
+        store.is_cut = True
+        store.now += 1.0
+        await entry.leadership._renew_lease()
+        assert entry.leadership.renewed == renewed
+
+    asyncio.run(play())
+
+
+def test_resignation_is_recorded_before_the_lease_ends(store):
+    """Guards against grants up to a resignation that the next leader lacks."""
+
+    async def play():
+        first, second = _Entry(store, 'a'), _Entry(store, 'b')
+        await first.campaign()
+        second.follow()
+        store.now += 0.3
+        await first.leadership.resign()
+        assert store.ended == [LEASE]
+        await second.campaign()
+        assert second.leadership.last_former_grant == store.now
+
+    asyncio.run(play())
+
+
+def test_lease_is_not_ended_if_the_resignation_is_not_recorded(store):
+    """Guards against an early end that the next leader takes for a lapse."""
+
+    async def play():
+        entry = _Entry(store, 'a')
+        await entry.campaign()
+        store.is_cut = True
+        await entry.leadership.resign()
+        assert store.ended == []
+
+    asyncio.run(play())
+
+
+def test_campaign_fails_if_another_term_has_come_and_gone(store):
+    """Guards against a leader that takes an older term for the last one."""
+
+    async def play():
+        first, second = _Entry(store, 'a'), _Entry(store, 'b')
+        second.follow()
+        await first.campaign()
+        _end_lease(store)
+        # The second entry has not seen the term of the first one.
+        await second.leadership._campaign()
+        assert not second.leadership.fence
+        await second.campaign()
+        assert second.leadership.fence
+
+    asyncio.run(play())
