Let the former coordinator tell its last grants to the next one

In an outage of the store the leader key ends, or its end is seen, seconds after the last renewal of the lease, and the record of silent agents can't be written. The next coordinator then kept the runs of workers that were lost shortly before the outage for the length of the outage longer.

The former coordinator is mostly alive then and knows from when on its grants count, by agent. The next one asks it after its election; the former one steps down, if it has not yet, and answers with ages. The answer counts for agents that have not reported since, if it is about the term before (nonce). Without an answer the end of the lease counts, as before.

The writers of a coordinator move to a module of their own.

--- a/damaskpin/coordinator/coordinator.py
+++ b/damaskpin/coordinator/coordinator.py
@@ -224,6 +224,10 @@
         unanswered_starts.stop_unanswered_starts(now, ledger)
         placement.place_ready_units(now, wall, ledger, self._get_guarantee)
 
+    def list_last_grants(self) -> grants.LastGrants:
+        """Return from when on the last grants of this coordinator count."""
+        return self.silence_records.list_last_grants(self.lease_renewed)
+
     def describe_unheard_workers(self, now: float) -> dict[str, object]:
         """Return log fields of the workers that no agent has reported yet."""
         return self._ledger.describe_unheard_workers(now)
--- a/damaskpin/coordinator/grants.py
+++ b/damaskpin/coordinator/grants.py
@@ -28,6 +28,19 @@
     echo: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LastGrants:
+    """Times from which the last grants of a former coordinator count.
+
+    :ivar latest: latest such time in seconds.
+    :ivar earlier: time in seconds by agent, for agents whose last grant counts
+        from an earlier time.
+    """
+
+    latest: float
+    earlier: dict[str, float]
+
+
 def find_grant_start(
     worker: worker_state.Worker, lease_renewed: float
 ) -> GrantStart:
--- a/damaskpin/coordinator/run_ends.py
+++ b/damaskpin/coordinator/run_ends.py
@@ -37,6 +37,7 @@
     - ``REPORTED_LEASE``: end of a silent worker's lease, as its agent reports.
     - ``SILENCE_RECORD``: record of silent agents of the former coordinator.
     - ``FORMER_LEASE``: end of the former coordinator's lease as leader.
+    - ``FORMER_COORDINATOR``: last grants, as the former coordinator tells.
     - ``TAKEOVER``: start of this coordinator, as the former one may have
       answered reports until then.
     """
@@ -45,6 +46,7 @@
     REPORTED_LEASE = 'reported lease'
     SILENCE_RECORD = 'record of silent agents'
     FORMER_LEASE = 'lease of the former coordinator'
+    FORMER_COORDINATOR = 'former coordinator'
     TAKEOVER = 'takeover'
 
 
@@ -99,6 +101,19 @@
             worker.latest_run_end = granted_end
             worker.run_end_evidence = evidence
 
+    def bring_forward(
+        self, worker: worker_state.Worker, answered: float, evidence: Evidence
+    ) -> None:
+        """Bring forward the end of a worker's runs to that of a grant.
+
+        :param answered: time in seconds of the report that counts as answered.
+        :param evidence: what that time follows from.
+        """
+        granted_end = self.get_granted_end(answered)
+        if granted_end < worker.latest_run_end:
+            worker.latest_run_end = granted_end
+            worker.run_end_evidence = evidence
+
     def apply_silence(
         self, now: float, worker: worker_state.Worker, report: orders.Report
     ) -> None:
--- a/damaskpin/coordinator/silence_records.py
+++ b/damaskpin/coordinator/silence_records.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import grants
+from damaskpin.coordinator import silent_agents
 
 if TYPE_CHECKING:
     from damaskpin.coordinator import ledger as ledgers
-    from damaskpin.coordinator import silent_agents
     from damaskpin.coordinator import worker_state
 
 
@@ -28,16 +28,51 @@
 
     def record_report(self, now: float, agent: str) -> None:
         """Record that a report of an agent has arrived."""
-        silent_agents = self._ledger.silent_agents
-        if not silent_agents.record_report(now, agent):
+        silent = self._ledger.silent_agents
+        if not silent.record_report(now, agent):
             return
-        last_grant, evidence = silent_agents.find_former_answer(agent)
+        last_grant, evidence = silent.find_former_answer(agent)
         # The agent may get a grant again, so its runs are kept for as long as
         # without the record of the former coordinator.
         for worker in self._ledger.workers.values():
             if worker.agent == agent:
                 self._ledger.run_ends.put_off(worker, last_grant, evidence)
 
+    def list_last_grants(self, lease_renewed: float) -> grants.LastGrants:
+        """Return from when on the last grants of this coordinator count.
+
+        :param lease_renewed: time in seconds of the latest renewal of the
+            coordinator's lease that a grant has counted from.
+        """
+        silent = self._ledger.silent_agents
+        answers = {
+            worker.agent: silent.get_last_answer(worker.agent)
+            for worker in self._ledger.workers.values()
+            if worker.runs
+        }
+        earlier = sorted(
+            (answer, agent)
+            for agent, answer in answers.items()
+            if answer < lease_renewed
+        )
+        return grants.LastGrants(
+            lease_renewed,
+            {a: answer for answer, a in earlier[: silent_agents.MAX_AGENTS]},
+        )
+
+    def apply_last_grants(self, last_grants: grants.LastGrants) -> None:
+        """Apply what the former coordinator tells of its last grants.
+
+        The runs of agents that have reported are kept as they are.
+        """
+        silent = self._ledger.silent_agents
+        silent.apply_last_grants(last_grants)
+        for worker in self._ledger.workers.values():
+            if silent.has_reported(worker.agent):
+                continue
+            answered, evidence = silent.find_former_answer(worker.agent)
+            self._ledger.run_ends.bring_forward(worker, answered, evidence)
+
     def renew_limited_grant(
         self, worker: worker_state.Worker, start: grants.GrantStart
     ) -> float | None:
--- a/damaskpin/coordinator/silent_agents.py
+++ b/damaskpin/coordinator/silent_agents.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from damaskpin.coordinator import grants
     from damaskpin.coordinator import worker_state
 
 # Seconds without a report after which an agent is recorded as silent. An agent
@@ -108,6 +109,7 @@
     __slots__ = (
         '_answers',
         '_former_answers',
+        '_is_told',
         '_last_check',
         '_last_former_grant',
         '_limits',
@@ -129,6 +131,8 @@
         self.started = started
         self._former_answers = dict(former_answers or {})
         self._last_former_grant = started
+        # Whether the former coordinator has told its last grants.
+        self._is_told = False
         if last_former_grant is not None:
             self._last_former_grant = min(last_former_grant, started)
         self._reports: dict[str, float] = {}
@@ -151,12 +155,30 @@
         """
         last_grant = self._last_former_grant
         recorded = self._former_answers.get(agent, last_grant)
+        if self._is_told:
+            answer = min(recorded, last_grant)
+            return (answer, run_ends.Evidence.FORMER_COORDINATOR)
         if recorded < last_grant:
             return (recorded, run_ends.Evidence.SILENCE_RECORD)
         if last_grant < self.started:
             return (last_grant, run_ends.Evidence.FORMER_LEASE)
         return (self.started, run_ends.Evidence.TAKEOVER)
 
+    def apply_last_grants(self, last_grants: grants.LastGrants) -> None:
+        """Apply what the former coordinator tells of its last grants."""
+        self._is_told = True
+        self._last_former_grant = min(
+            self._last_former_grant, last_grants.latest
+        )
+        for agent, time in last_grants.earlier.items():
+            if not self.has_reported(agent):
+                recorded = self._former_answers.get(agent, time)
+                self._former_answers[agent] = min(recorded, time)
+
+    def has_reported(self, agent: str) -> bool:
+        """Return whether an agent has reported to this coordinator."""
+        return agent in self._reports
+
     def get_last_answer(self, agent: str) -> float:
         """Return the time of the agent's latest answered report in seconds.
 
--- a/damaskpin/entry/leader_term.py
+++ b/damaskpin/entry/leader_term.py
@@ -24,16 +24,32 @@
     """Stored record of the latest term, written with the leader key.
 
     :ivar nonce: nonce in the value of the term's leader key.
+    :ivar address: pynng URL of the leader.
     :ivar ttl: seconds without renewal after which the lease on the leader key
         ends.
     :ivar resigned: whether the leader has ended its lease earlier.
     """
 
     nonce: str
+    address: str
     ttl: float
     resigned: bool = False
 
 
+class FormerTerm(msgspec.Struct, frozen=True):
+    """What the next leader knows of the term before its own.
+
+    :ivar nonce: nonce in the value of the term's leader key.
+    :ivar address: pynng URL of the leader.
+    :ivar last_grant: latest time in seconds from which a grant of that term
+        counts, by the steady clock of this entry.
+    """
+
+    nonce: str
+    address: str
+    last_grant: float
+
+
 _ENCODER = msgspec.json.Encoder()
 _DECODER = msgspec.json.Decoder(TermRecord)
 
@@ -89,22 +105,19 @@
                 self.revision = 0
                 self._record = None
 
-    def find_last_grant(self, now: float) -> float | None:
-        """Return the latest time from which a grant of the last term counts.
-
-        The last term must have ended.
+    def find_former(self, now: float) -> FormerTerm | None:
+        """Return the last term, which must have ended.
 
         :param now: time in seconds at which there is no leader key.
-        :returns: time in seconds by this entry's steady clock; ``None`` if it
-            is not known.
+        :returns: ``None`` if the last term is not known.
         """
         record = self._record
         if record is None or self._nonce not in ('', record.nonce):
             return None
-        ended = now if self._ended is None else min(self._ended, now)
-        if record.resigned:
-            return ended
-        return ended - record.ttl * (1 - leases.MAX_CLOCK_SLOWDOWN)
+        last_grant = now if self._ended is None else min(self._ended, now)
+        if not record.resigned:
+            last_grant -= record.ttl * (1 - leases.MAX_CLOCK_SLOWDOWN)
+        return FormerTerm(record.nonce, record.address, last_grant)
 
     def _set_record(self, item: transactions.StoredItem) -> None:
         self.revision = item.revision
--- a/damaskpin/peer/orders.py
+++ b/damaskpin/peer/orders.py
@@ -254,6 +254,30 @@
     entries: tuple[str, ...]
 
 
+class GrantQuestion(bases.Message):
+    """Question of a new coordinator for the last grants of the former one.
+
+    :ivar fence: fencing token of the new coordinator.
+    """
+
+    fence: int
+
+
+class GrantAnswer(bases.Message):
+    """Last grants of a coordinator that gives no more of them.
+
+    :ivar fence: fencing token of the coordinator that has asked.
+    :ivar nonce: nonce of the term that has ended.
+    :ivar age: seconds since the time from which the latest grant counts.
+    :ivar ages: the same of agents whose last grant is older, by instance id.
+    """
+
+    fence: int
+    nonce: str
+    age: float
+    ages: dict[str, float]
+
+
 class StoreCall(bases.Message):
     """Request to the receiver to make a store call for the sender.
 
@@ -277,7 +301,16 @@
     body: bytes
 
 
-Message = Orders | Report | Redirect | Superseded | StoreCall | StoreAnswer
+Message = (
+    Orders
+    | Report
+    | Redirect
+    | Superseded
+    | GrantQuestion
+    | GrantAnswer
+    | StoreCall
+    | StoreAnswer
+)
 
 
 class Frame(bases.Frame):
--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -14,10 +14,10 @@
 from damaskpin.peer import orders
 from damaskpin.runtime import clocks
 from damaskpin.runtime import coordinator_factory
+from damaskpin.runtime import coordinator_writers
+from damaskpin.runtime import grant_handover
 from damaskpin.runtime import leadership as leaderships
 from damaskpin.runtime import pacing
-from damaskpin.runtime import silence_writer
-from damaskpin.runtime import writer as writers
 from damaskpin.store import layout
 from damaskpin.store import transactions
 
@@ -51,17 +51,16 @@
         '_config_watcher',
         '_coordinator',
         '_exchange',
+        '_handover',
         '_leadership',
         '_mirror',
         '_pacer',
         '_settings',
-        '_silence_writer',
         '_silences',
         '_store',
         '_view',
         '_watch',
-        '_writer',
-        '_writer_tasks',
+        '_writers',
     )
 
     def __init__(
@@ -81,13 +80,14 @@
         self._leadership = leadership
         self._exchange = exchange
         self._config_watcher = config
+        self._handover = grant_handover.GrantHandover(
+            settings.address, leadership, exchange
+        )
         self._pacer = pacing.Pacer()
         self._watch = work_watch.WorkWatch(view)
         self._coordinator: coordinators.Coordinator | None = None
-        self._writer: writers.ProgressWriter | None = None
+        self._writers: coordinator_writers.CoordinatorWriters | None = None
         self._silences = stored_silences.StoredSilences()
-        self._silence_writer: silence_writer.SilenceWriter | None = None
-        self._writer_tasks: list[asyncio.Task[None]] = []
 
     @property
     def counts(self) -> collections.Counter[str]:
@@ -118,10 +118,8 @@
         if self._pacer.is_due(now):
             coordinator.decide(now, clocks.get_wall_time())
             self._pacer.record_pass(now, clocks.get_monotonic_time())
-        if self._writer is not None and coordinator.list_unstored_jobs():
-            self._writer.wake()
-        if self._silence_writer is not None:
-            self._silence_writer.wake()
+        if self._writers is not None:
+            self._writers.wake()
         for worker in coordinator.pop_due_workers():
             self._post_orders(worker)
 
@@ -170,11 +168,11 @@
 
     def stop(self) -> None:
         """Stop the writers and discard the coordinator."""
-        for task in self._writer_tasks:
-            task.cancel()
-        self._writer_tasks = []
-        self._writer = None
-        self._silence_writer = None
+        if self._writers is not None:
+            self._writers.stop()
+        self._writers = None
+        if self._coordinator is not None:
+            self._handover.end(self._coordinator)
         self._coordinator = None
 
     def set_installation(
@@ -244,6 +242,24 @@
             self._exchange.address, coordinator.fence, coordinator.entries
         )
 
+    def answer_successor(
+        self, question: orders.GrantQuestion
+    ) -> orders.GrantAnswer | None:
+        """Return the last grants of this entry, which gives no more."""
+        coordinator = self._coordinator
+        if coordinator is not None:
+            if question.fence <= coordinator.fence:
+                return None
+            self._step_down('another coordinator asks for the last grants')
+            self.stop()
+        return self._handover.answer(clocks.get_monotonic_time(), question)
+
+    def apply_last_grants(self, answer: orders.GrantAnswer) -> None:
+        """Apply the last grants of the former coordinator."""
+        if self._coordinator is not None:
+            now = clocks.get_monotonic_time()
+            self._handover.apply(now, self._coordinator, answer)
+
     def _sync_with_leadership(self) -> None:
         fence = self._leadership.fence
         coordinator = self._coordinator
@@ -268,19 +284,14 @@
         self._coordinator = coordinator
         for known_job in self._view.list_jobs():
             self._add_job(known_job, is_loaded=True)
-        self._writer = writers.ProgressWriter(
-            self._store, coordinator, self.decide_and_send, self._step_down
-        )
-        self._silence_writer = silence_writer.SilenceWriter(
+        self._handover.begin(now, coordinator)
+        self._writers = coordinator_writers.CoordinatorWriters(
             self._store,
-            coordinator.silence_records,
+            coordinator,
             self._silences.revision,
             self.decide_and_send,
             self._step_down,
         )
-        for writer in (self._writer, self._silence_writer):
-            task = asyncio.ensure_future(self._write(writer))
-            self._writer_tasks.append(task)
         LOG.info(
             'coordinator started',
             extra={
@@ -290,18 +301,6 @@
             },
         )
 
-    async def _write(
-        self, writer: writers.ProgressWriter | silence_writer.SilenceWriter
-    ) -> None:
-        try:
-            await writer.run()
-        except Exception:
-            # Scheduling decisions are sent to agents only after they are
-            # stored, so unstored ones may be dropped. The next coordinator
-            # loads its state from the store.
-            LOG.exception('writer failed')
-            self._step_down('a writer failed')
-
     def _step_down(self, reason: str) -> None:
         self._leadership.step_down(reason)
         # This entry's lease on the leader key lasts until it expires. Marking
--- a/damaskpin/runtime/coordinator_factory.py
+++ b/damaskpin/runtime/coordinator_factory.py
@@ -26,14 +26,17 @@
     :param now: time in seconds at which the coordinator begins.
     :param silences: record of silent agents of the former coordinator.
     """
+    former = leadership.former_term
     ledger = ledgers.RunLedger(
         now,
         settings.grant_duration,
         settings.stop_time,
         silences.get_answers(leadership.fence),
         settings.longest_lease,
-        leadership.last_former_grant,
+        None if former is None else former.last_grant,
     )
-    return coordinators.Coordinator(
+    coordinator = coordinators.Coordinator(
         settings.instance, leadership.fence, ledger, installation
     )
+    coordinator.lease_renewed = leadership.renewed
+    return coordinator
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -288,6 +288,10 @@
         match message:
             case orders.Report():
                 return self._coordination.handle_report(frame, message)
+            case orders.GrantQuestion():
+                return self._coordination.answer_successor(message)
+            case orders.GrantAnswer():
+                self._coordination.apply_last_grants(message)
             case orders.StoreCall():
                 self._background.spawn(
                     self._serve_store_call(frame.address, message)
--- a/damaskpin/runtime/leadership.py
+++ b/damaskpin/runtime/leadership.py
@@ -53,8 +53,8 @@
     :ivar fence: fencing token of this entry as leader; 0 while not elected.
     :ivar renewed: time in seconds of the latest renewal of the lease that the
         store has confirmed, counted from before the call.
-    :ivar last_former_grant: latest time in seconds from which a grant of an
-        earlier leader counts; ``None`` if it is not known.
+    :ivar nonce: nonce in the value of the leader key of the latest term.
+    :ivar former_term: term before that one; ``None`` if it is not known.
     """
 
     __slots__ = (
@@ -64,13 +64,13 @@
         '_is_ready',
         '_lease',
         '_lease_expiry',
-        '_nonce',
         '_resigned',
         '_store',
         '_view',
         '_was_leader',
         'fence',
-        'last_former_grant',
+        'former_term',
+        'nonce',
         'renewed',
     )
 
@@ -91,12 +91,12 @@
         self._address = address
         self._lease = 0
         self._lease_expiry = 0.0
-        self._nonce = ''
         self._resigned = False
         self._was_leader = False
         self.fence = 0
         self.renewed = 0.0
-        self.last_former_grant: float | None = None
+        self.nonce = ''
+        self.former_term: leader_term.FormerTerm | None = None
 
     def is_leader(self) -> bool:
         """Return whether this entry's lease on the leader key is valid."""
@@ -139,7 +139,9 @@
 
         :returns: whether this was still the latest term.
         """
-        record = leader_term.TermRecord(self._nonce, LEASE_TTL_S, True)
+        record = leader_term.TermRecord(
+            self.nonce, self._address, LEASE_TTL_S, True
+        )
         transaction = transactions.Transaction(
             {layout.LEADER_KEY: fence, layout.TERM_KEY: fence},
             (
@@ -173,9 +175,8 @@
     async def _campaign(self) -> None:
         # The lease runs from the arrival of the call that opens it.
         send_time = clocks.get_monotonic_time()
-        former_term = self._view.leader_term
-        former_revision = former_term.revision
-        last_former_grant = former_term.find_last_grant(send_time)
+        former_revision = self._view.leader_term.revision
+        former_term = self._view.leader_term.find_former(send_time)
         try:
             lease = await self._store.open_lease(LEASE_TTL_S)
         except errors.StoreError as error:
@@ -194,7 +195,9 @@
             return
         nonce = secrets.token_hex(4)
         value = leader_term.encode_leader(self._address, self._instance, nonce)
-        record = leader_term.TermRecord(nonce, min(lease.ttl, LEASE_TTL_S))
+        record = leader_term.TermRecord(
+            nonce, self._address, min(lease.ttl, LEASE_TTL_S)
+        )
         # No other term may have begun since the former one was read.
         transaction = transactions.Transaction(
             {layout.LEADER_KEY: 0, layout.TERM_KEY: former_revision},
@@ -217,9 +220,9 @@
         self.fence = fence
         self._lease = lease.id
         self._lease_expiry = send_time + lease.ttl
-        self._nonce = nonce
+        self.nonce = nonce
         self.renewed = send_time
-        self.last_former_grant = last_former_grant
+        self.former_term = former_term
         LOG.info('elected as coordinator', extra={'fence': fence})
 
     async def _read_election_result(self) -> transactions.Conflict | None:
--- a/tests/test_coordinator/reports.py
+++ b/tests/test_coordinator/reports.py
@@ -6,6 +6,7 @@
 
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import job as jobs
+from damaskpin.coordinator import ledger as ledgers
 from damaskpin.coordinator import records
 from damaskpin.model import work
 from damaskpin.peer import orders
@@ -27,6 +28,28 @@
     return coordinator, ledger, job
 
 
+def take_over(former, started, last_former_grant=None):
+    """Return the coordinator that follows another one.
+
+    :param former: coordinator, ledger and job of the former one.
+    :param started: time of the takeover in seconds.
+    """
+    coordinator, _, job = former
+    ledger = ledgers.RunLedger(
+        started,
+        builders.GRANT_S,
+        builders.STOP_S,
+        last_former_grant=last_former_grant,
+    )
+    successor = coordinators.Coordinator(
+        'd', coordinator.fence + 1, ledger, None
+    )
+    progress = records.decode_progress(records.encode_progress(job.progress))
+    loaded = jobs.Job(job.submission, progress)
+    ledger.add_job(started, loaded)
+    return successor, ledger, loaded
+
+
 def make_large_step(**more):
     """Return a step of which a worker has room for one work item."""
     return builders.make_step(accelerators=8, **more)
--- a/tests/test_runtime/test_runtime_coordination.py
+++ b/tests/test_runtime/test_runtime_coordination.py
@@ -69,7 +69,11 @@
         now = clocks.get_monotonic_time()
         view.apply(_make_change('a' * 16), now - 30.0)
         leadership = types.SimpleNamespace(
-            fence=FENCE, is_leader=lambda: True, last_former_grant=None
+            fence=FENCE,
+            is_leader=lambda: True,
+            former_term=None,
+            nonce='',
+            renewed=0.0,
         )
         coordination = _make_coordination(view, leadership)
         coordination.decide_and_send()
--- a/tests/test_runtime/test_runtime_silent_agents.py
+++ b/tests/test_runtime/test_runtime_silent_agents.py
@@ -34,7 +34,8 @@
 
 class _Leadership:
     renewed = math.inf
-    last_former_grant = None
+    former_term = None
+    nonce = ''
 
     def __init__(self, fence):
         self.fence = fence
--- a/tests/test_runtime/test_runtime_terms.py
+++ b/tests/test_runtime/test_runtime_terms.py
@@ -98,7 +98,7 @@
     async def play():
         first, second = _Entry(store, 'a'), _Entry(store, 'b')
         await first.campaign()
-        assert first.leadership.last_former_grant is None
+        assert first.leadership.former_term is None
         second.follow()
         await first.leadership._renew_lease()
         renewed = first.leadership.renewed
@@ -108,7 +108,7 @@
         store.now += 2.0
         await second.campaign()
         assert second.leadership.fence
-        last_grant = second.leadership.last_former_grant
+        last_grant = second.leadership.former_term.last_grant
         assert renewed <= last_grant <= renewed + 0.1
 
     asyncio.run(play())
@@ -140,7 +140,7 @@
         await first.leadership.resign()
         assert store.ended == [LEASE]
         await second.campaign()
-        assert second.leadership.last_former_grant == store.now
+        assert second.leadership.former_term.last_grant == store.now
 
     asyncio.run(play())
 
