Answer no report with the coordinator of an ended term

An entry that was suspended, lost its lease and is elected again within one tick of its decisions answered reports with its former coordinator. The grants counted from a renewal in the next term, later than the next coordinator counts.

Jobs are added by the factory of the coordinator.

--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -111,8 +111,8 @@
     def decide_and_send(self) -> None:
         """Make the decisions that are due and send orders to the agents."""
         self._sync_with_leadership()
-        coordinator = self._coordinator
-        if coordinator is None or not self._leadership.is_leader():
+        coordinator = self._get_leading_coordinator()
+        if coordinator is None:
             return
         now = clocks.get_monotonic_time()
         if self._pacer.is_due(now):
@@ -146,9 +146,10 @@
 
     def take_advisor_question(self) -> advice.AdvisorQuestion | None:
         """Return the next question for the advisor, or ``None``."""
-        if self._coordinator is None or not self._leadership.is_leader():
+        coordinator = self._get_leading_coordinator()
+        if coordinator is None:
             return None
-        return self._coordinator.take_advisor_question(
+        return coordinator.take_advisor_question(
             clocks.get_monotonic_time(), clocks.get_wall_time()
         )
 
@@ -205,7 +206,9 @@
                 coordinator.forget_job(job_id)
             return
         if job_id not in coordinator.jobs:
-            self._add_job(known_job, is_loaded=False)
+            coordinator_factory.add_job(
+                coordinator, known_job, is_loaded=False
+            )
         elif known_job.cancelled:
             coordinator.cancel_job(clocks.get_wall_time(), job_id)
         asyncio.get_running_loop().call_soon(self.decide_and_send)
@@ -222,8 +225,8 @@
         coordinator = self._coordinator
         if coordinator is not None and report.fence > coordinator.fence:
             self._step_down('an agent reported a higher fencing token')
-            coordinator = None
-        if coordinator is None or not self._leadership.is_leader():
+        coordinator = self._get_leading_coordinator()
+        if coordinator is None:
             leader = leaderships.parse_leader(self._view.leader)
             entries = tuple(self._view.entries.values())
             return orders.Redirect(leader[0], leader[1], entries)
@@ -260,6 +263,15 @@
             now = clocks.get_monotonic_time()
             self._handover.apply(now, self._coordinator, answer)
 
+    def _get_leading_coordinator(self) -> coordinators.Coordinator | None:
+        """Return the coordinator, unless its term or its lease has ended."""
+        coordinator = self._coordinator
+        if coordinator is None or not self._leadership.is_leader():
+            return None
+        # This entry may have been elected again since.
+        is_current = coordinator.fence == self._leadership.fence
+        return coordinator if is_current else None
+
     def _sync_with_leadership(self) -> None:
         fence = self._leadership.fence
         coordinator = self._coordinator
@@ -283,7 +295,7 @@
         coordinator.entries = tuple(self._view.entries.values())
         self._coordinator = coordinator
         for known_job in self._view.list_jobs():
-            self._add_job(known_job, is_loaded=True)
+            coordinator_factory.add_job(coordinator, known_job, is_loaded=True)
         self._handover.begin(now, coordinator)
         self._writers = coordinator_writers.CoordinatorWriters(
             self._store,
@@ -308,36 +320,10 @@
         # entry coordinates again.
         self._mirror.complete = False
 
-    def _add_job(self, known_job: views.CachedJob, is_loaded: bool) -> None:
-        """Add a job to the coordinator.
-
-        :param is_loaded: whether the coordinator begins with the job, which
-            has not arrived just now then.
-        """
-        coordinator = self._coordinator
-        if coordinator is None:
-            return
-        now = clocks.get_monotonic_time()
-        wall = clocks.get_wall_time()
-        job = views.make_job(now, wall, known_job, is_loaded)
-        if job is None:
-            return
-        coordinator.add_job(now, job)
-        LOG.info(
-            'job added',
-            extra={
-                'job': job.id,
-                'age': round(wall - job.submission.accepted, 3),
-                'cancelled': known_job.cancelled,
-            },
-        )
-        if known_job.cancelled:
-            coordinator.cancel_job(wall, job.id)
-
     def _post_orders(self, worker: worker_state.Worker) -> None:
         def build() -> orders.Message | None:
-            coordinator = self._coordinator
-            if coordinator is None or not self._leadership.is_leader():
+            coordinator = self._get_leading_coordinator()
+            if coordinator is None:
                 return None
             if worker.lifetime not in coordinator.workers:
                 return None
--- a/damaskpin/runtime/coordinator_factory.py
+++ b/damaskpin/runtime/coordinator_factory.py
@@ -1,11 +1,14 @@
-"""Makes the coordinator of an entry that was elected."""
+"""Makes the coordinator of an entry that was elected, and adds its jobs."""
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from damaskpin.coordinator import coordinator as coordinators
 from damaskpin.coordinator import ledger as ledgers
+from damaskpin.entry import view as views
+from damaskpin.runtime import clocks
 
 if TYPE_CHECKING:
     from damaskpin.entry import stored_silences
@@ -13,6 +16,8 @@
     from damaskpin.runtime import leadership as leaderships
     from damaskpin.runtime import options
 
+LOG = logging.getLogger(__name__)
+
 
 def make_coordinator(
     now: float,
@@ -40,3 +45,31 @@
     )
     coordinator.lease_renewed = leadership.renewed
     return coordinator
+
+
+def add_job(
+    coordinator: coordinators.Coordinator,
+    known_job: views.CachedJob,
+    is_loaded: bool,
+) -> None:
+    """Add a stored job to a coordinator.
+
+    :param is_loaded: whether the coordinator begins with the job, which has
+        not arrived just now then.
+    """
+    now = clocks.get_monotonic_time()
+    wall = clocks.get_wall_time()
+    job = views.make_job(now, wall, known_job, is_loaded)
+    if job is None:
+        return
+    coordinator.add_job(now, job)
+    LOG.info(
+        'job added',
+        extra={
+            'job': job.id,
+            'age': round(wall - job.submission.accepted, 3),
+            'cancelled': known_job.cancelled,
+        },
+    )
+    if known_job.cancelled:
+        coordinator.cancel_job(wall, job.id)
--- a/tests/test_runtime/test_runtime_silent_agents.py
+++ b/tests/test_runtime/test_runtime_silent_agents.py
@@ -101,8 +101,14 @@
             transactions.Changes(changes, self._store.revision)
         )
 
-    def report(self, sequence):
-        """Report for the worker and return the entry's answer."""
+    def report(self, sequence, fence=None):
+        """Report for the worker and return the entry's answer.
+
+        :param fence: fencing token that the agent knows; that of the entry's
+            leader key by default.
+        """
+        if fence is None:
+            fence = self.leadership.fence
         running = (work.RunningRun(RUN, '', 0.0),)
         message = orders.Report(
             AGENT,
@@ -110,8 +116,8 @@
             sequence,
             _make_profile(),
             None,
-            self.leadership.fence,
-            self.leadership.fence,
+            fence,
+            fence,
             running,
             (),
             (),
