Leave restarted workers out of the last grants that are told

The lease of a worker that was restarted with its id may outlast the grant of its agent, which the record of silent agents allows for and the last grants did not. Found by the review; test_restarted_workers_are_not_told failed before.

--- a/damaskpin/coordinator/silence_records.py
+++ b/damaskpin/coordinator/silence_records.py
@@ -50,6 +50,10 @@
             for worker in self._ledger.workers.values()
             if worker.runs
         }
+        for worker in self._ledger.workers.values():
+            # Its lease may outlast the grant.
+            if worker.get_last_lease_end() > worker.latest_run_end:
+                answers.pop(worker.agent, None)
         earlier = sorted(
             (answer, agent)
             for agent, answer in answers.items()
--- a/tests/test_runtime/test_runtime_grant_handover.py
+++ b/tests/test_runtime/test_runtime_grant_handover.py
@@ -4,6 +4,7 @@
 
 import math
 
+import msgspec
 import pytest
 
 from damaskpin.coordinator import run_ends
@@ -148,6 +149,23 @@
     assert worker.latest_run_end == before
 
 
+def test_restarted_workers_are_not_told():
+    """Guards against runs that are freed before an extended lease ends."""
+    coordinator, ledger, _ = reports.make_coordinator(builders.make_step())
+    former = reports.find_worker(ledger, reports.find_run(ledger))
+    lifetime = msgspec.structs.replace(
+        former.lifetime, born=former.lifetime.born + 50
+    )
+    profile = msgspec.structs.replace(former.profile, lifetime=lifetime)
+    coordinator.lease_renewed = NOW
+    reports.report(coordinator, former, profile=profile)
+    worker = ledger.workers[lifetime]
+    assert worker.runs
+    assert worker.get_last_lease_end() > worker.latest_run_end
+    coordinator.lease_renewed = NOW + 10.0
+    assert worker.agent not in coordinator.list_last_grants().earlier
+
+
 def test_entry_that_is_elected_again_asks_nobody(monkeypatch):
     """Guards against a question that an entry sends to itself."""
     monkeypatch.setattr(clocks, 'get_monotonic_time', lambda: NOW)
