Campaign only with a view that shows the leader key of the last term

It would have taken that term for ended while its leader gave grants; its election needed a write that is carried out late. Found by the review, by reading; test_listing_with_a_term_and_without_its_key_is_not_current is new.

--- a/damaskpin/entry/leader_term.py
+++ b/damaskpin/entry/leader_term.py
@@ -105,6 +105,16 @@
                 self.revision = 0
                 self._record = None
 
+    def is_current(self, revision: int) -> bool:
+        """Return whether the leader key of the last term is known, if any.
+
+        The pages of a listing are no snapshot: a later one may have the record
+        of a term that began after the page with the leader key was read.
+
+        :param revision: store revision up to which all changes are known.
+        """
+        return self.revision <= revision
+
     def find_former(self, now: float) -> FormerTerm | None:
         """Return the last term, which must have ended.
 
--- a/damaskpin/runtime/entry.py
+++ b/damaskpin/runtime/entry.py
@@ -118,7 +118,7 @@
             self.view,
             settings.instance,
             settings.address,
-            lambda: self._mirror.complete,
+            self._may_campaign,
             settings.cores,
         )
         self.registration = registration.Registration(
@@ -201,6 +201,12 @@
         self._follower.restart_watch()
         self._configuration.restart_watch()
 
+    def _may_campaign(self) -> bool:
+        """Return whether the view shows all keys and the latest term."""
+        return self._mirror.complete and self.view.leader_term.is_current(
+            self._mirror.revision
+        )
+
     def _get_fence(self) -> int:
         return self.leadership.fence if self.leadership.is_leader() else 0
 
--- a/tests/test_runtime/test_runtime_terms.py
+++ b/tests/test_runtime/test_runtime_terms.py
@@ -158,6 +158,30 @@
     asyncio.run(play())
 
 
+def test_listing_with_a_term_and_without_its_key_is_not_current(store):
+    """Guards against a term that began between two pages of a listing.
+
+    Its leader may still give grants.
+    """
+
+    async def play():
+        first, second = _Entry(store, 'a'), _Entry(store, 'b')
+        before = store.revision
+        await first.campaign()
+        term = store.items[layout.TERM_KEY]
+        second.mirror.replace([term], before)
+        assert second.view.leader is None
+        current = second.view.leader_term.is_current
+        assert not current(second.mirror.revision)
+        second.mirror.apply_changes(
+            transactions.Changes(tuple(store.items.values()), store.revision)
+        )
+        assert current(second.mirror.revision)
+        assert second.view.leader is not None
+
+    asyncio.run(play())
+
+
 def test_campaign_fails_if_another_term_has_come_and_gone(store):
     """Guards against a leader that takes an older term for the last one."""
 
