--- a/tests/test_coordinator/links.py
+++ b/tests/test_coordinator/links.py
@@ -65,6 +65,8 @@
     def _pass_to_coordinator(self, instance, report):
         simulation = self._simulation
         coordinator = simulation.coordinator
+        if not simulation.leader_lease.is_leader():
+            return
         if report.fence > coordinator.fence:
             return
         if coordinator.is_superseded(report):
--- a/tests/test_coordinator/silence_writes.py
+++ b/tests/test_coordinator/silence_writes.py
@@ -53,6 +53,8 @@
             self.counts['recorded'] += len(record.ages)
             value = silent_agents.encode_record(record)
             self._pending = (value, self._revision)
+        if simulation.leader_lease.is_store_away():
+            return
         if not self._is_under_way and not simulation.is_lost():
             self._send(coordinator, self._pending)
 
@@ -86,6 +88,9 @@
         """Carry out a write, unless another one has followed."""
         if coordinator is not self._simulation.coordinator:
             return
+        if self._simulation.leader_lease.is_store_away():
+            self._is_under_way = False
+            return
         value, expected = write
         if expected == self._revision:
             self._value = value
--- a/tests/test_coordinator/simulation.py
+++ b/tests/test_coordinator/simulation.py
@@ -19,6 +19,7 @@
 from tests.test_coordinator import gang_members
 from tests.test_coordinator import idle_check
 from tests.test_coordinator import instance as instances_module
+from tests.test_coordinator import leader_lease
 from tests.test_coordinator import links
 from tests.test_coordinator import oracle
 from tests.test_coordinator import overlapping_calls
@@ -62,6 +63,7 @@
     :ivar limits_waits: whether a job that waits for too long after the last
         fault is an error.
     :ivar idle_check: check of idle jobs since the last fault; ``None`` before.
+    :ivar leader_lease: lease of the coordinator, and outages of the store.
     """
 
     # Capacity of each worker, and longest time until all jobs have ended.
@@ -85,6 +87,7 @@
         self.tick_s = TICK_S
         self.disturbances = disturbances.Disturbances(self)
         self._links = links.Links(self)
+        self.leader_lease = leader_lease.LeaderLease(self)
         self.store_writes = store_writes.StoreWrites(self)
         self._calls = worker_calls.WorkerCalls(self, self._send)
         self._events = []
@@ -168,7 +171,10 @@
         """Start a new coordinator from the stored progress."""
         self.fence += 1
         former = self.store_writes.silences.get_answers()
-        ledger = ledgers.RunLedger(self.now, self.get_grant(), STOP_S, former)
+        last_grant = self.leader_lease.last_former_grant
+        ledger = ledgers.RunLedger(
+            self.now, self.get_grant(), STOP_S, former, 0.0, last_grant
+        )
         self.coordinator = coordinators.Coordinator(
             'c', self.fence, ledger, None
         )
@@ -254,6 +260,11 @@
             if instance.worker in self.crashing_workers:
                 self.restart_worker(instance)
         self.crashing_workers.clear()
+        if self.leader_lease.is_leader():
+            self._coordinate()
+        self.oracle.failures.check_failed_jobs(self.coordinator.jobs)
+
+    def _coordinate(self):
         self.coordinator.decide(self.now, self.get_wall())
         self.store_writes.advance()
         for worker in self.coordinator.pop_due_workers():
@@ -264,7 +275,6 @@
                 self._links.deliver(
                     instance, self.coordinator.make_orders(worker)
                 )
-        self.oracle.failures.check_failed_jobs(self.coordinator.jobs)
 
     def _run_events(self, end):
         """Run the scheduled functions that are due, each at its time."""
--- a/tests/test_coordinator/store_writes.py
+++ b/tests/test_coordinator/store_writes.py
@@ -27,6 +27,8 @@
         simulation = self._simulation
         coordinator = simulation.coordinator
         self.silences.advance()
+        if simulation.leader_lease.is_store_away():
+            return
         for job in coordinator.list_unstored_jobs():
             if simulation.is_lost():
                 continue
@@ -58,6 +60,8 @@
     def _arrive(self, coordinator, job_id, value, version):
         """Carry out a late write, or let its late answer arrive."""
         self._pending.discard((coordinator, job_id))
+        if self._simulation.leader_lease.is_store_away():
+            return
         if coordinator is self._simulation.coordinator:
             self._simulation.store[job_id] = value
             coordinator.record_stored(job_id, version)
