--- a/tests/test_coordinator/leader_lease.py
+++ b/tests/test_coordinator/leader_lease.py
@@ -19,6 +19,10 @@
 # Seconds from the end of the leader key, as other entries see it, to the
 # election of the next coordinator.
 USUAL_CAMPAIGN_S = (0.05, 0.2)
+# Seconds from an election to the answer of the former coordinator.
+HANDOVER_DELAY_S = (0.0, 0.3)
+
+ADDRESS = 'tcp://a'
 
 
 class Successor(enum.Enum):
@@ -59,7 +63,10 @@
         self._simulation = simulation
         self._random = random.Random(1)
         self._is_active = False
+        # Whether the coordinator leads no more, and whether its process can
+        # still tell its last grants.
         self._is_lost = False
+        self._is_alive = True
         self._is_campaign_due = False
         self._store_returns = -math.inf
         self._revision = 0
@@ -92,12 +99,14 @@
     def lose_coordinator(self):
         """Lose the coordinator, whose lease runs on until it expires."""
         self._is_lost = True
+        self._is_alive = False
 
     def resign(self):
         """Let the coordinator end its lease, unless the store is away."""
         if not self.is_leader():
             return
         self._is_lost = True
+        self._is_alive = False
         if self.is_store_away():
             return
         self._write_record(is_resigned=True)
@@ -122,9 +131,10 @@
         :param opened: time in seconds at which its lease was opened.
         """
         self._is_lost = False
+        self._is_alive = True
         self._is_campaign_due = False
         self._nonce = f'nonce-{self._simulation.fence}'
-        value = leader_term.encode_leader('a', 'i', self._nonce)
+        value = leader_term.encode_leader(ADDRESS, 'i', self._nonce)
         self._put(layout.LEADER_KEY, value)
         self._write_record(is_resigned=False)
         self.store_end = opened + leadership.LEASE_TTL_S
@@ -200,11 +210,29 @@
             self._view = leader_term.LeaderTerm()
         if self.successor is Successor.RESTARTED:
             self._view.apply(opened, self._record)
-        self.last_former_grant = self._view.find_last_grant(opened)
+        former_term = self._view.find_former(opened)
+        self.last_former_grant = former_term and former_term.last_grant
         self.counts[self.successor] += 1
         self.counts['known'] += self.last_former_grant is not None
+        former = simulation.coordinator if self._is_alive else None
         simulation.replace_coordinator()
         self._begin_term(opened)
+        if former is not None and former_term is not None:
+            self._schedule_handover(former)
+
+    def _schedule_handover(self, former):
+        """Let a former coordinator that lives on tell its last grants."""
+        coordinator = self._simulation.coordinator
+        last_grants = former.list_last_grants()
+
+        def apply():
+            if coordinator is self._simulation.coordinator:
+                coordinator.silence_records.apply_last_grants(last_grants)
+                self.counts['told'] += 1
+
+        self._simulation.schedule(
+            self._random.uniform(*HANDOVER_DELAY_S), apply
+        )
 
     def _call_store(self, action):
         """Call a function at once, or as soon as the store is back."""
@@ -216,7 +244,7 @@
 
     def _write_record(self, is_resigned):
         record = leader_term.TermRecord(
-            self._nonce, leadership.LEASE_TTL_S, is_resigned
+            self._nonce, ADDRESS, leadership.LEASE_TTL_S, is_resigned
         )
         self._record = self._put(
             layout.TERM_KEY, leader_term.encode_record(record)
--- a/tests/test_coordinator/test_coordinator_takeover_waits.py
+++ b/tests/test_coordinator/test_coordinator_takeover_waits.py
@@ -97,6 +97,19 @@
     _check(delay, _lose_coordinator)
 
 
+@delays
+@pytest.mark.parametrize('outage', [2.5, 4.5])
+def test_work_of_a_lost_machine_restarts_if_the_leader_lives(outage, delay):
+    """Guards against an outage of the store that puts off lost work.
+
+    The lease of the leader expires, and it tells its last grants to the next
+    one.
+    """
+    _check(
+        delay, lambda simulation: simulation.leader_lease.begin_outage(outage)
+    )
+
+
 @delays
 @pytest.mark.parametrize('outage', OUTAGES_S)
 def test_work_of_a_lost_machine_restarts_after_an_outage(outage, delay):
