Let the reported end of a gone worker's lease pass

The report was at least -4.0 s, the allowance for an undecided start call, even without such a call. With the 5.0 s that the coordinator adds, the end of the runs stayed 1.0 s ahead of each report, made every 0.5 s. The agent's refusals, which free these runs otherwise, count only with lists that were read for the coordinator, which a gone worker never gives to the next one.

Only an undecided start now raises what is reported.

--- a/damaskpin/agent/reports.py
+++ b/damaskpin/agent/reports.py
@@ -40,7 +40,8 @@
         # The coordinator adds the time of a suspension to what is reported;
         # the longest delay of a call contains it.
         undecided = worker.attempts.get_undecided_time(now)
-        lapse = max(lapse, undecided - leases.MAX_SUSPENSION_S)
+        if undecided > 0:
+            lapse = max(lapse, undecided - leases.MAX_SUSPENSION_S)
     worker.attempts.report_needed = False
     running: tuple[work.RunningRun, ...] = ()
     ended: tuple[work.EndedRun, ...] = ()
