--- a/tests/test_coordinator/test_coordinator_grants.py
+++ b/tests/test_coordinator/test_coordinator_grants.py
@@ -27,6 +27,31 @@
     assert worker.latest_run_end == ledger.run_ends.get_granted_end(start)
 
 
+def test_limited_grant_counts_from_the_latest_renewal():
+    """Guards against a recorded agent whose grant outlasts the lease.
+
+    Its record may not be stored, so that only the lease tells of the grant.
+    """
+    coordinator, ledger, _ = reports.make_coordinator(builders.make_step())
+    worker = reports.find_worker(ledger, reports.find_run(ledger))
+    worker.process = 'process-1'
+    coordinator.lease_renewed = NOW
+    reports.report(coordinator, worker, process=worker.process)
+    for check in range(20):
+        record = coordinator.silence_records.make_due_record(
+            NOW + 0.25 * check
+        )
+        if record is not None:
+            break
+    assert worker.agent in record.ages
+    worker.last_report_time = NOW + 6.0
+    worker.report_time += 6.0
+    coordinator.lease_renewed = NOW + 0.1
+    assert not coordinator.may_answer(worker)
+    answer = coordinator.make_answer(worker)
+    assert answer.echo == pytest.approx(worker.report_time - 6.0 + 0.1)
+
+
 @pytest.mark.parametrize('recorded_age', [0.2, 2.5])
 def test_takeover_counts_from_the_earliest_evidence(recorded_age):
     """Guards against a hold that a takeover puts off.
--- a/tests/test_runtime/test_runtime_terms.py
+++ b/tests/test_runtime/test_runtime_terms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
@@ -114,6 +115,26 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize('ttl', [1.0, 5.0])
+def test_term_has_the_shorter_time_to_live(store, ttl):
+    """Guards against a lease whose time to live the store has changed.
+
+    Its renewals are taken to last for the time that was asked for, at most.
+    """
+
+    async def open_lease(_ttl):
+        return transactions.Lease(LEASE, ttl)
+
+    async def play():
+        store.open_lease = open_lease
+        entry = _Entry(store, 'a')
+        await entry.campaign()
+        record = json.loads(store.items[layout.TERM_KEY].value)
+        assert record['ttl'] == min(ttl, leaderships.LEASE_TTL_S)
+
+    asyncio.run(play())
+
+
 def test_renewal_without_an_answer_does_not_count(store):
     """Guards against grants that count from a renewal the store never saw."""
 
