Ignore a question for last grants that is older than the present term

An entry that is elected again and has not replaced its coordinator compared the question with that of the ended term, and stepped down in the present one. Found by the review, by reading; the test failed before.

--- a/damaskpin/runtime/coordination.py
+++ b/damaskpin/runtime/coordination.py
@@ -249,10 +249,9 @@
         self, question: orders.GrantQuestion
     ) -> orders.GrantAnswer | None:
         """Return the last grants of this entry, which gives no more."""
-        coordinator = self._coordinator
-        if coordinator is not None:
-            if question.fence <= coordinator.fence:
-                return None
+        if question.fence <= self._leadership.fence:
+            return None
+        if self._coordinator is not None:
             self._step_down('another coordinator asks for the last grants')
             self.stop()
         return self._handover.answer(clocks.get_monotonic_time(), question)
--- a/tests/test_runtime/test_runtime_takeover_grants.py
+++ b/tests/test_runtime/test_runtime_takeover_grants.py
@@ -124,6 +124,22 @@
     _run(play)
 
 
+def test_question_of_an_earlier_coordinator_ends_no_term(clock):
+    """Guards against a delayed question that stops the present leader.
+
+    The entry is elected again and has not replaced its coordinator yet.
+    """
+
+    async def play(_store, entry):
+        _begin(entry)
+        question = orders.GrantQuestion(entry.leadership.fence + 1)
+        entry.leadership.fence = entries.NEXT_FENCE
+        assert entry.coordination.answer_successor(question) is None
+        assert entry.leadership.fence == entries.NEXT_FENCE
+
+    _run(play)
+
+
 def test_former_coordinator_without_an_answer_tells_its_election(clock):
     """Guards against last grants of a term in which none was given."""
 
