Say from what grants count, and log what an election knows of the former term

Parameters and pages still named the answered report. An election logs the age of the last grant of the term before, and a resignation that is not recorded says so.

--- a/damaskpin/agent/agent.py
+++ b/damaskpin/agent/agent.py
@@ -27,7 +27,7 @@
 
     :param instance: instance id of this agent.
     :param grant: seconds for which the agent may keep renewing the lease,
-        counted from the latest report that the coordinator answered.
+        counted from the ``echo`` of the coordinator's orders.
     :param lease: maximum duration in seconds of one lease renewal.
     :param stop_time: seconds that a worker needs to stop a run.
     :param longest_lease: longest lease in seconds that a worker allows.
--- a/damaskpin/agent/lease_tracker.py
+++ b/damaskpin/agent/lease_tracker.py
@@ -43,7 +43,7 @@
     clock, which may jump ahead when the machine was suspended.
 
     :param grant: seconds for which the agent may keep renewing the lease,
-        counted from the latest report that the coordinator answered.
+        counted from the ``echo`` of the coordinator's orders.
     :param lease: maximum duration in seconds of one lease renewal.
     :param stop_time: seconds that a worker needs to stop a run.
     :param longest_lease: longest lease in seconds that a worker allows. A late
@@ -212,8 +212,7 @@
         A time that lies ahead was read by a former process of the agent,
         before the machine's clock started anew, and grants nothing.
 
-        :param echo: time in seconds of the report that the coordinator
-            answered.
+        :param echo: time in seconds from which the grant counts.
         """
         if not self._min_echo_time < echo <= now:
             return
--- a/damaskpin/coordinator/ledger.py
+++ b/damaskpin/coordinator/ledger.py
@@ -42,8 +42,7 @@
     a worker that restarts has a new lifetime and may keep its id.
 
     :param started: time at which this coordinator began, in seconds.
-    :param grant: length of a grant in seconds, counted from the latest report
-        of the agent that the coordinator answered.
+    :param grant: length of a grant in seconds, counted from its start.
     :param stop_time: seconds that a worker takes to stop a run.
     :param former_answers: time in seconds of the latest report that a former
         coordinator may have answered, by agent, for those that it has
@@ -105,7 +104,7 @@
             worker = self.workers.get(active.lifetime)
             if worker is None:
                 # A former coordinator may have given grants to its agent.
-                answered, evidence = self.silent_agents.find_former_answer(
+                answered, evidence = self.silent_agents.find_former_grant(
                     active.agent
                 )
                 worker = self.add_worker(
--- a/damaskpin/coordinator/run_ends.py
+++ b/damaskpin/coordinator/run_ends.py
@@ -53,8 +53,8 @@
 class RunEnds:
     """Derives the latest end of a worker's runs from the evidence of it.
 
-    :param grant: length of a grant in seconds, counted from the latest report
-        of the agent that the coordinator answered.
+    :param grant: length of a grant in seconds, counted from its start; see
+        :class:`damaskpin.coordinator.grants.GrantStart`.
     :param stop_time: seconds that a worker takes to stop a run.
     :param longest_lease: longest lease in seconds that a worker allows.
     """
@@ -70,14 +70,13 @@
             leases.LEASE_EXPIRY_MARGIN_S + stop_time + leases.MAX_SUSPENSION_S
         )
 
-    def get_granted_end(self, report_time: float) -> float:
+    def get_granted_end(self, start: float) -> float:
         """Return the time by which all runs under a grant have ended.
 
-        :param report_time: time of the latest report of the worker's agent
-            that the coordinator answered, in seconds.
+        :param start: time in seconds from which the grant counts.
         """
         grant = self._grant * (1 + leases.MAX_CLOCK_SLOWDOWN)
-        return report_time + grant + self._end_margin
+        return start + grant + self._end_margin
 
     def renew(self, worker: worker_state.Worker, answered: float) -> None:
         """Put off the end of a worker's runs, as orders renew a grant.
--- a/damaskpin/coordinator/silence_records.py
+++ b/damaskpin/coordinator/silence_records.py
@@ -31,7 +31,7 @@
         silent = self._ledger.silent_agents
         if not silent.record_report(now, agent):
             return
-        last_grant, evidence = silent.find_former_answer(agent)
+        last_grant, evidence = silent.find_former_grant(agent)
         # The agent may get a grant again, so its runs are kept for as long as
         # without the record of the former coordinator.
         for worker in self._ledger.workers.values():
@@ -74,7 +74,7 @@
         for worker in self._ledger.workers.values():
             if silent.has_reported(worker.agent):
                 continue
-            answered, evidence = silent.find_former_answer(worker.agent)
+            answered, evidence = silent.find_former_grant(worker.agent)
             self._ledger.run_ends.bring_forward(worker, answered, evidence)
 
     def renew_limited_grant(
--- a/damaskpin/coordinator/silent_agents.py
+++ b/damaskpin/coordinator/silent_agents.py
@@ -97,7 +97,8 @@
     """Times of the agents' reports under one coordinator.
 
     :param started: time at which the coordinator began, in seconds. Former
-        coordinators may have answered reports until then.
+        coordinators may have given grants until then, unless
+        ``last_former_grant`` is known.
     :param former_answers: time in seconds of the latest report that a former
         coordinator may have answered, by agent, for those that it has
         recorded as silent.
@@ -146,10 +147,8 @@
         self._steady_since = started
         self._next_check = started
 
-    def find_former_answer(
-        self, agent: str
-    ) -> tuple[float, run_ends.Evidence]:
-        """Return the latest time of a report that others answered.
+    def find_former_grant(self, agent: str) -> tuple[float, run_ends.Evidence]:
+        """Return the latest time from which a grant of others counts.
 
         :returns: the time in seconds, and what it follows from.
         """
@@ -189,7 +188,7 @@
             return limit.answer
         answer = self._answers.get(agent)
         if answer is None:
-            return self.find_former_answer(agent)[0]
+            return self.find_former_grant(agent)[0]
         return answer
 
     def record_report(self, now: float, agent: str) -> bool:
--- a/damaskpin/runtime/leadership.py
+++ b/damaskpin/runtime/leadership.py
@@ -132,7 +132,7 @@
         try:
             # The next leader relies on a lease that ends by itself, unless
             # the record of the term tells otherwise.
-            if fence and await self._record_resignation(fence):
+            if await self._record_resignation(fence):
                 await self._store.end_lease(lease)
         except errors.StoreError as error:
             LOG.info('leader lease not ended', extra={'error': str(error)})
@@ -154,7 +154,10 @@
             ),
         )
         result = await self._store.commit(transaction)
-        return isinstance(result, transactions.Committed)
+        if isinstance(result, transactions.Committed):
+            return True
+        LOG.info('resignation not recorded, as the term has ended')
+        return False
 
     def step_down(self, reason: str) -> None:
         """Stop acting as coordinator; the leader key's lease may run on."""
@@ -226,7 +229,14 @@
         self.nonce = nonce
         self.renewed = send_time
         self.former_term = former_term
-        LOG.info('elected as coordinator', extra={'fence': fence})
+        LOG.info(
+            'elected as coordinator',
+            extra={
+                'fence': fence,
+                'last_former_grant_age': former_term
+                and round(send_time - former_term.last_grant, 3),
+            },
+        )
 
     async def _read_election_result(self) -> transactions.Conflict | None:
         """Read the leader key after a write that got no answer."""
--- a/tests/test_coordinator/test_coordinator_loss_budget.py
+++ b/tests/test_coordinator/test_coordinator_loss_budget.py
@@ -56,7 +56,7 @@
     return end + entry.TICK_INTERVAL_S
 
 
-def _find_former_answer(started, last_former_grant, recorded=None):
+def _find_former_grant(started, last_former_grant, recorded=None):
     """Return from when a new coordinator counts the grant of the agent.
 
     :param recorded: time in seconds of the latest answer by the record of
@@ -70,7 +70,7 @@
         former_answers,
         last_former_grant=last_former_grant,
     )
-    answer, _ = ledger.silent_agents.find_former_answer('agent-0')
+    answer, _ = ledger.silent_agents.find_former_grant('agent-0')
     return answer
 
 
@@ -126,14 +126,14 @@
     """Guards against an allowance that puts a start off at a takeover."""
     recorded_at, recorded = _record_lost_agent()
     started = recorded_at + 10.0
-    answer = _find_former_answer(started, started, recorded)
+    answer = _find_former_grant(started, started, recorded)
     assert _measure_wait(answer) <= MAX_LOSS_S
 
 
 def test_loss_together_with_the_coordinator():
     """Guards against a former lease that is taken to end much too late."""
     last_grant = _find_last_grant(ANSWERED)
-    answer = _find_former_answer(ANSWERED + 10.0, last_grant)
+    answer = _find_former_grant(ANSWERED + 10.0, last_grant)
     assert _measure_wait(answer) <= MAX_LOSS_S
 
 
@@ -144,7 +144,7 @@
     """
     recorded_at, _ = _record_lost_agent()
     last_grant = _find_last_grant(recorded_at)
-    answer = _find_former_answer(recorded_at + 10.0, last_grant)
+    answer = _find_former_grant(recorded_at + 10.0, last_grant)
     assert _measure_wait(answer) <= MAX_LOSS_S
 
 
@@ -157,7 +157,7 @@
     last grants.
     """
     last_grant = _find_last_grant(ANSWERED, ANSWERED + outage)
-    answer = _find_former_answer(ANSWERED + 20.0, last_grant)
+    answer = _find_former_grant(ANSWERED + 20.0, last_grant)
     assert _measure_wait(answer) <= MAX_LOSS_S
 
 
@@ -168,5 +168,5 @@
     """
     ended = ANSWERED + MAX_STORE_OUTAGE_S + leadership.LEASE_TTL_S
     last_grant = _find_last_grant(ANSWERED, ended)
-    answer = _find_former_answer(ANSWERED + 20.0, last_grant)
+    answer = _find_former_grant(ANSWERED + 20.0, last_grant)
     assert _measure_wait(answer) <= MAX_LOSS_S
--- a/tests/test_coordinator/test_coordinator_silent_agents.py
+++ b/tests/test_coordinator/test_coordinator_silent_agents.py
@@ -239,12 +239,12 @@
     ledger = ledgers.RunLedger(
         STARTED, builders.GRANT_S, builders.STOP_S, {AGENT: STARTED - 5.0}
     )
-    former, _ = ledger.silent_agents.find_former_answer(AGENT)
+    former, _ = ledger.silent_agents.find_former_grant(AGENT)
     assert former == STARTED - 5.0
     silence_records.SilenceRecords(ledger, 4).record_report(
         STARTED + 1.0, AGENT
     )
-    answer, _ = ledger.silent_agents.find_former_answer(AGENT)
+    answer, _ = ledger.silent_agents.find_former_grant(AGENT)
     assert answer == STARTED
 
 
